--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,128 @@
+/** Lint rules: Google TypeScript Style, package layers, doc comments. */
+import jsdoc from 'eslint-plugin-jsdoc';
+import tseslint from 'typescript-eslint';
+import {packageLayers} from './tools/package_layers.js';
+
+/** Forbids imports of packages that stand later in the layer order. */
+function layerRules(name, index) {
+  const later = packageLayers
+    .slice(index)
+    .map((layer) => `@marigoldpost/${layer}`);
+  return {
+    files: [`packages/${name}/src/**/*.ts`],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: [
+            ...later,
+            'child_process',
+            'node:child_process',
+            'cluster',
+            'node:cluster',
+            'worker_threads',
+            'node:worker_threads',
+          ],
+          patterns: ['@marigoldpost/*/*'],
+        },
+      ],
+    },
+  };
+}
+
+export default tseslint.config(
+  {
+    ignores: [
+      '**/dist/**',
+      'dist-tests/**',
+      'build/**',
+      'packages/*/src/generated/**',
+    ],
+  },
+  ...tseslint.configs.recommended,
+  {
+    files: ['packages/*/src/**/*.ts', 'packages/*/tests/**/*.ts'],
+    languageOptions: {
+      parserOptions: {
+        projectService: {defaultProject: 'tsconfig.tests.json'},
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    rules: {
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-misused-promises': 'error',
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        {considerDefaultExhaustiveForUnions: true},
+      ],
+      '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {selector: 'typeLike', format: ['PascalCase']},
+        {
+          selector: ['variable', 'function', 'classMethod'],
+          format: ['camelCase', 'PascalCase', 'UPPER_CASE'],
+          leadingUnderscore: 'forbid',
+        },
+        {
+          selector: 'classProperty',
+          format: ['camelCase', 'UPPER_CASE'],
+          leadingUnderscore: 'forbid',
+        },
+        {
+          selector: 'parameter',
+          format: ['camelCase'],
+          leadingUnderscore: 'allow',
+        },
+      ],
+      eqeqeq: ['error', 'always', {null: 'ignore'}],
+      curly: ['error', 'multi-line'],
+      'prefer-const': 'error',
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'ExportDefaultDeclaration',
+          message: 'Use named exports (Google TypeScript Style).',
+        },
+      ],
+      'max-lines': [
+        'error',
+        {max: 400, skipBlankLines: true, skipComments: true},
+      ],
+      'max-lines-per-function': [
+        'error',
+        {max: 60, skipBlankLines: true, skipComments: true},
+      ],
+    },
+  },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    plugins: {jsdoc},
+    rules: {
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: true,
+          require: {
+            ClassDeclaration: true,
+            FunctionDeclaration: true,
+            MethodDefinition: false,
+          },
+          contexts: [
+            'TSInterfaceDeclaration',
+            'TSTypeAliasDeclaration',
+            'TSEnumDeclaration',
+            'ExportNamedDeclaration > VariableDeclaration',
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['packages/*/tests/**/*.ts'],
+    rules: {'max-lines-per-function': 'off'},
+  },
+  ...packageLayers.map(layerRules),
+);
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,14 @@
+/** Identifiers, errors, time and small helpers shared by every package. */
+export * from './ids/ids.js';
+export * from './errors/error_kind.js';
+export * from './errors/marigoldpost_error.js';
+export * from './time/clock.js';
+export * from './time/system_clock.js';
+export * from './time/virtual_clock.js';
+export * from './random/random.js';
+export * from './resilience/backoff.js';
+export * from './resilience/retry_budget.js';
+export * from './utils/async_queue.js';
+export * from './utils/binary_heap.js';
+export * from './utils/deferred.js';
+export * from './utils/digest.js';
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** Callers' HTTP. */
+export * from './call_gateway.js';
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,2 @@
+/** Membership and messages between daemons. */
+export * from './transport/peer_transport.js';
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,3 @@
+/** Clients of the platform: object API, VM list. */
+export * from './store/object_store.js';
+export * from './vms/vm_list.js';
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,2 @@
+/** Order, placement and cache holding of calls. */
+export * from './call_scheduler.js';
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,3 @@
+/** Daemon settings and the operators' text. */
+export * from './daemon/daemon_settings.js';
+export * from './operators/operators_config.js';
