Let a call be picked up where its engine or holder was lost

Cause: a successor cannot know which engine still runs a stream unless a write is spent on it, and an engine's death must not change tokens already sent. Change: a started event tells the entry the target, which a re-sent call carries back; a generation may go on behind a prefix made elsewhere. Not measured: types only.

--- a/packages/programs/src/calls/call.ts
+++ b/packages/programs/src/calls/call.ts
@@ -5,6 +5,7 @@
   ModelId,
   ProgramId,
   ServiceId,
+  TargetId,
   TeamId,
 } from '@marigoldpost/common';
 import type {BudgetConfig, CallClass} from '@marigoldpost/settings';
@@ -38,6 +39,8 @@
   readonly maxTokens: number;
   /** Tokens that the caller already has, when it resumes a stream. */
   readonly offsetTokens: number;
+  /** Target that ran the call before its holder was lost. */
+  readonly resumeTarget?: TargetId;
 }
 
 /** A call to a plain service. */
@@ -82,6 +85,12 @@
   readonly isReplay: boolean;
 }
 
+/** The call has been sent to a target; sent again for each attempt. */
+export interface CallStarted {
+  readonly kind: 'started';
+  readonly target: TargetId;
+}
+
 /** One token of an answer. */
 export interface CallToken {
   readonly kind: 'token';
@@ -98,4 +107,4 @@
 }
 
 /** What a caller gets; failures are thrown. */
-export type CallEvent = CallAccepted | CallToken | CallFinished;
+export type CallEvent = CallAccepted | CallStarted | CallToken | CallFinished;
--- a/packages/targets/src/engine/engine_client.ts
+++ b/packages/targets/src/engine/engine_client.ts
@@ -18,6 +18,11 @@
   readonly maxTokens: number;
   /** Tokens already received; only later ones are sent. */
   readonly offsetTokens: number;
+  /**
+   * Start of the answer that another engine generated before it failed; the
+   * generation goes on behind it, and token indexes count from its start.
+   */
+  readonly answerPrefix?: readonly string[];
   /** Only picks up a stream that exists; `target_failed` when it does not. */
   readonly isResumeOnly: boolean;
 }
@@ -74,8 +79,10 @@
   readonly fencingNumber: number;
 }
 
-/** Client of one model engine; errors are `target_failed`, `target_timeout`, */
-/** `stream_truncated` and, for an order, `fenced`. */
+/**
+ * Client of one model engine. Errors are `target_failed`, `target_timeout`,
+ * `stream_truncated` and, for an order, `fenced`.
+ */
 export abstract class EngineClient {
   /**
    * Starts or resumes a stream. The iterable ends after an `end` event, and
