Add the event catalogue, the event logger and metrics

Cause: every part logs and measures, and free text would let content through. Change: one typed catalogue of numbered events, a logger that takes only these, metrics by a typed catalogue with histograms of hdr-histogram-js.

--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+/** Numbered events, logs and metrics. */
+export * from './events/event_catalogue.js';
+export * from './events/event_logger.js';
+export * from './metrics/metric_catalogue.js';
+export * from './metrics/metrics.js';
--- /dev/null
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -0,0 +1,55 @@
+/** Every metric that the project measures. */
+
+/** One metric of the catalogue. */
+export interface MetricDefinition {
+  readonly type: 'counter' | 'gauge' | 'histogram';
+  readonly help: string;
+  readonly labels: readonly string[];
+}
+
+/** The metrics by name, without the prefix `marigoldpost_`. */
+export const metricCatalogue = {
+  calls_total: define('counter', 'Calls by result', ['service', 'result']),
+  refusals_total: define('counter', 'Refused requests', ['kind']),
+  call_duration_ms: define('histogram', 'Time of a call', ['service']),
+  first_token_ms: define('histogram', 'Time to the first token', ['service']),
+  token_gap_ms: define('histogram', 'Time between tokens', ['service']),
+  queue_wait_ms: define('histogram', 'Wait for a target', ['service']),
+  commit_wait_ms: define('histogram', 'Wait for the journal', []),
+  calls_in_flight: define('gauge', 'Calls under way', []),
+  queue_length: define('gauge', 'Calls that wait for a target', []),
+  prompt_tokens_total: define('counter', 'Prompt tokens', ['service']),
+  cached_tokens_total: define('counter', 'Cached prompt tokens', ['service']),
+  completion_tokens_total: define('counter', 'Generated tokens', ['service']),
+  programs_open: define('gauge', 'Open programs held here', []),
+  partitions_held: define('gauge', 'Partitions held here', []),
+  platform_calls_total: define('counter', 'Calls to the platform', [
+    'operation',
+    'result',
+  ]),
+  peer_bytes_total: define('counter', 'Bytes to and from peers', ['direction']),
+  config_version: define('gauge', 'Version of the text in force', []),
+  uncommitted_bytes: define('gauge', 'Bytes of turns not yet durable', []),
+} as const satisfies Record<string, MetricDefinition>;
+
+/** Name of a metric. */
+export type MetricName = keyof typeof metricCatalogue;
+
+/** Names of the metrics of one type. */
+export type MetricNameOf<Type extends MetricDefinition['type']> = {
+  [Name in MetricName]: (typeof metricCatalogue)[Name]['type'] extends Type
+    ? Name
+    : never;
+}[MetricName];
+
+/** The labels that a metric is measured with. */
+export type MetricLabels<Name extends MetricName> = {
+  readonly [Label in (typeof metricCatalogue)[Name]['labels'][number]]: string;
+};
+
+function define<
+  const Type extends MetricDefinition['type'],
+  const Labels extends readonly string[],
+>(type: Type, help: string, labels: Labels) {
+  return {type, help, labels};
+}
--- /dev/null
+++ b/packages/telemetry/tests/metrics/metrics.feature
@@ -0,0 +1,16 @@
+Feature: Metrics
+
+  Scenario: The exposition holds counters, gauges and histograms
+    Given metrics with 2 finished calls of 10 and 20 ms and 7 calls in flight
+    Then the exposition of the metrics holds these lines
+      | line                                                                   |
+      | # TYPE marigoldpost_calls_total counter                                |
+      | marigoldpost_calls_total{service="quay-ops",result="ok"} 2             |
+      | # TYPE marigoldpost_call_duration_ms summary                           |
+      | marigoldpost_call_duration_ms_sum{service="quay-ops"} 30               |
+      | marigoldpost_call_duration_ms_count{service="quay-ops"} 2              |
+      | marigoldpost_calls_in_flight 7                                         |
+
+  Scenario: Any label text stays inside its quotes
+    Given metrics with any label text
+    Then each line of the exposition of the metrics is well formed
