Add HTTP clients of platform and targets, registry, quarantine and orders

Callers of the libraries need one place that tells what became of a request. HttpChannel uses undici's dispatch hooks: a failure before onRequestStart was never sent, so it is 'not run' (target) or 'unavailable' (store); any later one is 'unknown' or 'ambiguous'. Matching error codes was ruled out: a reset on a reused connection has the same code before and after the write.

--- /dev/null
+++ b/packages/platform/src/store/http_object_store.ts
@@ -0,0 +1,202 @@
+/** Object API over HTTP. */
+import type {Clock} from '@marigoldpost/common';
+import {MarigoldpostError} from '@marigoldpost/common';
+import {z} from 'zod';
+import {HttpChannel} from '../http/http_channel.js';
+import type {HttpAnswer, HttpFailure} from '../http/http_types.js';
+import {toStoreError, toStoreFailure} from './store_errors.js';
+import {
+  type ListOptions,
+  type ObjectChanges,
+  ObjectStore,
+  type StoredObject,
+} from './object_store.js';
+
+/** Options of the client. */
+export interface HttpObjectStoreOptions {
+  /** `http://<ip>:<port>` of the object API. */
+  readonly address: string;
+  /** Longest time for one call; a watch may take its wait on top. */
+  readonly timeoutMs: number;
+  /** Source of timeouts; the machine's clock by default. */
+  readonly clock?: Clock;
+}
+
+/** Longest wait that a watch asks the platform for. */
+const watchWaitMs = 20_000;
+const notFoundStatus = 404;
+
+const storedObjectSchema = z.object({
+  key: z.string(),
+  value: z.string(),
+  version: z.number().int(),
+});
+const listSchema = z.object({objects: z.array(storedObjectSchema)});
+const changesSchema = z.object({
+  changes: z.array(
+    z.object({
+      key: z.string(),
+      object: storedObjectSchema.optional(),
+      version: z.number().int(),
+    }),
+  ),
+  version: z.number().int(),
+});
+
+/** One call to the object API. */
+interface StoreCall {
+  readonly method: string;
+  readonly path: string;
+  readonly isWrite: boolean;
+  readonly body?: object;
+}
+
+/** Client of the object API over HTTP. */
+export class HttpObjectStore extends ObjectStore {
+  private constructor(
+    private readonly channel: HttpChannel,
+    private readonly timeoutMs: number,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates a client.
+   * @param options - Address and timeout.
+   */
+  static create(options: HttpObjectStoreOptions): HttpObjectStore {
+    return new HttpObjectStore(HttpChannel.create(options), options.timeoutMs);
+  }
+
+  override async getObject(key: string): Promise<StoredObject | undefined> {
+    const call = {method: 'GET', path: toObjectPath(key), isWrite: false};
+    const answer = await this.send(call);
+    if (answer.status === notFoundStatus) return undefined;
+    return this.read(answer, call, storedObjectSchema);
+  }
+
+  override async createObject(
+    key: string,
+    value: string,
+  ): Promise<StoredObject> {
+    const path = toObjectPath(key);
+    const call = {method: 'POST', path, isWrite: true, body: {value}};
+    return this.read(await this.send(call), call, storedObjectSchema);
+  }
+
+  override async updateObject(
+    key: string,
+    value: string,
+    expectedVersion: number,
+  ): Promise<StoredObject> {
+    const path = toObjectPath(key);
+    const body = {value, expectedVersion};
+    const call = {method: 'PUT', path, isWrite: true, body};
+    return this.read(await this.send(call), call, storedObjectSchema);
+  }
+
+  override async removeObject(
+    key: string,
+    expectedVersion?: number,
+  ): Promise<void> {
+    const query =
+      expectedVersion === undefined
+        ? ''
+        : `?expectedVersion=${expectedVersion}`;
+    const path = `${toObjectPath(key)}${query}`;
+    const call = {method: 'DELETE', path, isWrite: true};
+    const answer = await this.send(call);
+    if (answer.status === notFoundStatus) return;
+    this.read(answer, call, z.unknown());
+  }
+
+  override async listObjects(
+    prefix: string,
+    options: ListOptions = {},
+  ): Promise<StoredObject[]> {
+    const query = new URLSearchParams({prefix});
+    if (options.afterKey !== undefined) query.set('afterKey', options.afterKey);
+    if (options.limit !== undefined) query.set('limit', `${options.limit}`);
+    const call = {method: 'GET', path: `/objects?${query}`, isWrite: false};
+    return this.read(await this.send(call), call, listSchema).objects;
+  }
+
+  override async waitForChanges(
+    prefix: string,
+    sinceVersion: number,
+    signal: AbortSignal,
+  ): Promise<ObjectChanges> {
+    const query = new URLSearchParams({
+      prefix,
+      sinceVersion: `${sinceVersion}`,
+      waitMs: `${watchWaitMs}`,
+    });
+    const call = {method: 'GET', path: `/changes?${query}`, isWrite: false};
+    const timeoutMs = this.timeoutMs + watchWaitMs;
+    const answer = await this.send(call, timeoutMs, signal);
+    const {changes, version} = this.read(answer, call, changesSchema);
+    return {
+      version,
+      changes: changes.map((change) => ({...change, object: change.object})),
+    };
+  }
+
+  /** Closes the connections once the calls in flight are done. */
+  async close(): Promise<void> {
+    await this.channel.close();
+  }
+
+  private async send(
+    call: StoreCall,
+    timeoutMs = this.timeoutMs,
+    signal?: AbortSignal,
+  ): Promise<HttpAnswer> {
+    const {method, path} = call;
+    const body =
+      call.body === undefined ? undefined : JSON.stringify(call.body);
+    const headers =
+      body === undefined ? undefined : {'content-type': 'application/json'};
+    const request = {method, path, headers, body, timeoutMs};
+    const outcome = await this.channel.send(request, signal);
+    if (outcome.kind === 'answer') return outcome;
+    throw toFailure(outcome, call, signal);
+  }
+
+  private read<Value>(
+    answer: HttpAnswer,
+    call: StoreCall,
+    schema: z.ZodType<Value>,
+  ): Value {
+    if (answer.status >= 300) throw toStoreError(answer, call);
+    const parsed = schema.safeParse(parseJson(answer.body));
+    if (parsed.success) return parsed.data;
+    const cause = new Error('the answer is malformed');
+    throw toStoreFailure(cause, call);
+  }
+}
+
+function toFailure(
+  failure: HttpFailure,
+  call: StoreCall,
+  signal: AbortSignal | undefined,
+): Error {
+  if (signal?.aborted && !call.isWrite) {
+    const message = `${call.method} ${call.path} was given up`;
+    return MarigoldpostError.create('cancelled', message);
+  }
+  const isWrite = call.isWrite && failure.isSent;
+  return toStoreFailure(failure.cause, {...call, isWrite});
+}
+
+function toObjectPath(key: string): string {
+  return `/objects/${encodeURIComponent(key)}`;
+}
+
+function parseJson(text: string): unknown {
+  if (text === '') return undefined;
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/vms/http_vm_list.ts
@@ -0,0 +1,74 @@
+/** VM list over HTTP. */
+import {
+  type Clock,
+  type DataCentreId,
+  MarigoldpostError,
+  toId,
+} from '@marigoldpost/common';
+import {z} from 'zod';
+import {HttpChannel} from '../http/http_channel.js';
+import {type Vm, VmList} from './vm_list.js';
+
+/** Options of the client. */
+export interface HttpVmListOptions {
+  /** `http://<ip>:<port>` of the VM list. */
+  readonly address: string;
+  /** Longest time for one call. */
+  readonly timeoutMs: number;
+  /** Source of timeouts; the machine's clock by default. */
+  readonly clock?: Clock;
+}
+
+const okStatus = 200;
+const vmsSchema = z.object({
+  vms: z.array(
+    z.object({
+      name: z.string(),
+      dataCentre: z.string().transform((text) => toId<DataCentreId>(text)),
+      address: z.string(),
+      state: z.enum(['live', 'leaving', 'gone']),
+    }),
+  ),
+});
+
+/** Client of the VM list over HTTP. */
+export class HttpVmList extends VmList {
+  private constructor(private readonly channel: HttpChannel) {
+    super();
+  }
+
+  /**
+   * Creates a client.
+   * @param options - Address and timeout.
+   */
+  static create(options: HttpVmListOptions): HttpVmList {
+    return new HttpVmList(HttpChannel.create(options));
+  }
+
+  override async getVms(): Promise<readonly Vm[]> {
+    const outcome = await this.channel.send({method: 'GET', path: '/vms'});
+    if (outcome.kind === 'failure') throw toUnavailable(outcome.cause);
+    if (outcome.status !== okStatus) {
+      throw toUnavailable(new Error(`answered with ${outcome.status}`));
+    }
+    return parseVms(outcome.body);
+  }
+
+  /** Closes the connections once the calls in flight are done. */
+  async close(): Promise<void> {
+    await this.channel.close();
+  }
+}
+
+function parseVms(body: string): readonly Vm[] {
+  try {
+    return vmsSchema.parse(JSON.parse(body)).vms;
+  } catch (error) {
+    throw toUnavailable(error instanceof Error ? error : new Error(body));
+  }
+}
+
+function toUnavailable(cause: Error): MarigoldpostError {
+  const message = 'VM list gave no usable answer';
+  return MarigoldpostError.create('store_unavailable', message, {cause});
+}
--- /dev/null
+++ b/packages/targets/src/engine/http_engine_client.ts
@@ -0,0 +1,179 @@
+/** Model engine over HTTP, with server-sent events for streams. */
+import {
+  type Clock,
+  MarigoldpostError,
+  type ProgramId,
+  type TargetId,
+} from '@marigoldpost/common';
+import {
+  type HttpAnswer,
+  HttpChannel,
+  type HttpRequest,
+  type HttpStream,
+} from '@marigoldpost/platform';
+import type {z} from 'zod';
+import {
+  toRefusal,
+  toTargetError,
+  type TargetCall,
+} from '../utils/target_errors.js';
+import {parseJson} from '../utils/parse_json.js';
+import {
+  type CacheEvents,
+  EngineClient,
+  type EngineEvent,
+  type EngineLoad,
+  type EngineOrder,
+  type EngineRequest,
+} from './engine_client.js';
+import {cacheEventsSchema, loadSchema} from './engine_schemas.js';
+import {EngineStreamReader} from './engine_stream_reader.js';
+
+/** Options of the client. */
+export interface HttpEngineClientOptions {
+  readonly target: TargetId;
+  /** `http://<ip>:<port>`. */
+  readonly address: string;
+  /** Longest silence on a stream, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Longest time for any other call; at most `timeoutMs`. */
+  readonly controlTimeoutMs?: number;
+  /** Source of timeouts; the machine's clock by default. */
+  readonly clock?: Clock;
+}
+
+const defaultControlTimeoutMs = 2000;
+const firstErrorStatus = 300;
+const conflictStatus = 409;
+
+/** Client of one model engine over HTTP. */
+export class HttpEngineClient extends EngineClient {
+  private constructor(
+    private readonly options: HttpEngineClientOptions,
+    private readonly channel: HttpChannel,
+    private readonly controlTimeoutMs: number,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates a client.
+   * @param options - Target, address and timeouts.
+   */
+  static create(options: HttpEngineClientOptions): HttpEngineClient {
+    const {controlTimeoutMs = defaultControlTimeoutMs, timeoutMs} = options;
+    const channel = HttpChannel.create(options);
+    const boundMs = Math.min(controlTimeoutMs, timeoutMs);
+    return new HttpEngineClient(options, channel, boundMs);
+  }
+
+  override async *generate(
+    request: EngineRequest,
+    signal: AbortSignal,
+  ): AsyncIterable<EngineEvent> {
+    const {streamId, ...body} = request;
+    const path = toStreamPath(streamId);
+    const call = this.toCall(`stream "${streamId}"`);
+    const opening = toJsonRequest('POST', path, body);
+    const stream = await this.openStream(opening, call, signal);
+    const reader = EngineStreamReader.create(call, request.offsetTokens);
+    try {
+      for (;;) {
+        const chunk = await stream.chunks.next();
+        yield* reader.read(chunk);
+        if (reader.isComplete) return;
+      }
+    } finally {
+      stream.chunks.cancel();
+    }
+  }
+
+  override async cancelStream(streamId: string): Promise<void> {
+    await this.control({method: 'DELETE', path: toStreamPath(streamId)});
+  }
+
+  override async releaseProgram(program: ProgramId): Promise<void> {
+    await this.control({method: 'DELETE', path: toCachePath(program)});
+  }
+
+  override async getLoad(): Promise<EngineLoad> {
+    const answer = await this.control({method: 'GET', path: '/v1/load'});
+    return this.parse(answer, loadSchema);
+  }
+
+  override async getCacheEvents(afterSequence: number): Promise<CacheEvents> {
+    const path = `/v1/cache-events?after=${afterSequence}`;
+    const answer = await this.control({method: 'GET', path});
+    return this.parse(answer, cacheEventsSchema);
+  }
+
+  override async giveOrder(order: EngineOrder): Promise<void> {
+    await this.control(toJsonRequest('POST', '/v1/orders', order));
+  }
+
+  override async moveProgram(
+    program: ProgramId,
+    targetAddress: string,
+  ): Promise<void> {
+    const path = `/v1/programs/${encodeURIComponent(program)}/move`;
+    await this.control(toJsonRequest('POST', path, {targetAddress}));
+  }
+
+  /** Closes the connections once the calls in flight are done. */
+  async close(): Promise<void> {
+    await this.channel.close();
+  }
+
+  private async openStream(
+    request: HttpRequest,
+    call: TargetCall,
+    signal: AbortSignal,
+  ): Promise<HttpStream> {
+    const outcome = await this.channel.open(request, signal);
+    if (outcome.kind === 'failure') throw toTargetError(outcome, call);
+    if (outcome.status < firstErrorStatus) return outcome;
+    outcome.chunks.cancel();
+    throw toRefusal(outcome.status, call);
+  }
+
+  private async control(request: HttpRequest): Promise<HttpAnswer> {
+    const call = this.toCall(`${request.method} ${request.path}`);
+    const timeoutMs = this.controlTimeoutMs;
+    const outcome = await this.channel.send({...request, timeoutMs});
+    if (outcome.kind === 'failure') throw toTargetError(outcome, call);
+    if (outcome.status < firstErrorStatus) return outcome;
+    if (outcome.status === conflictStatus) {
+      const message = `engine "${call.target}" has seen a newer fencing number`;
+      throw MarigoldpostError.create('fenced', message);
+    }
+    throw toRefusal(outcome.status, call);
+  }
+
+  private parse<Value>(answer: HttpAnswer, schema: z.ZodType<Value>): Value {
+    const parsed = schema.safeParse(parseJson(answer.body));
+    if (parsed.success) return parsed.data;
+    const message = `engine "${this.options.target}" gave a malformed answer`;
+    throw MarigoldpostError.create('target_failed', message);
+  }
+
+  private toCall(subject: string): TargetCall {
+    return {target: this.options.target, subject};
+  }
+}
+
+function toJsonRequest(
+  method: string,
+  path: string,
+  body: object,
+): HttpRequest {
+  const headers = {'content-type': 'application/json'};
+  return {method, path, headers, body: JSON.stringify(body)};
+}
+
+function toStreamPath(streamId: string): string {
+  return `/v1/streams/${encodeURIComponent(streamId)}`;
+}
+
+function toCachePath(program: ProgramId): string {
+  return `/v1/programs/${encodeURIComponent(program)}/cache`;
+}
--- /dev/null
+++ b/packages/targets/src/quarantine/fingerprint.ts
@@ -0,0 +1,25 @@
+/** Identity of what a request asks for. */
+import {
+  type Fingerprint,
+  getDigest,
+  type ServiceId,
+  type TeamId,
+  toId,
+} from '@marigoldpost/common';
+
+const fingerprintLength = 32;
+
+/**
+ * Gets the fingerprint of a request; equal for each re-send of it.
+ * @param team - Its calling team.
+ * @param service - Its service.
+ * @param content - Its whole content, as text.
+ */
+export function getFingerprint(
+  team: TeamId,
+  service: ServiceId,
+  content: string,
+): Fingerprint {
+  const digest = getDigest(JSON.stringify([team, service, content]));
+  return toId<Fingerprint>(digest.slice(0, fingerprintLength));
+}
