Add the timing model of a model engine and the chained block hashes

Blocks count as cached from admission on; two equal prompts that arrive together therefore share their prefill.

--- /dev/null
+++ b/packages/standins/src/engine/block_cache.ts
@@ -0,0 +1,240 @@
+/** An engine's memory for cached prefixes: blocks, pins and LRU eviction. */
+import type {Clock, ProgramId} from '@marigoldpost/common';
+import type {CacheEventLog} from './cache_event_log.js';
+
+/** Use of an engine's memory, in blocks and block-milliseconds. */
+export interface CacheAccount {
+  readonly usedBlocks: number;
+  readonly freeBlocks: number;
+  readonly totalBlocks: number;
+  /** Integral of the used blocks over time. */
+  readonly heldBlockMs: number;
+  /**
+   * Idle time of blocks that no request used again before their removal. Time
+   * in which a running request needs a block is never wasted.
+   */
+  readonly wastedBlockMs: number;
+}
+
+interface Block {
+  readonly hash: string;
+  readonly programs: Set<ProgramId>;
+  readonly storedAtMs: number;
+  /** Running requests that need the block. */
+  pins: number;
+  idleSinceMs: number;
+}
+
+/** Blocks of prefixes in limited memory, least recently used out first. */
+export class BlockCache {
+  private readonly blocks = new Map<string, Block>();
+  /** Blocks without pins, in the order of their eviction. */
+  private readonly idle = new Map<string, Block>();
+  private readonly hashesOfProgram = new Map<ProgramId, Set<string>>();
+  private endedHeldBlockMs = 0;
+  private wastedBlockMs = 0;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly log: CacheEventLog,
+    private readonly totalBlocks: number,
+  ) {}
+
+  /**
+   * Creates an empty cache.
+   * @param clock - Source of time.
+   * @param log - Gets births and deaths of blocks.
+   * @param totalBlocks - Size of the memory, in blocks.
+   */
+  static create(
+    clock: Clock,
+    log: CacheEventLog,
+    totalBlocks: number,
+  ): BlockCache {
+    return new BlockCache(clock, log, totalBlocks);
+  }
+
+  /** Number of blocks in memory. */
+  get usedBlocks(): number {
+    return this.blocks.size;
+  }
+
+  /**
+   * Gets how many leading blocks are cached.
+   * @param hashes - Chained hashes, first block first.
+   */
+  countCached(hashes: readonly string[]): number {
+    let count = 0;
+    while (count < hashes.length && this.blocks.has(hashes[count] as string)) {
+      count += 1;
+    }
+    return count;
+  }
+
+  /**
+   * Pins blocks for a request, and evicts idle ones as needed; false, with
+   * nothing changed, when the memory doesn't suffice.
+   * @param program - Program that the blocks belong to.
+   * @param hashes - Every block the request will fill or read.
+   */
+  addPins(program: ProgramId, hashes: readonly string[]): boolean {
+    const missing = hashes.filter((hash) => !this.blocks.has(hash));
+    const idleNeeded = hashes.filter((hash) => this.idle.has(hash)).length;
+    const free = this.totalBlocks - this.blocks.size;
+    if (missing.length > free + this.idle.size - idleNeeded) return false;
+    for (const hash of hashes) this.addPin(hash);
+    this.evictIdle(missing.length - free);
+    for (const hash of missing) this.addBlock(hash, 1);
+    for (const hash of hashes) this.addProgram(program, hash);
+    if (missing.length > 0) this.log.addEvent('stored', missing);
+    return true;
+  }
+
+  /**
+   * Unpins the blocks of a request; they stay cached.
+   * @param hashes - What `addPins` got.
+   */
+  removePins(hashes: readonly string[]): void {
+    const nowMs = this.clock.nowMs();
+    // The deepest block goes idle first, so that prefixes are evicted last.
+    for (let i = hashes.length - 1; i >= 0; i -= 1) {
+      const block = this.blocks.get(hashes[i] as string);
+      if (block === undefined) continue;
+      block.pins -= 1;
+      if (block.pins > 0) continue;
+      block.idleSinceMs = nowMs;
+      this.idle.set(block.hash, block);
+    }
+  }
+
+  /**
+   * Removes blocks from memory, pinned or not, whose content was never filled.
+   * @param hashes - Blocks of a cancelled request.
+   */
+  removeUnfilled(hashes: readonly string[]): void {
+    const removed = hashes.filter((hash) => this.idle.has(hash));
+    for (const hash of removed) this.removeBlock(this.idle.get(hash) as Block);
+    if (removed.length > 0) this.log.addEvent('removed', removed);
+  }
+
+  /**
+   * Frees idle blocks that belong to no other program.
+   * @param program - The program.
+   */
+  removeProgram(program: ProgramId): void {
+    const hashes = this.hashesOfProgram.get(program) ?? [];
+    const removed: string[] = [];
+    for (const hash of [...hashes]) {
+      const block = this.blocks.get(hash);
+      if (block === undefined || block.pins > 0) continue;
+      block.programs.delete(program);
+      this.hashesOfProgram.get(program)?.delete(hash);
+      if (block.programs.size > 0) continue;
+      this.removeBlock(block);
+      removed.push(hash);
+    }
+    if (this.hashesOfProgram.get(program)?.size === 0) {
+      this.hashesOfProgram.delete(program);
+    }
+    if (removed.length > 0) this.log.addEvent('removed', removed);
+  }
+
+  /**
+   * Gets a program's cached blocks, oldest first.
+   * @param program - The program.
+   */
+  getBlocksOfProgram(program: ProgramId): readonly string[] {
+    return [...(this.hashesOfProgram.get(program) ?? [])];
+  }
+
+  /**
+   * Stores blocks that another engine computed, as many as fit.
+   * @param program - Program that the blocks belong to.
+   * @param hashes - First block first.
+   */
+  importBlocks(program: ProgramId, hashes: readonly string[]): void {
+    const room = this.totalBlocks - this.blocks.size + this.idle.size;
+    const imported = hashes.slice(0, room);
+    if (this.addPins(program, imported)) this.removePins(imported);
+  }
+
+  /** Removes every idle block. */
+  clear(): void {
+    for (const block of [...this.idle.values()]) this.removeBlock(block);
+    this.log.addEvent('cleared', []);
+    const pinned = [...this.blocks.keys()];
+    if (pinned.length > 0) this.log.addEvent('stored', pinned);
+  }
+
+  /** Gets the use of the memory up to now; idle blocks count as wasted. */
+  getAccount(): CacheAccount {
+    const nowMs = this.clock.nowMs();
+    let heldBlockMs = this.endedHeldBlockMs;
+    let wastedBlockMs = this.wastedBlockMs;
+    for (const block of this.blocks.values()) {
+      heldBlockMs += nowMs - block.storedAtMs;
+      if (block.pins === 0) wastedBlockMs += nowMs - block.idleSinceMs;
+    }
+    return {
+      usedBlocks: this.blocks.size,
+      freeBlocks: this.totalBlocks - this.blocks.size,
+      totalBlocks: this.totalBlocks,
+      heldBlockMs,
+      wastedBlockMs,
+    };
+  }
+
+  private addPin(hash: string): void {
+    const block = this.blocks.get(hash);
+    if (block === undefined) return;
+    block.pins += 1;
+    this.idle.delete(hash);
+  }
+
+  private addBlock(hash: string, pins: number): void {
+    const nowMs = this.clock.nowMs();
+    this.blocks.set(hash, {
+      hash,
+      programs: new Set(),
+      storedAtMs: nowMs,
+      pins,
+      idleSinceMs: nowMs,
+    });
+  }
+
+  private addProgram(program: ProgramId, hash: string): void {
+    this.blocks.get(hash)?.programs.add(program);
+    let hashes = this.hashesOfProgram.get(program);
+    if (hashes === undefined) {
+      hashes = new Set();
+      this.hashesOfProgram.set(program, hashes);
+    }
+    hashes.add(hash);
+  }
+
+  private evictIdle(count: number): void {
+    const removed: string[] = [];
+    while (removed.length < count) {
+      const block = this.idle.values().next().value;
+      if (block === undefined) break;
+      this.removeBlock(block);
+      removed.push(block.hash);
+    }
+    if (removed.length > 0) this.log.addEvent('removed', removed);
+  }
+
+  private removeBlock(block: Block): void {
+    const nowMs = this.clock.nowMs();
+    this.endedHeldBlockMs += nowMs - block.storedAtMs;
+    this.wastedBlockMs += nowMs - block.idleSinceMs;
+    this.blocks.delete(block.hash);
+    this.idle.delete(block.hash);
+    for (const program of block.programs) this.removeHash(program, block.hash);
+  }
+
+  private removeHash(program: ProgramId, hash: string): void {
+    const hashes = this.hashesOfProgram.get(program);
+    hashes?.delete(hash);
+    if (hashes?.size === 0) this.hashesOfProgram.delete(program);
+  }
+}
--- /dev/null
+++ b/packages/standins/tests/engine/engine_model.feature
@@ -0,0 +1,58 @@
+Feature: Timing model of a model engine
+  Continuous batching over a prefix cache in limited memory.
+
+  Scenario Outline: A longer cached prefix shortens the time to the first token
+    Given an engine model whose cache holds <cached> of a prompt's 10 blocks
+    When the engine model runs that prompt
+    Then the engine model counts <cached> blocks as cached
+    And the engine model's first token comes after <firstMs> ms
+
+    Examples:
+      | cached | firstMs |
+      | 0      | 146     |
+      | 5      | 73      |
+      | 9      | 15      |
+
+  Scenario: Memory is conserved under any load
+    Then for any engine load used and free blocks add up to the total
+
+  Scenario: The same seed gives the same run
+    Then for any engine load a second run reports the same tokens at the same times
+
+  Scenario: A resumed stream repeats the same tokens
+    Given an engine model that generates 40 tokens for stream "s1"
+    When the listener of stream "s1" is lost after some tokens
+    And stream "s1" is resumed on the engine model
+    Then the engine model has run 1 generation and the answer has 40 tokens
+
+  Scenario: A cancelled stream frees its place
+    Given an engine model with one place and streams "s1" and "s2"
+    When stream "s1" is cancelled on the engine model
+    Then stream "s2" completes on the engine model
+
+  Scenario: Released prefixes leave the memory
+    Given an engine model that cached two programs with a shared prefix
+    When the first program is released on the engine model
+    Then the engine model keeps the shared prefix and the second program
+
+  Scenario: Idle blocks that are never used again count as wasted
+    Given an engine model whose blocks idle 100 ms, serve a hit and idle 300 ms
+    Then the engine model's wasted cache is the last 300 ms alone
+
+  Scenario Outline: Cache events come late and with gaps
+    Given an engine model with event lag 500 ms, gap rate <gap> and a ring of <ring>
+    When the engine model stores 50 prompts one after the other
+    Then before the lag no event of the engine model can be read
+    And after the lag <share> of the engine model's events can be read
+
+    Examples:
+      | gap | ring | share |
+      | 0   | 1000 | all   |
+      | 0.5 | 1000 | some  |
+      | 0   | 10   | ten   |
+      | 1   | 1000 | none  |
+
+  Scenario: The load report lags
+    Given an engine model with a load lag of 1000 ms
+    When a stream starts on the engine model
+    Then the engine model reports 0 running at first and 1 after the lag
