--- a/packages/programs/src/keeper/turn_context.ts
+++ b/packages/programs/src/keeper/turn_context.ts
@@ -1,9 +1,11 @@
 /** What the runner of a call needs to know about its turn. */
-import type {TargetId} from '@marigoldpost/common';
+import type {ProgramId, TargetId} from '@marigoldpost/common';
 import type {ChatMessage} from '@marigoldpost/targets';
 
 /** One turn, ready to run. */
 export interface TurnContext {
+  /** The program itself, or the outermost parent of a sub-agent. */
+  readonly rootProgram: ProgramId;
   /** The whole history and the call's own messages; none for a plain call. */
   readonly messages: readonly ChatMessage[];
   /** Number of turns that the program has finished. */
