--- /dev/null
+++ b/packages/peers/src/transport/connect_peer_transport.ts
@@ -0,0 +1,164 @@
+/** Exchanges over HTTP/2 by Connect, one stream for each pair of daemons. */
+import http2 from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {
+  type Clock,
+  type DaemonId,
+  getHashNumber,
+  MarigoldpostError,
+  type Random,
+  SeededRandom,
+} from '@marigoldpost/common';
+import {
+  type PeerFrame,
+  PeerService,
+} from '../generated/marigoldpost/peers/v1/peers_pb.js';
+import {maxMessageBytes, PeerLink} from './peer_link.js';
+import {
+  type PeerAddress,
+  type PeerExchangeOptions,
+  type PeerHandler,
+  type PeerReplyBody,
+  type PeerRequestBody,
+  PeerTransport,
+} from './peer_transport.js';
+import {ServedStream} from './served_stream.js';
+import {type PeerTlsFiles, TlsMaterialSource} from './tls_material.js';
+
+/** Options of a transport. */
+export interface ConnectPeerTransportOptions {
+  /** The daemon that sends and serves. */
+  readonly daemon: DaemonId;
+  /** IP to listen on. */
+  readonly host: string;
+  /** Port to listen on; 0 picks a free one. */
+  readonly port: number;
+  readonly clock: Clock;
+  /** Each side proves itself by a certificate of the authority. */
+  readonly tls?: PeerTlsFiles;
+}
+
+/** Transport over sockets. */
+export class ConnectPeerTransport extends PeerTransport {
+  private readonly random: Random;
+  private readonly links = new Map<string, PeerLink>();
+  private readonly sessions = new Set<http2.ServerHttp2Session>();
+  private server: http2.Http2Server | http2.Http2SecureServer | undefined;
+  private tls: TlsMaterialSource | undefined;
+  private handler: PeerHandler = refuse;
+
+  private constructor(private readonly options: ConnectPeerTransportOptions) {
+    super();
+    this.random = SeededRandom.create(getHashNumber(options.daemon));
+  }
+
+  /**
+   * Creates a transport that does not listen yet.
+   * @param options - Where to listen.
+   */
+  static create(options: ConnectPeerTransportOptions): ConnectPeerTransport {
+    return new ConnectPeerTransport(options);
+  }
+
+  /** Gets where the transport listens. */
+  getAddress(): PeerAddress {
+    const {daemon, host, tls} = this.options;
+    const bound = this.server?.address() as AddressInfo | null | undefined;
+    const port = bound?.port ?? this.options.port;
+    const scheme = tls === undefined ? 'http' : 'https';
+    return {daemon, address: `${scheme}://${host}:${port}`};
+  }
+
+  override exchange(
+    peer: PeerAddress,
+    request: PeerRequestBody,
+    options: PeerExchangeOptions,
+  ): AsyncIterable<PeerReplyBody> {
+    return this.getLink(peer).exchange(request, options);
+  }
+
+  override setHandler(handler: PeerHandler): void {
+    this.handler = handler;
+  }
+
+  override async start(): Promise<void> {
+    await this.loadTls();
+    const server = this.createServer();
+    this.server = server;
+    server.on('session', (session) => this.addSession(session));
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(this.options.port, this.options.host, resolve);
+    });
+  }
+
+  override async stop(): Promise<void> {
+    this.tls?.stop();
+    for (const link of this.links.values()) link.close();
+    this.links.clear();
+    const {server} = this;
+    if (server === undefined) return;
+    const closed = new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+    for (const session of this.sessions) session.destroy();
+    await closed;
+  }
+
+  private getLink(peer: PeerAddress): PeerLink {
+    const key = `${peer.daemon} ${peer.address}`;
+    const known = this.links.get(key);
+    if (known !== undefined) return known;
+    const link = PeerLink.create({
+      sender: this.options.daemon,
+      peer,
+      clock: this.options.clock,
+      random: this.random,
+      getTls: () => this.tls?.getCurrent(),
+    });
+    this.links.set(key, link);
+    return link;
+  }
+
+  private async loadTls(): Promise<void> {
+    const {tls, clock} = this.options;
+    if (tls === undefined) return;
+    this.tls = await TlsMaterialSource.create(tls, clock);
+    this.tls.start((material) => {
+      if (this.server !== undefined && 'setSecureContext' in this.server) {
+        this.server.setSecureContext(material);
+      }
+    });
+  }
+
+  private createServer(): http2.Http2Server | http2.Http2SecureServer {
+    const adapter = connectNodeAdapter({
+      routes: (router) =>
+        router.service(PeerService, {exchange: (frames) => this.serve(frames)}),
+      readMaxBytes: maxMessageBytes,
+      acceptCompression: [],
+    });
+    const material = this.tls?.getCurrent();
+    if (material === undefined) return http2.createServer(adapter);
+    const clientCheck = {requestCert: true, rejectUnauthorized: true};
+    return http2.createSecureServer({...material, ...clientCheck}, adapter);
+  }
+
+  private serve(frames: AsyncIterable<PeerFrame>): AsyncIterable<PeerFrame> {
+    const stream = ServedStream.create((sender, request, signal) =>
+      this.handler(sender, request, signal),
+    );
+    return stream.serve(frames);
+  }
+
+  private addSession(session: http2.ServerHttp2Session): void {
+    this.sessions.add(session);
+    session.once('close', () => this.sessions.delete(session));
+  }
+}
+
+// eslint-disable-next-line require-yield
+async function* refuse(): AsyncIterable<PeerReplyBody> {
+  throw MarigoldpostError.create('draining', 'daemon takes no requests yet');
+}
--- /dev/null
+++ b/packages/peers/src/transport/served_stream.ts
@@ -0,0 +1,167 @@
+/** Serving side of one stream between two daemons. */
+import {create} from '@bufbuild/protobuf';
+import {
+  type DaemonId,
+  Deferred,
+  MarigoldpostError,
+  toId,
+} from '@marigoldpost/common';
+import {
+  type PeerFrame,
+  PeerFrameSchema,
+  type PeerRequest,
+} from '../generated/marigoldpost/peers/v1/peers_pb.js';
+import {FrameQueue} from '../utils/frame_queue.js';
+import {toPeerError} from './peer_error_codec.js';
+import type {PeerHandler, PeerReplyBody} from './peer_transport.js';
+import {replyWindow} from './reply_window.js';
+
+/** Exchanges that one peer may have under way at a time. */
+const maxExchanges = 4096;
+
+/** One exchange being answered. */
+class ServedExchange {
+  readonly controller = new AbortController();
+  private credit = replyWindow;
+  private waiting: Deferred<void> | undefined;
+
+  addCredit(replies: number): void {
+    this.credit += replies;
+    this.wake();
+  }
+
+  cancel(): void {
+    this.controller.abort();
+    this.wake();
+  }
+
+  /** Waits until one more reply may be sent; false when none is wanted. */
+  async takeCredit(): Promise<boolean> {
+    while (this.credit === 0 && !this.controller.signal.aborted) {
+      this.waiting = Deferred.create<void>();
+      await this.waiting.promise;
+    }
+    this.credit -= 1;
+    return !this.controller.signal.aborted;
+  }
+
+  private wake(): void {
+    this.waiting?.resolve();
+    this.waiting = undefined;
+  }
+}
+
+/** Runs the handler for each request of a stream. */
+export class ServedStream {
+  private readonly exchanges = new Map<bigint, ServedExchange>();
+  private readonly outgoing = FrameQueue.create();
+
+  private constructor(private readonly handler: PeerHandler) {}
+
+  /**
+   * Creates the serving side of a stream.
+   * @param handler - Answers the requests.
+   */
+  static create(handler: PeerHandler): ServedStream {
+    return new ServedStream(handler);
+  }
+
+  /**
+   * Serves until the peer ends the stream.
+   * @param incoming - Frames of the peer.
+   */
+  async *serve(incoming: AsyncIterable<PeerFrame>): AsyncIterable<PeerFrame> {
+    const reading = this.readFrames(incoming);
+    try {
+      yield* this.outgoing;
+    } finally {
+      this.stop();
+    }
+    await reading;
+  }
+
+  /** Cancels every exchange and ends the stream. */
+  stop(): void {
+    for (const exchange of this.exchanges.values()) exchange.cancel();
+    this.outgoing.end();
+  }
+
+  private async readFrames(incoming: AsyncIterable<PeerFrame>): Promise<void> {
+    try {
+      for await (const frame of incoming) this.acceptFrame(frame);
+    } catch {
+      // The stream broke; the requester sees that for itself.
+    } finally {
+      this.stop();
+    }
+  }
+
+  private acceptFrame({exchange, body}: PeerFrame): void {
+    switch (body.case) {
+      case 'request':
+        void this.answer(exchange, body.value);
+        break;
+      case 'cancel':
+        this.exchanges.get(exchange)?.cancel();
+        break;
+      case 'credit':
+        this.exchanges.get(exchange)?.addCredit(body.value.replies);
+        break;
+      default:
+        break;
+    }
+  }
+
+  private async answer(number: bigint, request: PeerRequest): Promise<void> {
+    const exchange = new ServedExchange();
+    try {
+      this.addExchange(number, exchange);
+      await this.sendReplies(number, exchange, request);
+      this.addEnd(number);
+    } catch (error) {
+      this.addEnd(number, error);
+    } finally {
+      this.exchanges.delete(number);
+    }
+  }
+
+  private addExchange(number: bigint, exchange: ServedExchange): void {
+    if (this.exchanges.size >= maxExchanges) {
+      throw MarigoldpostError.create(
+        'overloaded',
+        `peer has ${maxExchanges} exchanges under way`,
+      );
+    }
+    this.exchanges.set(number, exchange);
+  }
+
+  private async sendReplies(
+    number: bigint,
+    exchange: ServedExchange,
+    {sender, body}: PeerRequest,
+  ): Promise<void> {
+    const {signal} = exchange.controller;
+    const replies = this.handler(toId<DaemonId>(sender), body, signal);
+    for await (const reply of replies) {
+      if (!(await exchange.takeCredit())) return;
+      await this.addReply(number, reply);
+    }
+  }
+
+  private addReply(number: bigint, reply: PeerReplyBody): Promise<void> {
+    const frame = create(PeerFrameSchema, {
+      exchange: number,
+      body: {case: 'reply', value: {body: reply}},
+    });
+    return this.outgoing.add(frame).settled;
+  }
+
+  private addEnd(number: bigint, error?: unknown): void {
+    const value = error === undefined ? {} : {error: toPeerError(error)};
+    const frame = create(PeerFrameSchema, {
+      exchange: number,
+      body: {case: 'end', value},
+    });
+    this.outgoing.add(frame);
+  }
+}
