--- a/packages/peers/src/membership/membership.ts
+++ b/packages/peers/src/membership/membership.ts
@@ -276,8 +276,7 @@
   /** Tells the listeners of each daemon that differs from what they know. */
   private publishChanges(): void {
     for (const member of this.getMembers()) {
-      const {ageMs: _ageMs, ...rest} = member;
-      const text = JSON.stringify(rest);
+      const text = JSON.stringify({...member, ageMs: 0});
       if (this.published.get(member.daemon) === text) continue;
       this.published.set(member.daemon, text);
       for (const listener of this.listeners) listener.onMemberChanged?.(member);
--- a/packages/peers/src/membership/news_selection.ts
+++ b/packages/peers/src/membership/news_selection.ts
@@ -1,5 +1,5 @@
 /** Chooses the news of other daemons that one heartbeat carries. */
-import {create, type MessageInitShape} from '@bufbuild/protobuf';
+import {create} from '@bufbuild/protobuf';
 import type {DataCentreId, Random} from '@marigoldpost/common';
 import {
   type DaemonNews,
@@ -119,10 +119,7 @@
   return create(DaemonNewsSchema, getBriefFields(record, nowMs));
 }
 
-function getBriefFields(
-  record: MemberRecord,
-  nowMs: number,
-): MessageInitShape<typeof DaemonNewsSchema> {
+function getBriefFields(record: MemberRecord, nowMs: number) {
   const {refusedAtMs} = record;
   return {
     daemon: record.daemon,
--- a/packages/peers/src/transport/connect_peer_transport.ts
+++ b/packages/peers/src/transport/connect_peer_transport.ts
@@ -158,7 +158,6 @@
   }
 }
 
-// eslint-disable-next-line require-yield
 async function* refuse(): AsyncIterable<PeerReplyBody> {
   throw MarigoldpostError.create('draining', 'daemon takes no requests yet');
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,3 +4,4 @@
 export * from './engine/engine_model.js';
 export * from './engine/engine_model_request.js';
 export * from './memory/memory_object_store.js';
+export * from './memory/memory_peer_network.js';
