--- a/packages/targets/src/plain/http_plain_service_client.ts
+++ b/packages/targets/src/plain/http_plain_service_client.ts
@@ -2,6 +2,7 @@
 import type {Clock, TargetId} from '@marigoldpost/common';
 import {HttpChannel} from '@marigoldpost/platform';
 import {toTargetError} from '../utils/target_errors.js';
+import {getEndToEndHeaders} from './end_to_end_headers.js';
 import {
   type PlainRequest,
   type PlainResponse,
@@ -43,13 +44,14 @@
     request: PlainRequest,
     signal: AbortSignal,
   ): Promise<PlainResponse> {
-    const outcome = await this.channel.send(request, signal);
+    const outgoing = {...request, headers: getEndToEndHeaders(request.headers)};
+    const outcome = await this.channel.send(outgoing, signal);
     if (outcome.kind === 'failure') {
       const subject = `${request.method} ${request.path}`;
       throw toTargetError(outcome, {target: this.target, subject});
     }
     const {status, headers, body} = outcome;
-    return {status, headers, body};
+    return {status, headers: getEndToEndHeaders(headers), body};
   }
 
   /** Closes the connections once the requests in flight are done. */
