Check both INI texts against one table of keys

Cause: the ini library merges duplicates and tells no lines, and operators need every problem at once.

--- /dev/null
+++ b/packages/settings/src/daemon/daemon_schema.ts
@@ -0,0 +1,71 @@
+/** Every key of a daemon's settings. */
+import {
+  addressKey,
+  choiceKey,
+  integerKey,
+  ipKey,
+  type KeyTable,
+  nameKey,
+  textKey,
+  toOptionalKey,
+} from '../schema/key_definition.js';
+
+const portRange = {min: 1, max: 65_535};
+
+/** Keys of each section of a daemon's settings. */
+export const daemonSchema = {
+  daemon: {
+    name: nameKey({description: 'Name of the daemon; kept over restarts'}),
+    data_centre: nameKey({description: 'Data centre of its VM'}),
+    drain_ms: integerKey({
+      description: 'Longest wait for requests in flight at shutdown',
+      unit: 'ms',
+      defaultText: '30000',
+      min: 0,
+      max: 3_600_000,
+    }),
+    data_folder: toOptionalKey(
+      textKey({description: 'Folder for bulk data, on VMs that have a disk'}),
+    ),
+  },
+  callers: {
+    host: ipKey({description: 'IP for callers and operators'}),
+    port: integerKey({
+      description: 'Port for callers and operators',
+      defaultText: '8080',
+      ...portRange,
+    }),
+    max_body_bytes: integerKey({
+      description: 'Largest body of a call',
+      unit: 'bytes',
+      defaultText: '8388608',
+      min: 1024,
+      max: 268_435_456,
+    }),
+  },
+  peers: {
+    host: ipKey({description: 'IP for peers'}),
+    port: integerKey({
+      description: 'Port for peers',
+      defaultText: '8081',
+      ...portRange,
+    }),
+  },
+  platform: {
+    address: addressKey({description: 'Address of the object API'}),
+    vm_list_address: addressKey({description: 'Address of the VM list'}),
+  },
+  tls: {
+    certificate: textKey({description: 'File of the certificate, as PEM'}),
+    key: textKey({description: "File of the certificate's key, as PEM"}),
+    authority: textKey({
+      description: "File of the authority that signs the peers' certificates",
+    }),
+  },
+  log: {
+    level: choiceKey(['debug', 'info', 'warn', 'error'], {
+      description: 'Events below this level are left out',
+      defaultText: 'info',
+    }),
+  },
+} as const satisfies Record<string, KeyTable>;
