--- /dev/null
+++ b/packages/entry/src/chat/chat_request.ts
@@ -0,0 +1,62 @@
+/** Bodies of chat completions, as OpenAI's interface has them. */
+import type {ChatMessage} from '@marigoldpost/targets';
+import {z} from 'zod';
+import {parseValue} from '../http/validation.js';
+
+const defaultMaxTokens = 1024;
+const maxMaxTokens = 1_000_000;
+const maxMessages = 10_000;
+
+const textPart = z.strictObject({type: z.literal('text'), text: z.string()});
+const content = z.union([
+  z.string(),
+  z.array(textPart).transform((parts) => parts.map(({text}) => text).join('')),
+]);
+
+const message = z.object({
+  role: z.enum(['system', 'user', 'assistant', 'tool']),
+  content,
+});
+
+const tokenCount = z.int().min(1).max(maxMaxTokens);
+
+/** Fields that engines here do not take are refused where they would change */
+/** the answer's shape, and ignored where they only tune it. */
+const chatBody = z.object({
+  model: z.string().min(1).max(256),
+  messages: z.array(message).min(1).max(maxMessages),
+  max_tokens: tokenCount.optional(),
+  max_completion_tokens: tokenCount.optional(),
+  stream: z.boolean().default(false),
+  stream_options: z.object({include_usage: z.boolean().optional()}).optional(),
+  n: z.literal(1).optional(),
+  tools: z.never('is not supported').optional(),
+  response_format: z.never('is not supported').optional(),
+  logprobs: z.literal(false).optional(),
+});
+
+/** A checked body. */
+export interface ChatRequest {
+  readonly model: string;
+  readonly messages: readonly ChatMessage[];
+  readonly maxTokens: number;
+  readonly isStream: boolean;
+  /** Whether a stream ends with a chunk that carries the usage. */
+  readonly includesUsage: boolean;
+}
+
+/**
+ * Checks a body; throws `invalid_request` that names the wrong fields.
+ * @param body - Untrusted JSON.
+ */
+export function parseChatRequest(body: unknown): ChatRequest {
+  const parsed = parseValue(chatBody, body);
+  return {
+    model: parsed.model,
+    messages: parsed.messages,
+    maxTokens:
+      parsed.max_completion_tokens ?? parsed.max_tokens ?? defaultMaxTokens,
+    isStream: parsed.stream,
+    includesUsage: parsed.stream_options?.include_usage ?? false,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/server/caller_server.ts
@@ -0,0 +1,205 @@
+/** The HTTP listener for callers and operators. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
+import {
+  createServer as createTlsServer,
+  type Server as TlsServer,
+} from 'node:https';
+import type {AddressInfo, Socket} from 'node:net';
+import {
+  type Clock,
+  errorAnswers,
+  MarigoldpostError,
+  type Random,
+  toMarigoldpostError,
+} from '@marigoldpost/common';
+import type {DaemonSettings, TlsFiles} from '@marigoldpost/settings';
+import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import type {CallGateway} from '../call_gateway.js';
+import {ChatRoute} from '../chat/chat_route.js';
+import {toErrorBody} from '../http/error_body.js';
+import {Exchange} from '../http/exchange.js';
+import {PlainRoute} from '../plain/plain_route.js';
+import {createProgramRoutes} from '../programs/program_routes.js';
+import {EntryContext} from './entry_context.js';
+import {createHealthRoutes} from './health_routes.js';
+import {type Route, Router} from './route.js';
+import {readTlsCredentials, TlsReloader} from './tls_reloader.js';
+
+const serverOptions: ServerOptions = {
+  maxHeaderSize: 16_384,
+  headersTimeout: 10_000,
+  // Time to send a request, its body included, in milliseconds.
+  requestTimeout: 120_000,
+  keepAliveTimeout: 65_000,
+};
+const requestIdLength = 16;
+
+/** What the listener is made of. */
+export interface CallerServerOptions {
+  readonly gateway: CallGateway;
+  readonly settings: DaemonSettings;
+  readonly logger: EventLogger;
+  readonly metrics: Metrics;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Routes of others on the same listener, for example the operators'. */
+  readonly extraRoutes?: readonly Route[];
+}
+
+/** Serves callers until stopped. */
+export class CallerServer {
+  private readonly router: Router;
+  private readonly exchanges = new Set<Promise<void>>();
+  private server: Server | undefined;
+  private reloader: TlsReloader | undefined;
+  private isStopping = false;
+
+  private constructor(private readonly options: CallerServerOptions) {
+    const context = EntryContext.create(options);
+    this.router = Router.create([
+      ChatRoute.create(context),
+      ...createProgramRoutes(context),
+      PlainRoute.create(context),
+      ...createHealthRoutes(context),
+      ...(options.extraRoutes ?? []),
+    ]);
+  }
+
+  /**
+   * Creates a server that does not listen yet.
+   * @param options - Its parts.
+   */
+  static create(options: CallerServerOptions): CallerServer {
+    return new CallerServer(options);
+  }
+
+  /** Port in use; that of the settings unless it is 0. */
+  get port(): number {
+    const address = this.server?.address() as AddressInfo | null | undefined;
+    return address?.port ?? this.options.settings.callerPort;
+  }
+
+  /** Number of requests under way. */
+  get inFlight(): number {
+    return this.exchanges.size;
+  }
+
+  /** Listens at the settings' address. */
+  async start(): Promise<void> {
+    const {callerHost, callerPort, tls} = this.options.settings;
+    const server = await this.createServer(tls);
+    this.server = server;
+    server.on('clientError', refuseMalformed);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(callerPort, callerHost, () => {
+        server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Stops listening and waits for the requests under way, at most as long as
+   * the settings say; what is left then is cut off.
+   */
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    this.reloader?.stop();
+    const {server} = this;
+    if (server === undefined) return;
+    const closed = new Promise<void>((resolve) =>
+      server.close(() => resolve()),
+    );
+    server.closeIdleConnections();
+    const {clock, settings} = this.options;
+    const timer = clock.setTimer(settings.drainMs, () =>
+      server.closeAllConnections(),
+    );
+    await closed;
+    timer.cancel();
+    await Promise.allSettled(this.exchanges);
+  }
+
+  private async createServer(tls: TlsFiles | undefined): Promise<Server> {
+    const listener = (request: IncomingMessage, response: ServerResponse) =>
+      this.accept(request, response);
+    if (tls === undefined) return createServer(serverOptions, listener);
+    const credentials = await readTlsCredentials(tls);
+    const server = createTlsServer(
+      {...serverOptions, ...credentials},
+      listener,
+    );
+    await this.startReloader(tls, server);
+    return server;
+  }
+
+  private async startReloader(
+    files: TlsFiles,
+    server: TlsServer,
+  ): Promise<void> {
+    const {clock, logger} = this.options;
+    this.reloader = TlsReloader.create({files, server, clock, logger});
+    await this.reloader.start();
+  }
+
+  private accept(request: IncomingMessage, response: ServerResponse): void {
+    if (this.isStopping) response.setHeader('Connection', 'close');
+    const {random, logger, settings} = this.options;
+    const requestId = random.nextToken(requestIdLength);
+    const exchange = Exchange.create({
+      request,
+      response,
+      requestId,
+      logger: logger.withContext({requestId}),
+      maxBodyBytes: settings.maxBodyBytes,
+    });
+    const served = this.serve(exchange);
+    this.exchanges.add(served);
+    this.setInFlight();
+    void served.finally(() => {
+      this.exchanges.delete(served);
+      this.setInFlight();
+    });
+  }
+
+  private async serve(exchange: Exchange): Promise<void> {
+    try {
+      await this.router.handle(exchange);
+    } catch (error) {
+      const {kind} = toMarigoldpostError(error);
+      this.options.metrics.addToCounter('refusals_total', {kind});
+      exchange.writeError(error);
+    }
+  }
+
+  private setInFlight(): void {
+    this.options.metrics.setGauge('calls_in_flight', {}, this.inFlight);
+  }
+}
+
+function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+  const refusal = MarigoldpostError.create(
+    isTooLarge ? 'too_large' : 'invalid_request',
+    isTooLarge ? 'the headers are too large' : 'the request is malformed',
+  );
+  const body = JSON.stringify(toErrorBody(refusal));
+  const lines = [
+    `HTTP/1.1 ${errorAnswers[refusal.kind].status} Refused`,
+    'Connection: close',
+    'Content-Type: application/json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+  ];
+  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
+}
