Prove the contracts of platform and target clients, quarantine and orders

The same scenarios run on the in-memory fakes and over sockets; timeouts fire by a virtual clock once the request has reached the stand-in.

--- a/packages/standins/src/memory/memory_plain_service.ts
+++ b/packages/standins/src/memory/memory_plain_service.ts
@@ -41,6 +41,7 @@
   readonly ledger?: PlainLedger;
 }
 
+const keyHeader = 'idempotency-key';
 const okStatus = 200;
 const failedStatus = 500;
 
@@ -53,6 +54,7 @@
   private crashText: string | undefined;
   private alive = true;
   private lives = 0;
+  private arrivals = 0;
 
   private constructor(private readonly options: MemoryPlainServiceOptions) {
     super();
@@ -73,6 +75,11 @@
     return this.alive;
   }
 
+  /** Number of requests that reached the process. */
+  get arrivalCount(): number {
+    return this.arrivals;
+  }
+
   /**
    * Sets what happens to the next requests, in order of arrival.
    * @param faults - One for each request.
@@ -121,6 +128,7 @@
     signal: AbortSignal,
   ): Promise<PlainResponse> {
     if (!this.alive) throw createUnreached(this.options.target);
+    this.arrivals += 1;
     return this.pending.waitFor(this.run(request), signal);
   }
 
@@ -156,7 +164,7 @@
 
   private execute(request: PlainRequest): PlainResponse {
     const {target, clock, deduplicatesByKey = false} = this.options;
-    const key = request.headers['idempotency-key'] ?? '';
+    const key = getKey(request);
     const earlier = deduplicatesByKey ? this.ledger.getAnswer(key) : undefined;
     if (earlier !== undefined) return earlier;
     const {method, path, body} = request;
@@ -173,6 +181,12 @@
   }
 }
 
+function getKey({headers}: PlainRequest): string {
+  const entries = Object.entries(headers);
+  const found = entries.find(([name]) => name.toLowerCase() === keyHeader);
+  return found?.[1] ?? '';
+}
+
 function createAnswer(status: number, body: string): PlainResponse {
   return {status, headers: {'content-type': 'application/json'}, body};
 }
--- a/packages/standins/src/servers/stand_in_server.ts
+++ b/packages/standins/src/servers/stand_in_server.ts
@@ -64,7 +64,8 @@
     try {
       await this.handle(await readRequest(incoming, response), response);
     } catch {
-      response.destroy();
+      // What was written before still reaches the client.
+      response.socket?.destroySoon();
     }
   }
 
--- a/packages/targets/src/sse/sse_reader.ts
+++ b/packages/targets/src/sse/sse_reader.ts
@@ -20,6 +20,7 @@
   private readonly decoder = new StringDecoder('utf8');
   private rest = '';
   private isFirstText = true;
+  private endedOnReturn = false;
   private type = '';
   private data: string[] = [];
 
@@ -44,24 +45,23 @@
     const lines = text.split(
       text.includes(carriageReturn) ? linePattern : newline,
     );
-    this.rest = (lines.pop() ?? '') + this.rest;
+    this.rest = lines.pop() ?? '';
     const events: SseEvent[] = [];
     for (const line of lines) this.readLine(line, events);
     return events;
   }
 
-  /** Gets the text up to the chunk's end, without a carriage return there. */
+  /** Gets the text from the last line end to the chunk's end. */
   private takeText(chunk: Uint8Array): string {
-    let text = this.rest + this.decoder.write(chunk);
-    this.rest = '';
-    if (this.isFirstText && text !== '') {
-      this.isFirstText = false;
-      if (text.startsWith(byteOrderMark)) text = text.slice(1);
-    }
-    if (!text.endsWith(carriageReturn)) return text;
-    // The next chunk may begin with the newline of the same line end.
-    this.rest = carriageReturn;
-    return text.slice(0, -1);
+    let text = this.decoder.write(chunk);
+    if (text === '') return this.rest;
+    const hasMark = this.isFirstText && text.startsWith(byteOrderMark);
+    if (hasMark) text = text.slice(1);
+    // The line feed of a line end that the last chunk's end has split.
+    if (this.endedOnReturn && text.startsWith(newline)) text = text.slice(1);
+    this.isFirstText = false;
+    this.endedOnReturn = text.endsWith(carriageReturn);
+    return this.rest + text;
   }
 
   private readLine(line: string, events: SseEvent[]): void {
--- /dev/null
+++ b/packages/targets/tests/quarantine/quarantine_steps.ts
@@ -0,0 +1,203 @@
+/** Steps for the quarantine. */
+import assert from 'node:assert/strict';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import fc from 'fast-check';
+import {
+  type Fingerprint,
+  type TargetId,
+  toId,
+  VirtualClock,
+} from '@marigoldpost/common';
+import {Quarantine, type QuarantineEntry} from '@marigoldpost/targets';
+
+interface QuarantineWorld extends World {
+  quarantine: Quarantine;
+  load: fc.Arbitrary<Load>;
+  entries: fc.Arbitrary<QuarantineEntry[][]>;
+}
+
+/** A run of requests over targets; request 0 kills. */
+interface Load {
+  readonly requests: number;
+  readonly targets: number;
+  readonly window: number;
+  readonly picks: readonly number[];
+}
+
+const seed = 20261203;
+const request = toId<Fingerprint>('request');
+const roundMs = 20_000;
+
+function createQuarantine(clock = VirtualClock.create()): Quarantine {
+  return Quarantine.create({clock, deathsToQuarantine: 2});
+}
+
+When(
+  /^the quarantine hears of deaths (.*) with the request$/,
+  function (this: QuarantineWorld, script: string) {
+    const clock = VirtualClock.create();
+    this.quarantine = createQuarantine(clock);
+    for (const word of script.split(' ')) {
+      if (word === 'survived') this.quarantine.noteSurvived(request);
+      else if (word === 'lifted') this.quarantine.lift(request);
+      else if (word !== 'none') noteDeathAt(this.quarantine, clock, word);
+    }
+  },
+);
+
+When(
+  'two quarantines hear of one death and then of each other',
+  function (this: QuarantineWorld) {
+    const clock = VirtualClock.create();
+    const other = createQuarantine(clock);
+    this.quarantine = createQuarantine(clock);
+    noteDeathAt(this.quarantine, clock, 'a@0');
+    noteDeathAt(other, clock, 'a@40');
+    this.quarantine.mergeEntries(other.getEntries());
+  },
+);
+
+Then(
+  /^the quarantine holds the request as (free|suspect|quarantined)$/,
+  function (this: QuarantineWorld, state: string) {
+    const {quarantine} = this;
+    assert.equal(quarantine.isSuspect(request), state === 'suspect');
+    assert.equal(quarantine.isQuarantined(request), state === 'quarantined');
+    const listed = quarantine.getQuarantined().includes(request);
+    assert.equal(listed, state === 'quarantined');
+  },
+);
+
+Given(
+  'any load with one killing request that is sent again and again',
+  function (this: QuarantineWorld) {
+    this.load = fc.record({
+      requests: fc.integer({min: 2, max: 40}),
+      targets: fc.integer({min: 1, max: 6}),
+      window: fc.integer({min: 1, max: 8}),
+      picks: fc.array(fc.nat(), {minLength: 20, maxLength: 60}),
+    });
+  },
+);
+
+Then(
+  'the quarantine lets the killing request kill exactly 2 targets',
+  function (this: QuarantineWorld) {
+    const property = fc.property(this.load, (load) => {
+      assert.equal(runLoad(load).deaths, 2);
+    });
+    fc.assert(property, {seed});
+  },
+);
+
+Then(
+  'the quarantine catches no innocent request',
+  function (this: QuarantineWorld) {
+    const property = fc.property(this.load, (load) => {
+      assert.deepEqual(runLoad(load).quarantined, [toFingerprint(0)]);
+    });
+    fc.assert(property, {seed});
+  },
+);
+
+Given(
+  'any entries of quarantines of three daemons',
+  function (this: QuarantineWorld) {
+    const entry = fc.record({
+      fingerprint: fc.nat({max: 2}).map(toFingerprint),
+      version: fc.nat({max: 2}),
+      deaths: fc.array(
+        fc.record({
+          target: fc.constantFrom('a', 'b').map((id) => toId<TargetId>(id)),
+          atMs: fc.nat({max: 30_000}),
+        }),
+        {maxLength: 3},
+      ),
+    });
+    const entries = fc.uniqueArray(entry, {
+      selector: ({fingerprint}) => fingerprint,
+      maxLength: 3,
+    });
+    this.entries = fc.array(entries, {minLength: 3, maxLength: 3});
+  },
+);
+
+Then(
+  'merging the quarantines gives the same in any order and repetition',
+  function (this: QuarantineWorld) {
+    const property = fc.property(this.entries, (lists) => {
+      const forward = merge(lists);
+      const backward = merge([...lists].reverse());
+      const repeated = merge([...lists, ...lists]);
+      assert.deepEqual(backward, forward);
+      assert.deepEqual(repeated, forward);
+    });
+    fc.assert(property, {seed, numRuns: 1000});
+  },
+);
+
+/** Sends the killing request among others until it is refused. */
+function runLoad({requests, targets, window, picks}: Load): {
+  deaths: number;
+  quarantined: readonly Fingerprint[];
+} {
+  const clock = VirtualClock.create();
+  const quarantine = createQuarantine(clock);
+  let deaths = 0;
+  for (const pick of picks) {
+    clock.skip(roundMs);
+    const others = Array.from({length: window}, (_unused, index) =>
+      toFingerprint(1 + ((pick + index) % (requests - 1))),
+    );
+    for (const group of getGroups(quarantine, [toFingerprint(0), ...others])) {
+      const target = toId<TargetId>(`target-${pick % targets}`);
+      if (!group.includes(toFingerprint(0))) {
+        for (const fingerprint of group) quarantine.noteSurvived(fingerprint);
+        continue;
+      }
+      deaths += 1;
+      quarantine.noteDeath(target, group);
+    }
+  }
+  return {deaths, quarantined: quarantine.getQuarantined()};
+}
+
+/** Runs suspects alone, the others together, and quarantined ones not at all. */
+function getGroups(
+  quarantine: Quarantine,
+  fingerprints: readonly Fingerprint[],
+): Fingerprint[][] {
+  const allowed = fingerprints.filter((one) => !quarantine.isQuarantined(one));
+  const suspects = allowed.filter((one) => quarantine.isSuspect(one));
+  const others = allowed.filter((one) => !quarantine.isSuspect(one));
+  return [...suspects.map((one) => [one]), others];
+}
+
+function merge(lists: readonly QuarantineEntry[][]): unknown {
+  const quarantine = createQuarantine();
+  for (const list of lists) quarantine.mergeEntries(list);
+  const entries = quarantine.getEntries().map(({deaths, ...entry}) => ({
+    ...entry,
+    deaths: [
+      ...new Set(deaths.map((one) => `${one.target} ${one.atMs}`)),
+    ].sort(),
+    isQuarantined: quarantine.isQuarantined(entry.fingerprint),
+  }));
+  return entries.sort((left, right) =>
+    left.fingerprint < right.fingerprint ? -1 : 1,
+  );
+}
+
+function noteDeathAt(
+  quarantine: Quarantine,
+  clock: VirtualClock,
+  word: string,
+): void {
+  const [target = '', atMs] = word.split('@');
+  clock.skip(Number(atMs) - clock.nowMs());
+  quarantine.noteDeath(toId<TargetId>(target), [request]);
+}
+
+function toFingerprint(index: number): Fingerprint {
+  return toId<Fingerprint>(`request-${index}`);
+}
