Let heartbeats carry the deaths behind a quarantine

Cause: daemons merge quarantines by the deaths seen, so a reason and a flag in the heartbeat could not be merged. Change: the notice carries version and deaths; the event of an outage's end no longer claims to know the uncommitted bytes.

--- a/packages/peers/src/membership/membership.ts
+++ b/packages/peers/src/membership/membership.ts
@@ -6,6 +6,7 @@
   type DataCentreId,
   type Fingerprint,
   type Random,
+  type TargetId,
   type Timer,
   toId,
 } from '@marigoldpost/common';
@@ -262,9 +263,11 @@
     const version = Number(heartbeat.configVersion);
     const notices = heartbeat.quarantines.map((quarantine) => ({
       fingerprint: toId<Fingerprint>(quarantine.fingerprint),
-      reason: quarantine.reason,
       version: Number(quarantine.version),
-      isLifted: quarantine.isLifted,
+      deaths: quarantine.deaths.map(({target, atMs}) => ({
+        target: toId<TargetId>(target),
+        atMs,
+      })),
     }));
     for (const listener of this.listeners) {
       listener.onConfigSeen?.({peer: {daemon, address}, version, hash});
--- a/packages/peers/src/membership/own_heartbeat.ts
+++ b/packages/peers/src/membership/own_heartbeat.ts
@@ -89,9 +89,10 @@
       this.nextQuarantine += 1;
       if (notice !== undefined) chosen.push(notice);
     }
-    return chosen.map(({version, ...rest}) => ({
-      ...rest,
+    return chosen.map(({fingerprint, version, deaths}) => ({
+      fingerprint,
       version: BigInt(version),
+      deaths: deaths.map(({target, atMs}) => ({target, atMs})),
     }));
   }
 }
--- a/packages/peers/src/membership/own_state.ts
+++ b/packages/peers/src/membership/own_state.ts
@@ -1,14 +1,20 @@
 /** What a daemon announces about itself. */
-import type {Fingerprint} from '@marigoldpost/common';
+import type {Fingerprint, TargetId} from '@marigoldpost/common';
 import type {AnnouncedPartition} from '@marigoldpost/platform';
 
-/** A request that is quarantined, or no longer, over the whole fleet. */
+/** A target's death in which a request took part. */
+export interface QuarantineDeathNotice {
+  readonly target: TargetId;
+  /** Wall time at the daemon that saw it, in milliseconds since 1970. */
+  readonly atMs: number;
+}
+
+/** What is known of a request that targets died with. */
 export interface QuarantineNotice {
   readonly fingerprint: Fingerprint;
-  readonly reason: string;
-  /** Grows with each change of the notice. */
+  /** Grows by one when the suspicion is cleared or lifted. */
   readonly version: number;
-  readonly isLifted: boolean;
+  readonly deaths: readonly QuarantineDeathNotice[];
 }
 
 /** State of the daemon itself, asked for at each heartbeat. */
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -171,7 +171,6 @@
   }),
   platform_back: define(7002, 'info', 'The platform answers again', {
     outageMs: 'number',
-    uncommittedBytes: 'number',
   }),
 } as const satisfies Record<string, EventDefinition>;
 
