--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -6,3 +6,8 @@
 export * from './vms/vm_list.js';
 export * from './vms/http_vm_list.js';
 export * from './fleet/fleet_view.js';
+export * from './store/write_resolver.js';
+export * from './leases/lease.js';
+export * from './leases/lease_keeper.js';
+export * from './leases/lease_observer.js';
+export * from './partitions/partition_directory.js';
--- /dev/null
+++ b/packages/platform/src/leases/lease_observer.ts
@@ -0,0 +1,83 @@
+/** Judges the leases of other daemons. */
+import type {Clock, DaemonId, DataCentreId} from '@marigoldpost/common';
+import type {ObjectStore, StoredObject} from '../store/object_store.js';
+import {
+  getLeasePrefix,
+  leaseDriftShare,
+  parseLease,
+  type Lease,
+} from './lease.js';
+
+/** What an observer needs. */
+export interface LeaseObserverOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly dataCentre: DataCentreId;
+  /** Gets the length of the lease in force, in milliseconds. */
+  readonly getLeaseMs: () => number;
+}
+
+interface Observation {
+  readonly lease: Lease;
+  readonly version: number;
+  /** When this version was first seen. */
+  readonly seenAtMs: number;
+}
+
+/**
+ * Watches the leases of one data centre. A lease has lapsed when its version has
+ * not moved for longer than its length by the observer's own clock.
+ */
+export class LeaseObserver {
+  private observations = new Map<DaemonId, Observation>();
+  private lastSentAtMs: number | undefined;
+
+  private constructor(private readonly options: LeaseObserverOptions) {}
+
+  /**
+   * Creates an observer that has seen nothing.
+   * @param options - Data centre, store and length of the leases.
+   */
+  static create(options: LeaseObserverOptions): LeaseObserver {
+    return new LeaseObserver(options);
+  }
+
+  /** Reads the leases once; throws `store_unavailable`. */
+  async observe(): Promise<void> {
+    const {clock, dataCentre, store} = this.options;
+    const sentAtMs = clock.nowMs();
+    const objects = await store.listObjects(getLeasePrefix(dataCentre));
+    const seen = objects.map((object) => this.toObservation(object));
+    this.observations = new Map(seen.map((item) => [item.lease.daemon, item]));
+    this.lastSentAtMs = sentAtMs;
+  }
+
+  /**
+   * Whether a daemon has lost its lease, or never had one. False until the
+   * leases have been read.
+   * @param daemon - The daemon.
+   */
+  isLapsed(daemon: DaemonId): boolean {
+    if (this.lastSentAtMs === undefined) return false;
+    const observation = this.observations.get(daemon);
+    if (observation === undefined) return true;
+    const waitMs = this.options.getLeaseMs() * (1 + leaseDriftShare);
+    return this.lastSentAtMs - observation.seenAtMs >= waitMs;
+  }
+
+  /** Gets the leases that have not lapsed. */
+  getLiveLeases(): readonly Lease[] {
+    const observations = [...this.observations.values()];
+    return observations
+      .map(({lease}) => lease)
+      .filter(({daemon}) => !this.isLapsed(daemon));
+  }
+
+  private toObservation(object: StoredObject): Observation {
+    const lease = parseLease(object.value);
+    const earlier = this.observations.get(lease.daemon);
+    if (earlier?.version === object.version) return earlier;
+    const seenAtMs = this.options.clock.nowMs();
+    return {lease, version: object.version, seenAtMs};
+  }
+}
