Hold partitions: programs, calls, takeover and recovery

Cause: order, history, budget and intents must outlive the death of a holder. Tested: takeover and paused holder at each step of a booking.

--- a/packages/journal/src/writer/journal.ts
+++ b/packages/journal/src/writer/journal.ts
@@ -76,31 +76,53 @@
    * @param options - Whether it may wait, and whether it is always taken.
    */
   async append(record: Item, options: AddOptions = {}): Promise<void> {
-    await this.add(record, options).durable.promise;
+    await this.addRecord(record, options);
   }
 
   /**
-   * Appends a record that nothing waits for; its loss is told by `onFenced`.
+   * Appends a record and waits until it is durable or, with the platform down,
+   * copied elsewhere. Throws `fenced`, and what the copying throws.
    * @param record - The record.
+   * @param options - Makes the copies.
+   * @returns Whether the record is durable.
    */
-  appendLazily(record: Item): void {
-    if (this.failure !== undefined) return;
-    this.add(record, {isLazy: true, isEssential: true});
+  async appendBuffered(
+    record: Item,
+    options: BufferedOptions,
+  ): Promise<boolean> {
+    const durable = this.addRecord(record, {isEssential: true});
+    return this.waitOrBuffer(durable, options);
   }
 
   /**
-   * Appends a record and waits until it is durable or, with the platform down,
-   * copied elsewhere. Throws `fenced`, and what the copying throws.
+   * Adds a record; it has its place in the order when this returns. Throws as
+   * `append` does.
    * @param record - The record.
+   * @param options - Whether it may wait, and whether it is always taken.
+   * @returns Settled when the record is durable; need not be awaited.
+   */
+  addRecord(record: Item, options: AddOptions = {}): Promise<void> {
+    if (this.failure !== undefined) throw this.failure;
+    const text = JSON.stringify(record);
+    this.checkSize(text, options);
+    const queued = this.queue.addRecord(text);
+    this.bytesSinceSnapshot += queued.bytes;
+    if (options.isLazy) this.startLazily();
+    else this.startUrgently();
+    return queued.durable.promise;
+  }
+
+  /**
+   * Waits until a record is durable or, with the platform down, copied.
+   * @param durable - What adding the record gave.
    * @param options - Makes the copies.
    * @returns Whether the record is durable.
    */
-  async appendBuffered(
-    record: Item,
+  async waitOrBuffer(
+    durable: Promise<void>,
     options: BufferedOptions,
   ): Promise<boolean> {
-    const {durable} = this.add(record, {isEssential: true});
-    if (await this.waitOrStall(durable.promise)) return true;
+    if (await this.waitOrStall(durable)) return true;
     await options.onBuffered(this.getUncommitted());
     return false;
   }
@@ -165,17 +187,6 @@
     this.end(this.createFenced('was closed'));
   }
 
-  private add(record: Item, options: AddOptions): QueuedRecord {
-    if (this.failure !== undefined) throw this.failure;
-    const text = JSON.stringify(record);
-    this.checkSize(text, options);
-    const queued = this.queue.addRecord(text);
-    this.bytesSinceSnapshot += queued.bytes;
-    if (options.isLazy) this.startLazily();
-    else this.startUrgently();
-    return queued;
-  }
-
   private checkSize(text: string, options: AddOptions): void {
     const bytes = Buffer.byteLength(text);
     const {getMaxUncommittedBytes, partition} = this.options;
--- a/packages/programs/src/keeper/program_for_key.ts
+++ b/packages/programs/src/keeper/program_for_key.ts
@@ -41,7 +41,21 @@
       'no partition is known',
     );
   }
-  return toId<ProgramId>(`${best}.${name}`);
+  return getProgramOfKey(best, team, key);
+}
+
+/**
+ * Gets the program that a key names in one partition.
+ * @param partition - The partition.
+ * @param team - The calling team.
+ * @param key - The key.
+ */
+export function getProgramOfKey(
+  partition: PartitionId,
+  team: TeamId,
+  key: IdempotencyKey,
+): ProgramId {
+  return toId<ProgramId>(`${partition}.${getKeyName(team, key)}`);
 }
 
 /**
@@ -55,8 +69,7 @@
   team: TeamId,
   key: IdempotencyKey,
 ): boolean {
-  const partition = getPartitionOfProgram(program);
-  return program === `${partition}.${getKeyName(team, key)}`;
+  return program === getProgramOfKey(getPartitionOfProgram(program), team, key);
 }
 
 function getKeyName(team: TeamId, key: IdempotencyKey): string {
--- a/packages/programs/src/keeper/turn_context.ts
+++ b/packages/programs/src/keeper/turn_context.ts
@@ -31,6 +31,8 @@
 export interface DispatchOptions {
   /** What became of the dispatch before this one; `unknown` by default. */
   readonly previousOutcome?: 'not_run' | 'unknown';
+  /** Picks the same generation up at the same target; nothing is reserved. */
+  readonly isResume?: boolean;
 }
 
 /** How a turn went, for its record. */
--- /dev/null
+++ b/packages/programs/src/state/partition_state.ts
@@ -0,0 +1,276 @@
+/** State of a partition: what its records, applied in order, lead to. */
+import type {CallId, ProgramId} from '@marigoldpost/common';
+import type {
+  CallCompleted,
+  CallDispatched,
+  CallFailed,
+  ProgramAdded,
+  ProgramEnded,
+  ProgramRecord,
+} from '../records/program_record.js';
+import {getCallDigest, getHistoryDigest} from './call_digest.js';
+import {
+  createProgramState,
+  isRepeatable,
+  type BudgetAccount,
+  type CallState,
+  type ProgramState,
+} from './program_state.js';
+
+/** The programs of one partition; applying a record never fails. */
+export class PartitionState {
+  private readonly programs = new Map<ProgramId, ProgramState>();
+
+  private constructor() {}
+
+  /** Creates an empty partition. */
+  static create(): PartitionState {
+    return new PartitionState();
+  }
+
+  /** Gets every program. */
+  getPrograms(): Iterable<ProgramState> {
+    return this.programs.values();
+  }
+
+  /**
+   * Gets a program, or nothing.
+   * @param program - Its id.
+   */
+  getProgram(program: ProgramId): ProgramState | undefined {
+    return this.programs.get(program);
+  }
+
+  /**
+   * Gets the program whose budget a program uses.
+   * @param state - The program.
+   */
+  getRoot(state: ProgramState): ProgramState {
+    return this.programs.get(state.root) ?? state;
+  }
+
+  /**
+   * Forgets an ended program.
+   * @param program - Its id.
+   */
+  removeProgram(program: ProgramId): void {
+    this.programs.delete(program);
+  }
+
+  /** Gets the whole state as JSON texts of records. */
+  toSnapshot(): string[] {
+    return [...this.programs.values()].map((state) =>
+      JSON.stringify({kind: 'program_snapshot', state}),
+    );
+  }
+
+  /**
+   * Applies the next record.
+   * @param record - The record.
+   */
+  apply(record: ProgramRecord): void {
+    switch (record.kind) {
+      case 'program_added':
+        return this.applyAdded(record);
+      case 'call_dispatched':
+        return this.applyDispatched(record);
+      case 'call_completed':
+        return this.applyCompleted(record);
+      case 'call_failed':
+        return this.applyFailed(record);
+      case 'program_ended':
+        return this.applyEnded(record);
+      case 'cache_released':
+        return this.removeTarget(record.program, record.target);
+      case 'partition_closed':
+        return this.applyClosed();
+      case 'partition_recovered':
+        return this.applyRecovered();
+      case 'program_snapshot':
+        this.programs.set(record.state.program, record.state);
+    }
+  }
+
+  private applyAdded(record: ProgramAdded): void {
+    const {parent, program} = record;
+    if (this.programs.has(program)) return;
+    const parentState = parent && this.programs.get(parent);
+    const root = parentState ? parentState.root : program;
+    this.programs.set(program, createProgramState(record, root));
+  }
+
+  private applyDispatched(record: CallDispatched): void {
+    const state = this.programs.get(record.program);
+    if (state === undefined) return;
+    const account = this.getRoot(state).account;
+    const running = getRunning(state, record.callId);
+    if (running === undefined) startCall(state, account, record);
+    else repeatCall(running, account, record);
+    if (!state.targets.includes(record.target)) {
+      state.targets.push(record.target);
+    }
+    if (record.cap === undefined) return;
+    account.capTokens = Math.max(account.capTokens, record.cap.tokens);
+    account.capCalls = Math.max(account.capCalls, record.cap.calls);
+  }
+
+  private applyCompleted(record: CallCompleted): void {
+    const state = this.programs.get(record.program);
+    const running = state && getRunning(state, record.callId);
+    if (state === undefined || running === undefined) return;
+    const account = this.getRoot(state).account;
+    account.reservedTokens -= running.reservedTokens;
+    account.usedTokens += record.usedTokens;
+    account.capTokens = record.cap.tokens;
+    account.capCalls = record.cap.calls;
+    addTurn(state, running, record);
+  }
+
+  private applyFailed(record: CallFailed): void {
+    const state = this.programs.get(record.program);
+    const running = state && getRunning(state, record.callId);
+    if (state === undefined || running === undefined) return;
+    const account = this.getRoot(state).account;
+    account.reservedTokens -= running.reservedTokens;
+    account.usedTokens += record.usedTokens;
+    if (record.error.outcome === 'not_run') account.usedCalls -= 1;
+    failCall(running, record);
+  }
+
+  private applyEnded(record: ProgramEnded): void {
+    const state = this.programs.get(record.program);
+    if (state === undefined) return;
+    state.endedAtWallMs ??= record.wallMs;
+    state.messages = [];
+    for (const call of state.calls) {
+      if (call.answer?.kind === 'chat') delete call.answer;
+    }
+  }
+
+  private removeTarget(program: ProgramId, target: string): void {
+    const state = this.programs.get(program);
+    if (state === undefined) return;
+    state.targets = state.targets.filter((other) => other !== target);
+  }
+
+  private applyClosed(): void {
+    for (const {account} of this.programs.values()) {
+      account.capTokens = account.usedTokens + account.reservedTokens;
+      account.capCalls = account.usedCalls;
+    }
+  }
+
+  /** Counts what may have been dispatched as used, and closes open intents. */
+  private applyRecovered(): void {
+    for (const state of this.programs.values()) closeIntents(state);
+    for (const {account} of this.programs.values()) {
+      const spent = account.capTokens - account.reservedTokens;
+      account.usedTokens = Math.max(account.usedTokens, spent);
+      account.usedCalls = Math.max(account.usedCalls, account.capCalls);
+    }
+  }
+}
+
+function getRunning(
+  state: ProgramState,
+  callId: CallId,
+): CallState | undefined {
+  return state.calls.find(
+    (call) => call.callId === callId && call.state === 'running',
+  );
+}
+
+function startCall(
+  state: ProgramState,
+  account: BudgetAccount,
+  record: CallDispatched,
+): void {
+  const {call, callId, reservedTokens, target, traits, wallMs} = record;
+  if (call === undefined) return;
+  const digest = getCallDigest(call);
+  const {idempotencyKey, service} = call;
+  state.calls = state.calls.filter((other) => other.callId !== callId);
+  state.calls.push({
+    callId,
+    idempotencyKey,
+    digest,
+    service,
+    traits,
+    state: 'running',
+    target,
+    reservedTokens,
+    attempts: 1,
+    call,
+  });
+  account.reservedTokens += reservedTokens;
+  account.usedCalls += 1;
+  account.startedAtWallMs ??= wallMs;
+  state.repeats = state.lastDigest === digest ? state.repeats + 1 : 1;
+  state.lastDigest = digest;
+}
+
+function repeatCall(
+  running: CallState,
+  account: BudgetAccount,
+  record: CallDispatched,
+): void {
+  account.usedTokens += record.lostTokens;
+  account.reservedTokens += record.reservedTokens - running.reservedTokens;
+  running.reservedTokens = record.reservedTokens;
+  running.target = record.target;
+  running.attempts += 1;
+}
+
+function addTurn(
+  state: ProgramState,
+  running: CallState,
+  record: CallCompleted,
+): void {
+  const {answer, report} = record;
+  const {call} = running;
+  dropOldAnswer(state);
+  running.state = 'finished';
+  running.reservedTokens = 0;
+  running.report = report;
+  running.answer = answer;
+  delete running.call;
+  state.turnIndex += 1;
+  state.historyDigest = getHistoryDigest(
+    state.historyDigest,
+    running.digest,
+    answer,
+  );
+  if (call?.kind !== 'chat' || answer?.kind !== 'chat') return;
+  const {usage} = answer;
+  running.usage = usage;
+  state.historyTokens = usage.promptTokens + usage.completionTokens;
+  if (state.endedAtWallMs !== undefined) return;
+  const content = answer.tokens.join('');
+  state.messages.push(...call.messages, {role: 'assistant', content});
+}
+
+/** Only keyed calls, and the last one, can be asked for again. */
+function dropOldAnswer(state: ProgramState): void {
+  const last = state.calls.findLast(({state}) => state === 'finished');
+  if (last?.idempotencyKey === undefined) delete last?.answer;
+}
+
+function failCall(running: CallState, record: CallFailed): void {
+  const {error} = record;
+  const isUnknown =
+    error.outcome === 'unknown' &&
+    !isRepeatable(running.traits, running.idempotencyKey);
+  running.state = isUnknown ? 'unknown' : 'failed';
+  running.error = error;
+  running.reservedTokens = 0;
+  delete running.call;
+}
+
+function closeIntents(state: ProgramState): void {
+  for (const call of state.calls) {
+    if (call.state !== 'running') continue;
+    if (isRepeatable(call.traits, call.idempotencyKey)) continue;
+    call.state = 'unknown';
+    delete call.call;
+  }
+}
--- /dev/null
+++ b/packages/programs/tests/keeper/takeover.feature
@@ -0,0 +1,44 @@
+Feature: Takeover of a partition
+
+  Scenario: A successor knows the history of a program
+    Given a holder of a partition whose program had two turns
+    When another daemon takes the partition over
+    Then the successor has the program's history, and its next turn follows
+
+  Scenario: A finished call is replayed by the successor
+    Given a holder of a partition whose program had two turns
+    When another daemon takes the partition over
+    Then a re-sent call gets its first answer from the successor
+
+  Scenario Outline: A booking runs at most once when its holder dies <step>
+    Given a holder of a partition that dies <step> of a booking
+    When another daemon takes the partition over
+    Then the re-sent booking <result>
+
+    Examples:
+      | step                       | result                           |
+      | after the admission        | runs at the successor            |
+      | after the intent           | is refused as unknown            |
+      | after the target's answer  | is refused as unknown            |
+      | after the turn's commit    | gets its answer without a run    |
+
+  Scenario Outline: A paused holder that wakes after a takeover <step> does no harm
+    Given a holder of a partition that is paused <step> of a booking
+    When another daemon takes the partition over
+    Then the woken holder's next step fails as fenced
+    And the re-sent booking <result>
+
+    Examples:
+      | step                       | result                           |
+      | after the admission        | runs at the successor            |
+      | after the intent           | is refused as unknown            |
+
+  Scenario: A chat under way is picked up with the same stream
+    Given a holder of a partition that dies while a long chat streams
+    When another daemon takes the partition over
+    Then the successor knows the chat, its target and its stream
+
+  Scenario: A reservation that a crash leaves open counts as spent
+    Given a holder of a partition that dies while a long chat streams
+    When another daemon takes the partition over
+    Then the successor counts at least the chat's worst case
