--- a/packages/programs/src/keeper/create_turn_context.ts
+++ b/packages/programs/src/keeper/create_turn_context.ts
@@ -31,6 +31,7 @@
   const resumeTarget = call.kind === 'chat' ? call.resumeTarget : undefined;
   return {
     messages: call.kind === 'chat' ? [...state.messages, ...call.messages] : [],
+    rootProgram: root.program,
     turnIndex,
     attempt: (running?.attempts ?? 0) + 1,
     streamId: getStreamId(state, parts.digest),
