--- a/packages/platform/tests/store/http_object_store_steps.ts
+++ b/packages/platform/tests/store/http_object_store_steps.ts
@@ -1,6 +1,6 @@
 /** Steps for the contract of object API clients. */
 import assert from 'node:assert/strict';
-import {After, Given, Then, When, type World} from '@cucumber/cucumber';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {isErrorOfKind, VirtualClock} from '@marigoldpost/common';
 import {
   HttpObjectStore,
@@ -8,6 +8,7 @@
   type ObjectStore,
 } from '@marigoldpost/platform';
 import {MemoryObjectStore, ObjectApiServer} from '@marigoldpost/standins';
+import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
 
 interface ObjectApiWorld extends World {
   memory: MemoryObjectStore;
@@ -34,11 +35,6 @@
   },
 );
 
-After(async function (this: ObjectApiWorld) {
-  await this.server?.kill();
-  await this.client?.close();
-});
-
 When(
   'a client creates the objects a\\/1, a\\/2 and b\\/1 at the object API',
   async function (this: ObjectApiWorld) {
@@ -152,6 +148,11 @@
   const {clock} = world;
   world.client = HttpObjectStore.create({address, timeoutMs, clock});
   world.store = world.client;
+  const {client} = world;
+  addCleanup(world, async () => {
+    await server.kill();
+    await client.close();
+  });
 }
 
 async function setFault(world: ObjectApiWorld, fault: string): Promise<void> {
@@ -166,7 +167,6 @@
       return world.server?.kill();
     default:
       await world.server?.kill();
-      await world.client?.close();
       return startServer(world, 0.001);
   }
 }
--- a/packages/platform/tests/vms/vm_list_steps.ts
+++ b/packages/platform/tests/vms/vm_list_steps.ts
@@ -1,6 +1,6 @@
 /** Steps for the contract of VM list clients. */
 import assert from 'node:assert/strict';
-import {After, Given, Then, When, type World} from '@cucumber/cucumber';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
   type DataCentreId,
   isErrorOfKind,
@@ -9,13 +9,13 @@
 } from '@marigoldpost/common';
 import {HttpVmList, type VmList} from '@marigoldpost/platform';
 import {MemoryVmList, VmListServer} from '@marigoldpost/standins';
+import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
 
 interface VmListWorld extends World {
   clock: VirtualClock;
   memory: MemoryVmList;
   vmList: VmList;
   vmServer?: VmListServer;
-  vmClient?: HttpVmList;
   states: string[];
 }
 
@@ -26,19 +26,19 @@
     this.memory = MemoryVmList.create({clock: this.clock, lagMs});
     this.vmList = this.memory;
     if (transport === 'memory') return;
-    this.vmServer = VmListServer.create({vmList: this.memory});
-    const address = await this.vmServer.start();
+    const server = VmListServer.create({vmList: this.memory});
+    this.vmServer = server;
+    const address = await server.start();
     const clock = VirtualClock.create();
-    this.vmClient = HttpVmList.create({address, timeoutMs: 1000, clock});
-    this.vmList = this.vmClient;
+    const client = HttpVmList.create({address, timeoutMs: 1000, clock});
+    this.vmList = client;
+    addCleanup(this, async () => {
+      await server.kill();
+      await client.close();
+    });
   },
 );
 
-After(async function (this: VmListWorld) {
-  await this.vmServer?.kill();
-  await this.vmClient?.close();
-});
-
 When(
   'a VM is listed as live, and as leaving 1000 ms later',
   async function (this: VmListWorld) {
--- a/packages/targets/tests/engine/engine_client_steps.ts
+++ b/packages/targets/tests/engine/engine_client_steps.ts
@@ -6,7 +6,7 @@
 import {isErrorOfKind} from '@marigoldpost/common';
 import type {MemoryEngine} from '@marigoldpost/standins';
 import {HttpEngineClient} from '@marigoldpost/targets';
-import {addCleanup} from '../fixtures/cleanup.js';
+import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
 import {
   createEngineRequest,
   createEngineSetup,
--- /dev/null
+++ b/packages/targets/tests/registry/target_registry.feature
@@ -0,0 +1,76 @@
+Feature: Registry of targets
+
+  Scenario Outline: Which targets a daemon may use (<own> own, <others> elsewhere)
+    Given a registry in cat-lai with <own> engines there and <others> in cai-mep
+    When the registry has read the VM list
+    Then the registry lists the engines <listed>
+
+    Examples:
+      | own | others | listed                        |
+      | 2   | 1      | plan-cat-lai-1,plan-cat-lai-2 |
+      | 0   | 2      | plan-cai-mep-1,plan-cai-mep-2 |
+      | 0   | 0      | none                          |
+
+  Scenario: A leaving target gets no new work after 3 s
+    Given a registry in cat-lai with 2 engines there and 0 in cai-mep
+    And the registry has read the VM list
+    When the VM of plan-cat-lai-1 starts to leave
+    And the registry's time goes on by 3000 ms
+    Then the registry has plan-cat-lai-1 as leaving and plan-cat-lai-2 as open
+    And the registry still gives the client of plan-cat-lai-1
+
+  Scenario: A VM list that is away changes nothing
+    Given a registry in cat-lai with 2 engines there and 0 in cai-mep
+    And the registry has read the VM list
+    When the VM list of the registry is away for 60000 ms
+    Then the registry has plan-cat-lai-1 as open and plan-cat-lai-2 as open
+
+  Scenario: A death counts once for all that it cut
+    Given a registry in cat-lai with 2 engines there and 0 in cai-mep
+    And the registry has read the VM list
+    When 3 requests run on plan-cat-lai-1 and the engine dies
+    Then the registry reports 1 death with 3 requests
+    And the registry has plan-cat-lai-1 as unhealthy and plan-cat-lai-2 as open
+
+  Scenario: A cut stream of a living engine is no death
+    Given a registry in cat-lai with 2 engines there and 0 in cai-mep
+    And the registry has read the VM list
+    When 3 requests run on plan-cat-lai-1 and one is cut
+    Then the registry reports 0 deaths with 0 requests
+    And the registry has plan-cat-lai-1 as open and plan-cat-lai-2 as open
+
+  Scenario: A dead engine that comes back takes one request first
+    Given a registry in cat-lai with 2 engines there and 0 in cai-mep
+    And the registry has read the VM list
+    When 3 requests run on plan-cat-lai-1 and the engine dies
+    And plan-cat-lai-1 restarts and the registry's time goes on by 12000 ms
+    Then the registry has plan-cat-lai-1 as probing and plan-cat-lai-2 as open
+    And only one request may start on plan-cat-lai-1 until it succeeds
+    And the registry told its listeners that the cache of plan-cat-lai-1 is empty
+
+  Scenario: Cache events are followed once each, over lost ones
+    Given a registry in cat-lai with 1 engines there and 0 in cai-mep
+    And the registry has read the VM list
+    When plan-cat-lai-1 stores 30 blocks one by one and keeps only the last 10 events
+    And the registry's time goes on by 3000 ms
+    Then the registry told of the events 21 to 30 of plan-cat-lai-1 once each
+
+  Scenario Outline: Circuit breaker (<script>)
+    When a circuit breaker goes through <script>
+    Then the circuit breaker is <state> and <takes> a request
+
+    Examples:
+      | script                             | state     | takes   |
+      | nothing                            | closed    | takes   |
+      | fail fail                          | closed    | takes   |
+      | fail fail ok fail                  | closed    | takes   |
+      | fail fail fail                     | open      | refuses |
+      | fatal                              | open      | refuses |
+      | fatal ok                           | open      | refuses |
+      | fatal 500                          | half_open | takes   |
+      | fatal 500 start                    | half_open | refuses |
+      | fatal 500 start ok                 | closed    | takes   |
+      | fatal 500 start fail               | open      | refuses |
+      | fatal 500 start fail 500           | open      | refuses |
+      | fatal 500 start fail 1000          | half_open | takes   |
+      | fatal 500 start 10000              | half_open | takes   |
--- /dev/null
+++ b/packages/targets/tests/registry/target_registry_steps.ts
@@ -0,0 +1,224 @@
+/** Steps for the registry of targets and its circuit breakers. */
+import assert from 'node:assert/strict';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {
+  type CallId,
+  type Fingerprint,
+  MarigoldpostError,
+  type ProgramId,
+  type TargetId,
+  toId,
+  VirtualClock,
+} from '@marigoldpost/common';
+import {
+  CircuitBreaker,
+  HttpEngineClient,
+  type TargetWork,
+} from '@marigoldpost/targets';
+import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
+import {
+  createRegistrySetup,
+  type RegistrySetup,
+} from '../fixtures/registry_fixtures.js';
+
+interface RegistryWorld extends World {
+  setup: RegistrySetup;
+  breaker: CircuitBreaker;
+}
+
+const settleMs = 2500;
+const truncated = MarigoldpostError.create('stream_truncated', 'cut');
+
+Given(
+  'a registry in cat-lai with {int} engines there and {int} in cai-mep',
+  function (this: RegistryWorld, own: number, others: number) {
+    const setup = createRegistrySetup(own, others);
+    this.setup = setup;
+    addCleanup(this, () => setup.registry.stop());
+  },
+);
+
+When('the registry has read the VM list', async function (this: RegistryWorld) {
+  const {registry, clock} = this.setup;
+  await registry.start();
+  await clock.advance(settleMs);
+});
+
+When(
+  'the VM of {word} starts to leave',
+  function (this: RegistryWorld, target: string) {
+    this.setup.vmList.setState(target, 'leaving');
+  },
+);
+
+When(
+  "the registry's time goes on by {int} ms",
+  async function (this: RegistryWorld, elapsedMs: number) {
+    await this.setup.clock.advance(elapsedMs);
+  },
+);
+
+When(
+  'the VM list of the registry is away for {int} ms',
+  async function (this: RegistryWorld, elapsedMs: number) {
+    const {vmList, clock} = this.setup;
+    vmList.setOutage(true);
+    await clock.advance(elapsedMs);
+  },
+);
+
+When(
+  /^(\d) requests run on (\S+) and (the engine dies|one is cut)$/,
+  async function (
+    this: RegistryWorld,
+    count: string,
+    target: string,
+    fault: string,
+  ) {
+    const {registry, engines} = this.setup;
+    const id = toId<TargetId>(target);
+    const work = Array.from({length: Number(count)}, (_unused, index) =>
+      createWork(id, index),
+    );
+    for (const one of work) registry.noteStarted(one);
+    const hasDied = fault === 'the engine dies';
+    if (hasDied) engines.get(id)?.kill();
+    const cut = hasDied ? work : work.slice(0, 1);
+    const verdicts = await Promise.all(
+      cut.map((one) => registry.noteFailure(one, truncated)),
+    );
+    assert.ok(verdicts.every((verdict) => verdict === hasDied));
+  },
+);
+
+When(
+  "{word} restarts and the registry's time goes on by {int} ms",
+  async function (this: RegistryWorld, target: string, elapsedMs: number) {
+    const {engines, clock} = this.setup;
+    // The registry polls the dead engine at least once before.
+    await clock.advance(600);
+    engines.get(toId<TargetId>(target))?.restart();
+    await clock.advance(elapsedMs);
+  },
+);
+
+When(
+  '{word} stores {int} blocks one by one and keeps only the last 10 events',
+  function (this: RegistryWorld, target: string, count: number) {
+    const engine = this.setup.engines.get(toId<TargetId>(target));
+    const program = toId<ProgramId>('cat-lai.0.abc');
+    for (let block = 1; block <= count; block++) {
+      engine?.importProgram(program, [`block-${block}`]);
+    }
+  },
+);
+
+Then(
+  'the registry lists the engines {word}',
+  function (this: RegistryWorld, listed: string) {
+    const targets = this.setup.registry.getTargets();
+    assert.equal(targets.map(({id}) => id).join(',') || 'none', listed);
+  },
+);
+
+Then(
+  'the registry has plan-cat-lai-1 as {word} and plan-cat-lai-2 as {word}',
+  function (this: RegistryWorld, first: string, second: string) {
+    const targets = this.setup.registry.getTargets();
+    assert.deepEqual(
+      targets.map(({state}) => state),
+      [first, second],
+    );
+    const mayStart = ['open', 'probing'];
+    for (const {state, isOpen} of targets) {
+      assert.equal(isOpen, mayStart.includes(state));
+    }
+  },
+);
+
+Then(
+  'the registry still gives the client of {word}',
+  function (this: RegistryWorld, target: string) {
+    const {registry, engines} = this.setup;
+    const id = toId<TargetId>(target);
+    assert.equal(registry.getEngineClientOrThrow(id), engines.get(id));
+    assert.ok(!(engines.get(id) instanceof HttpEngineClient));
+  },
+);
+
+Then(
+  /^the registry reports (\d) deaths? with (\d) requests$/,
+  function (this: RegistryWorld, deaths: string, requests: string) {
+    const told = this.setup.deaths;
+    assert.equal(told.length, Number(deaths));
+    const held = told.flatMap(({fingerprints}) => fingerprints);
+    assert.equal(new Set(held).size, Number(requests));
+  },
+);
+
+Then(
+  'only one request may start on {word} until it succeeds',
+  function (this: RegistryWorld, target: string) {
+    const {registry} = this.setup;
+    const id = toId<TargetId>(target);
+    const probe = createWork(id, 9);
+    registry.noteStarted(probe);
+    assert.equal(registry.getTarget(id)?.isOpen, false);
+    registry.noteSuccess(probe);
+    assert.equal(registry.getTarget(id)?.isOpen, true);
+    assert.equal(registry.getTarget(id)?.state, 'open');
+  },
+);
+
+Then(
+  'the registry told its listeners that the cache of {word} is empty',
+  function (this: RegistryWorld, _target: string) {
+    const kinds = this.setup.cacheEvents.map(({kind}) => kind);
+    assert.deepEqual(kinds, ['cleared']);
+  },
+);
+
+Then(
+  'the registry told of the events {int} to {int} of {word} once each',
+  function (this: RegistryWorld, first: number, last: number, _id: string) {
+    const told = this.setup.cacheEvents.map(({sequence}) => sequence);
+    const expected = Array.from(
+      {length: last - first + 1},
+      (_unused, index) => first + index,
+    );
+    assert.deepEqual(told, expected);
+  },
+);
+
+When(
+  /^a circuit breaker goes through (.*)$/,
+  function (this: RegistryWorld, script: string) {
+    const clock = VirtualClock.create();
+    const options = {failuresToOpen: 3, baseOpenMs: 500, maxOpenMs: 10_000};
+    const breaker = CircuitBreaker.create(options, clock);
+    this.breaker = breaker;
+    for (const word of script.split(' ')) {
+      if (word === 'ok') breaker.noteSuccess();
+      else if (word === 'start') breaker.noteStarted();
+      else if (word === 'fail') breaker.noteFailure(false);
+      else if (word === 'fatal') breaker.noteFailure(true);
+      else if (word !== 'nothing') clock.skip(Number(word));
+    }
+  },
+);
+
+Then(
+  /^the circuit breaker is (\w+) and (takes|refuses) a request$/,
+  function (this: RegistryWorld, state: string, takes: string) {
+    assert.equal(this.breaker.getState(), state);
+    assert.equal(this.breaker.canStart(), takes === 'takes');
+  },
+);
+
+function createWork(target: TargetId, index: number): TargetWork {
+  return {
+    target,
+    callId: toId<CallId>(`call-${index}`),
+    fingerprint: toId<Fingerprint>(`request-${index}`),
+  };
+}
