--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** Load, experiments and reports. */
+export * from './targets/target_client_bench.js';
--- a/packages/targets/src/engine/http_engine_client.ts
+++ b/packages/targets/src/engine/http_engine_client.ts
@@ -80,7 +80,8 @@
     try {
       for (;;) {
         const chunk = await stream.chunks.next();
-        yield* reader.read(chunk);
+        // `yield*` would await each event once more.
+        for (const event of reader.read(chunk)) yield event;
         if (reader.isComplete) return;
       }
     } finally {
--- a/packages/targets/src/plain/end_to_end_headers.ts
+++ b/packages/targets/src/plain/end_to_end_headers.ts
@@ -22,10 +22,10 @@
 export function getEndToEndHeaders(
   headers: Readonly<Record<string, string>>,
 ): Record<string, string> {
-  const entries = Object.entries(headers).map(
-    ([name, value]) => [name.toLowerCase(), value] as const,
-  );
-  return Object.fromEntries(
-    entries.filter(([name]) => !droppedHeaders.has(name)),
-  );
+  const kept: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    const lowerCase = name.toLowerCase();
+    if (!droppedHeaders.has(lowerCase)) kept[lowerCase] = value;
+  }
+  return kept;
 }
