Prove the callers' HTTP by contract tests, with the OpenAPI file

Cause: the answer to each fault is a promise to callers. The gauge of calls in flight left out the request being served: seen failing, then mended.

--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -54,21 +54,25 @@
 
 /** Serves callers until stopped. */
 export class CallerServer {
+  /** Everything that is served. */
+  readonly routes: readonly Route[];
   private readonly router: Router;
   private readonly exchanges = new Set<Promise<void>>();
   private server: Server | undefined;
   private reloader: TlsReloader | undefined;
+  private requestsInFlight = 0;
   private isStopping = false;
 
   private constructor(private readonly options: CallerServerOptions) {
     const context = EntryContext.create(options);
-    this.router = Router.create([
+    this.routes = [
       ChatRoute.create(context),
       ...createProgramRoutes(context),
       PlainRoute.create(context),
       ...createHealthRoutes(context),
       ...(options.extraRoutes ?? []),
-    ]);
+    ];
+    this.router = Router.create(this.routes);
   }
 
   /**
@@ -87,7 +91,7 @@
 
   /** Number of requests under way. */
   get inFlight(): number {
-    return this.exchanges.size;
+    return this.requestsInFlight;
   }
 
   /** Listens at the settings' address. */
@@ -160,12 +164,12 @@
       logger: logger.withContext({requestId}),
       maxBodyBytes: settings.maxBodyBytes,
     });
+    this.addInFlight(1);
     const served = this.serve(exchange);
     this.exchanges.add(served);
-    this.setInFlight();
     void served.finally(() => {
       this.exchanges.delete(served);
-      this.setInFlight();
+      this.addInFlight(-1);
     });
   }
 
@@ -179,8 +183,10 @@
     }
   }
 
-  private setInFlight(): void {
-    this.options.metrics.setGauge('calls_in_flight', {}, this.inFlight);
+  private addInFlight(change: number): void {
+    this.requestsInFlight += change;
+    const {metrics} = this.options;
+    metrics.setGauge('calls_in_flight', {}, this.requestsInFlight);
   }
 }
 
--- /dev/null
+++ b/packages/entry/tests/server/openapi_steps.ts
@@ -0,0 +1,40 @@
+/** Steps for docs/openapi.yaml. */
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {Then, type World} from '@cucumber/cucumber';
+import {errorAnswers} from '@marigoldpost/common';
+import {parse} from 'yaml';
+import type {EntryFixture} from '../fixtures/entry_fixture.js';
+
+interface OpenApi {
+  paths: Record<string, Record<string, unknown>>;
+  components: {schemas: {Error: {properties: {error: ErrorSchema}}}};
+}
+
+interface ErrorSchema {
+  properties: {kind: {enum: string[]}};
+}
+
+const anyMethods = ['get', 'post', 'put', 'patch', 'delete'];
+
+Then(
+  "the OpenAPI file names exactly the paths and methods that the callers' server has",
+  function (this: World & {fixture: EntryFixture}) {
+    const file = parse(readFileSync('docs/openapi.yaml', 'utf8')) as OpenApi;
+    const written = Object.entries(file.paths)
+      .filter(([path]) => !path.startsWith('/ops/'))
+      .flatMap(([path, methods]) =>
+        Object.keys(methods).map((method) => `${method} ${path}`),
+      );
+    const served = this.fixture.server.routes.flatMap(({method, path}) => {
+      const methods = method === '*' ? anyMethods : [method.toLowerCase()];
+      return methods.map((each) => `${each} ${path.replace('*}', '}')}`);
+    });
+    assert.deepEqual(written.toSorted(), served.toSorted());
+    const {kind} = file.components.schemas.Error.properties.error.properties;
+    assert.deepEqual(
+      kind.enum.toSorted(),
+      Object.keys(errorAnswers).toSorted(),
+    );
+  },
+);
