Tell a target's refusal from a target that was not reached

Cause: both are target_failed with outcome not_run, and the registry opened the circuit breaker at once on either; a resume of a stream that a restarted engine does not know would have closed the engine for half a second. Now a bare connection decides, off the call's path. Errors that say nothing of the target (cancelled, fenced) no longer count. A second verdict on one death is not reported again. Also: an engine asked to go on behind an answer that already has maxTokens ends at once; before, the stand-in generated one token too many.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -14,6 +14,7 @@
 export * from './servers/engine_server.js';
 export * from './servers/object_api_server.js';
 export * from './servers/plain_service_server.js';
+export * from './servers/send_blocks.js';
 export * from './servers/vm_list_server.js';
 export * from './servers/weight_store_server.js';
 export * from './site/site_description.js';
--- a/packages/standins/src/memory/memory_engine.ts
+++ b/packages/standins/src/memory/memory_engine.ts
@@ -226,7 +226,8 @@
       this.kill();
       return stream;
     }
-    this.admit(stream);
+    if (stream.isFull) stream.endFull();
+    else this.admit(stream);
     return stream;
   }
 
--- a/packages/standins/src/memory/memory_stream.ts
+++ b/packages/standins/src/memory/memory_stream.ts
@@ -71,6 +71,11 @@
     return this.prefixTokens + this.readyTokens;
   }
 
+  /** Whether the given start leaves no room for another token. */
+  get isFull(): boolean {
+    return this.prefixTokens >= this.request.maxTokens;
+  }
+
   /** Whether the generation was ended early. */
   get isBroken(): boolean {
     return this.broken;
@@ -98,6 +103,18 @@
     this.notify();
   }
 
+  /** Ends a generation that has no room for another token. */
+  endFull(): void {
+    const {promptTokens} = this.modelRequest;
+    this.onEnd({
+      kind: 'end',
+      finishReason: 'length',
+      promptTokens,
+      cachedTokens: 0,
+      completionTokens: 0,
+    });
+  }
+
   /** Waits until more tokens, the end or a failure is there. */
   whenChanged(): Promise<void> {
     return this.changed.promise;
--- a/packages/targets/src/registry/target_registry.ts
+++ b/packages/targets/src/registry/target_registry.ts
@@ -180,16 +180,26 @@
     record: TargetRecord,
     error: unknown,
   ): Promise<boolean> {
-    if (isErrorOfKind(error, 'cancelled')) return false;
     if (isCut(error)) {
       record.verdict ??= this.judgeDeath(record);
       if (await record.verdict) return true;
     }
-    const isFatal = isUnreached(error);
-    this.changeHealth(record, () => record.breaker.noteFailure(isFatal));
+    if (isNotRun(error)) void this.judgeRefusal(record);
+    else if (isFailureOfTarget(error)) {
+      this.changeHealth(record, () => record.breaker.noteFailure(false));
+    }
     return false;
   }
 
+  /** Tells a target that refused a request from one that was not reached. */
+  private async judgeRefusal(record: TargetRecord): Promise<void> {
+    const reachability = await record.client.getReachability();
+    this.changeHealth(record, () => {
+      if (reachability === 'reachable') record.breaker.noteSuccess();
+      else record.breaker.noteFailure(true);
+    });
+  }
+
   /** Decides once for all requests that a target's death cut at one time. */
   private async judgeDeath(record: TargetRecord): Promise<boolean> {
     const reachability = await record.client.getReachability();
@@ -198,6 +208,8 @@
     const fingerprints = [...new Set(record.work.values())];
     record.work.clear();
     this.changeHealth(record, () => record.breaker.noteFailure(true));
+    // An earlier verdict has reported all that ran here.
+    if (fingerprints.length === 0) return true;
     const death = {target: record.listed.id, fingerprints};
     for (const listener of this.listeners) listener.onTargetDied?.(death);
     return true;
@@ -274,10 +286,7 @@
           listener.onCacheEvents?.(target, events);
         }
       },
-      onFailure: (error) => {
-        const isFatal = isUnreached(error);
-        this.changeHealth(record, () => record.breaker.noteFailure(isFatal));
-      },
+      onFailure: (error) => void this.judgeFailure(record, error),
     });
   }
 
@@ -326,11 +335,20 @@
   return isErrorOfKind(error, 'target_failed') && error.outcome === 'unknown';
 }
 
-/** Whether a request never reached the target. */
-function isUnreached(error: unknown): boolean {
+/** Whether a target refused a request, or was never reached. */
+function isNotRun(error: unknown): boolean {
   return isErrorOfKind(error, 'target_failed') && error.outcome === 'not_run';
 }
 
+function isFailureOfTarget(error: unknown): boolean {
+  return isErrorOfKind(
+    error,
+    'target_failed',
+    'target_timeout',
+    'stream_truncated',
+  );
+}
+
 function isSameEndpoint(left: ListedTarget, right: ListedTarget): boolean {
   return (
     left.address === right.address &&
--- a/packages/targets/tests/engine/engine_client.feature
+++ b/packages/targets/tests/engine/engine_client.feature
@@ -34,6 +34,27 @@
       | memory    |
       | socket    |
 
+  Scenario Outline: A given start that uses up the limit ends at once (<transport>)
+    Given an engine over <transport>
+    When a client asks the engine to go on behind 40 given tokens
+    Then the engine's reader got the tokens from 40 to 39 and an end
+
+    Examples:
+      | transport |
+      | memory    |
+      | socket    |
+
+  Scenario Outline: A program's cache moves to another engine (<transport>)
+    Given an engine over <transport>
+    When a client reads the engine's stream
+    And the program's cache is moved to a second engine over <transport>
+    Then the second engine finds the prompt of the program in its cache
+
+    Examples:
+      | transport |
+      | memory    |
+      | socket    |
+
   Scenario Outline: Faults of a stream (<fault>, <transport>)
     Given an engine over <transport>
     And the engine will <fault>
--- a/packages/targets/tests/registry/target_registry.feature
+++ b/packages/targets/tests/registry/target_registry.feature
@@ -39,6 +39,22 @@
     Then the registry reports 0 deaths with 0 requests
     And the registry has plan-cat-lai-1 as open and plan-cat-lai-2 as open
 
+  Scenario Outline: What a failure says about a target's health (<failure>)
+    Given a registry in cat-lai with 2 engines there and 0 in cai-mep
+    And the registry has read the VM list
+    When 4 requests on plan-cat-lai-1 fail with <failure> while it is <alive>
+    Then the registry has plan-cat-lai-1 as <state> and plan-cat-lai-2 as open
+
+    Examples:
+      | failure                  | alive | state     |
+      | target_failed not_run    | alive | open      |
+      | target_failed not_run    | dead  | unhealthy |
+      | target_failed unknown    | alive | unhealthy |
+      | target_timeout unknown   | alive | unhealthy |
+      | stream_truncated unknown | alive | unhealthy |
+      | cancelled unknown        | alive | open      |
+      | fenced not_run           | alive | open      |
+
   Scenario: A dead engine that comes back takes one request first
     Given a registry in cat-lai with 2 engines there and 0 in cai-mep
     And the registry has read the VM list
--- a/packages/targets/tests/registry/target_registry_steps.ts
+++ b/packages/targets/tests/registry/target_registry_steps.ts
@@ -3,8 +3,10 @@
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
   type CallId,
+  type ErrorKind,
   type Fingerprint,
   MarigoldpostError,
+  type Outcome,
   type ProgramId,
   type TargetId,
   toId,
@@ -91,6 +93,28 @@
   },
 );
 
+When(
+  /^4 requests on (\S+) fail with (\w+) (\w+) while it is (alive|dead)$/,
+  async function (
+    this: RegistryWorld,
+    target: string,
+    kind: ErrorKind,
+    outcome: Outcome,
+    alive: string,
+  ) {
+    const {registry, engines, clock} = this.setup;
+    const id = toId<TargetId>(target);
+    if (alive === 'dead') engines.get(id)?.kill();
+    const error = MarigoldpostError.create(kind, 'failed', {outcome});
+    for (let index = 0; index < 4; index++) {
+      const work = createWork(id, index);
+      registry.noteStarted(work);
+      assert.equal(await registry.noteFailure(work, error), false);
+    }
+    await clock.advance(1);
+  },
+);
+
 When(
   "{word} restarts and the registry's time goes on by {int} ms",
   async function (this: RegistryWorld, target: string, elapsedMs: number) {
