Keep a failing session's error from ending the process

Cause: a peer's stream fails before its HTTP/2 session emits the error; the link aborted the session manager at once, which then no longer listened, so the late error was unhandled. Seen when eight daemons started and one sent a heartbeat to a target that the VM list names. Ruled out: an error of the stream itself, which was handled. Change: the manager is aborted a second after the stream. Conclusion: an address taken over by another program costs a failed exchange.

--- a/packages/peers/src/transport/peer_link.ts
+++ b/packages/peers/src/transport/peer_link.ts
@@ -25,6 +25,7 @@
 const connectTimeoutMs = 3000;
 const pingIntervalMs = 5000;
 const pingTimeoutMs = 3000;
+const abortDelayMs = 1000;
 const reconnectWaits = {baseMs: 50, maxMs: 1000};
 
 /** Largest message between daemons, in bytes. */
@@ -170,7 +171,9 @@
   private dropStream(manager: Http2SessionManager): void {
     this.stream = undefined;
     this.noteFailure(undefined);
-    manager.abort();
+    // A session that is failing still emits its error; aborted before that, the
+    // manager no longer listens and the error would end the process.
+    this.options.clock.setTimer(abortDelayMs, () => manager.abort());
   }
 
   private noteFailure(failure: Error | undefined): void {
