Wire a daemon: calls through entry VMs to engines and plain services

Cause: the parts stood alone. Change: DaemonCore wires leases, membership, configuration, partitions, targets, limits, quarantine and the scheduler; runners take a call to as many targets as it may; the router brings it to the holder and sends it on when the holder is lost; Daemon adds sockets, drain and kill.

--- /dev/null
+++ b/packages/daemon/src/calls/call_runner.ts
@@ -0,0 +1,143 @@
+/** Runs the calls of the partitions that are held here. */
+import {
+  type CallId,
+  MarigoldpostError,
+  type TargetId,
+} from '@marigoldpost/common';
+import type {
+  Call,
+  CallEvent,
+  CallTicket,
+  CallTraits,
+  ChatCall,
+  ProgramKeeper,
+} from '@marigoldpost/programs';
+import type {OperatorsConfig, ServiceConfig} from '@marigoldpost/settings';
+import {ChatRunner} from './chat_runner.js';
+import {checkDependencies} from './dependency_check.js';
+import {PlainRunner} from './plain_runner.js';
+import type {RunnerContext} from './runner_context.js';
+
+/** Options of a call runner. */
+export interface CallRunnerOptions {
+  readonly context: RunnerContext;
+  /** Gets the text in force; nothing until one is known. */
+  readonly getConfig: () => OperatorsConfig | undefined;
+}
+
+/** Runs calls and lets any number of readers follow each. */
+export class CallRunner {
+  private readonly chatRunner: ChatRunner;
+  private readonly plainRunner: PlainRunner;
+  private readonly running = new Map<CallId, Promise<void>>();
+
+  private constructor(private readonly options: CallRunnerOptions) {
+    this.chatRunner = ChatRunner.create(options.context);
+    this.plainRunner = PlainRunner.create(options.context);
+  }
+
+  /**
+   * Creates a runner.
+   * @param options - Parts of the daemon and the text in force.
+   */
+  static create(options: CallRunnerOptions): CallRunner {
+    return new CallRunner(options);
+  }
+
+  /** Number of calls under way. */
+  get size(): number {
+    return this.running.size;
+  }
+
+  /**
+   * Runs a call, or joins the one that runs under the same key. The run goes on
+   * when its reader leaves.
+   * @param keeper - Keeper of the call's partition.
+   * @param call - The call.
+   * @param signal - The reader leaves.
+   */
+  async *runCall(
+    keeper: ProgramKeeper,
+    call: Call,
+    signal: AbortSignal,
+  ): AsyncGenerator<CallEvent> {
+    const service = this.getServiceOrThrow(call);
+    const {registry} = this.options.context;
+    checkDependencies(this.getConfigOrThrow(), service, registry);
+    const traits = getCallTraits(service);
+    const ticket = keeper.admitCall(call, traits);
+    if (ticket.isOwner) this.start(ticket, traits);
+    const offsetTokens = call.kind === 'chat' ? call.offsetTokens : 0;
+    yield* ticket.stream.read(offsetTokens, signal);
+  }
+
+  /**
+   * Goes on with the calls that a partition's former holder left under way.
+   * @param keeper - Keeper of a partition that was just opened.
+   */
+  resumeRecovered(keeper: ProgramKeeper): void {
+    for (const {call, traits, target} of keeper.getRecoveredCalls()) {
+      const resumed = call.kind === 'chat' ? toResumed(call, target) : call;
+      const ticket = keeper.admitCall(resumed, traits);
+      if (ticket.isOwner) this.start(ticket, traits);
+    }
+  }
+
+  /** Waits until no call is under way. */
+  async waitUntilIdle(): Promise<void> {
+    while (this.running.size > 0) await Promise.all(this.running.values());
+  }
+
+  private start(ticket: CallTicket, traits: CallTraits): void {
+    const {callId} = ticket.call;
+    const run = this.run(ticket, traits)
+      .catch((error: unknown) => this.logFailure(ticket, error))
+      .finally(() => this.running.delete(callId));
+    this.running.set(callId, run);
+  }
+
+  private run(ticket: CallTicket, traits: CallTraits): Promise<void> {
+    const {call} = ticket;
+    return call.kind === 'chat'
+      ? this.chatRunner.run(ticket, call)
+      : this.plainRunner.run(ticket, call, traits);
+  }
+
+  /** A ticket that fails by itself has already told its readers why. */
+  private logFailure(ticket: CallTicket, error: unknown): void {
+    const {team, service} = ticket.call;
+    const known = error instanceof MarigoldpostError ? error : undefined;
+    this.options.context.logger.log('call_failed', {
+      team,
+      service,
+      kind: known?.kind ?? 'internal',
+      outcome: known?.outcome ?? 'unknown',
+    });
+  }
+
+  private getServiceOrThrow(call: Call): ServiceConfig {
+    const service = this.getConfigOrThrow().services.get(call.service);
+    if (service !== undefined) return service;
+    const message = `service "${call.service}" is not in the operators' text`;
+    throw MarigoldpostError.create('unknown_service', message);
+  }
+
+  private getConfigOrThrow(): OperatorsConfig {
+    const config = this.options.getConfig();
+    if (config !== undefined) return config;
+    const message = "no operators' text is in force on this daemon yet";
+    throw MarigoldpostError.create('platform_unavailable', message);
+  }
+}
+
+function toResumed(call: ChatCall, resumeTarget: TargetId): ChatCall {
+  return {...call, resumeTarget};
+}
+
+function getCallTraits(service: ServiceConfig): CallTraits {
+  if (service.kind === 'engine') {
+    return {isIdempotent: true, deduplicatesByKey: false};
+  }
+  const {isIdempotent, deduplicatesByKey} = service;
+  return {isIdempotent, deduplicatesByKey};
+}
--- /dev/null
+++ b/packages/daemon/src/calls/chat_runner.ts
@@ -0,0 +1,282 @@
+/** Runs one call to a model engine, on as many engines as it takes. */
+import {
+  type Fingerprint,
+  isErrorOfKind,
+  MarigoldpostError,
+  type TargetId,
+} from '@marigoldpost/common';
+import type {
+  CallTicket,
+  ChatAnswer,
+  ChatCall,
+  TurnContext,
+} from '@marigoldpost/programs';
+import {
+  countTokens,
+  type Dispatch,
+  getBlockHashes,
+  renderPrompt,
+} from '@marigoldpost/scheduler';
+import {
+  type EngineEnd,
+  type EngineRequest,
+  getFingerprint,
+  type TargetWork,
+} from '@marigoldpost/targets';
+import {checkQuarantine} from './quarantine_check.js';
+import type {RunnerContext} from './runner_context.js';
+
+/** Engines that one call may be sent to, the first included. */
+const maxAttempts = 3;
+
+/** What one run of a call has got to. */
+interface ChatRun {
+  readonly ticket: CallTicket;
+  readonly call: ChatCall;
+  readonly turn: TurnContext;
+  readonly fingerprint: Fingerprint;
+  readonly admittedMs: number;
+  readonly deadlineMs: number;
+  readonly tokens: string[];
+  readonly excludedTargets: Set<TargetId>;
+  attempts: number;
+  previousOutcome: 'not_run' | 'unknown' | undefined;
+}
+
+/** Runs calls to model engines. */
+export class ChatRunner {
+  private constructor(private readonly context: RunnerContext) {}
+
+  /**
+   * Creates a runner.
+   * @param context - Parts of the daemon.
+   */
+  static create(context: RunnerContext): ChatRunner {
+    return new ChatRunner(context);
+  }
+
+  /**
+   * Runs a call to its end; the ticket's stream tells how it went.
+   * @param ticket - The call's ticket, which must own the run.
+   * @param call - The call.
+   */
+  async run(ticket: CallTicket, call: ChatCall): Promise<void> {
+    const admittedMs = this.context.clock.nowMs();
+    const turn = await ticket.waitForTurn(ticket.signal);
+    const run = createRun(ticket, call, turn, admittedMs);
+    try {
+      await this.runWithPermit(run);
+    } catch (error) {
+      await ticket.fail(error instanceof Error ? error : new Error('failed'));
+    }
+  }
+
+  private async runWithPermit(run: ChatRun): Promise<void> {
+    const {limiter, quarantine} = this.context;
+    checkQuarantine(quarantine, run.fingerprint, 'not_run');
+    const permit = await limiter.acquire(run.call, run.ticket.signal);
+    try {
+      await this.runAttempts(run);
+    } finally {
+      permit.release(run.tokens.length);
+    }
+  }
+
+  private async runAttempts(run: ChatRun): Promise<void> {
+    if (await this.resumeOnPreviousTarget(run)) return;
+    for (;;) {
+      const dispatch = await this.waitForDispatch(run);
+      try {
+        await this.runOnTarget(run, dispatch, false);
+        return;
+      } catch (error) {
+        this.prepareRetry(run, dispatch.target, error);
+      }
+    }
+  }
+
+  /** Picks up the stream that a former holder left on an engine. */
+  private async resumeOnPreviousTarget(run: ChatRun): Promise<boolean> {
+    const target = run.turn.previousTarget ?? run.call.resumeTarget;
+    if (target === undefined) return false;
+    if (this.context.registry.getTarget(target) === undefined) return false;
+    try {
+      await this.runOnTarget(run, {target, terms: {}}, true);
+      return true;
+    } catch (error) {
+      if (!isRetryable(run, error)) throw error;
+      return false;
+    }
+  }
+
+  private waitForDispatch(run: ChatRun): Promise<Dispatch> {
+    const {call, turn, ticket} = run;
+    const prompt = renderPrompt(turn.messages) + run.tokens.join('');
+    return this.context.dispatchLoop.waitForDispatch(
+      {
+        callId: call.callId,
+        program: ticket.program,
+        rootProgram: turn.rootProgram,
+        service: call.service,
+        model: call.model,
+        callClass: call.callClass,
+        promptTokens: countTokens(prompt),
+        maxTokens: call.maxTokens - run.tokens.length,
+        blockHashes: getBlockHashes(call.model, prompt),
+        deadlineMs: run.deadlineMs,
+        excludedTargets: run.excludedTargets,
+        isAlone: this.context.quarantine.isSuspect(run.fingerprint),
+        turnIndex: turn.turnIndex,
+      },
+      ticket.signal,
+    );
+  }
+
+  private async runOnTarget(
+    run: ChatRun,
+    {target, terms}: Pick<Dispatch, 'target' | 'terms'>,
+    isResumeOnly: boolean,
+  ): Promise<void> {
+    const {call, ticket} = run;
+    const waitMs = this.context.clock.nowMs() - run.admittedMs;
+    const {previousOutcome} = run;
+    await ticket.commitDispatch(target, {previousOutcome});
+    run.previousOutcome = 'unknown';
+    run.attempts += 1;
+    const end = await this.readWatched(run, target, isResumeOnly);
+    const answer = toAnswer(run, end);
+    if (!isResumeOnly) this.context.dispatchLoop.noteFinished(call.callId, end);
+    await ticket.complete(answer, {target, waitMs, terms});
+  }
+
+  /** Reads a stream and tells the registry how the target fared. */
+  private async readWatched(
+    run: ChatRun,
+    target: TargetId,
+    isResumeOnly: boolean,
+  ): Promise<EngineEnd> {
+    const {registry, quarantine} = this.context;
+    const {fingerprint} = run;
+    const {callId} = run.call;
+    const work: TargetWork = {target, callId, fingerprint};
+    registry.noteStarted(work);
+    try {
+      const end = await this.readStream(run, target, isResumeOnly);
+      registry.noteSuccess(work);
+      quarantine.noteSurvived(fingerprint);
+      return end;
+    } catch (error) {
+      await registry.noteFailure(work, error);
+      if (isErrorOfKind(error) && error.outcome === 'not_run') {
+        run.previousOutcome = 'not_run';
+      }
+      throw error;
+    }
+  }
+
+  private async readStream(
+    run: ChatRun,
+    target: TargetId,
+    isResumeOnly: boolean,
+  ): Promise<EngineEnd> {
+    const engine = this.context.registry.getEngineClientOrThrow(target);
+    const request = toEngineRequest(run, isResumeOnly);
+    const {signal} = run.ticket;
+    for await (const event of engine.generate(request, signal)) {
+      if (event.kind === 'end') return event;
+      this.addToken(run, event.index, event.text, isResumeOnly);
+    }
+    const message = `stream "${request.streamId}" of target "${target}" ended without its last event`;
+    throw MarigoldpostError.create('stream_truncated', message);
+  }
+
+  private addToken(
+    run: ChatRun,
+    index: number,
+    text: string,
+    isResumeOnly: boolean,
+  ): void {
+    if (index < run.tokens.length) return;
+    if (run.tokens.length === 0) this.noteFirstToken(run, isResumeOnly);
+    run.tokens.push(text);
+    run.ticket.addToken({index, text});
+  }
+
+  private noteFirstToken(run: ChatRun, isResumeOnly: boolean): void {
+    const {clock, dispatchLoop, metrics} = this.context;
+    const {service, callId} = run.call;
+    const waitMs = clock.nowMs() - run.admittedMs;
+    metrics.recordValue('first_token_ms', {service}, waitMs);
+    if (!isResumeOnly) dispatchLoop.noteFirstToken(callId);
+  }
+
+  /** Throws the error when the call must not be tried again. */
+  private prepareRetry(run: ChatRun, target: TargetId, error: unknown): void {
+    this.context.dispatchLoop.removeCall(run.call.callId);
+    if (!isRetryable(run, error)) throw error;
+    run.excludedTargets.add(target);
+    checkQuarantine(this.context.quarantine, run.fingerprint, 'unknown');
+  }
+}
+
+function createRun(
+  ticket: CallTicket,
+  call: ChatCall,
+  turn: TurnContext,
+  admittedMs: number,
+): ChatRun {
+  const timeoutMs = Math.min(call.timeoutMs, turn.remainingWallMs);
+  const content = JSON.stringify([call.model, turn.messages, call.maxTokens]);
+  return {
+    ticket,
+    call,
+    turn,
+    fingerprint: getFingerprint(call.team, call.service, content),
+    admittedMs,
+    deadlineMs: admittedMs + timeoutMs,
+    tokens: [],
+    excludedTargets: new Set(),
+    attempts: 0,
+    previousOutcome: undefined,
+  };
+}
+
+function toEngineRequest(run: ChatRun, isResumeOnly: boolean): EngineRequest {
+  const {call, turn, ticket, tokens} = run;
+  return {
+    streamId: turn.streamId,
+    model: call.model,
+    program: ticket.program,
+    messages: turn.messages,
+    maxTokens: call.maxTokens,
+    offsetTokens: tokens.length,
+    answerPrefix: tokens.length > 0 ? [...tokens] : undefined,
+    isResumeOnly,
+  };
+}
+
+function toAnswer(run: ChatRun, end: EngineEnd): ChatAnswer {
+  const {finishReason, promptTokens, cachedTokens} = end;
+  const completionTokens = run.tokens.length;
+  if (end.completionTokens !== completionTokens) {
+    const message = `stream "${run.turn.streamId}" has ${completionTokens} tokens, its end says ${end.completionTokens}`;
+    throw MarigoldpostError.create('stream_truncated', message);
+  }
+  return {
+    kind: 'chat',
+    tokens: run.tokens,
+    finishReason,
+    usage: {promptTokens, cachedTokens, completionTokens},
+  };
+}
+
+function isRetryable(run: ChatRun, error: unknown): boolean {
+  if (run.ticket.signal.aborted || run.attempts >= maxAttempts) return false;
+  return isErrorOfKind(
+    error,
+    'target_failed',
+    'target_timeout',
+    'stream_truncated',
+    'no_target',
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,122 @@
+/** One daemon with its sockets. */
+import {
+  type Clock,
+  getHashNumber,
+  SeededRandom,
+  SystemClock,
+} from '@marigoldpost/common';
+import {CallerServer} from '@marigoldpost/entry';
+import {ConnectPeerTransport} from '@marigoldpost/peers';
+import {HttpObjectStore, HttpVmList} from '@marigoldpost/platform';
+import type {DaemonSettings} from '@marigoldpost/settings';
+import {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {DaemonCore} from './daemon_core.js';
+import type {DaemonOptions} from './daemon_options.js';
+
+const platformTimeoutMs = 3000;
+/** Time for the platform's balancer to see that the daemon is not ready. */
+const balancerDelayMs = 500;
+
+/** Serves callers, peers and operators until it is drained. */
+export class Daemon {
+  readonly core: DaemonCore;
+  private readonly server: CallerServer;
+
+  private constructor(private readonly options: DaemonOptions) {
+    this.core = DaemonCore.create(options);
+    const {gateway} = this.core;
+    this.server = CallerServer.create({...options, gateway});
+  }
+
+  /**
+   * Creates a daemon on the interfaces given.
+   * @param options - Interfaces to the outside, and settings.
+   */
+  static createWith(options: DaemonOptions): Daemon {
+    return new Daemon(options);
+  }
+
+  /**
+   * Creates a daemon on the network, as its settings say.
+   * @param settings - Checked settings.
+   * @param logger - Where events go; standard output by default.
+   */
+  static create(settings: DaemonSettings, logger?: EventLogger): Daemon {
+    const clock = SystemClock.create();
+    return new Daemon({
+      settings,
+      clock,
+      random: createRandom(settings, clock),
+      store: HttpObjectStore.create({
+        address: settings.platformAddress,
+        timeoutMs: platformTimeoutMs,
+        clock,
+      }),
+      vmList: HttpVmList.create({
+        address: settings.vmListAddress,
+        timeoutMs: platformTimeoutMs,
+        clock,
+      }),
+      transport: ConnectPeerTransport.create({
+        daemon: settings.name,
+        host: settings.peerHost,
+        port: settings.peerPort,
+        clock,
+        tls: settings.tls,
+      }),
+      peerAddress: getPeerAddress(settings),
+      logger: logger ?? createLogger(settings),
+      metrics: Metrics.create(),
+    });
+  }
+
+  /** Port that callers reach. */
+  get callerPort(): number {
+    return this.server.port;
+  }
+
+  /** Joins the fleet, then serves callers. */
+  async start(): Promise<void> {
+    await this.core.start();
+    await this.server.start();
+    const {settings, peerAddress, logger} = this.options;
+    const callerAddress = `${settings.callerHost}:${this.callerPort}`;
+    logger.log('daemon_started', {callerAddress, peerAddress});
+  }
+
+  /**
+   * Leaves without a failed call: callers are sent elsewhere, partitions handed
+   * over, requests under way finished.
+   */
+  async drain(): Promise<void> {
+    const {clock, logger} = this.options;
+    const startMs = clock.nowMs();
+    this.core.startDraining();
+    await clock.sleep(balancerDelayMs);
+    await this.core.handOver();
+    await this.server.stop();
+    await this.core.stop();
+    const drainMs = Math.round(clock.nowMs() - startMs);
+    logger.log('daemon_stopped', {drainMs, cutOff: this.server.inFlight});
+  }
+
+  /** Ends at once, as a killed process does. */
+  async kill(): Promise<void> {
+    await this.server.kill();
+    await this.core.kill();
+  }
+}
+
+function createLogger({logLevel, name}: DaemonSettings): EventLogger {
+  return EventLogger.create({level: logLevel, daemon: name});
+}
+
+function createRandom({name}: DaemonSettings, clock: Clock): SeededRandom {
+  // Names of programs must differ between daemons and between their starts.
+  return SeededRandom.create(getHashNumber(`${name} ${clock.wallTimeMs()}`));
+}
+
+function getPeerAddress({peerHost, peerPort, tls}: DaemonSettings): string {
+  const scheme = tls === undefined ? 'http' : 'https';
+  return `${scheme}://${peerHost}:${peerPort}`;
+}
--- /dev/null
+++ b/packages/daemon/src/daemon_core.ts
@@ -0,0 +1,390 @@
+/** One daemon without its listener for callers: every part, wired. */
+import type {CallGateway} from '@marigoldpost/entry';
+import {ConfigFollower, type ConfigInForce} from '@marigoldpost/operations';
+import {Membership, type OwnState} from '@marigoldpost/peers';
+import {LeaseKeeper, parseLease} from '@marigoldpost/platform';
+import {PartitionManager} from '@marigoldpost/programs';
+import {PolicyScheduler} from '@marigoldpost/scheduler';
+import {type OperatorsConfig, parseOperatorsText} from '@marigoldpost/settings';
+import {Quarantine, TargetRegistry} from '@marigoldpost/targets';
+import {CallRelay} from './calls/call_relay.js';
+import {CallRouter} from './calls/call_router.js';
+import {CallRunner} from './calls/call_runner.js';
+import {PartitionLocator} from './calls/partition_locator.js';
+import {DaemonGateway} from './daemon_gateway.js';
+import type {DaemonOptions} from './daemon_options.js';
+import {DispatchLoop} from './dispatch/dispatch_loop.js';
+import {LimitDesk} from './limits/limit_desk.js';
+import {OwnerLimiter} from './limits/owner_limiter.js';
+import {PeerGrantClient} from './limits/peer_grant_client.js';
+import {PeerHandoverSender} from './peers/peer_handover_sender.js';
+import {PeerRecordCopier} from './peers/peer_record_copier.js';
+import {PeerRequestHandler} from './peers/peer_request_handler.js';
+import {RecordCopyStore} from './peers/record_copy_store.js';
+import {ObservedObjectStore} from './platform/observed_object_store.js';
+import {ProgramOperator} from './programs/program_operator.js';
+import {CacheReleaser} from './targets/cache_releaser.js';
+import {moveCache} from './targets/cache_mover.js';
+import {TargetFeed} from './targets/target_feed.js';
+
+const heartbeatMs = 500;
+const defaultLeaseMs = 10_000;
+const defaultDeathsToQuarantine = 2;
+const defaultCacheWeight = 0.5;
+const maxCopiedBytes = 8 * 1024 * 1024;
+const leasesPrefix = 'leases/';
+
+/** The parts of one daemon. */
+export class DaemonCore {
+  readonly store: ObservedObjectStore;
+  readonly leases: LeaseKeeper;
+  readonly membership: Membership;
+  readonly follower: ConfigFollower;
+  readonly manager: PartitionManager;
+  readonly registry: TargetRegistry;
+  readonly quarantine: Quarantine;
+  readonly scheduler: PolicyScheduler;
+  readonly dispatchLoop: DispatchLoop;
+  readonly locator: PartitionLocator;
+  readonly limiter: OwnerLimiter;
+  readonly runner: CallRunner;
+  readonly gateway: CallGateway;
+  private readonly desk: LimitDesk;
+  private readonly releaser: CacheReleaser;
+  private isDraining = false;
+
+  private constructor(private readonly options: DaemonOptions) {
+    this.store = ObservedObjectStore.create(options);
+    this.leases = this.createLeases();
+    this.membership = this.createMembership();
+    this.follower = this.createFollower();
+    this.manager = this.createManager();
+    this.registry = this.createRegistry();
+    this.quarantine = Quarantine.create({
+      clock: options.clock,
+      deathsToQuarantine: defaultDeathsToQuarantine,
+    });
+    this.scheduler = this.createScheduler();
+    this.dispatchLoop = this.createDispatchLoop();
+    this.locator = this.createLocator();
+    this.desk = this.createDesk();
+    this.limiter = this.createLimiter();
+    this.runner = this.createRunner();
+    this.releaser = CacheReleaser.create({...options, ...this.getParts()});
+    this.gateway = this.createGateway();
+    this.connect();
+  }
+
+  /**
+   * Creates a daemon that is not started.
+   * @param options - Interfaces to the outside, and settings.
+   */
+  static create(options: DaemonOptions): DaemonCore {
+    return new DaemonCore(options);
+  }
+
+  /** Joins the fleet and claims partitions. */
+  async start(): Promise<void> {
+    await this.options.transport.start();
+    await this.leases.start();
+    await this.seedMembership();
+    await this.membership.start();
+    await this.follower.start();
+    await this.registry.start();
+    await this.manager.start();
+    this.releaser.start();
+    this.membership.announceChange();
+  }
+
+  /** Whether the daemon takes new callers. */
+  isReady(): boolean {
+    return !this.isDraining && this.getConfig() !== undefined;
+  }
+
+  /** Gets the text in force; nothing until one is known. */
+  getConfig(): OperatorsConfig | undefined {
+    return this.follower.getCurrent()?.config;
+  }
+
+  /** Tells callers' balancer and peers that this daemon leaves. */
+  startDraining(): void {
+    this.isDraining = true;
+    this.options.logger.log('daemon_draining', {inFlight: this.runner.size});
+    this.membership.announceChange();
+  }
+
+  /** Hands every partition over and waits for the calls that run here. */
+  async handOver(): Promise<void> {
+    await this.manager.handOverAll();
+    this.membership.announceChange();
+    await this.runner.waitUntilIdle();
+  }
+
+  /** Leaves the fleet. */
+  async stop(): Promise<void> {
+    this.releaser.stop();
+    this.dispatchLoop.stop();
+    await this.manager.stop();
+    await this.limiter.stop();
+    await this.follower.stop();
+    await this.registry.stop();
+    await this.leases.release();
+    this.membership.stop();
+    await this.options.transport.stop();
+  }
+
+  /** Ends at once, as a killed process does; nothing is handed over. */
+  async kill(): Promise<void> {
+    this.membership.stop();
+    await this.options.transport.stop();
+    this.releaser.stop();
+    this.dispatchLoop.stop();
+    await this.manager.stop();
+    await this.follower.stop();
+    await this.registry.stop();
+    this.leases.stop();
+  }
+
+  private createLeases(): LeaseKeeper {
+    const {settings, clock, random, peerAddress} = this.options;
+    return LeaseKeeper.create({
+      store: this.store,
+      clock,
+      random,
+      daemon: settings.name,
+      dataCentre: settings.dataCentre,
+      address: peerAddress,
+      incarnation: Math.floor(clock.wallTimeMs()),
+      getLeaseMs: () => this.getConfig()?.fleet.leaseMs ?? defaultLeaseMs,
+    });
+  }
+
+  private createMembership(): Membership {
+    const {settings, peerAddress, ...rest} = this.options;
+    return Membership.create({
+      ...rest,
+      daemon: settings.name,
+      dataCentre: settings.dataCentre,
+      address: peerAddress,
+      heartbeatMs,
+      getOwnState: () => this.getOwnState(),
+      isDaemon: (vm) =>
+        !this.registry.getTargets().some(({id}) => id === vm.name),
+    });
+  }
+
+  private createFollower(): ConfigFollower {
+    const {transport, clock, random} = this.options;
+    return ConfigFollower.create({
+      store: this.store,
+      transport,
+      clock,
+      random,
+      parse: parseOperatorsText,
+      getPeers: () =>
+        this.membership.getMembers().filter(({state}) => state !== 'dead'),
+    });
+  }
+
+  private createManager(): PartitionManager {
+    const {settings, clock, random, vmList, transport} = this.options;
+    const {dataCentre} = settings;
+    const fleet = this.membership;
+    return PartitionManager.create({
+      store: this.store,
+      clock,
+      random,
+      daemon: settings.name,
+      dataCentre,
+      fleet,
+      leases: this.leases,
+      vmList,
+      getConfig: () => this.getConfig(),
+      copier: PeerRecordCopier.create({dataCentre, fleet, transport}),
+      handovers: PeerHandoverSender.create({fleet, transport}),
+      loopLimits: this.options.loopLimits,
+      drainMs: settings.drainMs,
+    });
+  }
+
+  private createRegistry(): TargetRegistry {
+    const {clock, vmList, settings, targetClients} = this.options;
+    const {dataCentre} = settings;
+    const clients = targetClients;
+    return TargetRegistry.create({clock, vmList, dataCentre, clients});
+  }
+
+  private createScheduler(): PolicyScheduler {
+    const {clock, random, settings} = this.options;
+    return PolicyScheduler.create({
+      clock,
+      random,
+      dataCentre: settings.dataCentre,
+      cacheWeight: defaultCacheWeight,
+    });
+  }
+
+  private createDispatchLoop(): DispatchLoop {
+    return DispatchLoop.create({
+      scheduler: this.scheduler,
+      clock: this.options.clock,
+      onCacheAction: (action) => void moveCache(this.registry, action),
+    });
+  }
+
+  private createLocator(): PartitionLocator {
+    return PartitionLocator.create({
+      dataCentre: this.options.settings.dataCentre,
+      manager: this.manager,
+      fleet: this.membership,
+      random: this.options.random,
+      getConfig: () => this.getConfig(),
+    });
+  }
+
+  private createDesk(): LimitDesk {
+    return LimitDesk.create({
+      clock: this.options.clock,
+      dataCentre: this.options.settings.dataCentre,
+      manager: this.manager,
+      getConfig: () => this.getConfig(),
+    });
+  }
+
+  private createLimiter(): OwnerLimiter {
+    const {settings, clock, random, transport} = this.options;
+    const {dataCentre, name: daemon} = settings;
+    const {manager, locator, desk} = this;
+    const getConfig = () => this.getConfig();
+    const client = PeerGrantClient.create({
+      dataCentre,
+      manager,
+      locator,
+      desk,
+      transport,
+    });
+    return OwnerLimiter.create({
+      daemon,
+      dataCentre,
+      clock,
+      random,
+      client,
+      getConfig,
+    });
+  }
+
+  private createRunner(): CallRunner {
+    return CallRunner.create({
+      context: {...this.options, ...this.getParts()},
+      getConfig: () => this.getConfig(),
+    });
+  }
+
+  private createGateway(): CallGateway {
+    const parts = {...this.options, ...this.getParts()};
+    const relay = CallRelay.create(parts);
+    const operator = ProgramOperator.create(parts);
+    const getConfig = () => this.getConfig();
+    const getLeaseMs = () => getConfig()?.fleet.leaseMs ?? defaultLeaseMs;
+    const router = CallRouter.create({...parts, relay, getLeaseMs});
+    this.servePeers(operator);
+    return DaemonGateway.create({
+      ...parts,
+      router,
+      operator,
+      getConfig,
+      isReady: () => this.isReady(),
+    });
+  }
+
+  private servePeers(operator: ProgramOperator): void {
+    const handler = PeerRequestHandler.create({
+      ...this.getParts(),
+      operator,
+      copies: RecordCopyStore.create(maxCopiedBytes),
+      desk: this.desk,
+      follower: this.follower,
+    });
+    this.options.transport.setHandler((sender, request, signal) =>
+      handler.handle(sender, request, signal),
+    );
+  }
+
+  private getParts() {
+    const {manager, registry, quarantine, dispatchLoop} = this;
+    const {locator, limiter, runner, membership} = this;
+    return {
+      manager,
+      registry,
+      quarantine,
+      dispatchLoop,
+      locator,
+      limiter,
+      runner,
+      membership,
+    };
+  }
+
+  /** Makes the parts hear of each other's changes. */
+  private connect(): void {
+    const {logger} = this.options;
+    this.follower.addListener({
+      onConfigChanged: (current) => this.applyConfig(current),
+    });
+    this.membership.addListener({
+      onConfigSeen: (notice) => void this.follower.noteVersion(notice),
+      onQuarantinesSeen: (notices) => this.quarantine.mergeEntries(notices),
+    });
+    this.registry.addListener(
+      TargetFeed.create({
+        dispatchLoop: this.dispatchLoop,
+        quarantine: this.quarantine,
+        logger,
+        onQuarantineChanged: () => this.membership.announceChange(),
+      }),
+    );
+    this.manager.addListener({
+      onOpened: (keeper) => {
+        this.desk.addPartition(keeper);
+        this.membership.announceChange();
+        this.runner.resumeRecovered(keeper);
+      },
+      onClosed: (partition) => {
+        this.desk.removePartition(partition);
+        this.membership.announceChange();
+      },
+    });
+  }
+
+  private applyConfig({config, version, hash}: ConfigInForce): void {
+    this.registry.setConfig(config);
+    const {quarantineAfterDeaths} = config.fleet;
+    this.quarantine.setDeathsToQuarantine(quarantineAfterDeaths);
+    this.options.metrics.setGauge('config_version', {}, version);
+    const source = this.store.reachesPlatform() ? 'platform' : 'peer';
+    this.options.logger.log('config_in_force', {version, hash, source});
+    this.membership.announceChange();
+  }
+
+  private async seedMembership(): Promise<void> {
+    try {
+      const objects = await this.store.listObjects(leasesPrefix);
+      const leases = objects.map(({value}) => parseLease(value));
+      this.membership.addSeeds(leases);
+    } catch {
+      // The VM list and the peers' own heartbeats make up for the leases.
+    }
+  }
+
+  private getOwnState(): OwnState {
+    const current = this.follower.getCurrent();
+    return {
+      configVersion: current?.version ?? 0,
+      configHash: current?.hash ?? '',
+      reachesPlatform: this.store.reachesPlatform(),
+      isDraining: this.isDraining,
+      partitions: this.manager.getPartitions(),
+      quarantines: this.quarantine.getEntries(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/limits/owner_limiter.ts
@@ -0,0 +1,135 @@
+/** Asks for the owners' limits that a call falls under. */
+import {
+  type Clock,
+  type DaemonId,
+  type DataCentreId,
+  type Random,
+  type ServiceId,
+  type TeamId,
+} from '@marigoldpost/common';
+import {
+  type GrantClient,
+  GrantHolder,
+  getServiceLimit,
+  getTeamLimit,
+  getLimitTerms,
+  type LimitId,
+  type LimitMeasure,
+  RateHolder,
+} from '@marigoldpost/limits';
+import type {Call} from '@marigoldpost/programs';
+import type {OperatorsConfig} from '@marigoldpost/settings';
+import {CallLimiter, type CallPermit} from '../calls/call_limiter.js';
+
+/** Options of a limiter. */
+export interface OwnerLimiterOptions {
+  readonly daemon: DaemonId;
+  readonly dataCentre: DataCentreId;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly client: GrantClient;
+  /** Gets the text in force; nothing until one is known. */
+  readonly getConfig: () => OperatorsConfig | undefined;
+}
+
+/** Gives a limit's permission back. */
+type ReleasePermit = (completionTokens: number) => void;
+
+/** Limits by grants, one holder for each limit that is in use. */
+export class OwnerLimiter extends CallLimiter {
+  private readonly inFlight = new Map<LimitId, GrantHolder>();
+  private readonly rates = new Map<LimitId, RateHolder>();
+
+  private constructor(private readonly options: OwnerLimiterOptions) {
+    super();
+  }
+
+  /**
+   * Creates a limiter.
+   * @param options - Who asks whom.
+   */
+  static create(options: OwnerLimiterOptions): OwnerLimiter {
+    return new OwnerLimiter(options);
+  }
+
+  override async acquire(call: Call, signal: AbortSignal): Promise<CallPermit> {
+    const releases: ReleasePermit[] = [];
+    const release = (completionTokens: number) => {
+      for (const give of releases.splice(0)) give(completionTokens);
+    };
+    try {
+      for (const measure of ['requests', 'tokens', 'in_flight'] as const) {
+        for (const limit of getLimits(call.team, call.service, measure)) {
+          releases.push(await this.take(limit, measure, call, signal));
+        }
+      }
+    } catch (error) {
+      release(0);
+      throw error;
+    }
+    return {release};
+  }
+
+  /** Gives every grant back. */
+  async stop(): Promise<void> {
+    const holders = [...this.inFlight.values(), ...this.rates.values()];
+    await Promise.all(holders.map((holder) => holder.stop()));
+  }
+
+  private async take(
+    limit: LimitId,
+    measure: LimitMeasure,
+    call: Call,
+    signal: AbortSignal,
+  ): Promise<ReleasePermit> {
+    const maxDurationMs = this.getMaxDurationMs(limit);
+    if (maxDurationMs === undefined) return () => undefined;
+    if (measure === 'in_flight') {
+      const holder = this.getGrantHolder(limit, maxDurationMs);
+      const permit = await holder.acquire(signal);
+      return () => permit.release();
+    }
+    const cost = getCost(measure, call);
+    if (cost === 0) return () => undefined;
+    const permit = await this.getRateHolder(limit).acquire(cost, signal);
+    const isTokens = measure === 'tokens';
+    return (tokens) => permit.settle(isTokens ? tokens : cost);
+  }
+
+  /** Gets the longest request under a limit; nothing for an unlimited one. */
+  private getMaxDurationMs(limit: LimitId): number | undefined {
+    const config = this.options.getConfig();
+    if (config === undefined) return undefined;
+    const terms = getLimitTerms(config, limit, this.options.dataCentre);
+    return terms?.maxDurationMs;
+  }
+
+  private getGrantHolder(limit: LimitId, maxDurationMs: number): GrantHolder {
+    const known = this.inFlight.get(limit);
+    if (known !== undefined) return known;
+    const holder = GrantHolder.create({...this.options, limit, maxDurationMs});
+    this.inFlight.set(limit, holder);
+    return holder;
+  }
+
+  private getRateHolder(limit: LimitId): RateHolder {
+    const known = this.rates.get(limit);
+    if (known !== undefined) return known;
+    const holder = RateHolder.create({...this.options, limit});
+    this.rates.set(limit, holder);
+    return holder;
+  }
+}
+
+function getLimits(
+  team: TeamId,
+  service: ServiceId,
+  measure: LimitMeasure,
+): LimitId[] {
+  return [getTeamLimit(team, measure), getServiceLimit(service, measure)];
+}
+
+function getCost(measure: LimitMeasure, call: Call): number {
+  if (measure === 'requests') return 1;
+  return call.kind === 'chat' ? call.maxTokens : 0;
+}
--- /dev/null
+++ b/packages/daemon/src/peers/peer_record_copier.ts
@@ -0,0 +1,110 @@
+/** Copies uncommitted records to a peer of the same data centre. */
+import {create} from '@bufbuild/protobuf';
+import {
+  type DataCentreId,
+  type Epoch,
+  MarigoldpostError,
+  type PartitionId,
+} from '@marigoldpost/common';
+import {
+  CopyRecordsSchema,
+  FetchCopiesSchema,
+  type PeerTransport,
+} from '@marigoldpost/peers';
+import type {FleetMember, FleetView} from '@marigoldpost/platform';
+import {type CopiedRecords, RecordCopier} from '@marigoldpost/programs';
+
+const timeoutMs = 1000;
+
+/** Options of a copier. */
+export interface PeerRecordCopierOptions {
+  readonly dataCentre: DataCentreId;
+  readonly fleet: FleetView;
+  readonly transport: PeerTransport;
+}
+
+/** Copies records over the peer protocol. */
+export class PeerRecordCopier extends RecordCopier {
+  private constructor(private readonly options: PeerRecordCopierOptions) {
+    super();
+  }
+
+  /**
+   * Creates a copier.
+   * @param options - Peers and transport.
+   */
+  static create(options: PeerRecordCopierOptions): PeerRecordCopier {
+    return new PeerRecordCopier(options);
+  }
+
+  override async copyRecords(
+    partition: PartitionId,
+    epoch: Epoch,
+    firstSequence: number,
+    records: readonly string[],
+  ): Promise<void> {
+    const value = create(CopyRecordsSchema, {
+      partition,
+      epoch: BigInt(epoch),
+      firstSequence: BigInt(firstSequence),
+      recordsJson: [...records],
+    });
+    for (const peer of this.getPeers()) {
+      if (await this.tryCopy(peer, value)) return;
+    }
+    const message = `no daemon of data centre "${this.options.dataCentre}" took copies of partition "${partition}"`;
+    throw MarigoldpostError.create('peer_unavailable', message);
+  }
+
+  override async fetchCopies(
+    partition: PartitionId,
+    epoch: Epoch,
+  ): Promise<readonly CopiedRecords[]> {
+    const value = create(FetchCopiesSchema, {partition, epoch: BigInt(epoch)});
+    const fetches = this.getPeers().map((peer) => this.tryFetch(peer, value));
+    const copies = await Promise.all(fetches);
+    return copies.filter((copied) => copied !== undefined);
+  }
+
+  /** Gets peers in a fixed order, so that copies stay on one of them. */
+  private getPeers(): FleetMember[] {
+    const {fleet, dataCentre} = this.options;
+    return fleet
+      .getMembers()
+      .filter((member) => member.dataCentre === dataCentre)
+      .filter(({state, isDraining}) => state === 'alive' && !isDraining)
+      .sort((left, right) => (left.daemon < right.daemon ? -1 : 1));
+  }
+
+  private async tryCopy(
+    peer: FleetMember,
+    value: ReturnType<typeof create<typeof CopyRecordsSchema>>,
+  ): Promise<boolean> {
+    try {
+      const request = {case: 'copyRecords', value} as const;
+      await this.options.transport.ask(peer, request, {timeoutMs});
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  private async tryFetch(
+    peer: FleetMember,
+    value: ReturnType<typeof create<typeof FetchCopiesSchema>>,
+  ): Promise<CopiedRecords | undefined> {
+    try {
+      const request = {case: 'fetchCopies', value} as const;
+      const reply = await this.options.transport.ask(peer, request, {
+        timeoutMs,
+      });
+      if (reply.case !== 'copiedRecords') return undefined;
+      const {firstSequence, recordsJson} = reply.value;
+      if (recordsJson.length === 0) return undefined;
+      return {firstSequence: Number(firstSequence), records: recordsJson};
+    } catch {
+      // A peer that is away keeps its copies; the others may have them too.
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/peer_request_handler.ts
@@ -0,0 +1,176 @@
+/** Answers the requests of peers. */
+import {create} from '@bufbuild/protobuf';
+import {
+  type DaemonId,
+  MarigoldpostError,
+  type PartitionId,
+  toEpoch,
+  toId,
+} from '@marigoldpost/common';
+import {
+  AcknowledgementSchema,
+  CallEventSchema,
+  CopiedRecordsSchema,
+  type CopyRecords,
+  type FetchCopies,
+  type Handover,
+  type Membership,
+  OperationReplySchema,
+  type PeerReplyBody,
+  type PeerRequestBody,
+  type RelayCall,
+  type RelayOperation,
+} from '@marigoldpost/peers';
+import type {ConfigFollower} from '@marigoldpost/operations';
+import type {
+  Call,
+  CopiedRecords,
+  PartitionManager,
+} from '@marigoldpost/programs';
+import type {CallRunner} from '../calls/call_runner.js';
+import type {LimitDesk} from '../limits/limit_desk.js';
+import type {ProgramOperation} from '../programs/program_operation.js';
+import type {ProgramOperator} from '../programs/program_operator.js';
+import type {RecordCopyStore} from './record_copy_store.js';
+
+/** Parts of a daemon that peers may ask. */
+export interface PeerRequestHandlerOptions {
+  readonly membership: Membership;
+  readonly manager: PartitionManager;
+  readonly runner: CallRunner;
+  readonly operator: ProgramOperator;
+  readonly copies: RecordCopyStore;
+  readonly desk: LimitDesk;
+  readonly follower: ConfigFollower;
+}
+
+/** Dispatches peers' requests to the parts of a daemon. */
+export class PeerRequestHandler {
+  private constructor(private readonly options: PeerRequestHandlerOptions) {}
+
+  /**
+   * Creates a handler.
+   * @param options - Parts of the daemon.
+   */
+  static create(options: PeerRequestHandlerOptions): PeerRequestHandler {
+    return new PeerRequestHandler(options);
+  }
+
+  /**
+   * Answers one request.
+   * @param sender - The daemon that asks.
+   * @param request - The request.
+   * @param signal - The sender no longer wants the answer.
+   */
+  async *handle(
+    sender: DaemonId,
+    request: PeerRequestBody,
+    signal: AbortSignal,
+  ): AsyncGenerator<PeerReplyBody> {
+    if (request.case === 'relayCall') {
+      yield* this.handleCall(request.value, signal);
+    } else {
+      yield await this.handleUnary(sender, request);
+    }
+  }
+
+  private async *handleCall(
+    relayed: RelayCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<PeerReplyBody> {
+    const partition = toId<PartitionId>(relayed.partition);
+    const keeper = this.options.manager.getKeeper(partition);
+    if (keeper === undefined) {
+      const message = `partition "${partition}" is not held here`;
+      throw MarigoldpostError.create('not_holder', message);
+    }
+    const call = JSON.parse(relayed.callJson) as Call;
+    for await (const event of this.options.runner.runCall(
+      keeper,
+      call,
+      signal,
+    )) {
+      const eventJson = JSON.stringify(event);
+      const value = create(CallEventSchema, {eventJson});
+      yield {case: 'callEvent', value};
+    }
+  }
+
+  private async handleUnary(
+    sender: DaemonId,
+    request: PeerRequestBody,
+  ): Promise<PeerReplyBody> {
+    const {membership, desk, follower} = this.options;
+    switch (request.case) {
+      case 'heartbeat': {
+        const value = membership.handleHeartbeat(request.value);
+        return {case: 'heartbeat', value};
+      }
+      case 'grantRequest':
+        return {case: 'grant', value: desk.grant(request.value)};
+      case 'grantReturn':
+        desk.takeBack(request.value);
+        return createAcknowledgement();
+      case 'copyRecords':
+        return this.handleCopy(request.value);
+      case 'fetchCopies':
+        return this.handleFetchCopies(request.value);
+      case 'fetchConfig':
+        return {case: 'config', value: follower.handleFetch(request.value)};
+      case 'handover':
+        return this.handleHandover(request.value);
+      case 'relayOperation':
+        return this.handleOperation(request.value);
+      default: {
+        const message = `daemon "${sender}" sent a request of unknown kind "${request.case ?? 'none'}"`;
+        throw MarigoldpostError.create('invalid_request', message);
+      }
+    }
+  }
+
+  private handleCopy(copy: CopyRecords): PeerReplyBody {
+    const partition = toId<PartitionId>(copy.partition);
+    this.options.copies.addRecords(partition, toEpoch(Number(copy.epoch)), {
+      firstSequence: Number(copy.firstSequence),
+      records: copy.recordsJson,
+    });
+    return createAcknowledgement();
+  }
+
+  /** The asker has sealed the epoch; a holder of it gives the rest up. */
+  private handleFetchCopies({partition, epoch}: FetchCopies): PeerReplyBody {
+    const id = toId<PartitionId>(partition);
+    const sealedEpoch = toEpoch(Number(epoch));
+    const {manager, copies} = this.options;
+    const records: CopiedRecords | undefined =
+      manager.surrender(id, sealedEpoch) ?? copies.getRecords(id, sealedEpoch);
+    const value = create(CopiedRecordsSchema, {
+      firstSequence: BigInt(records?.firstSequence ?? 0),
+      recordsJson: [...(records?.records ?? [])],
+    });
+    return {case: 'copiedRecords', value};
+  }
+
+  private async handleHandover(handover: Handover): Promise<PeerReplyBody> {
+    const partition = toId<PartitionId>(handover.partition);
+    const epoch = toEpoch(Number(handover.epoch));
+    await this.options.manager.acceptHandover(partition, epoch);
+    return createAcknowledgement();
+  }
+
+  private async handleOperation(
+    relayed: RelayOperation,
+  ): Promise<PeerReplyBody> {
+    const operation = JSON.parse(relayed.operationJson) as ProgramOperation;
+    const result = await this.options.operator.runHere(operation);
+    const resultJson = JSON.stringify(result);
+    return {
+      case: 'operation',
+      value: create(OperationReplySchema, {resultJson}),
+    };
+  }
+}
+
+function createAcknowledgement(): PeerReplyBody {
+  return {case: 'acknowledgement', value: create(AcknowledgementSchema)};
+}
--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -131,6 +131,19 @@
     await Promise.allSettled(this.exchanges);
   }
 
+  /** Cuts every connection off at once, as the end of the process does. */
+  async kill(): Promise<void> {
+    this.isStopping = true;
+    this.reloader?.stop();
+    const {server} = this;
+    if (server === undefined) return;
+    const closed = new Promise<void>((resolve) =>
+      server.close(() => resolve()),
+    );
+    server.closeAllConnections();
+    await closed;
+  }
+
   private async createServer(tls: TlsFiles | undefined): Promise<Server> {
     const listener = (request: IncomingMessage, response: ServerResponse) =>
       this.accept(request, response);
