Prove ownership of partitions; restart lease counts after an outage

A partition that the directory gave to a daemon without a keeper waited for that daemon's share, and a peer cut off from the platform still counted as a candidate, so nobody took its partitions. And after an outage the daemon that renewed last lost its partitions although nobody could take them. Change: own entries are reopened at once, candidates reach the platform, observers count leases anew after a gap, and holders go on for half a lease while others regain the platform.

--- a/packages/platform/src/leases/lease_observer.ts
+++ b/packages/platform/src/leases/lease_observer.ts
@@ -24,9 +24,13 @@
   readonly seenAtMs: number;
 }
 
+/** Share of a lease after which a gap between reads starts every count again. */
+const gapShare = 0.5;
+
 /**
  * Watches the leases of one data centre. A lease has lapsed when its version has
- * not moved for longer than its length by the observer's own clock.
+ * not moved for longer than its length by the observer's own clock. After an
+ * outage the count starts again, since nobody could renew.
  */
 export class LeaseObserver {
   private observations = new Map<DaemonId, Observation>();
@@ -47,6 +51,7 @@
     const {clock, dataCentre, store} = this.options;
     const sentAtMs = clock.nowMs();
     const objects = await store.listObjects(getLeasePrefix(dataCentre));
+    if (this.hadGap(sentAtMs)) this.observations.clear();
     const seen = objects.map((object) => this.toObservation(object));
     this.observations = new Map(seen.map((item) => [item.lease.daemon, item]));
     this.lastSentAtMs = sentAtMs;
@@ -73,6 +78,12 @@
       .filter(({daemon}) => !this.isLapsed(daemon));
   }
 
+  private hadGap(sentAtMs: number): boolean {
+    if (this.lastSentAtMs === undefined) return false;
+    const gapMs = sentAtMs - this.lastSentAtMs;
+    return gapMs > this.options.getLeaseMs() * gapShare;
+  }
+
   private toObservation(object: StoredObject): Observation {
     const lease = parseLease(object.value);
     const earlier = this.observations.get(lease.daemon);
--- a/packages/programs/src/ownership/lease_guard.ts
+++ b/packages/programs/src/ownership/lease_guard.ts
@@ -1,12 +1,21 @@
 /** Whether a daemon may go on with its partitions. */
-import type {DaemonId, DataCentreId} from '@marigoldpost/common';
+import type {Clock, DaemonId, DataCentreId} from '@marigoldpost/common';
 import type {FleetMember, FleetView, LeaseKeeper} from '@marigoldpost/platform';
 
+/**
+ * Share of a lease for which a daemon goes on once others reach the platform
+ * again: they wait for a whole lease before they take over.
+ */
+const graceShare = 0.5;
+
 /** Parts of a guard. */
 export interface LeaseGuardParts {
+  readonly clock: Clock;
   readonly leases: Pick<LeaseKeeper, 'isHeld'>;
   readonly fleet: FleetView;
   readonly dataCentre: DataCentreId;
+  /** Gets the length of the lease in force, in milliseconds. */
+  readonly getLeaseMs: () => number;
 }
 
 /**
@@ -15,6 +24,8 @@
  */
 export class LeaseGuard {
   private roster: readonly DaemonId[] = [];
+  /** When the daemon last was surely the holder. */
+  private sureAtMs = -Infinity;
 
   private constructor(private readonly parts: LeaseGuardParts) {}
 
@@ -37,13 +48,34 @@
 
   /** Whether the partitions may still be held. */
   mayHold(): boolean {
-    const {dataCentre, fleet, leases} = this.parts;
-    if (leases.isHeld()) return true;
+    const {clock, getLeaseMs, leases} = this.parts;
+    const nowMs = clock.nowMs();
+    if (leases.isHeld()) {
+      this.sureAtMs = -Infinity;
+      return true;
+    }
+    if (!this.seesAll()) return false;
+    if (this.isAloneWithoutPlatform()) {
+      this.sureAtMs = nowMs;
+      return true;
+    }
+    return nowMs - this.sureAtMs < getLeaseMs() * graceShare;
+  }
+
+  /** Whether every daemon that could take over is known. */
+  private seesAll(): boolean {
+    const known = new Set(this.getNear().map(({daemon}) => daemon));
+    return this.roster.every((daemon) => known.has(daemon));
+  }
+
+  private isAloneWithoutPlatform(): boolean {
+    return this.getNear().every(canNotTakeOver);
+  }
+
+  private getNear(): readonly FleetMember[] {
+    const {dataCentre, fleet} = this.parts;
     const members = fleet.getMembers();
-    const near = members.filter((member) => member.dataCentre === dataCentre);
-    const known = new Set(near.map(({daemon}) => daemon));
-    if (this.roster.some((daemon) => !known.has(daemon))) return false;
-    return near.every(canNotTakeOver);
+    return members.filter((member) => member.dataCentre === dataCentre);
   }
 }
 
--- a/packages/programs/src/ownership/partition_manager.ts
+++ b/packages/programs/src/ownership/partition_manager.ts
@@ -37,8 +37,10 @@
 
 /** Interval of looks at the own view of the fleet, which cost no calls. */
 const lookMs = 100;
-/** Interval of reads of the directory while nothing changes. */
-const readMs = 2_000;
+/** Longest interval of reads of the directory while nothing changes. */
+const maxReadMs = 2_000;
+/** Reads of the directory in the length of a lease, at least. */
+const readsPerLease = 4;
 /** Passes after which a daemon that is not preferred may claim as well. */
 const patientPasses = 3;
 const maxAssignTries = 5;
@@ -62,11 +64,16 @@
 
   private constructor(private readonly options: PartitionManagerOptions) {
     const {clock, dataCentre, fleet, leases, random, store} = options;
-    const getLeaseMs = () =>
-      options.getConfig()?.fleet.leaseMs ?? defaultLeaseMs;
+    const getLeaseMs = () => this.getLeaseMs();
     this.held = HeldPartitions.create(options);
     this.directory = PartitionDirectory.create(store, random);
-    this.guard = LeaseGuard.create({leases, fleet, dataCentre});
+    this.guard = LeaseGuard.create({
+      clock,
+      leases,
+      fleet,
+      dataCentre,
+      getLeaseMs,
+    });
     this.observer = LeaseObserver.create({
       store,
       clock,
@@ -203,6 +210,7 @@
       .map(({daemon, isDraining, state}) => `${daemon} ${state} ${isDraining}`)
       .join();
     const isChanged = view !== this.lastView;
+    const readMs = Math.min(maxReadMs, this.getLeaseMs() / readsPerLease);
     const isOld = clock.nowMs() - this.lastReadAtMs >= readMs;
     this.lastView = view;
     return isChanged || isOld;
@@ -249,7 +257,9 @@
       const partition = getPartitionId(home, index);
       const entry = entries.get(partition);
       if (!this.isFree(partition, entry)) continue;
-      if (!this.shouldClaim(partition, home, count)) continue;
+      // A partition that the directory gives this daemon waits for no other.
+      const isOwn = entry?.holder === this.options.daemon;
+      if (!isOwn && !this.shouldClaim(partition, home, count)) continue;
       opened.push(this.claim(partition, entry?.epoch ?? toEpoch(0)));
     }
     await Promise.all(opened);
@@ -341,6 +351,10 @@
     }
   }
 
+  private getLeaseMs(): number {
+    return this.options.getConfig()?.fleet.leaseMs ?? defaultLeaseMs;
+  }
+
   private getOwn(): Candidate {
     const {daemon, dataCentre} = this.options;
     const partitions = this.held.getPartitions().map((own) => own.partition);
--- a/packages/programs/src/ownership/takeover_policy.ts
+++ b/packages/programs/src/ownership/takeover_policy.ts
@@ -16,7 +16,8 @@
 }
 
 /**
- * Gets the daemons that can hold partitions now: this one and its live peers.
+ * Gets the daemons that can claim partitions now: this one, and the live peers
+ * that reach the platform.
  * @param own - This daemon.
  * @param members - The others.
  */
@@ -25,7 +26,10 @@
   members: readonly FleetMember[],
 ): Candidate[] {
   const peers = members
-    .filter(({isDraining, state}) => state === 'alive' && !isDraining)
+    .filter(
+      ({isDraining, reachesPlatform, state}) =>
+        state === 'alive' && reachesPlatform && !isDraining,
+    )
     .map(({daemon, dataCentre, partitions}) => ({
       daemon,
       dataCentre,
