Add the command line: texts, teams, programs, targets, status, audit

Cause: operators steer by commands and scripts. Change: oclif commands over the operators' HTTP and the texts' checks, JSON output, one table of exit codes; the key comes from the environment only.

--- /dev/null
+++ b/packages/cli/src/commands/program/program_show.ts
@@ -0,0 +1,26 @@
+/** `program show`. */
+import {Args} from '@oclif/core';
+import type {z} from 'zod';
+import {programSchema} from '../../client/bodies.js';
+import {renderProgram} from '../../output/render_program.js';
+import {OperatorCommand} from '../base_command.js';
+
+/** Explain one program. */
+export class ProgramShow extends OperatorCommand {
+  static override summary = 'Explain one program';
+  static override args = {
+    program: Args.string({description: 'Id of the program', required: true}),
+  };
+
+  async run(): Promise<z.output<typeof programSchema>> {
+    const {args, flags} = await this.parse(ProgramShow);
+    const body = await this.getClient(flags.daemon).send({
+      method: 'GET',
+      path: `/ops/v1/programs/${encodeURIComponent(args.program)}`,
+
+      schema: programSchema,
+    });
+    this.log(renderProgram(body));
+    return body;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/target/target_list.ts
@@ -0,0 +1,22 @@
+/** `target list`. */
+import type {z} from 'zod';
+import {targetsSchema} from '../../client/bodies.js';
+import {renderTargets} from '../../output/render_status.js';
+import {OperatorCommand} from '../base_command.js';
+
+/** List the targets as one daemon sees them. */
+export class TargetList extends OperatorCommand {
+  static override summary = 'List the targets as one daemon sees them';
+
+  async run(): Promise<z.output<typeof targetsSchema>> {
+    const {flags} = await this.parse(TargetList);
+    const body = await this.getClient(flags.daemon).send({
+      method: 'GET',
+      path: '/ops/v1/targets',
+
+      schema: targetsSchema,
+    });
+    this.log(renderTargets(body.targets));
+    return body;
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,41 @@
-export {};
+/** The command line. */
+import {Audit} from './commands/audit.js';
+import {ConfigApply} from './commands/config/config_apply.js';
+import {ConfigCheck} from './commands/config/config_check.js';
+import {ConfigDiff} from './commands/config/config_diff.js';
+import {ConfigGet} from './commands/config/config_get.js';
+import {ConfigHistory} from './commands/config/config_history.js';
+import {ConfigStatus} from './commands/config/config_status.js';
+import {ProgramEnd} from './commands/program/program_end.js';
+import {ProgramHistory} from './commands/program/program_history.js';
+import {ProgramShow} from './commands/program/program_show.js';
+import {QuarantineLift} from './commands/quarantine/quarantine_lift.js';
+import {QuarantineList} from './commands/quarantine/quarantine_list.js';
+import {SettingsCheck} from './commands/settings/settings_check.js';
+import {Status} from './commands/status.js';
+import {TargetList} from './commands/target/target_list.js';
+import {TeamApprove} from './commands/team/team_approve.js';
+import {TeamRevoke} from './commands/team/team_revoke.js';
+
+export * from './utils/exit_codes.js';
+
+/** Every command by the words that call it. */
+export const commands = {
+  audit: Audit,
+  'config:apply': ConfigApply,
+  'config:check': ConfigCheck,
+  'config:diff': ConfigDiff,
+  'config:get': ConfigGet,
+  'config:history': ConfigHistory,
+  'config:status': ConfigStatus,
+  'program:end': ProgramEnd,
+  'program:history': ProgramHistory,
+  'program:show': ProgramShow,
+  'quarantine:lift': QuarantineLift,
+  'quarantine:list': QuarantineList,
+  'settings:check': SettingsCheck,
+  status: Status,
+  'target:list': TargetList,
+  'team:approve': TeamApprove,
+  'team:revoke': TeamRevoke,
+};
