--- a/packages/platform/tests/store/http_object_store_steps.ts
+++ b/packages/platform/tests/store/http_object_store_steps.ts
@@ -167,7 +167,7 @@
       return world.server?.kill();
     default:
       await world.server?.kill();
-      return startServer(world, 0.001);
+      return startServer(world, 0);
   }
 }
 
--- a/packages/standins/src/servers/rate_limiter.ts
+++ b/packages/standins/src/servers/rate_limiter.ts
@@ -3,8 +3,9 @@
 
 const millisecondsPerSecond = 1000;
 
-/** Token bucket that holds one second's share. */
+/** Token bucket that holds one second's share, and at least one call. */
 export class RateLimiter {
+  private readonly capacity: number;
   private balance: number;
   private updatedAtMs: number;
 
@@ -12,7 +13,8 @@
     private readonly perSecond: number,
     private readonly clock: Clock,
   ) {
-    this.balance = perSecond;
+    this.capacity = perSecond === 0 ? 0 : Math.max(1, perSecond);
+    this.balance = this.capacity;
     this.updatedAtMs = clock.nowMs();
   }
 
@@ -35,7 +37,7 @@
     const elapsedMs = nowMs - this.updatedAtMs;
     this.updatedAtMs = nowMs;
     const earned = (elapsedMs * this.perSecond) / millisecondsPerSecond;
-    this.balance = Math.min(this.perSecond, this.balance + earned);
+    this.balance = Math.min(this.capacity, this.balance + earned);
     if (this.balance < 1) return false;
     this.balance -= 1;
     return true;
