--- /dev/null
+++ b/packages/bench/src/experiments/compare_experiments.ts
@@ -0,0 +1,131 @@
+/** Means and intervals over seeds, and the change against a baseline. */
+import {type Estimate, getEstimate} from '../utils/statistics.js';
+import type {ExperimentResult, ExperimentRow} from './run_experiment.js';
+
+/** Figures that are compared; less is better for all but two. */
+export const comparedFigures = [
+  'meanLatencyMs',
+  'p95LatencyMs',
+  'meanActiveMs',
+  'p95ActiveMs',
+  'p95ImmediateMs',
+  'wastedShare',
+  'wastedBlockSeconds',
+  'hitShare',
+  'doneShare',
+  'refusedShare',
+  'goodputPerSecond',
+] as const;
+
+/** Name of a compared figure. */
+export type FigureName = (typeof comparedFigures)[number];
+
+/** All seeds of one combination. */
+export interface ComparisonRow {
+  readonly workload: string;
+  readonly policy: string;
+  readonly role: string;
+  readonly load: number;
+  readonly cacheWeight: number;
+  readonly eventGapRate: number;
+  readonly seeds: number;
+  readonly figures: Readonly<Record<FigureName, Estimate>>;
+}
+
+/** A policy's change against another one, over the same seeds. */
+export interface Change {
+  readonly against: string;
+  /** Mean of (policy - other) / other over seeds. */
+  readonly relative: Estimate;
+}
+
+/** Least share of programs done for a policy to count as the best. */
+const minDoneShare = 0.95;
+
+/**
+ * Groups runs by everything but the seed.
+ * @param result - The runs.
+ */
+export function compareExperiments(
+  result: ExperimentResult,
+): readonly ComparisonRow[] {
+  const groups = new Map<string, ExperimentRow[]>();
+  for (const row of result.rows) {
+    const {workload, policy, load, cacheWeight, eventGapRate} = row;
+    const parts = [workload, policy, load, cacheWeight, eventGapRate];
+    const key = parts.join(' ');
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [row]);
+    else group.push(row);
+  }
+  return [...groups.values()].map(toComparison);
+}
+
+/**
+ * Finds the best baseline of a workload among those that serve nearly all
+ * programs.
+ * @param rows - Rows of one load.
+ * @param workload - The workload.
+ * @param figure - What counts; less is better.
+ */
+export function findBestBaseline(
+  rows: readonly ComparisonRow[],
+  workload: string,
+  figure: FigureName,
+): ComparisonRow | undefined {
+  const baselines = rows.filter(
+    (row) =>
+      row.workload === workload &&
+      row.role === 'baseline' &&
+      row.figures.doneShare.mean >= minDoneShare,
+  );
+  baselines.sort(
+    (left, right) => left.figures[figure].mean - right.figures[figure].mean,
+  );
+  return baselines[0];
+}
+
+/**
+ * Gets a policy's change against another one, seed by seed.
+ * @param result - Runs of both, at one load.
+ * @param workload - The workload.
+ * @param figure - The figure.
+ * @param names - The policy, and the one that it is compared with.
+ */
+export function getChange(
+  result: ExperimentResult,
+  workload: string,
+  figure: FigureName,
+  names: {readonly policy: string; readonly against: string},
+): Change {
+  const select = (policy: string) =>
+    result.rows.filter(
+      (row) => row.workload === workload && row.policy === policy,
+    );
+  const others = new Map(select(names.against).map((row) => [row.seed, row]));
+  const relatives: number[] = [];
+  for (const row of select(names.policy)) {
+    const other = others.get(row.seed);
+    if (other === undefined) continue;
+    relatives.push((row[figure] - other[figure]) / other[figure]);
+  }
+  return {against: names.against, relative: getEstimate(relatives)};
+}
+
+function toComparison(rows: readonly ExperimentRow[]): ComparisonRow {
+  const first = rows[0] as ExperimentRow;
+  const entries = comparedFigures.map((name): [FigureName, Estimate] => [
+    name,
+    getEstimate(rows.map((row) => row[name])),
+  ]);
+  return {
+    workload: first.workload,
+    policy: first.policy,
+    role: first.role,
+    load: first.load,
+    cacheWeight: first.cacheWeight,
+    eventGapRate: first.eventGapRate,
+    seeds: rows.length,
+    figures: Object.fromEntries(entries) as Record<FigureName, Estimate>,
+  };
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,10 @@
 /** Load, experiments and reports. */
+export * from './decision_cost/measure_decision_cost.js';
+export * from './experiments/compare_experiments.js';
+export * from './experiments/plot_experiment.js';
+export * from './experiments/run_experiment.js';
+export * from './policies/policy_catalogue.js';
+export * from './reports/benchmark_report.js';
+export * from './reports/csv.js';
 export * from './targets/target_client_bench.js';
+export * from './workloads/workload_catalogue.js';
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -12,3 +12,4 @@
 export * from './utils/binary_heap.js';
 export * from './utils/deferred.js';
 export * from './utils/digest.js';
+export * from './utils/linked_list.js';
--- a/packages/scheduler/src/cache/cache_index.ts
+++ b/packages/scheduler/src/cache/cache_index.ts
@@ -5,7 +5,7 @@
  * block that was last used before as many newer blocks came as the target's
  * memory holds must have been evicted.
  */
-import type {ProgramId} from '@marigoldpost/common';
+import {LinkedList, type ListNode, type ProgramId} from '@marigoldpost/common';
 import type {CacheEvent} from '@marigoldpost/targets';
 
 /** Sources and size of the index. */
@@ -26,7 +26,8 @@
   usesOwnRecency: true,
 };
 
-interface BlockEntry {
+interface BlockEntry extends ListNode {
+  readonly hash: string;
   readonly slots: number[];
   /** Position in the target's account of the last known use, by slot. */
   readonly usedAt: number[];
@@ -44,6 +45,7 @@
 /** Bounded map from block to targets; the least recently used go first. */
 export class CacheIndex {
   private readonly entries = new Map<string, BlockEntry>();
+  private readonly recency = LinkedList.create<BlockEntry>();
   private readonly accounts: Array<SlotAccount | undefined> = [];
   private pairs = 0;
 
@@ -177,7 +179,7 @@
     slot: number,
     program: ProgramId | undefined,
   ): void {
-    const entry = this.entries.get(hash) ?? {slots: [], usedAt: [], program};
+    const entry = this.getOrAddEntry(hash, program);
     if (program !== undefined && entry.program !== program) {
       entry.program = undefined;
     }
@@ -189,9 +191,21 @@
       account.storedBlocks += 1;
     }
     entry.usedAt[index] = account.storedBlocks;
-    // Deleting first moves the entry to the end of the map's order.
-    this.entries.delete(hash);
+    this.recency.remove(entry);
+    this.recency.add(entry);
+  }
+
+  private getOrAddEntry(
+    hash: string,
+    program: ProgramId | undefined,
+  ): BlockEntry {
+    const known = this.entries.get(hash);
+    if (known !== undefined) return known;
+    const links = {previous: undefined, next: undefined};
+    const entry = {hash, slots: [], usedAt: [], program, ...links};
     this.entries.set(hash, entry);
+    this.recency.add(entry);
+    return entry;
   }
 
   private removePairsOf(slot: number): void {
@@ -205,18 +219,23 @@
     entry.slots.splice(index, 1);
     entry.usedAt.splice(index, 1);
     this.pairs -= 1;
-    if (entry.slots.length === 0) this.entries.delete(hash);
+    if (entry.slots.length === 0) this.removeEntry(entry);
   }
 
   private removeOldest(): void {
     while (this.pairs > this.options.maxEntries) {
-      const oldest = this.entries.entries().next().value;
+      const oldest = this.recency.first;
       if (oldest === undefined) return;
-      this.entries.delete(oldest[0]);
-      this.pairs -= oldest[1].slots.length;
+      this.removeEntry(oldest);
+      this.pairs -= oldest.slots.length;
     }
   }
 
+  private removeEntry(entry: BlockEntry): void {
+    this.entries.delete(entry.hash);
+    this.recency.remove(entry);
+  }
+
   private getAccount(slot: number): SlotAccount {
     let account = this.accounts[slot];
     if (account === undefined) {
--- a/packages/scheduler/src/hold/expected_cost_hold.ts
+++ b/packages/scheduler/src/hold/expected_cost_hold.ts
@@ -30,7 +30,7 @@
 
 const defaultOptions: ExpectedCostOptions = {
   cacheWeight: 0.5,
-  evenReturnsPerMs: 1 / 60_000,
+  evenReturnsPerMs: 1 / 1_200_000,
 };
 
 interface ProgramHold {
--- a/packages/scheduler/src/placement/expected_finish_placement.ts
+++ b/packages/scheduler/src/placement/expected_finish_placement.ts
@@ -23,10 +23,10 @@
 
 /** Settings for ordinary engines. */
 export const defaultExpectedFinishOptions: ExpectedFinishOptions = {
-  maxTargetWaitMs: 4_000,
+  maxTargetWaitMs: 30_000,
   distanceMs: 5,
   jitterMs: 5,
-  disturbanceWeight: 0.5,
+  disturbanceWeight: 2,
 };
 
 /** What the placement needs. */
--- a/packages/scheduler/src/policy/policy_scheduler.ts
+++ b/packages/scheduler/src/policy/policy_scheduler.ts
@@ -65,7 +65,7 @@
   firstTokenAtMs: number | undefined;
 }
 
-const defaultWindowOptions: WindowOptions = {initial: 4, min: 1, max: 64};
+const defaultWindowOptions: WindowOptions = {initial: 4, min: 2, max: 64};
 /** Calls that may be passed by because their best target has no room. */
 const maxPassedCalls = 16;
 /** Interval of new tries while calls wait for a better target. */
@@ -190,7 +190,8 @@
     events: readonly CacheEvent[],
   ): void {
     const state = this.table.getState(target);
-    if (state !== undefined) this.index.addEvents(state.slot, events);
+    if (state === undefined || !this.placement.usesCacheIndex) return;
+    this.index.addEvents(state.slot, events);
   }
 
   override takeCacheActions(): readonly CacheAction[] {
@@ -283,7 +284,9 @@
 
   private noteCacheUse(call: WaitingCall, state: TargetState): void {
     const {program, blockHashes} = call;
-    this.index.addOwnUse(state.slot, program, blockHashes);
+    if (this.placement.usesCacheIndex) {
+      this.index.addOwnUse(state.slot, program, blockHashes);
+    }
     this.lastBlocks.set(program, blockHashes);
     this.hold.noteStarted(program, state.id);
   }
--- a/packages/scheduler/src/targets/target_state.ts
+++ b/packages/scheduler/src/targets/target_state.ts
@@ -103,7 +103,7 @@
   setLoad(load: EngineLoad): void {
     this.lastLoad = load;
     this.callsSinceReport = 0;
-    this.window.noteReport(load.waiting);
+    this.window.noteReport(load.running, load.waiting);
   }
 
   /** Notes that a call waits because the window is full. */
--- a/packages/scheduler/src/targets/target_window.ts
+++ b/packages/scheduler/src/targets/target_window.ts
@@ -2,7 +2,7 @@
  * Window of calls in flight at one target. An engine admits in order of
  * arrival, so a call keeps its rank only while it waits here; too small a
  * window idles the engine. The window grows while calls wait here and the
- * engine reports none waiting, and shrinks when it reports some.
+ * engine reports few waiting, and shrinks when it reports more.
  */
 
 /** Bounds of a window. */
@@ -12,7 +12,10 @@
   readonly max: number;
 }
 
-const shrinkFactor = 0.8;
+const shrinkFactor = 0.9;
+
+/** Share of the running calls that may wait, so that no place stays empty. */
+const waitingShare = 0.25;
 
 /** Additive increase, multiplicative decrease by the target's reports. */
 export class TargetWindow {
@@ -43,11 +46,13 @@
 
   /**
    * Adjusts the window.
-   * @param waiting - Calls that the target reports as waiting.
+   * @param running - Calls that the target reports as running.
+   * @param waiting - Calls that it reports as waiting.
    */
-  noteReport(waiting: number): void {
+  noteReport(running: number, waiting: number): void {
     const {min, max} = this.options;
-    if (waiting > 0) this.limit = Math.max(min, this.limit * shrinkFactor);
+    const isOverfull = waiting > Math.max(1, waitingShare * running);
+    if (isOverfull) this.limit = Math.max(min, this.limit * shrinkFactor);
     else if (this.isUsedUp) this.limit = Math.min(max, this.limit + 1);
     this.isUsedUp = false;
   }
--- a/packages/standins/src/engine/engine_model.ts
+++ b/packages/standins/src/engine/engine_model.ts
@@ -231,6 +231,15 @@
     return this.cache.getAccount();
   }
 
+  /**
+   * Limits the cache account to a span of time.
+   * @param startMs - Start, on the clock.
+   * @param endMs - End, on the clock.
+   */
+  setAccountSpan(startMs: number, endMs: number): void {
+    this.cache.setAccountSpan(startMs, endMs);
+  }
+
   /** Gets the loaded models. */
   getModels(): readonly ModelId[] {
     return this.models;
