--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -11,6 +11,7 @@
 import {ProgramShow} from './commands/program/program_show.js';
 import {QuarantineLift} from './commands/quarantine/quarantine_lift.js';
 import {QuarantineList} from './commands/quarantine/quarantine_list.js';
+import {Serve} from './commands/serve.js';
 import {SettingsCheck} from './commands/settings/settings_check.js';
 import {Status} from './commands/status.js';
 import {TargetList} from './commands/target/target_list.js';
@@ -33,6 +34,7 @@
   'program:show': ProgramShow,
   'quarantine:lift': QuarantineLift,
   'quarantine:list': QuarantineList,
+  serve: Serve,
   'settings:check': SettingsCheck,
   status: Status,
   'target:list': TargetList,
