Prove the command line; describe the HTTP interface and the commands

Cause: scripts depend on exit codes and JSON, callers on the pages. Change: one table of commands against a real operators' server, in this process but for one run of the program; docs/API.md and docs/CLI.md held by tests; the daemon's library loads only for serve.

--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -1,5 +1,4 @@
 /** `serve`. */
-import {Daemon} from '@marigoldpost/daemon';
 import {parseDaemonSettings} from '@marigoldpost/settings';
 import {Flags} from '@oclif/core';
 import {readText} from '../utils/read_text.js';
@@ -21,6 +20,8 @@
   async run(): Promise<void> {
     const {flags} = await this.parse(Serve);
     const settings = parseDaemonSettings(await readText(flags.settings));
+    // Loaded here, since the other commands start faster without it.
+    const {Daemon} = await import('@marigoldpost/daemon');
     const daemon = Daemon.create(settings);
     const stopped = waitForStopSignal();
     await daemon.start();
--- /dev/null
+++ b/packages/cli/tests/commands/commands_steps.ts
@@ -0,0 +1,179 @@
+/** Steps for the command line. */
+import assert from 'node:assert/strict';
+import {execFile} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {readFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {After, Given, Then, When, type World} from '@cucumber/cucumber';
+import {commands, exitCodes} from '@marigoldpost/cli';
+import {run as runOclif} from '@oclif/core';
+import {OperationsFixture} from '../../../operations/tests/fixtures/operations_fixture.js';
+
+interface CommandWorld extends World {
+  commandServer: OperationsFixture | undefined;
+  commandFolder: string | undefined;
+  commandFile: string;
+  exitCode: number;
+  stdout: string;
+  stderr: string;
+}
+
+const program = 'packages/cli/bin/marigoldpost.js';
+
+/** Runs the program as operators do. */
+function spawnProgram(
+  world: CommandWorld,
+  args: readonly string[],
+  environment: Record<string, string>,
+): Promise<void> {
+  const env = {...process.env, ...environment};
+  const command = [program, ...args];
+  return new Promise((resolve) => {
+    const onEnd = (_error: Error | null, stdout: string, stderr: string) => {
+      world.exitCode = child.exitCode ?? -1;
+      world.stdout = stdout;
+      world.stderr = stderr;
+      resolve();
+    };
+    const child = execFile(process.execPath, command, {env}, onEnd);
+  });
+}
+
+/** Runs a command within this process, which takes a tenth of the time. */
+async function runCommand(
+  world: CommandWorld,
+  args: readonly string[],
+  environment: Record<string, string> = {},
+): Promise<void> {
+  const streams = [process.stdout, process.stderr];
+  const writes = streams.map((stream) => stream.write);
+  const written = ['', ''];
+  const formerEnvironment = {...process.env};
+  const formerCode = process.exitCode;
+  process.exitCode = 0;
+  Object.assign(process.env, environment);
+  streams.forEach((stream, index) => {
+    stream.write = (chunk: Uint8Array | string) => {
+      written[index] += String(chunk);
+      return true;
+    };
+  });
+  try {
+    await runOclif([...args], {root: 'packages/cli'});
+    world.exitCode = Number(process.exitCode);
+  } catch (error) {
+    const {message, oclif} = error as Error & {oclif?: {exit?: number}};
+    world.exitCode = oclif?.exit ?? 1;
+    written[1] += message;
+  } finally {
+    streams.forEach((stream, index) => {
+      stream.write = writes[index] as typeof stream.write;
+    });
+    process.env = formerEnvironment;
+    process.exitCode = formerCode;
+  }
+  [world.stdout, world.stderr] = written as [string, string];
+}
+
+Given(
+  'the example file {string} with {string} changed to {string}',
+  async function (
+    this: CommandWorld,
+    path: string,
+    found: string,
+    changed: string,
+  ) {
+    const text = readFileSync(path, 'utf8');
+    assert.ok(text.includes(found));
+    this.commandFolder = await mkdtemp(join(tmpdir(), 'marigoldpost-cli-'));
+    this.commandFile = join(this.commandFolder, 'text.ini');
+    await writeFile(this.commandFile, text.replace(found, changed));
+  },
+);
+
+Given(
+  "an operators' server for the command line",
+  async function (this: CommandWorld) {
+    this.commandServer = await OperationsFixture.start();
+  },
+);
+
+When(
+  'the command line runs {string}',
+  async function (this: CommandWorld, line: string) {
+    const args = line.split(' ');
+    const named = args.map((arg) =>
+      arg === '{file}' ? this.commandFile : arg,
+    );
+    await runCommand(this, named);
+  },
+);
+
+When(
+  'operator {string} runs {string}',
+  async function (this: CommandWorld, operator: string, line: string) {
+    await runCommand(this, line.split(' '), {
+      MARIGOLDPOST_DAEMON: this.commandServer?.origin ?? '',
+      MARIGOLDPOST_OPERATOR_KEY: `${operator}-example-key`,
+    });
+  },
+);
+
+When(
+  'operator {string} runs {string} without a server',
+  async function (this: CommandWorld, operator: string, line: string) {
+    const key = `${operator}-example-key`;
+    const environment = {MARIGOLDPOST_OPERATOR_KEY: key};
+    await spawnProgram(this, line.split(' '), environment);
+  },
+);
+
+Then(
+  'the command line exits with {int}',
+  function (this: CommandWorld, code: number) {
+    assert.equal(this.exitCode, code, this.stdout + this.stderr);
+  },
+);
+
+Then(
+  "the command line's output says {string}",
+  function (this: CommandWorld, said: string) {
+    const output = this.stdout + this.stderr;
+    assert.ok(output.includes(said), output);
+  },
+);
+
+Then(
+  "the command line's output is JSON with {string}",
+  function (this: CommandWorld, field: string) {
+    const value = JSON.parse(this.stdout) as object;
+    assert.ok(Object.hasOwn(value, field), this.stdout);
+  },
+);
+
+Then('docs CLI lists every command and every exit code', function () {
+  const page = readFileSync('docs/CLI.md', 'utf8');
+  const rows = page.split('\n').filter((line) => line.startsWith('| '));
+  const first = (row: string) => row.split('|')[1]?.trim() ?? '';
+  const listed = rows.map(first);
+  const names = Object.keys(commands).map((id) => id.replaceAll(':', ' '));
+  const codes = Object.values(exitCodes);
+  const expected = [
+    ...names.map((name) => `\`${name}\``),
+    ...codes.map(({code}) => String(code)),
+  ];
+  const isEntry = (cell: string) => /^(`[a-z ]+`|\d)$/.test(cell);
+  assert.deepEqual(listed.filter(isEntry).toSorted(), expected.toSorted());
+  for (const {code, meaning} of codes) {
+    const row = rows.find((line) => first(line) === String(code));
+    assert.ok(row?.includes(meaning), meaning);
+  }
+});
+
+After(async function (this: CommandWorld) {
+  await this.commandServer?.server.stop();
+  if (this.commandFolder !== undefined) {
+    await rm(this.commandFolder, {recursive: true});
+  }
+});
--- a/packages/entry/tests/server/caller_server.feature
+++ b/packages/entry/tests/server/caller_server.feature
@@ -145,3 +145,6 @@
   Scenario: The OpenAPI file matches the server
     Given a callers' server
     Then the OpenAPI file names exactly the paths and methods that the callers' server has
+
+  Scenario: The page of the interface lists every error kind
+    Then docs API lists each error kind with its status, outcome and retry
--- a/packages/entry/tests/server/openapi_steps.ts
+++ b/packages/entry/tests/server/openapi_steps.ts
@@ -1,4 +1,4 @@
-/** Steps for docs/openapi.yaml. */
+/** Steps for docs/openapi.yaml and docs/API.md. */
 import assert from 'node:assert/strict';
 import {readFileSync} from 'node:fs';
 import {Then, type World} from '@cucumber/cucumber';
@@ -38,3 +38,20 @@
     );
   },
 );
+
+Then(
+  'docs API lists each error kind with its status, outcome and retry',
+  function () {
+    const page = readFileSync('docs/API.md', 'utf8');
+    const rows = page
+      .split('\n')
+      .filter((line) => line.startsWith('| `'))
+      .map((line) => line.split('|').map((cell) => cell.trim()));
+    const expected = Object.entries(errorAnswers).map(([kind, answer]) => {
+      const {status, outcome, isRetryable} = answer;
+      const retry = isRetryable ? 'yes' : 'no';
+      return ['', `\`${kind}\``, String(status), `\`${outcome}\``, retry, ''];
+    });
+    assert.deepEqual(rows, expected);
+  },
+);
