--- a/packages/daemon/src/calls/chat_runner.ts
+++ b/packages/daemon/src/calls/chat_runner.ts
@@ -140,7 +140,10 @@
     const {call, ticket} = run;
     const waitMs = this.context.clock.nowMs() - run.admittedMs;
     const {previousOutcome} = run;
-    await ticket.commitDispatch(target, {previousOutcome});
+    await ticket.commitDispatch(target, {
+      previousOutcome,
+      isResume: isResumeOnly,
+    });
     run.previousOutcome = 'unknown';
     run.attempts += 1;
     const end = await this.readWatched(run, target, isResumeOnly);
--- a/packages/daemon/src/peers/peer_record_copier.ts
+++ b/packages/daemon/src/peers/peer_record_copier.ts
@@ -3,6 +3,7 @@
 import {
   type DataCentreId,
   type Epoch,
+  isErrorOfKind,
   MarigoldpostError,
   type PartitionId,
 } from '@marigoldpost/common';
@@ -84,7 +85,9 @@
       const request = {case: 'copyRecords', value} as const;
       await this.options.transport.ask(peer, request, {timeoutMs});
       return true;
-    } catch {
+    } catch (error) {
+      // A successor has the partition; no other peer may hide that.
+      if (isErrorOfKind(error, 'fenced')) throw error;
       return false;
     }
   }
--- a/packages/daemon/src/peers/peer_request_handler.ts
+++ b/packages/daemon/src/peers/peer_request_handler.ts
@@ -142,8 +142,9 @@
     const id = toId<PartitionId>(partition);
     const sealedEpoch = toEpoch(Number(epoch));
     const {manager, copies} = this.options;
+    const kept = copies.sealRecords(id, sealedEpoch);
     const records: CopiedRecords | undefined =
-      manager.surrender(id, sealedEpoch) ?? copies.getRecords(id, sealedEpoch);
+      manager.surrender(id, sealedEpoch) ?? kept;
     const value = create(CopiedRecordsSchema, {
       firstSequence: BigInt(records?.firstSequence ?? 0),
       recordsJson: [...(records?.records ?? [])],
--- a/packages/daemon/src/peers/record_copy_store.ts
+++ b/packages/daemon/src/peers/record_copy_store.ts
@@ -6,6 +6,8 @@
 /** Copies by partition; only the newest epoch of each is kept. */
 export class RecordCopyStore {
   private readonly copies = new Map<PartitionId, PartitionCopies>();
+  /** Newest epoch of each partition that a successor has sealed. */
+  private readonly sealed = new Map<PartitionId, Epoch>();
   private bytes = 0;
 
   private constructor(private readonly maxBytes: number) {}
@@ -20,7 +22,8 @@
 
   /**
    * Adds records; those from the first one's number on are replaced. Throws
-   * `overloaded` when there is no room.
+   * `overloaded` when there is no room, and `fenced` once a successor has taken
+   * the epoch's copies, since it would never see these.
    * @param partition - Their partition.
    * @param epoch - Their epoch.
    * @param copied - The records.
@@ -31,7 +34,7 @@
     copied: CopiedRecords,
   ): void {
     const kept = this.copies.get(partition);
-    if (kept !== undefined && kept.epoch > epoch) return;
+    this.checkIsOpen(partition, epoch);
     const before = kept?.epoch === epoch ? kept : undefined;
     const merged = mergeRecords(before?.copied, copied);
     const bytes = countBytes(merged.records);
@@ -45,14 +48,27 @@
   }
 
   /**
-   * Gets the records kept of one epoch.
+   * Gets the records kept of an epoch that a successor has sealed; no more are
+   * taken from then on.
    * @param partition - The partition.
    * @param epoch - The epoch.
    */
-  getRecords(partition: PartitionId, epoch: Epoch): CopiedRecords | undefined {
+  sealRecords(partition: PartitionId, epoch: Epoch): CopiedRecords | undefined {
+    const before = this.sealed.get(partition);
+    if (before === undefined || before < epoch) {
+      this.sealed.set(partition, epoch);
+    }
     const kept = this.copies.get(partition);
     return kept?.epoch === epoch ? kept.copied : undefined;
   }
+
+  private checkIsOpen(partition: PartitionId, epoch: Epoch): void {
+    const sealedEpoch = this.sealed.get(partition) ?? -1;
+    const keptEpoch = this.copies.get(partition)?.epoch ?? epoch;
+    if (epoch > sealedEpoch && epoch >= keptEpoch) return;
+    const message = `epoch ${epoch} of partition "${partition}" was taken over`;
+    throw MarigoldpostError.create('fenced', message);
+  }
 }
 
 interface PartitionCopies {
--- a/packages/programs/src/keeper/call_admission.ts
+++ b/packages/programs/src/keeper/call_admission.ts
@@ -129,7 +129,8 @@
     checkDigest(call, earlier.digest, digest);
     checkOutcome(earlier);
     if (earlier.state !== 'finished') return undefined;
-    return replay(state, call, earlier);
+    const isDurable = this.parts.log.journal.getUncommittedBytes() === 0;
+    return replay(state, call, earlier, isDurable);
   }
 
   /** Refuses what the platform's absence leaves no safe way to run. */
@@ -254,6 +255,7 @@
   {program}: ProgramState,
   call: Call,
   {answer}: CallState,
+  isDurable: boolean,
 ): CallTicket {
   if (answer === undefined) {
     throw MarigoldpostError.create(
@@ -266,6 +268,6 @@
   if (answer.kind === 'chat') {
     answer.tokens.forEach((text, index) => stream.addToken(index, text));
   }
-  stream.finish(answer, true);
+  stream.finish(answer, isDurable);
   return JoinedCallTicket.create(call, program, stream);
 }
--- a/packages/programs/src/keeper/owned_call_ticket.ts
+++ b/packages/programs/src/keeper/owned_call_ticket.ts
@@ -24,6 +24,7 @@
 import type {CallStream} from './call_stream.js';
 import {CallTicket} from './call_ticket.js';
 import type {CallTraits} from './call_traits.js';
+import {DispatchAccount} from './dispatch_account.js';
 import type {PartitionLog} from './partition_log.js';
 import {createTurnContext} from './create_turn_context.js';
 import type {DispatchOptions, TurnContext, TurnReport} from './turn_context.js';
@@ -57,10 +58,12 @@
 export class OwnedCallTicket extends CallTicket {
   override readonly isOwner = true;
   private readonly aborting = new AbortController();
+  private readonly dispatches: DispatchAccount;
   private isEnded = false;
 
   private constructor(private readonly parts: OwnedCallTicketParts) {
     super();
+    this.dispatches = DispatchAccount.create(this.isDispatched);
   }
 
   /**
@@ -139,7 +142,7 @@
         wallMs,
       });
     } catch (error) {
-      this.end(toMarigoldpostError(error));
+      await this.fail(error as Error);
       throw error;
     }
   }
@@ -153,7 +156,9 @@
     this.checkMayRepeat(running, options);
     const isResume = options.isResume === true && running?.target === target;
     if (!isResume) {
+      this.dispatches.noteWanted(options);
       const commit = this.addDispatch(target, options, running);
+      this.dispatches.noteDispatched();
       if (commit !== undefined) await this.waitForDispatch(commit);
       this.signal.throwIfAborted();
     }
@@ -199,11 +204,15 @@
 
   override fail(error: Error): Promise<void> {
     if (this.isEnded) return Promise.resolve();
+    const reported = toMarigoldpostError(error);
+    const failure = this.dispatches.toWholeOutcome(reported);
     const running = this.getRunning();
     if (running !== undefined && !this.parts.log.journal.isFenced()) {
-      this.addFailure(running, toFailureReason(error));
+      const isNotRun = this.dispatches.isLatestNotRun(reported);
+      const usedTokens = isNotRun ? 0 : running.reservedTokens;
+      this.addFailure(toFailureReason(failure), usedTokens);
     }
-    this.end(error);
+    this.end(failure);
     return Promise.resolve();
   }
 
@@ -270,16 +279,15 @@
     );
   }
 
-  private addFailure(running: CallState, error: FailureReason): void {
+  private addFailure(error: FailureReason, usedTokens: number): void {
     const {callId, log, state} = this.parts;
-    const isNotRun = error.outcome === 'not_run';
     const durable = log.commit(
       {
         kind: 'call_failed',
         program: state.program,
         callId,
         error,
-        usedTokens: isNotRun ? 0 : running.reservedTokens,
+        usedTokens,
       },
       {isEssential: true, isLazy: this.isRepeatable()},
     );
--- a/packages/programs/src/keeper/partition_log.ts
+++ b/packages/programs/src/keeper/partition_log.ts
@@ -83,7 +83,8 @@
 
   /**
    * Waits until a record is durable or, with the platform down, kept here and
-   * at a peer, if one takes it. Throws `fenced`.
+   * at a peer, if one takes it. Throws `fenced`, also when the peer knows of a
+   * successor.
    * @param durable - What the commit gave.
    * @returns Whether the record is durable.
    */
@@ -120,7 +121,7 @@
       );
     } catch (error) {
       // Without a peer the records are kept here alone.
-      if (!isErrorOfKind(error)) throw error;
+      if (!isErrorOfKind(error) || error.kind === 'fenced') throw error;
     }
   }
 }
--- a/packages/programs/src/keeper/record_copier.ts
+++ b/packages/programs/src/keeper/record_copier.ts
@@ -12,7 +12,8 @@
 /** Keeps uncommitted records at one other daemon of the data centre. */
 export abstract class RecordCopier {
   /**
-   * Copies records; throws `peer_unavailable` when no daemon took them.
+   * Copies records. Throws `peer_unavailable` when no daemon took them, and
+   * `fenced` when a successor has already taken the epoch's copies.
    * @param partition - Their partition.
    * @param epoch - Epoch that they were made in.
    * @param firstSequence - Sequence number of the first record; copies that
@@ -27,7 +28,8 @@
   ): Promise<void>;
 
   /**
-   * Gets every copy that the other daemons keep of one epoch.
+   * Gets every copy that the other daemons keep of one epoch, which must have
+   * been sealed; from then on they take no more copies of it.
    * @param partition - The partition.
    * @param epoch - The epoch.
    */
