Bound what quarantines tell each other, and measure innocents caught

Cause: cleared suspects were told for ever, and heartbeats take four notices at a time in turn, so a fresh quarantine waited behind thousands of old ones. Now a change that quarantines nothing is told for a minute and kept for ten; a quarantine is told until it is lifted. Ruled out: dropping an entry when its news end, because a daemon that heard it late would bring it back.

--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -26,7 +26,17 @@
   readonly maxEntries?: number;
 }
 
+/** An entry and when it last changed here, on the daemon's own clock. */
+interface KnownEntry {
+  readonly entry: QuarantineEntry;
+  readonly changedAtMs: number;
+}
+
 const defaultMaxEntries = 10_000;
+/** How long a change that quarantines nothing is told to the others. */
+const newsMs = 60_000;
+/** How long a suspicion is kept; news that outlast it would bring it back. */
+const suspicionMs = 600_000;
 /** Daemons that see one death note it within this time. */
 const sameDeathMs = 10_000;
 
@@ -35,7 +45,7 @@
   private readonly clock: Clock;
   private readonly maxEntries: number;
   private deathsToQuarantine: number;
-  private readonly entries = new Map<Fingerprint, QuarantineEntry>();
+  private readonly entries = new Map<Fingerprint, KnownEntry>();
 
   private constructor(options: QuarantineOptions) {
     this.clock = options.clock;
@@ -120,12 +130,18 @@
    * @param fingerprint - The request.
    */
   getEntry(fingerprint: Fingerprint): QuarantineEntry | undefined {
-    return this.entries.get(fingerprint);
+    return this.entries.get(fingerprint)?.entry;
   }
 
-  /** Gets all entries, for the other daemons. */
+  /** Gets what the other daemons should hear: quarantines, and recent news. */
   getEntries(): readonly QuarantineEntry[] {
-    return [...this.entries.values()];
+    const oldestMs = this.clock.nowMs() - newsMs;
+    return [...this.entries.values()]
+      .filter(
+        ({entry, changedAtMs}) =>
+          changedAtMs >= oldestMs || this.isQuarantined(entry.fingerprint),
+      )
+      .map(({entry}) => entry);
   }
 
   /**
@@ -134,22 +150,31 @@
    */
   mergeEntries(entries: readonly QuarantineEntry[]): void {
     for (const entry of entries) {
-      const own = this.entries.get(entry.fingerprint);
+      const own = this.getEntry(entry.fingerprint);
       if (own === undefined || entry.version > own.version) {
         this.addEntry(entry);
       } else if (entry.version === own.version) {
-        this.addEntry({...own, deaths: uniteDeaths(own.deaths, entry.deaths)});
+        this.addDeaths(own, entry.deaths);
       }
     }
   }
 
+  /** Adds deaths; an entry that already has them keeps its age. */
+  private addDeaths(
+    own: QuarantineEntry,
+    others: readonly DeathRecord[],
+  ): void {
+    const deaths = uniteDeaths(own.deaths, others);
+    if (deaths.length > own.deaths.length) this.addEntry({...own, deaths});
+  }
+
   private countDeaths(fingerprint: Fingerprint): number {
-    const entry = this.entries.get(fingerprint);
+    const entry = this.getEntry(fingerprint);
     return entry === undefined ? 0 : countEvents(entry.deaths);
   }
 
   private getEntryOrNew(fingerprint: Fingerprint): QuarantineEntry {
-    const entry = this.entries.get(fingerprint);
+    const entry = this.getEntry(fingerprint);
     return entry ?? {fingerprint, version: 0, deaths: []};
   }
 
@@ -160,11 +185,22 @@
   }
 
   private addEntry(entry: QuarantineEntry): void {
+    // Put last, so that the entries stand in the order of their changes.
     this.entries.delete(entry.fingerprint);
-    this.entries.set(entry.fingerprint, entry);
+    const changedAtMs = this.clock.nowMs();
+    this.entries.set(entry.fingerprint, {entry, changedAtMs});
+    this.removeOldSuspicions();
     if (this.entries.size > this.maxEntries) this.removeOldest();
   }
 
+  private removeOldSuspicions(): void {
+    const oldestMs = this.clock.nowMs() - suspicionMs;
+    for (const [fingerprint, {changedAtMs}] of this.entries) {
+      if (changedAtMs >= oldestMs) return;
+      if (!this.isQuarantined(fingerprint)) this.entries.delete(fingerprint);
+    }
+  }
+
   private removeOldest(): void {
     const keys = [...this.entries.keys()];
     const oldest = keys.find((key) => !this.isQuarantined(key)) ?? keys[0];
--- a/packages/targets/tests/quarantine/quarantine.feature
+++ b/packages/targets/tests/quarantine/quarantine.feature
@@ -29,3 +29,27 @@
   Scenario: Two daemons that see one death count it once
     When two quarantines hear of one death and then of each other
     Then the quarantine holds the request as suspect
+
+  Scenario Outline: What is told to other daemons, and for how long (<deaths>)
+    When the quarantine hears of deaths <deaths> with the request
+    And <minutes> minutes go by in the quarantine and another request is noted
+    Then the quarantine tells of the request <told> and holds it as <state>
+
+    Examples:
+      | deaths         | minutes | told  | state       |
+      | a@0            | 0       | yes   | suspect     |
+      | a@0            | 2       | no    | suspect     |
+      | a@0            | 11      | no    | free        |
+      | a@0 survived   | 0       | yes   | free        |
+      | a@0 survived   | 2       | no    | free        |
+      | a@0 b@1        | 600     | yes   | quarantined |
+
+  Scenario Outline: Few innocent requests are caught over several daemons (<daemons>)
+    When <runs> requests kill targets that <daemons> daemons share, each with a window of <window> on <targets> targets
+    Then the quarantines catch all the killing ones and at most <innocents> innocent requests
+
+    Examples:
+      | daemons | window | targets | runs | innocents |
+      | 1       | 8      | 4       | 30   | 0         |
+      | 4       | 8      | 4       | 30   | 6         |
+      | 8       | 4      | 12      | 10   | 1         |
--- a/packages/targets/tests/quarantine/quarantine_steps.ts
+++ b/packages/targets/tests/quarantine/quarantine_steps.ts
@@ -9,9 +9,12 @@
   VirtualClock,
 } from '@marigoldpost/common';
 import {Quarantine, type QuarantineEntry} from '@marigoldpost/targets';
+import {type FleetCatch, runFleet} from '../fixtures/quarantine_fleet.js';
 
 interface QuarantineWorld extends World {
   quarantine: Quarantine;
+  clock: VirtualClock;
+  catches: FleetCatch[];
   load: fc.Arbitrary<Load>;
   entries: fc.Arbitrary<QuarantineEntry[][]>;
 }
@@ -36,6 +39,7 @@
   /^the quarantine hears of deaths (.*) with the request$/,
   function (this: QuarantineWorld, script: string) {
     const clock = VirtualClock.create();
+    this.clock = clock;
     this.quarantine = createQuarantine(clock);
     for (const word of script.split(' ')) {
       if (word === 'survived') this.quarantine.noteSurvived(request);
@@ -68,6 +72,52 @@
   },
 );
 
+When(
+  '{int} minutes go by in the quarantine and another request is noted',
+  function (this: QuarantineWorld, minutes: number) {
+    this.clock.skip(minutes * 60_000);
+    this.quarantine.noteDeath(toId<TargetId>('z'), [toFingerprint(1)]);
+  },
+);
+
+Then(
+  /^the quarantine tells of the request (yes|no) and holds it as (\w+)$/,
+  function (this: QuarantineWorld, told: string, state: string) {
+    const {quarantine} = this;
+    const entries = quarantine.getEntries();
+    const isTold = entries.some(({fingerprint}) => fingerprint === request);
+    assert.equal(isTold, told === 'yes');
+    assert.equal(quarantine.isSuspect(request), state === 'suspect');
+    assert.equal(quarantine.isQuarantined(request), state === 'quarantined');
+  },
+);
+
+When(
+  '{int} requests kill targets that {int} daemons share, each with a window of {int} on {int} targets',
+  function (
+    this: QuarantineWorld,
+    runs: number,
+    daemons: number,
+    window: number,
+    targets: number,
+  ) {
+    const options = {daemons, window, targets};
+    this.catches = Array.from({length: runs}, (_unused, run) =>
+      runFleet(options, run + 1),
+    );
+  },
+);
+
+Then(
+  'the quarantines catch all the killing ones and at most {int} innocent requests',
+  function (this: QuarantineWorld, innocents: number) {
+    assert.ok(this.catches.every(({isKillerCaught}) => isKillerCaught));
+    const caught = this.catches.map((one) => one.innocents);
+    const sum = caught.reduce((left, right) => left + right, 0);
+    assert.ok(sum <= innocents, `${sum} innocent requests were caught`);
+  },
+);
+
 Given(
   'any load with one killing request that is sent again and again',
   function (this: QuarantineWorld) {
