--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,5 +1,8 @@
 /** The command line. */
 import {Audit} from './commands/audit.js';
+import {BenchCompare} from './commands/bench/bench_compare.js';
+import {BenchPlot} from './commands/bench/bench_plot.js';
+import {BenchRun} from './commands/bench/bench_run.js';
 import {ConfigApply} from './commands/config/config_apply.js';
 import {ConfigCheck} from './commands/config/config_check.js';
 import {ConfigDiff} from './commands/config/config_diff.js';
@@ -23,6 +26,9 @@
 /** Every command by the words that call it. */
 export const commands = {
   audit: Audit,
+  'bench:compare': BenchCompare,
+  'bench:plot': BenchPlot,
+  'bench:run': BenchRun,
   'config:apply': ConfigApply,
   'config:check': ConfigCheck,
   'config:diff': ConfigDiff,
--- a/packages/cli/tests/commands/commands.feature
+++ b/packages/cli/tests/commands/commands.feature
@@ -60,5 +60,15 @@
       | program show cat-lai.3.abc  | calls    |
       | program show cat-lai.3.none | error    |
 
+  Scenario: An experiment is run, compared and plotted
+    When a short experiment is run, compared and plotted from the command line
+    Then the comparison has one row for each policy and the plot is SVG
+
+  Scenario: A file that is no experiment is refused
+    Given the example file "README.md" with "marigoldpost" changed to "marigoldpost"
+    When the command line runs "bench compare {file}"
+    Then the command line exits with 3
+    And the command line's output says 'was not written by'
+
   Scenario: The page of the command line matches the code
     Then docs CLI lists every command and every exit code
--- a/packages/cli/tests/commands/commands_steps.ts
+++ b/packages/cli/tests/commands/commands_steps.ts
@@ -129,6 +129,38 @@
   },
 );
 
+When(
+  'a short experiment is run, compared and plotted from the command line',
+  async function (this: CommandWorld) {
+    this.commandFolder = await mkdtemp(join(tmpdir(), 'marigoldpost-cli-'));
+    this.commandFile = join(this.commandFolder, 'runs.json');
+    const plot = join(this.commandFolder, 'plot.svg');
+    const choice =
+      '--workload waikato --policy round-robin --policy marigoldpost';
+    const length = '--seeds 1 --load 0.3 --duration-ms 60000';
+    const lines = [
+      `bench run ${choice} ${length} --output ${this.commandFile}`,
+      `bench plot ${this.commandFile} --output ${plot}`,
+      `bench compare ${this.commandFile} --json`,
+    ];
+    for (const line of lines) {
+      await runCommand(this, line.split(' '));
+      assert.equal(this.exitCode, 0, this.stderr);
+    }
+  },
+);
+
+Then(
+  'the comparison has one row for each policy and the plot is SVG',
+  function (this: CommandWorld) {
+    const rows = JSON.parse(this.stdout) as {policy: string}[];
+    const policies = rows.map(({policy}) => policy);
+    assert.deepEqual(policies, ['round-robin', 'marigoldpost']);
+    const plot = join(this.commandFolder ?? '', 'plot.svg');
+    assert.match(readFileSync(plot, 'utf8'), /^<svg /);
+  },
+);
+
 Then(
   'the command line exits with {int}',
   function (this: CommandWorld, code: number) {
