Drop the targets' connections when a registry stops

Cause: stop waited for the requests in flight, so a stream that hangs kept a daemon from stopping after its drain. Now the channel can be destroyed, and the registry does so; a target that leaves the list still ends gently.

--- a/packages/platform/src/http/http_channel.ts
+++ b/packages/platform/src/http/http_channel.ts
@@ -88,4 +88,9 @@
   async close(): Promise<void> {
     await this.pool.close();
   }
+
+  /** Drops the connections; requests in flight are cut. */
+  async destroy(): Promise<void> {
+    await this.pool.destroy();
+  }
 }
--- a/packages/platform/tests/http/http_channel.feature
+++ b/packages/platform/tests/http/http_channel.feature
@@ -10,6 +10,11 @@
     When the HTTP channel reads the answer whole
     Then the HTTP channel tells that the answer was cut
 
+  Scenario: A destroyed channel cuts what is in flight
+    Given an HTTP server that streams 40 megabytes
+    When the HTTP channel is destroyed while its reader waits
+    Then the HTTP channel's reader hears that the stream was cut
+
   Scenario: A request given up before it is sent was never sent
     Given an HTTP server that streams 40 megabytes
     When a request on the HTTP channel is given up before it starts
--- a/packages/platform/tests/http/http_channel_steps.ts
+++ b/packages/platform/tests/http/http_channel_steps.ts
@@ -49,7 +49,7 @@
     addCleanup(this, async () => {
       server.close();
       server.closeAllConnections();
-      await this.channel.close();
+      await this.channel.destroy();
     });
   },
 );
@@ -80,6 +80,30 @@
   },
 );
 
+When(
+  'the HTTP channel is destroyed while its reader waits',
+  async function (this: ChannelWorld) {
+    const stream = await this.channel.open(request);
+    assert.ok(stream.kind === 'stream');
+    await waitUntilQuiet(() => this.sentChunks);
+    await this.channel.destroy();
+    for (;;) {
+      const next = await stream.chunks.next();
+      if (Buffer.isBuffer(next)) continue;
+      this.failure = next;
+      return;
+    }
+  },
+);
+
+Then(
+  "the HTTP channel's reader hears that the stream was cut",
+  function (this: ChannelWorld) {
+    assert.equal(this.failure?.reason, 'cut');
+    assert.equal(this.failure?.isSent, true);
+  },
+);
+
 When(
   'the HTTP channel reads the answer whole',
   async function (this: ChannelWorld) {
--- a/packages/standins/src/memory/memory_target_clients.ts
+++ b/packages/standins/src/memory/memory_target_clients.ts
@@ -45,6 +45,7 @@
       engine,
       getReachability: () => getReachability(engine),
       close: () => Promise.resolve(),
+      destroy: () => Promise.resolve(),
     };
   }
 
@@ -55,6 +56,7 @@
       plain,
       getReachability: () => getReachability(plain),
       close: () => Promise.resolve(),
+      destroy: () => Promise.resolve(),
     };
   }
 }
--- a/packages/targets/src/engine/http_engine_client.ts
+++ b/packages/targets/src/engine/http_engine_client.ts
@@ -125,6 +125,11 @@
     await this.channel.close();
   }
 
+  /** Drops the connections; calls in flight are cut. */
+  async destroy(): Promise<void> {
+    await this.channel.destroy();
+  }
+
   private async openStream(
     request: HttpRequest,
     call: TargetCall,
--- a/packages/targets/src/plain/http_plain_service_client.ts
+++ b/packages/targets/src/plain/http_plain_service_client.ts
@@ -58,4 +58,9 @@
   async close(): Promise<void> {
     await this.channel.close();
   }
+
+  /** Drops the connections; calls in flight are cut. */
+  async destroy(): Promise<void> {
+    await this.channel.destroy();
+  }
 }
--- a/packages/targets/src/registry/http_target_clients.ts
+++ b/packages/targets/src/registry/http_target_clients.ts
@@ -26,6 +26,7 @@
       engine,
       getReachability: () => tryConnect(endpoint),
       close: () => engine.close(),
+      destroy: () => engine.destroy(),
     };
   }
 
@@ -36,6 +37,7 @@
       plain,
       getReachability: () => tryConnect(endpoint),
       close: () => plain.close(),
+      destroy: () => plain.destroy(),
     };
   }
 }
--- a/packages/targets/src/registry/target_clients.ts
+++ b/packages/targets/src/registry/target_clients.ts
@@ -25,6 +25,8 @@
   getReachability(): Promise<Reachability>;
   /** Frees the connections once the requests in flight are done. */
   close(): Promise<void>;
+  /** Drops the connections; requests in flight are cut. */
+  destroy(): Promise<void>;
 }
 
 /** Client of an engine. */
--- a/packages/targets/src/registry/target_registry.ts
+++ b/packages/targets/src/registry/target_registry.ts
@@ -64,14 +64,15 @@
     await this.pollVms();
   }
 
-  /** Stops following, and frees the connections. */
+  /** Stops following, and drops the connections; drain before. */
   async stop(): Promise<void> {
     this.isStarted = false;
     this.vmTimer?.cancel();
     this.wakeTimer?.cancel();
     const records = [...this.records.values()];
     this.records.clear();
-    await Promise.all(records.map((record) => closeRecord(record)));
+    for (const record of records) record.poller?.stop();
+    await Promise.all(records.map(({client}) => client.destroy()));
   }
 
   /**
@@ -257,7 +258,8 @@
 
   private removeRecord(record: TargetRecord): void {
     this.records.delete(record.listed.id);
-    void closeRecord(record);
+    record.poller?.stop();
+    void record.client.close();
   }
 
   private createClient(listed: ListedTarget): TargetClient {
@@ -324,11 +326,6 @@
   }
 }
 
-async function closeRecord(record: TargetRecord): Promise<void> {
-  record.poller?.stop();
-  await record.client.close();
-}
-
 /** Whether a request lost its connection after it was sent. */
 function isCut(error: unknown): boolean {
   if (isErrorOfKind(error, 'stream_truncated')) return true;
