--- a/packages/programs/src/keeper/call_admission.ts
+++ b/packages/programs/src/keeper/call_admission.ts
@@ -149,14 +149,11 @@
     const program = call.program ?? this.createProgramId();
     const {budget, team} = call;
     const wallMs = clock.wallTimeMs();
-    const durable = log.commit({
-      kind: 'program_added',
-      program,
-      team,
-      budget,
-      wallMs,
-    });
-    // The call's dispatch is committed behind it, and waits for both.
+    const durable = log.commit(
+      {kind: 'program_added', program, team, budget, wallMs},
+      {isLazy: true},
+    );
+    // The call's dispatch is committed behind it, in the same write.
     durable.catch(() => undefined);
     return log.state.getProgram(program)!;
   }
