--- a/packages/journal/src/writer/journal.ts
+++ b/packages/journal/src/writer/journal.ts
@@ -1,5 +1,10 @@
 /** The journal of one held partition. */
-import {Deferred, MarigoldpostError, type Timer} from '@marigoldpost/common';
+import {
+  Deferred,
+  MarigoldpostError,
+  toMarigoldpostError,
+  type Timer,
+} from '@marigoldpost/common';
 import {
   encodeSegment,
   maxSegmentBytes,
@@ -226,7 +231,7 @@
     try {
       while (this.hasWork()) await this.writeNext();
     } catch (error) {
-      this.fail(error as MarigoldpostError);
+      this.fail(toMarigoldpostError(error));
     } finally {
       this.isWriting = false;
       this.writeStartedAtMs = undefined;
@@ -290,7 +295,7 @@
     const isDue = live >= snapshotSlots || this.bytesSinceSnapshot >= maxBytes;
     if (!isDue) return;
     this.snapshotting = this.writeSnapshot()
-      .catch((error: unknown) => this.fail(error as MarigoldpostError))
+      .catch((error: unknown) => this.fail(toMarigoldpostError(error)))
       .finally(() => {
         this.snapshotting = undefined;
       });
--- a/packages/programs/src/ownership/partition_manager.ts
+++ b/packages/programs/src/ownership/partition_manager.ts
@@ -3,7 +3,9 @@
   Backoff,
   getPartitionId,
   isErrorOfKind,
+  type MarigoldpostError,
   toEpoch,
+  toMarigoldpostError,
   type DaemonId,
   type DataCentreId,
   type Epoch,
@@ -226,10 +228,17 @@
       await this.claimAll(config);
       await this.balance();
     } catch (error) {
-      if (!isErrorOfKind(error)) throw error;
+      this.logFailure(toMarigoldpostError(error));
     }
   }
 
+  /** The next pass tries again; only what it cannot mend is worth a line. */
+  private logFailure({kind, message}: MarigoldpostError): void {
+    if (kind === 'store_unavailable' || kind === 'store_ambiguous') return;
+    const task = 'partition_manager';
+    this.options.logger?.log('background_failed', {task, kind, message});
+  }
+
   private async readLeases(): Promise<void> {
     await this.observer.observe();
     const live = this.observer.getLiveLeases().map(({daemon}) => daemon);
--- a/packages/programs/src/ownership/partition_manager_options.ts
+++ b/packages/programs/src/ownership/partition_manager_options.ts
@@ -14,6 +14,7 @@
   VmList,
 } from '@marigoldpost/platform';
 import type {OperatorsConfig} from '@marigoldpost/settings';
+import type {EventLogger} from '@marigoldpost/telemetry';
 import type {LoopLimits} from '../keeper/keeper_types.js';
 import type {ProgramKeeper} from '../keeper/program_keeper.js';
 import type {RecordCopier} from '../keeper/record_copier.js';
@@ -34,6 +35,8 @@
   readonly copier?: RecordCopier;
   readonly handovers?: HandoverSender;
   readonly loopLimits?: LoopLimits;
+  /** Logs passes that failed for another reason than the platform's absence. */
+  readonly logger?: EventLogger;
   /** Longest wait of a handover for calls that must not be sent twice. */
   readonly drainMs: number;
   /** Time after which the platform counts as down, in milliseconds. */
