--- a/packages/targets/tests/registry/target_registry.feature
+++ b/packages/targets/tests/registry/target_registry.feature
@@ -32,6 +32,17 @@
     Then the registry reports 1 death with 3 requests
     And the registry has plan-cat-lai-1 as unhealthy and plan-cat-lai-2 as open
 
+  Scenario Outline: What a crash over sockets is taken for (<fault>)
+    Given a registry of one engine over a socket that <fault>
+    When a request runs on the registry's engine over the socket
+    Then the registry over the socket saw <deaths> deaths and has the engine as <state>
+
+    Examples:
+      | fault                     | deaths | state     |
+      | crashes on the request    | 1      | unhealthy |
+      | truncates the answer      | 0      | open      |
+      | does not know the model   | 0      | open      |
+
   Scenario: A cut stream of a living engine is no death
     Given a registry in cat-lai with 2 engines there and 0 in cai-mep
     And the registry has read the VM list
--- a/packages/targets/tests/registry/target_registry_steps.ts
+++ b/packages/targets/tests/registry/target_registry_steps.ts
@@ -12,22 +12,42 @@
   toId,
   VirtualClock,
 } from '@marigoldpost/common';
+import type {MemoryEngine} from '@marigoldpost/standins';
 import {
   CircuitBreaker,
   HttpEngineClient,
+  type TargetDeath,
+  type TargetRegistry,
   type TargetWork,
 } from '@marigoldpost/targets';
 import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
 import {
   createRegistrySetup,
+  createSocketRegistry,
   type RegistrySetup,
 } from '../fixtures/registry_fixtures.js';
+import {
+  createEngineRequest,
+  createEngineSetup,
+  drive,
+  type EngineSetup,
+  ids,
+  readStream,
+} from '../fixtures/target_fixtures.js';
 
 interface RegistryWorld extends World {
   setup: RegistrySetup;
   breaker: CircuitBreaker;
+  socketRegistry: TargetRegistry;
+  socketEngine: EngineSetup;
+  socketDeaths: TargetDeath[];
 }
 
+const socketFaults: Readonly<Record<string, (engine: MemoryEngine) => void>> = {
+  'crashes on the request': ({faults}) => faults.setCrashText('Cai Mep'),
+  'truncates the answer': ({faults}) => faults.addTruncations(0),
+  'does not know the model': ({model}) => model.setModels([]),
+};
 const settleMs = 2500;
 const truncated = MarigoldpostError.create('stream_truncated', 'cut');
 
@@ -214,6 +234,44 @@
   },
 );
 
+Given(
+  /^a registry of one engine over a socket that (.*)$/,
+  async function (this: RegistryWorld, fault: string) {
+    const setup = await createEngineSetup(this, 'socket');
+    socketFaults[fault]?.(setup.engine);
+    const registry = createSocketRegistry(ids.target, setup.address);
+    this.socketEngine = setup;
+    this.socketDeaths = [];
+    this.socketRegistry = registry;
+    registry.addListener({
+      onTargetDied: (death) => this.socketDeaths.push(death),
+    });
+    addCleanup(this, () => registry.stop());
+  },
+);
+
+When(
+  "a request runs on the registry's engine over the socket",
+  async function (this: RegistryWorld) {
+    const registry = this.socketRegistry;
+    const work = createWork(ids.target, 0);
+    registry.noteStarted(work);
+    const client = registry.getEngineClientOrThrow(ids.target);
+    const reading = readStream(client, createEngineRequest());
+    const {error} = await drive(this.socketEngine.clock, reading);
+    assert.ok(error !== undefined);
+    await registry.noteFailure(work, error);
+  },
+);
+
+Then(
+  'the registry over the socket saw {int} deaths and has the engine as {word}',
+  function (this: RegistryWorld, deaths: number, state: string) {
+    assert.equal(this.socketDeaths.length, deaths);
+    assert.equal(this.socketRegistry.getTarget(ids.target)?.state, state);
+  },
+);
+
 When(
   /^a circuit breaker goes through (.*)$/,
   function (this: RegistryWorld, script: string) {
