Tell operators only of public error kinds; count tokens

Cause: operators saw kinds that stay between the project's parts, and three metrics and one event of the catalogue were never used. Change: the store's errors become platform_unavailable and outcome_unknown at the operators' HTTP, each refusal is logged, finished calls count their tokens (a replayed answer does not). Conclusion: tests hold the kinds, and an action whose record's answer was lost.

--- a/packages/entry/src/server/call_record.ts
+++ b/packages/entry/src/server/call_record.ts
@@ -1,6 +1,11 @@
 /** Events and metrics of one call. */
 import {toMarigoldpostError} from '@marigoldpost/common';
-import type {Call, CallAccepted, CallFinished} from '@marigoldpost/programs';
+import type {
+  Call,
+  CallAccepted,
+  CallFinished,
+  Usage,
+} from '@marigoldpost/programs';
 import type {Exchange} from '../http/exchange.js';
 import type {EntryParts} from './entry_context.js';
 
@@ -9,6 +14,7 @@
   private readonly startedMs: number;
   private lastTokenMs: number | undefined;
   private isAccepted = false;
+  private isReplay = false;
 
   private constructor(
     private readonly call: Call,
@@ -39,6 +45,7 @@
     const {program, isReplay} = event;
     const {team, service} = call;
     this.isAccepted = true;
+    this.isReplay = isReplay;
     if (call.program === undefined) {
       exchange.logger = exchange.logger.withContext({program});
     }
@@ -67,8 +74,8 @@
     const {team, service} = this.call;
     const {answer, isDurable} = event;
     const durationMs = clock.nowMs() - this.startedMs;
-    const completionTokens =
-      answer.kind === 'chat' ? answer.usage.completionTokens : undefined;
+    const usage = answer.kind === 'chat' ? answer.usage : undefined;
+    if (usage !== undefined && !this.isReplay) this.addTokens(usage);
     metrics.recordValue('call_duration_ms', {service}, durationMs);
     metrics.addToCounter('calls_total', {service, result: 'finished'});
     this.exchange.logger.log('call_finished', {
@@ -76,7 +83,7 @@
       service,
       durationMs,
       isDurable,
-      completionTokens,
+      completionTokens: usage?.completionTokens,
     });
   }
 
@@ -94,4 +101,13 @@
       logger.log('call_failed', {team, service, kind, outcome});
     }
   }
+
+  private addTokens(usage: Usage): void {
+    const {metrics} = this.parts;
+    const labels = {service: this.call.service};
+    const {promptTokens, cachedTokens, completionTokens} = usage;
+    metrics.addToCounter('prompt_tokens_total', labels, promptTokens);
+    metrics.addToCounter('cached_tokens_total', labels, cachedTokens);
+    metrics.addToCounter('completion_tokens_total', labels, completionTokens);
+  }
 }
--- a/packages/entry/tests/server/caller_answers_steps.ts
+++ b/packages/entry/tests/server/caller_answers_steps.ts
@@ -214,6 +214,11 @@
     assert.equal((await get('/readyz')).status, 503);
     const {text} = await get('/metrics');
     assert.match(text, /^marigoldpost_calls_in_flight 1$/m);
+    await fixture.send(createChatRequest());
+    const after = (await get('/metrics')).text;
+    const counted =
+      /^marigoldpost_cached_tokens_total\{service="plan-models"\} 4$/m;
+    assert.match(after, counted);
   },
 );
 
--- a/packages/operations/src/http/operations_routes.ts
+++ b/packages/operations/src/http/operations_routes.ts
@@ -4,6 +4,7 @@
 import {createConfigRoutes} from './config_routes.js';
 import {createFleetRoutes} from './fleet_routes.js';
 import type {OperationsParts} from './operations_context.js';
+import {toPublicRoute} from './public_error.js';
 
 const htmlType = 'text/html; charset=utf-8';
 // The page loads nothing from elsewhere and runs only its own script.
@@ -16,6 +17,7 @@
  * @param parts - Parts of the daemon.
  */
 export function createOperationsRoutes(parts: OperationsParts): Route[] {
+  const routes = [...createConfigRoutes(parts), ...createFleetRoutes(parts)];
   return [
     {
       method: 'GET',
@@ -25,7 +27,6 @@
         exchange.writeText(200, htmlType, statusPage);
       },
     },
-    ...createConfigRoutes(parts),
-    ...createFleetRoutes(parts),
+    ...routes.map(toPublicRoute),
   ];
 }
--- a/packages/operations/tests/http/operations_routes_steps.ts
+++ b/packages/operations/tests/http/operations_routes_steps.ts
@@ -60,6 +60,13 @@
   },
 );
 
+Given(
+  "the platform of the operators' server loses its next answer",
+  function (this: OperationsWorld) {
+    this.operations.store.loseNextAnswers(1);
+  },
+);
+
 When(
   'an operator with key {string} sends {string} {string} with body {string}',
   async function (
