Make the test of a left-out token fail without its check

Cause: with the check of token order switched off the scenario still passed, since the stream also lacked its end. Change: the faulty stream now goes on to a finished event.

--- a/packages/entry/tests/server/caller_server_steps.ts
+++ b/packages/entry/tests/server/caller_server_steps.ts
@@ -53,7 +53,11 @@
       if (fault === 'target_failed') {
         throw MarigoldpostError.create('target_failed', 'target "a" died');
       }
-      if (fault === 'a token left out') yield token(2);
+      if (fault === 'a token left out') {
+        yield token(2);
+        yield token(3);
+        yield createChatEnd(answerTokens);
+      }
       if (fault === 'a plain answer') {
         const response = {status: 200, headers: {}, body: ''};
         const answer = {kind: 'plain', response} as const;
