Bound the close of a partition when the platform is away

Cause: a handover in an outage waited for the platform without end, and a move for balance could hold up takeovers while a tool hung. Change: nothing is handed over while the platform is down; a close that stalls copies what waits and ends; moves for balance wait for no request. Tested: close with a chat and with a booking under way.

--- a/packages/programs/src/keeper/program_keeper.ts
+++ b/packages/programs/src/keeper/program_keeper.ts
@@ -166,7 +166,8 @@
   /**
    * Takes no more calls, waits for those that must not be sent twice, commits
    * all and stops. Other calls end with `not_holder`; sent again, they go on at
-   * the next holder. Throws `fenced`.
+   * the next holder. Throws `fenced`, and `platform_unavailable` when what was
+   * pending could only be copied.
    * @param graceMs - Longest wait for calls, in milliseconds.
    */
   async close(graceMs = 0): Promise<void> {
@@ -175,7 +176,18 @@
     await this.waitForIntents(graceMs);
     this.abandonAll('not_holder');
     this.commitLazily({kind: 'partition_closed'});
-    await this.log.journal.close();
+    const {journal, partition} = this.log;
+    if (await this.log.settle(journal.close())) return;
+    journal.stop();
+    throw MarigoldpostError.create(
+      'platform_unavailable',
+      `partition "${partition}" could not be closed in time`,
+    );
+  }
+
+  /** Whether a request is under way that must not be sent twice. */
+  hasIntents(): boolean {
+    return this.admission.getTickets().some((ticket) => ticket.holdsIntent);
   }
 
   /** Stops at once; what is not committed is lost to this holder. */
@@ -265,9 +277,7 @@
   private async waitForIntents(graceMs: number): Promise<void> {
     const {clock} = this.options;
     const endMs = clock.nowMs() + graceMs;
-    const hasIntent = () =>
-      this.admission.getTickets().some((ticket) => ticket.holdsIntent);
-    while (hasIntent() && clock.nowMs() < endMs) {
+    while (this.hasIntents() && clock.nowMs() < endMs) {
       await clock.sleep(intentPollMs);
     }
   }
--- a/packages/programs/src/ownership/partition_manager.ts
+++ b/packages/programs/src/ownership/partition_manager.ts
@@ -138,7 +138,8 @@
   async handOver(partition: PartitionId, to: DaemonId): Promise<void> {
     const keeper = this.held.getKeeper(partition);
     if (keeper === undefined) return;
-    const {epoch} = keeper.getStatus();
+    const {epoch, isPlatformDown} = keeper.getStatus();
+    if (isPlatformDown) return;
     try {
       await keeper.close(this.options.drainMs);
       const entry = await this.assign(partition, to, epoch);
@@ -334,7 +335,10 @@
     const own = this.getOwn();
     const candidates = getCandidates(own, this.options.fleet.getMembers());
     const move = getNextMove(own, candidates);
-    if (move !== undefined) await this.handOver(move.partition, move.to);
+    if (move === undefined) return;
+    // A move for balance never waits for a request; the next pass tries again.
+    if (this.held.getKeeper(move.partition)?.hasIntents()) return;
+    await this.handOver(move.partition, move.to);
   }
 
   /** Names the next holder in the directory, through short outages. */
--- a/packages/programs/tests/keeper/takeover.feature
+++ b/packages/programs/tests/keeper/takeover.feature
@@ -42,3 +42,13 @@
     Given a holder of a partition that dies while a long chat streams
     When another daemon takes the partition over
     Then the successor counts at least the chat's worst case
+
+  Scenario Outline: A partition is closed for its next holder while <call> runs
+    Given a holder of a partition where <call> runs
+    When the holder closes the partition for its next holder
+    Then the next holder <result>
+
+    Examples:
+      | call      | result                                              |
+      | a chat    | picks the chat up with nothing counted as lost      |
+      | a booking | finds the booking answered, since the close waited  |
--- a/packages/programs/tests/keeper/takeover_steps.ts
+++ b/packages/programs/tests/keeper/takeover_steps.ts
@@ -219,3 +219,59 @@
     assert.equal(view.usedCalls, 1);
   },
 );
+
+Given(
+  /^a holder of a partition where (a chat|a booking) runs$/,
+  async function (this: TakeoverWorld, kind: string) {
+    if (kind === 'a booking') {
+      await bringBooking(this, 'after the intent');
+      return;
+    }
+    this.fixture = createKeeperFixture();
+    this.holder = await this.fixture.openKeeper();
+    this.ticket = this.holder.admitCall(createChatCall(), idempotent);
+    const {settle} = this.fixture;
+    this.turn = await settle(this.ticket.waitForTurn(createSignal()));
+    await settle(this.ticket.commitDispatch(engine));
+  },
+);
+
+When(
+  'the holder closes the partition for its next holder',
+  async function (this: TakeoverWorld) {
+    const {clock, settle} = this.fixture;
+    const closing = this.holder.close(lazyWaitMs);
+    if (this.booking !== undefined) {
+      await clock.advance(lazyWaitMs / 2);
+      const answer = createBookingAnswer();
+      await settle(this.ticket.complete(answer, createReport(booking)));
+    }
+    await settle(closing);
+    this.successor = await this.fixture.openKeeper('entry-2');
+  },
+);
+
+Then(
+  'the next holder picks the chat up with nothing counted as lost',
+  async function (this: TakeoverWorld) {
+    await assertFails(() => readAll(this.ticket), 'not_holder');
+    const [recovered] = this.successor.getRecoveredCalls();
+    assert.equal(recovered?.call.callId, this.ticket.call.callId);
+    const {program} = this.ticket;
+    const view = this.successor.getProgramViewOrThrow(team, program);
+    assert.equal(view.usedTokens, 0);
+    assert.equal(view.reservedTokens, this.turn.reservedTokens);
+  },
+);
+
+Then(
+  'the next holder finds the booking answered, since the close waited',
+  async function (this: TakeoverWorld) {
+    const again = {...this.booking, callId: createChatCall().callId};
+    const ticket = this.successor.admitCall(again, once);
+    assert.equal(ticket.isOwner, false);
+    const last = (await readAll(ticket)).at(-1);
+    assert.ok(last?.kind === 'finished');
+    assert.deepEqual(last.answer, createBookingAnswer());
+  },
+);
