--- a/packages/daemon/src/limits/peer_grant_client.ts
+++ b/packages/daemon/src/limits/peer_grant_client.ts
@@ -3,6 +3,7 @@
   type DataCentreId,
   MarigoldpostError,
   type PartitionId,
+  toId,
 } from '@marigoldpost/common';
 import {
   GrantClient,
@@ -62,7 +63,7 @@
     const {desk, locator, transport} = this.options;
     const partition = this.getPartition(returned.limit);
     if (this.isHeldHere(partition)) {
-      desk.takeBack(returned);
+      await desk.takeBack(returned);
       return;
     }
     await transport.ask(
@@ -75,7 +76,7 @@
   private getPartition(limit: string): PartitionId {
     const {dataCentre, locator} = this.options;
     const count = locator.getOwnPartitions().length;
-    return getKeeperPartition(limit as LimitId, dataCentre, count);
+    return getKeeperPartition(toId<LimitId>(limit), dataCentre, count);
   }
 
   private isHeldHere(partition: PartitionId): boolean {
--- a/packages/daemon/src/peers/peer_request_handler.ts
+++ b/packages/daemon/src/peers/peer_request_handler.ts
@@ -107,9 +107,9 @@
         return {case: 'heartbeat', value};
       }
       case 'grantRequest':
-        return {case: 'grant', value: desk.grant(request.value)};
+        return {case: 'grant', value: await desk.grant(request.value)};
       case 'grantReturn':
-        desk.takeBack(request.value);
+        await desk.takeBack(request.value);
         return createAcknowledgement();
       case 'copyRecords':
         return this.handleCopy(request.value);
--- a/packages/limits/src/keeper/limit_account.ts
+++ b/packages/limits/src/keeper/limit_account.ts
@@ -54,6 +54,37 @@
     return new LimitAccount(clock, confirmsUntilMs);
   }
 
+  /**
+   * Counts what a predecessor may have granted a holder as out, until the
+   * holder says what it has.
+   * @param holder - The holder.
+   * @param amount - Most that it may have.
+   * @param untilMs - When a predecessor's grants have lapsed.
+   */
+  addFormerGrant(holder: string, amount: number, untilMs: number): void {
+    this.records.set(holder, {
+      sequence: -1n,
+      requestId: '',
+      reply: create(GrantReplySchema, {}),
+      granted: 0,
+      grantedUntilMs: never,
+      held: amount,
+      heldUntilMs: untilMs,
+      wanted: 0,
+      seenMs: this.clock.nowMs(),
+      turnStartedMs: never,
+    });
+  }
+
+  /**
+   * Gets how much one holder may have in use.
+   * @param holder - The holder.
+   */
+  getHolderOutstanding(holder: string): number {
+    const record = this.records.get(holder);
+    return record === undefined ? 0 : this.getOutstanding(record);
+  }
+
   /**
    * Grants what may be granted; the same request gets the same reply.
    * @param request - Who wants how much.
--- a/packages/limits/src/keeper/limit_keeper.ts
+++ b/packages/limits/src/keeper/limit_keeper.ts
@@ -17,6 +17,18 @@
   readonly isHolder: () => boolean;
   /** Whether a predecessor may have handed out grants; true by default. */
   readonly hasPredecessor?: boolean;
+  /**
+   * Bounds on what a predecessor has granted, from the partition's journal.
+   * Without them nothing new is granted until its grants have lapsed.
+   */
+  readonly formerGrants?: readonly FormerGrant[];
+}
+
+/** Bound on what a holder may have from a predecessor. */
+export interface FormerGrant {
+  readonly limit: string;
+  readonly holder: string;
+  readonly amount: number;
 }
 
 /** Keeper of limits, made anew each time the partition is taken over. */
@@ -69,6 +81,15 @@
     return this.accounts.get(limit)?.getTotalOutstanding() ?? 0;
   }
 
+  /**
+   * Gets how much of a limit one holder may have in use.
+   * @param limit - The limit.
+   * @param holder - The holder, as its requests name it.
+   */
+  getHolderOutstanding(limit: LimitId, holder: string): number {
+    return this.accounts.get(limit)?.getHolderOutstanding(holder) ?? 0;
+  }
+
   private checkHolder(limit: string): void {
     if (this.options.isHolder()) return;
     const message = `limit "${limit}" is kept by another daemon`;
@@ -78,11 +99,15 @@
   private getAccount(limit: LimitId, {termMs}: LimitTerms): LimitAccount {
     const known = this.accounts.get(limit);
     if (known !== undefined) return known;
-    const {clock, hasPredecessor = true} = this.options;
-    const confirmsUntilMs = hasPredecessor
-      ? this.startMs + termMs
-      : Number.NEGATIVE_INFINITY;
+    const {clock, hasPredecessor = true, formerGrants} = this.options;
+    const lapsedMs = this.startMs + termMs;
+    const waitsOut = hasPredecessor && formerGrants === undefined;
+    const confirmsUntilMs = waitsOut ? lapsedMs : Number.NEGATIVE_INFINITY;
     const account = LimitAccount.create(clock, confirmsUntilMs);
+    for (const former of formerGrants ?? []) {
+      if (former.limit !== limit) continue;
+      account.addFormerGrant(former.holder, former.amount, lapsedMs);
+    }
     this.accounts.set(limit, account);
     return account;
   }
--- a/packages/programs/src/index.ts
+++ b/packages/programs/src/index.ts
@@ -11,5 +11,6 @@
 export * from './keeper/record_copier.js';
 export * from './keeper/turn_context.js';
 export * from './ownership/handover_sender.js';
+export type {GrantNote} from './records/program_record.js';
 export * from './ownership/partition_manager.js';
 export * from './ownership/partition_manager_options.js';
--- a/packages/programs/src/keeper/program_keeper.ts
+++ b/packages/programs/src/keeper/program_keeper.ts
@@ -8,6 +8,7 @@
 } from '@marigoldpost/common';
 import type {Call} from '../calls/call.js';
 import type {ProgramHistory, ProgramView} from '../calls/program_view.js';
+import type {GrantNote} from '../records/program_record.js';
 import type {ProgramState} from '../state/program_state.js';
 import {CallAdmission} from './call_admission.js';
 import type {CallTicket} from './call_ticket.js';
@@ -99,6 +100,16 @@
     return this.admission.admitCall(call, traits);
   }
 
+  /**
+   * Gets the team of a program; throws `unknown_program`.
+   * @param program - The program.
+   */
+  getTeamOrThrow(program: ProgramId): TeamId {
+    const state = this.log.state.getProgram(program);
+    if (state !== undefined) return state.team;
+    throw createUnknownProgramError(program);
+  }
+
   /**
    * Gets a program; throws `unknown_program`, also for another team's.
    * @param team - The caller's team.
@@ -158,6 +169,23 @@
     this.commitLazily({kind: 'cache_released', program, target});
   }
 
+  /** Gets the bounds on holders' shares of the limits kept here. */
+  getGrantNotes(): readonly GrantNote[] {
+    return [...this.log.state.getGrantNotes()];
+  }
+
+  /**
+   * Notes a bound on a holder's share of a limit, for a successor. A raised
+   * bound is committed before the promise settles; throws `fenced`.
+   * @param note - The bound.
+   */
+  async noteGrant(note: GrantNote): Promise<void> {
+    this.checkIsHeld();
+    const options = {isEssential: true};
+    const durable = this.log.commit({kind: 'grant_noted', ...note}, options);
+    await this.log.settle(durable);
+  }
+
   /** Commits everything that is pending; throws `fenced`. */
   async flush(): Promise<void> {
     await this.log.journal.flush();
@@ -339,10 +367,7 @@
   private getStateOrThrow(team: TeamId, program: ProgramId): ProgramState {
     const state = this.log.state.getProgram(program);
     if (state?.team === team) return state;
-    throw MarigoldpostError.create(
-      'unknown_program',
-      `program "${program}" does not exist`,
-    );
+    throw createUnknownProgramError(program);
   }
 
   private checkIsHeld(): void {
@@ -353,3 +378,8 @@
     );
   }
 }
+
+function createUnknownProgramError(program: ProgramId): MarigoldpostError {
+  const message = `program "${program}" does not exist`;
+  return MarigoldpostError.create('unknown_program', message);
+}
--- a/packages/programs/src/records/program_record.ts
+++ b/packages/programs/src/records/program_record.ts
@@ -102,6 +102,19 @@
   readonly kind: 'partition_recovered';
 }
 
+/** Bound on what a holder may have of a limit that the partition keeps. */
+export interface GrantNote {
+  readonly limit: string;
+  readonly holder: string;
+  /** Units; 0 once the holder has nothing. */
+  readonly amount: number;
+}
+
+/** The bound on a holder's share of a limit changed. */
+export interface GrantNoted extends GrantNote {
+  readonly kind: 'grant_noted';
+}
+
 /** One program's whole state, in a snapshot. */
 export interface ProgramSnapshot {
   readonly kind: 'program_snapshot';
@@ -118,6 +131,7 @@
   | CacheReleased
   | PartitionClosed
   | PartitionRecovered
+  | GrantNoted
   | ProgramSnapshot;
 
 const kindSchema = z.looseObject({
@@ -130,6 +144,7 @@
     'cache_released',
     'partition_closed',
     'partition_recovered',
+    'grant_noted',
     'program_snapshot',
   ]),
 });
--- a/packages/programs/src/state/partition_state.ts
+++ b/packages/programs/src/state/partition_state.ts
@@ -4,6 +4,8 @@
   CallCompleted,
   CallDispatched,
   CallFailed,
+  GrantNote,
+  GrantNoted,
   ProgramAdded,
   ProgramEnded,
   ProgramRecord,
@@ -20,6 +22,7 @@
 /** The programs of one partition; applying a record never fails. */
 export class PartitionState {
   private readonly programs = new Map<ProgramId, ProgramState>();
+  private readonly grants = new Map<string, GrantNoted>();
 
   private constructor() {}
 
@@ -57,11 +60,20 @@
     this.programs.delete(program);
   }
 
+  /** Gets the bounds on holders' shares of the limits kept here. */
+  getGrantNotes(): Iterable<GrantNote> {
+    return this.grants.values();
+  }
+
   /** Gets the whole state as JSON texts of records. */
   toSnapshot(): string[] {
-    return [...this.programs.values()].map((state) =>
+    const programs = [...this.programs.values()].map((state) =>
       JSON.stringify({kind: 'program_snapshot', state}),
     );
+    const grants = [...this.grants.values()].map((note) =>
+      JSON.stringify(note),
+    );
+    return [...programs, ...grants];
   }
 
   /**
@@ -86,6 +98,8 @@
         return this.applyClosed();
       case 'partition_recovered':
         return this.applyRecovered();
+      case 'grant_noted':
+        return this.applyGrant(record);
       case 'program_snapshot':
         this.programs.set(record.state.program, record.state);
     }
@@ -153,6 +167,12 @@
     state.targets = state.targets.filter((other) => other !== target);
   }
 
+  private applyGrant(record: GrantNoted): void {
+    const key = JSON.stringify([record.limit, record.holder]);
+    if (record.amount > 0) this.grants.set(key, record);
+    else this.grants.delete(key);
+  }
+
   private applyClosed(): void {
     for (const {account} of this.programs.values()) {
       account.capTokens = account.usedTokens + account.reservedTokens;
