Show operators the fleet and any program from each entry VM

Cause: the operators' routes had no source behind them. Change: FleetStatusSource over the daemon's parts; operations on a program may come without a team; targets tell their requests in flight.

--- a/packages/daemon/src/calls/call_runner.ts
+++ b/packages/daemon/src/calls/call_runner.ts
@@ -11,6 +11,7 @@
   CallTraits,
   ChatCall,
   ProgramKeeper,
+  RecoveredCall,
 } from '@marigoldpost/programs';
 import type {OperatorsConfig, ServiceConfig} from '@marigoldpost/settings';
 import {ChatRunner} from './chat_runner.js';
@@ -25,11 +26,25 @@
   readonly getConfig: () => OperatorsConfig | undefined;
 }
 
+/** A call under way. */
+interface RunningCall {
+  readonly ticket: CallTicket;
+  readonly ended: Promise<void>;
+}
+
+/** Numbers of calls under way. */
+export interface CallCounts {
+  /** Calls that a target runs. */
+  readonly inFlight: number;
+  /** Calls that wait for their turn, a limit or a target. */
+  readonly waiting: number;
+}
+
 /** Runs calls and lets any number of readers follow each. */
 export class CallRunner {
   private readonly chatRunner: ChatRunner;
   private readonly plainRunner: PlainRunner;
-  private readonly running = new Map<CallId, Promise<void>>();
+  private readonly running = new Map<CallId, RunningCall>();
 
   private constructor(private readonly options: CallRunnerOptions) {
     this.chatRunner = ChatRunner.create(options.context);
@@ -76,24 +91,50 @@
    * @param keeper - Keeper of a partition that was just opened.
    */
   resumeRecovered(keeper: ProgramKeeper): void {
-    for (const {call, traits, target} of keeper.getRecoveredCalls()) {
-      const resumed = call.kind === 'chat' ? toResumed(call, target) : call;
-      const ticket = keeper.admitCall(resumed, traits);
-      if (ticket.isOwner) this.start(ticket, traits);
+    for (const recovered of keeper.getRecoveredCalls()) {
+      try {
+        this.resume(keeper, recovered);
+      } catch (error) {
+        // A call that can no longer run tells its caller when it is sent again.
+        this.logFailure(recovered.call, error);
+      }
     }
   }
 
   /** Waits until no call is under way. */
   async waitUntilIdle(): Promise<void> {
-    while (this.running.size > 0) await Promise.all(this.running.values());
+    while (this.running.size > 0) {
+      await Promise.all([...this.running.values()].map(({ended}) => ended));
+    }
+  }
+
+  /**
+   * Counts the calls under way that fit a condition.
+   * @param fits - The condition.
+   */
+  countCalls(fits: (call: Call) => boolean): CallCounts {
+    const {registry} = this.options.context;
+    const calls = [...this.running.values()].map(({ticket}) => ticket.call);
+    const fitting = calls.filter(fits);
+    const sent = fitting.filter(({callId}) => registry.hasWork(callId));
+    return {inFlight: sent.length, waiting: fitting.length - sent.length};
+  }
+
+  private resume(
+    keeper: ProgramKeeper,
+    {call, traits, target}: RecoveredCall,
+  ): void {
+    const resumed = call.kind === 'chat' ? toResumed(call, target) : call;
+    const ticket = keeper.admitCall(resumed, traits);
+    if (ticket.isOwner) this.start(ticket, traits);
   }
 
   private start(ticket: CallTicket, traits: CallTraits): void {
     const {callId} = ticket.call;
-    const run = this.run(ticket, traits)
-      .catch((error: unknown) => this.logFailure(ticket, error))
+    const ended = this.run(ticket, traits)
+      .catch((error: unknown) => this.logFailure(ticket.call, error))
       .finally(() => this.running.delete(callId));
-    this.running.set(callId, run);
+    this.running.set(callId, {ticket, ended});
   }
 
   private run(ticket: CallTicket, traits: CallTraits): Promise<void> {
@@ -104,8 +145,7 @@
   }
 
   /** A ticket that fails by itself has already told its readers why. */
-  private logFailure(ticket: CallTicket, error: unknown): void {
-    const {team, service} = ticket.call;
+  private logFailure({team, service}: Call, error: unknown): void {
     const known = error instanceof MarigoldpostError ? error : undefined;
     this.options.context.logger.log('call_failed', {
       team,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,12 +6,19 @@
   SystemClock,
 } from '@marigoldpost/common';
 import {CallerServer} from '@marigoldpost/entry';
+import {
+  ActionLog,
+  ConfigStore,
+  createOperationsRoutes,
+  type OperationsParts,
+} from '@marigoldpost/operations';
 import {ConnectPeerTransport} from '@marigoldpost/peers';
 import {HttpObjectStore, HttpVmList} from '@marigoldpost/platform';
-import type {DaemonSettings} from '@marigoldpost/settings';
+import {type DaemonSettings, parseOperatorsText} from '@marigoldpost/settings';
 import {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import {DaemonCore} from './daemon_core.js';
 import type {DaemonOptions} from './daemon_options.js';
+import {FleetStatusSource} from './status/fleet_status_source.js';
 
 const platformTimeoutMs = 3000;
 /** Time for the platform's balancer to see that the daemon is not ready. */
@@ -25,7 +32,8 @@
   private constructor(private readonly options: DaemonOptions) {
     this.core = DaemonCore.create(options);
     const {gateway} = this.core;
-    this.server = CallerServer.create({...options, gateway});
+    const extraRoutes = createOperationsRoutes(this.createOperations());
+    this.server = CallerServer.create({...options, gateway, extraRoutes});
   }
 
   /**
@@ -100,6 +108,20 @@
     logger.log('daemon_stopped', {drainMs, cutOff: this.server.inFlight});
   }
 
+  private createOperations(): OperationsParts {
+    const {core, options} = this;
+    const {settings, clock, random, logger} = options;
+    const {store} = core;
+    const {name: daemon, dataCentre} = settings;
+    const parse = parseOperatorsText;
+    return {
+      source: FleetStatusSource.create({daemon, dataCentre, clock, core}),
+      configs: ConfigStore.create({store, clock, random, parse}),
+      actions: ActionLog.create({store, clock, random}),
+      logger,
+    };
+  }
+
   /** Ends at once, as a killed process does. */
   async kill(): Promise<void> {
     await this.server.kill();
--- a/packages/daemon/src/daemon_core.ts
+++ b/packages/daemon/src/daemon_core.ts
@@ -48,6 +48,7 @@
   readonly locator: PartitionLocator;
   readonly limiter: OwnerLimiter;
   readonly runner: CallRunner;
+  readonly operator: ProgramOperator;
   readonly gateway: CallGateway;
   private readonly desk: LimitDesk;
   private readonly releaser: CacheReleaser;
@@ -71,7 +72,9 @@
     this.limiter = this.createLimiter();
     this.runner = this.createRunner();
     this.releaser = CacheReleaser.create({...options, ...this.getParts()});
+    this.operator = ProgramOperator.create({...options, ...this.getParts()});
     this.gateway = this.createGateway();
+    this.servePeers();
     this.connect();
   }
 
@@ -283,24 +286,22 @@
   private createGateway(): CallGateway {
     const parts = {...this.options, ...this.getParts()};
     const relay = CallRelay.create(parts);
-    const operator = ProgramOperator.create(parts);
     const getConfig = () => this.getConfig();
     const getLeaseMs = () => getConfig()?.fleet.leaseMs ?? defaultLeaseMs;
     const router = CallRouter.create({...parts, relay, getLeaseMs});
-    this.servePeers(operator);
     return DaemonGateway.create({
       ...parts,
       router,
-      operator,
+      operator: this.operator,
       getConfig,
       isReady: () => this.isReady(),
     });
   }
 
-  private servePeers(operator: ProgramOperator): void {
+  private servePeers(): void {
     const handler = PeerRequestHandler.create({
       ...this.getParts(),
-      operator,
+      operator: this.operator,
       copies: RecordCopyStore.create(maxCopiedBytes),
       desk: this.desk,
       follower: this.follower,
@@ -376,7 +377,8 @@
     }
   }
 
-  private getOwnState(): OwnState {
+  /** Gets what the daemon announces of itself. */
+  getOwnState(): OwnState {
     const current = this.follower.getCurrent();
     return {
       configVersion: current?.version ?? 0,
--- a/packages/daemon/src/platform/observed_object_store.ts
+++ b/packages/daemon/src/platform/observed_object_store.ts
@@ -21,9 +21,11 @@
 /** Passes calls on and tells whether the platform is within reach. */
 export class ObservedObjectStore extends ObjectStore {
   private lostAtMs: number | undefined;
+  private lastCallAtMs: number;
 
   private constructor(private readonly options: ObservedObjectStoreOptions) {
     super();
+    this.lastCallAtMs = options.clock.nowMs();
   }
 
   /**
@@ -39,6 +41,11 @@
     return this.lostAtMs === undefined;
   }
 
+  /** Gets the time since the last call ended, in milliseconds. */
+  getLastCallAgeMs(): number {
+    return this.options.clock.nowMs() - this.lastCallAtMs;
+  }
+
   override getObject(key: string): Promise<StoredObject | undefined> {
     return this.observe('get', this.options.store.getObject(key));
   }
@@ -105,6 +112,7 @@
     const {clock, logger, metrics} = this.options;
     const labels = {operation, result: kind};
     metrics.addToCounter('platform_calls_total', labels);
+    this.lastCallAtMs = clock.nowMs();
     if (this.lostAtMs !== undefined) return;
     this.lostAtMs = clock.nowMs();
     logger.log('platform_lost', {kind});
@@ -113,6 +121,7 @@
   private noteReached(operation: Operation, result: string): void {
     const {clock, logger, metrics} = this.options;
     metrics.addToCounter('platform_calls_total', {operation, result});
+    this.lastCallAtMs = clock.nowMs();
     if (this.lostAtMs === undefined) return;
     const outageMs = clock.nowMs() - this.lostAtMs;
     this.lostAtMs = undefined;
--- a/packages/daemon/src/programs/program_operation.ts
+++ b/packages/daemon/src/programs/program_operation.ts
@@ -15,7 +15,8 @@
 /** Reads or ends a program. */
 interface ProgramIdOperation {
   readonly kind: 'view' | 'history' | 'end';
-  readonly team: TeamId;
+  /** The caller's team; an operator's operation has none. */
+  readonly team?: TeamId;
   readonly program: ProgramId;
 }
 
--- a/packages/daemon/src/programs/program_operator.ts
+++ b/packages/daemon/src/programs/program_operator.ts
@@ -100,7 +100,8 @@
   keeper: ProgramKeeper,
   operation: ProgramOperation,
 ): Promise<ProgramOperationResult> {
-  const {team, program} = operation;
+  const {program} = operation;
+  const team = operation.team ?? keeper.getTeamOrThrow(program);
   switch (operation.kind) {
     case 'add':
       return {view: await keeper.addProgram(operation)};
--- a/packages/peers/src/membership/member_record.ts
+++ b/packages/peers/src/membership/member_record.ts
@@ -127,6 +127,7 @@
       isDraining: this.isDraining,
       reachesPlatform: this.reachesPlatform,
       partitions: this.partitions,
+      configVersion: this.configVersion,
       ageMs: nowMs - this.heardAtMs,
     };
   }
--- a/packages/platform/src/fleet/fleet_view.ts
+++ b/packages/platform/src/fleet/fleet_view.ts
@@ -28,6 +28,8 @@
   readonly isDraining: boolean;
   readonly reachesPlatform: boolean;
   readonly partitions: readonly AnnouncedPartition[];
+  /** Version of the operators' text in force there, if it is known. */
+  readonly configVersion?: number;
   /** Time since the daemon was last heard of, in milliseconds. */
   readonly ageMs: number;
 }
--- a/packages/targets/src/registry/target_record.ts
+++ b/packages/targets/src/registry/target_record.ts
@@ -69,6 +69,7 @@
       isOpen: state === 'open' || (state === 'probing' && this.canProbe()),
       models: this.getModels(),
       checksFencing: service.checksFencing,
+      inFlight: this.work.size,
       load,
       loadAgeMs:
         load === undefined ? undefined : this.clock.nowMs() - this.loadAtMs,
--- a/packages/targets/src/registry/target_registry.ts
+++ b/packages/targets/src/registry/target_registry.ts
@@ -1,5 +1,6 @@
 /** The targets of a daemon: which there are, how they fare, how to reach them. */
 import {
+  type CallId,
   type Clock,
   type DataCentreId,
   isErrorOfKind,
@@ -139,6 +140,14 @@
     throw MarigoldpostError.create('no_target', message);
   }
 
+  /**
+   * Whether a call of this daemon runs on some target.
+   * @param callId - The call.
+   */
+  hasWork(callId: CallId): boolean {
+    return [...this.records.values()].some(({work}) => work.has(callId));
+  }
+
   /**
    * Notes that a request goes to a target.
    * @param work - The request.
--- a/packages/targets/src/registry/target_view.ts
+++ b/packages/targets/src/registry/target_view.ts
@@ -29,6 +29,8 @@
   readonly models: readonly ModelId[];
   /** Whether the target refuses orders with an old fencing number. */
   readonly checksFencing: boolean;
+  /** Requests of this daemon that run there. */
+  readonly inFlight: number;
   /** The last report of an engine. */
   readonly load?: EngineLoad;
   /** Time since the last report, in milliseconds. */
