--- /dev/null
+++ b/packages/cli/src/demo/demo_fleet.ts
@@ -0,0 +1,145 @@
+/** Eight entry VMs and all that surrounds them, over loopback sockets. */
+import {createServer, type AddressInfo} from 'node:net';
+import {
+  type DaemonId,
+  SeededRandom,
+  SystemClock,
+  toId,
+} from '@marigoldpost/common';
+import {Daemon} from '@marigoldpost/daemon';
+import {ConfigStore} from '@marigoldpost/operations';
+import {type DaemonSettings, parseOperatorsText} from '@marigoldpost/settings';
+import {type SiteAddresses, StandinSite} from '@marigoldpost/standins';
+import {EventLogger} from '@marigoldpost/telemetry';
+import {type Deployment, readOperatorsText} from './deployment.js';
+
+const host = '127.0.0.1';
+const daemonCount = 8;
+const maxBodyBytes = 1_048_576;
+const drainMs = 10_000;
+const pollMs = 100;
+const startTimeoutMs = 20_000;
+const seed = 20_261_203;
+
+/** The fleet of one deployment. */
+export class DemoFleet {
+  readonly clock = SystemClock.create();
+  readonly daemons: Daemon[] = [];
+
+  private constructor(
+    readonly deployment: Deployment,
+    readonly site: StandinSite,
+  ) {}
+
+  /**
+   * Creates a fleet that is not started.
+   * @param deployment - The deployment.
+   */
+  static create(deployment: Deployment): DemoFleet {
+    const {dataCentres, services} = deployment;
+    const site = StandinSite.create({dataCentres, services, seed});
+    return new DemoFleet(deployment, site);
+  }
+
+  /** Starts the surroundings, puts the text in force and starts the daemons. */
+  async start(): Promise<void> {
+    const addresses = await this.site.start();
+    await this.applyText();
+    for (let index = 0; index < daemonCount; index++) {
+      await this.addDaemon(index, addresses);
+    }
+    await Promise.all(this.daemons.map((daemon) => daemon.start()));
+    await this.waitUntilHeld();
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    await Promise.allSettled(this.daemons.map((daemon) => daemon.kill()));
+    await this.site.stop();
+  }
+
+  /**
+   * Gets where callers reach an entry VM.
+   * @param index - Number of the entry VM, from 0.
+   */
+  getCallerAddress(index: number): string {
+    const daemon = this.daemons[index % this.daemons.length];
+    return `http://${host}:${daemon?.callerPort ?? 0}`;
+  }
+
+  private async applyText(): Promise<void> {
+    const configs = ConfigStore.create({
+      store: this.site.store,
+      clock: this.clock,
+      random: SeededRandom.create(seed),
+      parse: parseOperatorsText,
+    });
+    await configs.applyChange({
+      text: await readOperatorsText(this.deployment),
+      baseVersion: 0,
+      author: 'demo',
+      why: 'first text',
+    });
+  }
+
+  private async addDaemon(
+    index: number,
+    {platformAddress, vmListAddress}: SiteAddresses,
+  ): Promise<void> {
+    const {dataCentres} = this.deployment;
+    const dataCentre = dataCentres[index % dataCentres.length]!;
+    const peerPort = await findFreePort();
+    const name = toId<DaemonId>(`entry-${index + 1}`);
+    const settings: DaemonSettings = {
+      name,
+      dataCentre,
+      callerHost: host,
+      callerPort: 0,
+      peerHost: host,
+      peerPort,
+      platformAddress,
+      vmListAddress,
+      logLevel: 'error',
+      maxBodyBytes,
+      drainMs,
+    };
+    const address = `http://${host}:${peerPort}`;
+    this.site.vmList.setVm({name, dataCentre, address, state: 'live'});
+    this.daemons.push(Daemon.create(settings, EventLogger.createSilent()));
+  }
+
+  /** Waits until every partition has a holder. */
+  private async waitUntilHeld(): Promise<void> {
+    const deadlineMs = this.clock.nowMs() + startTimeoutMs;
+    while (this.countHeld() < this.countPartitions()) {
+      if (this.clock.nowMs() > deadlineMs) {
+        throw new Error('not every partition has found a holder');
+      }
+      await this.clock.sleep(pollMs);
+    }
+  }
+
+  private countHeld(): number {
+    const counts = this.daemons.map(
+      ({core}) => core.manager.getPartitions().length,
+    );
+    return counts.reduce((sum, count) => sum + count, 0);
+  }
+
+  private countPartitions(): number {
+    const config = this.daemons[0]?.core.getConfig();
+    if (config === undefined) return Infinity;
+    return config.dataCentres.size * config.fleet.partitionsPerDataCentre;
+  }
+}
+
+function findFreePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, host, () => {
+      const {port} = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -9,6 +9,7 @@
 import {ConfigGet} from './commands/config/config_get.js';
 import {ConfigHistory} from './commands/config/config_history.js';
 import {ConfigStatus} from './commands/config/config_status.js';
+import {Demo} from './commands/demo.js';
 import {ProgramEnd} from './commands/program/program_end.js';
 import {ProgramHistory} from './commands/program/program_history.js';
 import {ProgramShow} from './commands/program/program_show.js';
@@ -21,6 +22,8 @@
 import {TeamApprove} from './commands/team/team_approve.js';
 import {TeamRevoke} from './commands/team/team_revoke.js';
 
+export type * from './demo/demo_evidence.js';
+export * from './demo/demo_judge.js';
 export * from './utils/exit_codes.js';
 
 /** Every command by the words that call it. */
@@ -35,6 +38,7 @@
   'config:get': ConfigGet,
   'config:history': ConfigHistory,
   'config:status': ConfigStatus,
+  demo: Demo,
   'program:end': ProgramEnd,
   'program:history': ProgramHistory,
   'program:show': ProgramShow,
