Prove that each fault of a build shows in the demo's verdict

Cause: a zero that nothing could raise proves nothing. Change: a table of faulty builds, each counted once.

--- /dev/null
+++ b/packages/cli/tests/demo/demo_judge.feature
@@ -0,0 +1,22 @@
+Feature: The demo's verdict
+  Each zero in the demo's table is counted from what callers and stand-ins saw.
+
+  Scenario: A run without faults is clean
+    Given the evidence of a demo run without faults
+    Then the demo's verdict is clean
+
+  Scenario Outline: A faulty build shows in the verdict
+    Given the evidence of a demo run without faults
+    When a faulty build <fault>
+    Then the demo's verdict counts 1 in "<count>"
+    And the demo's verdict is not clean
+
+    Examples:
+      | fault                                    | count           |
+      | runs a booking twice                     | doubledBookings |
+      | confirms a booking that it never ran     | lostBookings    |
+      | loses the last turn of a history         | wrongHistories  |
+      | mixes two histories                      | wrongHistories  |
+      | repeats a turn in a history              | wrongHistories  |
+      | lets a program and sub-agent overspend   | exceededBudgets |
+      | refuses a booking as not run that ran    | falseRefusals   |
