Hold both transports between daemons to one contract

Cause: the in-memory network let a handler that throws at once break the process, found by the contract's row for foreign errors. Change: contract tests over memory and over loopback sockets; the handler is called inside the exchange's own error handling; PausableClock for paused processes.

--- /dev/null
+++ b/packages/peers/tests/transport/transport_fixture.ts
@@ -0,0 +1,107 @@
+/** Two daemons joined by one kind of transport. */
+import {create} from '@bufbuild/protobuf';
+import {type DaemonId, toId, VirtualClock} from '@marigoldpost/common';
+import {
+  ConfigTextSchema,
+  ConnectPeerTransport,
+  FetchConfigSchema,
+  type PeerAddress,
+  type PeerReplyBody,
+  type PeerRequestBody,
+  type PeerTransport,
+} from '@marigoldpost/peers';
+import {MemoryPeerNetwork} from '@marigoldpost/standins';
+
+/** A requester, a server, and a way to end and restart the server. */
+export interface TransportFixture {
+  readonly clock: VirtualClock;
+  readonly client: PeerTransport;
+  readonly server: PeerTransport;
+  readonly serverAddress: PeerAddress;
+  restartServer(): Promise<PeerTransport>;
+  stop(): Promise<void>;
+}
+
+const clientId = toId<DaemonId>('client');
+const serverId = toId<DaemonId>('server');
+const host = '127.0.0.1';
+
+/** Creates the fixture for `memory` or `connect`. */
+export function createTransportFixture(
+  kind: string,
+): Promise<TransportFixture> {
+  return kind === 'memory' ? createMemory() : createConnect();
+}
+
+async function createMemory(): Promise<TransportFixture> {
+  const clock = VirtualClock.create();
+  const network = MemoryPeerNetwork.create({clock});
+  const client = network.createTransport(clientId);
+  const server = network.createTransport(serverId);
+  await client.start();
+  await server.start();
+  return {
+    clock,
+    client,
+    server,
+    serverAddress: {daemon: serverId, address: 'http://10.0.0.1:1'},
+    restartServer: async () => {
+      const restarted = network.createTransport(serverId);
+      await restarted.start();
+      return restarted;
+    },
+    stop: async () => {
+      await client.stop();
+      await server.stop();
+    },
+  };
+}
+
+async function createConnect(): Promise<TransportFixture> {
+  const clock = VirtualClock.create();
+  const started: ConnectPeerTransport[] = [];
+  const startTransport = async (daemon: DaemonId, port: number) => {
+    const transport = ConnectPeerTransport.create({daemon, host, port, clock});
+    await transport.start();
+    started.push(transport);
+    return transport;
+  };
+  const client = await startTransport(clientId, 0);
+  const server = await startTransport(serverId, 0);
+  const serverAddress = server.getAddress();
+  const port = Number(new URL(serverAddress.address).port);
+  return {
+    clock,
+    client,
+    server,
+    serverAddress,
+    restartServer: () => startTransport(serverId, port),
+    stop: async () => {
+      for (const transport of started) await transport.stop();
+    },
+  };
+}
+
+/** Creates a request that carries one number. */
+export function createNumberRequest(value: number): PeerRequestBody {
+  const message = create(FetchConfigSchema, {aboveVersion: BigInt(value)});
+  return {case: 'fetchConfig', value: message};
+}
+
+/** Gets the number that a request carries. */
+export function getRequestNumber(request: PeerRequestBody): number {
+  return request.case === 'fetchConfig'
+    ? Number(request.value.aboveVersion)
+    : -1;
+}
+
+/** Creates a reply that carries one number. */
+export function createNumberReply(value: number): PeerReplyBody {
+  const message = create(ConfigTextSchema, {version: BigInt(value)});
+  return {case: 'config', value: message};
+}
+
+/** Gets the number that a reply carries. */
+export function getReplyNumber(reply: PeerReplyBody): number {
+  return reply.case === 'config' ? Number(reply.value.version) : -1;
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -19,3 +19,4 @@
 export * from './servers/weight_store_server.js';
 export * from './site/site_description.js';
 export * from './site/standin_site.js';
+export * from './memory/pausable_clock.js';
--- a/packages/standins/src/memory/memory_peer_network.ts
+++ b/packages/standins/src/memory/memory_peer_network.ts
@@ -162,23 +162,17 @@
     if (this.isCut(sender, peer)) return;
     exchange.isHandedOver = true;
     if (!(await this.pass(sender, peer))) return;
-    const {handler} = this.getPort(peer);
-    if (handler === undefined) {
-      exchange.fail(
-        MarigoldpostError.create('draining', 'daemon takes no requests yet'),
-      );
-      return;
-    }
-    await this.answer(exchange, handler(sender, body, exchange.signal));
+    await this.answer(exchange, body);
   }
 
   private async answer(
     exchange: MemoryExchange,
-    replies: AsyncIterable<PeerReplyBody>,
+    body: PeerRequestBody,
   ): Promise<void> {
-    const {sender, peer} = exchange;
+    const {sender, peer, signal} = exchange;
     try {
-      for await (const reply of replies) {
+      const {handler = refuse} = this.getPort(peer);
+      for await (const reply of handler(sender, body, signal)) {
         if (!(await exchange.takeCredit())) return;
         if (!(await this.pass(peer, sender))) return;
         exchange.addReply(copyReply(reply));
@@ -214,7 +208,7 @@
 
 /** One daemon's transport. */
 class MemoryPeerTransport extends PeerTransport {
-  private handler: PeerHandler | undefined;
+  private handler: PeerHandler = refuse;
 
   constructor(
     private readonly network: MemoryPeerNetwork,
@@ -238,15 +232,9 @@
   }
 
   override start(): Promise<void> {
-    this.network.setHandler(this.daemon, (sender, request, signal) => {
-      if (this.handler !== undefined) {
-        return this.handler(sender, request, signal);
-      }
-      throw MarigoldpostError.create(
-        'draining',
-        'daemon takes no requests yet',
-      );
-    });
+    this.network.setHandler(this.daemon, (sender, request, signal) =>
+      this.handler(sender, request, signal),
+    );
     this.network.setDown(this.daemon, false);
     return Promise.resolve();
   }
@@ -257,6 +245,10 @@
   }
 }
 
+function refuse(): never {
+  throw MarigoldpostError.create('draining', 'daemon takes no requests yet');
+}
+
 function getPair(left: DaemonId, right: DaemonId): string {
   return left < right ? `${left} ${right}` : `${right} ${left}`;
 }
