--- a/packages/limits/src/holder/rate_holder.ts
+++ b/packages/limits/src/holder/rate_holder.ts
@@ -1,4 +1,5 @@
 /** One daemon's use of a limit on requests or tokens a second. */
+import type {Timer} from '@marigoldpost/common';
 import {GrantSession, type GrantSessionOptions} from './grant_session.js';
 import {RenewalLoop} from './renewal_loop.js';
 import {TokenBucket} from './token_bucket.js';
@@ -30,6 +31,7 @@
   private readonly line: WaitingLine<RatePermit>;
   private readonly loop: RenewalLoop;
   private readonly bucket: TokenBucket;
+  private serveTimer: Timer | undefined;
   private takenCost = 0;
   private takenSinceMs: number;
 
@@ -73,6 +75,7 @@
   /** Ends the renewals and gives the rate back. */
   async stop(): Promise<void> {
     this.loop.stop();
+    this.serveTimer?.cancel();
     // Without an answer the grant lapses by itself.
     await this.session.giveBack(0).catch(() => undefined);
   }
@@ -89,7 +92,7 @@
   }
 
   private tryTake(cost: number): RatePermit | undefined {
-    this.refill();
+    this.bucket.refill(this.options.clock.nowMs());
     if (!this.bucket.take(cost)) return undefined;
     this.takenCost += cost;
     return this.createPermit(cost);
@@ -103,18 +106,13 @@
       isSettled = true;
       // What a lapsed grant left over belongs to whoever has the rate now.
       if (this.options.clock.nowMs() >= expiresAtMs) return;
-      this.refill();
+      this.bucket.refill(this.options.clock.nowMs());
       this.bucket.giveBack(Math.max(0, cost - usedCost));
       this.serveLine();
     };
     return {settle};
   }
 
-  private refill(): void {
-    const nowMs = this.options.clock.nowMs();
-    this.bucket.refill(nowMs, this.session.getExpiryMs());
-  }
-
   private serveLine(): void {
     this.line.serve((cost) => this.tryTake(cost));
     if (this.line.size === 0) return;
@@ -124,17 +122,19 @@
 
   /** Looks again when the bucket has what the first request needs. */
   private scheduleServe(): void {
-    const waitMs = this.bucket.getWaitMs(1);
+    const waitMs = this.bucket.getWaitMs(this.line.getFirstCost());
     if (!Number.isFinite(waitMs)) return;
-    this.options.clock.setTimer(Math.max(1, waitMs), () =>
-      this.line.serve((cost) => this.tryTake(cost)),
+    this.serveTimer?.cancel();
+    this.serveTimer = this.options.clock.setTimer(Math.ceil(waitMs) || 1, () =>
+      this.serveLine(),
     );
   }
 
   private async renew(): Promise<void> {
     await this.session.renew(this.takeWantedRate(), 0);
-    this.refill();
-    this.bucket.setRate(this.session.getAmount());
+    const {clock} = this.options;
+    const rate = this.session.getAmount();
+    this.bucket.setRate(clock.nowMs(), rate, this.session.getExpiryMs());
   }
 
   /** Gets the rate of late, with what waits as if it came in one second. */
--- a/packages/limits/src/holder/renewal_loop.ts
+++ b/packages/limits/src/holder/renewal_loop.ts
@@ -4,7 +4,7 @@
 /** Renewals within one slack, so that a lost one does no harm. */
 const renewalsPerSlack = 3;
 const failureRetryMs = 500;
-const minRenewalMs = 50;
+const minRenewalMs = 100;
 
 /** What a loop drives. */
 export interface RenewalLoopOptions {
--- a/packages/limits/src/holder/token_bucket.ts
+++ b/packages/limits/src/holder/token_bucket.ts
@@ -1,10 +1,11 @@
-/** Units that come at a rate and may be saved up for a second. */
+/** Units that come at a granted rate and may be saved up for a second. */
 
 const msPerSecond = 1000;
 
 /** Bucket that holds at most one second's worth. */
 export class TokenBucket {
   private ratePerSecond = 0;
+  private validUntilMs = Number.NEGATIVE_INFINITY;
   private level = 0;
 
   private constructor(private updatedMs: number) {}
@@ -18,24 +19,28 @@
   }
 
   /**
-   * Adds what has come since the last call; empties a bucket whose grant ended.
+   * Adds what has come since the last call. Once the rate's grant has lapsed
+   * the bucket is empty: what was saved up belongs to whoever has the rate now.
    * @param nowMs - Now.
-   * @param expiresAtMs - When the grant of the rate ends.
    */
-  refill(nowMs: number, expiresAtMs: number): void {
+  refill(nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.updatedMs);
     this.updatedMs = nowMs;
-    if (nowMs >= expiresAtMs) this.setRate(0);
+    if (nowMs >= this.validUntilMs) this.ratePerSecond = 0;
     this.level += (this.ratePerSecond * elapsedMs) / msPerSecond;
     this.level = Math.min(this.level, this.getCapacity());
   }
 
   /**
    * Changes the rate; what is saved up shrinks to the new rate's worth.
+   * @param nowMs - Now.
    * @param ratePerSecond - Units a second.
+   * @param validUntilMs - When the grant of the rate lapses.
    */
-  setRate(ratePerSecond: number): void {
+  setRate(nowMs: number, ratePerSecond: number, validUntilMs: number): void {
+    this.refill(nowMs);
     this.ratePerSecond = ratePerSecond;
+    this.validUntilMs = validUntilMs;
     this.level = Math.min(this.level, this.getCapacity());
   }
 
@@ -63,9 +68,9 @@
    * @param cost - Units.
    */
   getWaitMs(cost: number): number {
+    if (this.ratePerSecond === 0) return Number.POSITIVE_INFINITY;
     const missing = Math.min(cost, this.getCapacity()) - this.level;
-    if (missing <= 0) return 0;
-    return (missing * msPerSecond) / this.ratePerSecond;
+    return Math.max(0, (missing * msPerSecond) / this.ratePerSecond);
   }
 
   private getCapacity(): number {
--- a/packages/limits/src/holder/waiting_line.ts
+++ b/packages/limits/src/holder/waiting_line.ts
@@ -49,6 +49,11 @@
     return this.waiters.reduce((total, {cost}) => total + cost, 0);
   }
 
+  /** Gets the cost of the request that waits first; 0 when none waits. */
+  getFirstCost(): number {
+    return this.waiters[0]?.cost ?? 0;
+  }
+
   /**
    * Waits for a permit; throws `limit_reached` or `cancelled`.
    * @param cost - What the request takes.
