Check that accepted texts and what operators were told agree

Cause: racing operators, lost answers and outages must not lead to a wrong answer, a missing audit record or a text that reverts. Check: the agreement breaks over a store that ignores versions and over one that hides ambiguous outcomes.

--- a/packages/limits/tests/grants/grant_model.ts
+++ b/packages/limits/tests/grants/grant_model.ts
@@ -1,10 +1,11 @@
 /** Holders, keepers and a faulty way between them, on a virtual clock. */
+import type {
+  VirtualClock} from '@marigoldpost/common';
 import {
   type DaemonId,
   MarigoldpostError,
   SeededRandom,
-  toId,
-  VirtualClock,
+  toId
 } from '@marigoldpost/common';
 import {
   type GrantClient,
--- /dev/null
+++ b/packages/operations/tests/config/config_store_steps.ts
@@ -0,0 +1,237 @@
+/** Steps for changes of the operators' text. */
+import assert from 'node:assert/strict';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import fc from 'fast-check';
+import {isErrorOfKind, MarigoldpostError} from '@marigoldpost/common';
+import {formatLineDifferences} from '@marigoldpost/operations';
+import type {ObjectStore} from '@marigoldpost/platform';
+import {checkAgreement} from './config_checker.js';
+import {ConfigFixture, type StoreWrapper} from './config_fixture.js';
+
+interface ConfigStoreWorld extends World {
+  site: ConfigFixture;
+}
+
+const seed = 20261203;
+const lastTextIndex = -1;
+
+Given(
+  'operators who have accepted two texts',
+  async function (this: ConfigStoreWorld) {
+    this.site = new ConfigFixture();
+    const author = 'ana';
+    await this.site.startChange({text: 'one', author, baseVersion: 0});
+    await this.site.startChange({text: 'one\ntwo', author, baseVersion: 1});
+    this.site.told.length = 0;
+  },
+);
+
+When(
+  'an operator changes the text while the store meets {string}',
+  async function (this: ConfigStoreWorld, fault: string) {
+    const {store} = this.site;
+    if (fault === 'one lost answer') store.loseNextAnswers(1);
+    if (fault === 'three lost answers') store.loseNextAnswers(3);
+    if (fault === 'one failed call') store.failNextCalls(1);
+    if (fault === 'outage') store.setOutage(true);
+    const text = fault === 'invalid text' ? 'invalid' : 'one\nthree';
+    const baseVersion = fault === 'older base version' ? 1 : 2;
+    const change = {text, author: 'binh', baseVersion};
+    if (fault === 'outage after a lost answer') {
+      // One answer is lost for the audit record, the other for the text.
+      store.loseNextAnswers(2);
+      store.setSlownessMs(100);
+    }
+    void this.site.startChange(change);
+    if (fault === 'outage after a lost answer') {
+      await breakAfterWrite(this.site);
+    }
+    await this.site.settle();
+    store.setOutage(false);
+    store.setSlownessMs(0);
+  },
+);
+
+Then(
+  'the operator is told {string} of the change',
+  function (this: ConfigStoreWorld, expected: string) {
+    const told = this.site.told.at(lastTextIndex);
+    const outcome = told?.error?.kind ?? (told?.accepted && 'accepted');
+    assert.equal(outcome, expected, told?.error?.message);
+  },
+);
+
+Then(
+  'the accepted texts agree with what operators were told',
+  async function (this: ConfigStoreWorld) {
+    checkAgreement(await this.site.readChain(), this.site.told);
+  },
+);
+
+Then(
+  'the conflict message has {string} with {string}',
+  function (this: ConfigStoreWorld, title: string, line: string) {
+    const message = this.site.told.at(lastTextIndex)?.error?.message ?? '';
+    const part = message.slice(message.indexOf(title));
+    assert.ok(part.includes(line), message);
+  },
+);
+
+Then(
+  'the audit trail of the text is {string}',
+  async function (this: ConfigStoreWorld, expected: string) {
+    const trail = await this.site.createConfigStore().getAuditTrail();
+    const lines = trail.map(({version, author, why, differences}) =>
+      [version, author, why, formatLineDifferences(differences)].join(' '),
+    );
+    assert.equal(lines.join(','), expected);
+  },
+);
+
+Then(
+  'in {int} runs of racing operators with faults the accepted texts agree with what they were told',
+  {timeout: 120_000},
+  async (numRuns: number) => {
+    const property = createRaceProperty((store) => store);
+    await fc.assert(property, {seed, numRuns});
+  },
+);
+
+Then(
+  'some of {int} runs of racing operators over a store that {string} breaks the agreement',
+  {timeout: 120_000},
+  async (numRuns: number, fault: string) => {
+    const wrapper = faultyStores[fault];
+    assert.ok(wrapper, `unknown fault "${fault}"`);
+    const property = createRaceProperty(wrapper);
+    const {errorInstance} = await fc.check(property, {seed, numRuns});
+    assert.match(String(errorInstance), /version|accepted/);
+  },
+);
+
+/** Waits until the text has been written, then takes the store down. */
+async function breakAfterWrite(site: ConfigFixture): Promise<void> {
+  const stepMs = 10;
+  const written = 'one\nthree';
+  for (;;) {
+    await site.clock.advance(stepMs);
+    site.store.setSlownessMs(0);
+    const chain = await site.readChain();
+    site.store.setSlownessMs(100);
+    if (chain.at(lastTextIndex)?.text === written) break;
+  }
+  site.store.setOutage(true);
+}
+
+type RaceStep =
+  | {kind: 'edit'; operator: number}
+  | {kind: 'lose' | 'fail'; count: number}
+  | {kind: 'outage'; isOut: boolean}
+  | {kind: 'wait'; ms: number};
+
+const raceStep: fc.Arbitrary<RaceStep> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant('edit' as const),
+      operator: fc.nat({max: 2}),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constantFrom('lose' as const, 'fail' as const),
+      count: fc.integer({min: 1, max: 4}),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('outage' as const),
+      isOut: fc.boolean(),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('wait' as const),
+      ms: fc.constantFrom(5, 50, 500, 5000),
+    }),
+  },
+);
+
+function createRaceProperty(wrapStore: StoreWrapper) {
+  return fc.asyncProperty(
+    fc.array(raceStep, {minLength: 4, maxLength: 25}),
+    async (steps) => {
+      const site = new ConfigFixture(wrapStore);
+      site.store.setSlownessMs(10);
+      for (const [index, step] of steps.entries()) {
+        await applyRaceStep(site, step, index);
+      }
+      await site.settle();
+      site.store.setOutage(false);
+      site.store.loseNextAnswers(0);
+      site.store.failNextCalls(0);
+      site.store.setSlownessMs(0);
+      checkAgreement(await site.readChain(), site.told);
+    },
+  );
+}
+
+async function applyRaceStep(
+  site: ConfigFixture,
+  step: RaceStep,
+  index: number,
+): Promise<void> {
+  const {store, clock} = site;
+  if (step.kind === 'edit') {
+    site.startEdit(`operator-${step.operator}`, `text of step ${index}`);
+  }
+  if (step.kind === 'lose') store.loseNextAnswers(step.count);
+  if (step.kind === 'fail') store.failNextCalls(step.count);
+  if (step.kind === 'outage') store.setOutage(step.isOut);
+  if (step.kind === 'wait') await clock.advance(step.ms);
+}
+
+const faultyStores: Record<string, StoreWrapper> = {
+  'ignores versions': (store) => {
+    const overwrite: ObjectStore['updateObject'] = async (key, value) => {
+      const object = await store.getObject(key);
+      try {
+        return await store.updateObject(key, value, object?.version ?? 0);
+      } catch (error) {
+        if (!isErrorOfKind(error, 'version_conflict')) throw error;
+        return overwrite(key, value, 0);
+      }
+    };
+    return override(store, 'updateObject', overwrite);
+  },
+  'hides ambiguous outcomes': (store) =>
+    override(
+      store,
+      'updateObject',
+      async (key: string, value: string, version: number) => {
+        try {
+          return await store.updateObject(key, value, version);
+        } catch (error) {
+          if (!isErrorOfKind(error, 'store_ambiguous')) throw error;
+          throw MarigoldpostError.create('invalid_request', 'not written');
+        }
+      },
+    ),
+};
+
+function override(
+  store: ObjectStore,
+  name: 'updateObject',
+  method: ObjectStore['updateObject'],
+): ObjectStore {
+  return new Proxy(store, {
+    get: (target, key) => {
+      if (key === name) return method;
+      const member: unknown = Reflect.get(target, key);
+      return typeof member === 'function' ? member.bind(target) : member;
+    },
+  });
+}
