--- a/packages/limits/tests/grants/grant_model.ts
+++ b/packages/limits/tests/grants/grant_model.ts
@@ -1,11 +1,10 @@
 /** Holders, keepers and a faulty way between them, on a virtual clock. */
-import type {
-  VirtualClock} from '@marigoldpost/common';
+import type {VirtualClock} from '@marigoldpost/common';
 import {
   type DaemonId,
   MarigoldpostError,
   SeededRandom,
-  toId
+  toId,
 } from '@marigoldpost/common';
 import {
   type GrantClient,
