Bound heartbeats and check that membership converges

Change: 128 bytes of news, 16 digits of the hash, a daemon repeated in full in a quarter of the messages, 8 sends of a change at least, change counters.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -8,3 +8,4 @@
 export * from './reports/csv.js';
 export * from './targets/target_client_bench.js';
 export * from './workloads/workload_catalogue.js';
+export * from './control/control_report.js';
--- a/packages/peers/src/membership/member_record.ts
+++ b/packages/peers/src/membership/member_record.ts
@@ -58,6 +58,8 @@
   missedAtMs = never;
   lastBeatMs = never;
   isBeatPending = false;
+  /** Grows with each change of what others see, but for state and age. */
+  changes = 0;
   /** Whether the daemon has announced itself, or a lease names it. */
   isConfirmed = false;
   /** Messages that have carried the newest change. */
@@ -143,7 +145,7 @@
     this.lastBeatMs = never;
     this.factsAtMs = never;
     this.isConfirmed = true;
-    this.newsSends = 0;
+    this.noteChange();
   }
 
   private mergeDetails({details, revision}: MemberFacts): void {
@@ -152,15 +154,22 @@
     this.dataCentre = details.dataCentre;
     this.address = details.address;
     this.partitions = details.partitions;
-    this.newsSends = 0;
+    this.noteChange();
   }
 
   private mergeFlags(facts: MemberFacts): void {
     if (facts.factsAtMs <= this.factsAtMs) return;
     this.factsAtMs = facts.factsAtMs;
+    if (this.reachesPlatform !== facts.reachesPlatform) this.changes += 1;
     this.reachesPlatform = facts.reachesPlatform;
     if (!facts.isDraining || this.isDraining) return;
     this.isDraining = true;
+    this.noteChange();
+  }
+
+  /** Makes the change known to listeners, and to peers by news. */
+  private noteChange(): void {
+    this.changes += 1;
     this.newsSends = 0;
   }
 
--- a/packages/peers/src/membership/membership.ts
+++ b/packages/peers/src/membership/membership.ts
@@ -24,6 +24,7 @@
 } from '../generated/marigoldpost/peers/v1/peers_pb.js';
 import {isConnectionRefused} from '../transport/connection_refused.js';
 import type {PeerTransport} from '../transport/peer_transport.js';
+import {ChangePublisher} from './change_publisher.js';
 import type {MemberRecord} from './member_record.js';
 import type {MemberSeed} from './member_seed.js';
 import {MemberTable} from './member_table.js';
@@ -74,7 +75,7 @@
   private readonly table: MemberTable;
   private readonly own: OwnHeartbeat;
   private readonly listeners = new Set<MembershipListener>();
-  private readonly published = new Map<DaemonId, string>();
+  private readonly publisher = ChangePublisher.create(this.listeners);
   private heartbeatTimer: Timer | undefined;
   private vmListTimer: Timer | undefined;
   private isRunning = false;
@@ -276,14 +277,8 @@
     this.publishChanges();
   }
 
-  /** Tells the listeners of each daemon that differs from what they know. */
   private publishChanges(): void {
-    for (const member of this.getMembers()) {
-      const text = JSON.stringify({...member, ageMs: 0});
-      if (this.published.get(member.daemon) === text) continue;
-      this.published.set(member.daemon, text);
-      for (const listener of this.listeners) listener.onMemberChanged?.(member);
-    }
+    this.publisher.publish(this.table.getConfirmed(), this.createView());
   }
 
   private createView(): (record: MemberRecord) => FleetMember {
--- a/packages/peers/src/membership/membership_listener.ts
+++ b/packages/peers/src/membership/membership_listener.ts
@@ -7,6 +7,7 @@
 export interface ConfigNotice {
   readonly peer: PeerAddress;
   readonly version: number;
+  /** Start of the text's hash. */
   readonly hash: string;
 }
 
--- a/packages/peers/src/membership/news_selection.ts
+++ b/packages/peers/src/membership/news_selection.ts
@@ -8,13 +8,16 @@
 import type {MemberRecord} from './member_record.js';
 
 /** Bytes of news in one heartbeat. */
-const maxNewsBytes = 240;
+const maxNewsBytes = 128;
 const briefNewsBytes = 32;
 const fullNewsBytes = 48;
 const partitionBytes = 8;
 
-/** Sends of one change by each daemon, for each doubling of the fleet. */
-const sendsPerDoubling = 2;
+/** Sends of one change by each daemon, at least. */
+const minSends = 8;
+
+/** Share of the messages without changes that repeat one daemon in full. */
+const repeatShare = 0.25;
 
 /** What the choice depends on. */
 export interface NewsContext {
@@ -24,8 +27,8 @@
 }
 
 /**
- * Chooses changes that few messages have carried, then one daemon at random in
- * full, then the ages of daemons of the own data centre.
+ * Chooses changes that few messages have carried; now and then one daemon in
+ * full, for those who missed its change; then ages in the own data centre.
  * @param records - Daemons that are known.
  * @param context - Time, randomness, own data centre.
  */
@@ -65,15 +68,15 @@
   {random}: NewsContext,
 ): MemberRecord[] {
   const known = records.filter((record) => record.revision >= 0);
-  const maxSends = sendsPerDoubling * Math.ceil(Math.log2(known.length + 2));
+  const maxSends = Math.max(minSends, Math.ceil(Math.log2(known.length + 2)));
   const changes = known
     .filter((record) => record.newsSends < maxSends)
     .sort((left, right) => left.newsSends - right.newsSends);
   const chosen = takeWithinBytes(changes, maxNewsBytes);
   for (const record of chosen) record.newsSends += 1;
-  const other = known[random.nextInteger(known.length)];
-  if (chosen.length === 0 && other !== undefined) chosen.push(other);
-  return chosen;
+  if (chosen.length > 0 || random.next() >= repeatShare) return chosen;
+  const repeated = known[random.nextInteger(known.length)];
+  return repeated === undefined ? [] : [repeated];
 }
 
 function takeWithinBytes(
--- a/packages/peers/src/membership/own_heartbeat.ts
+++ b/packages/peers/src/membership/own_heartbeat.ts
@@ -11,6 +11,9 @@
 /** Quarantines in one heartbeat. */
 const maxQuarantines = 4;
 
+/** Hexadecimal digits of a text's hash: enough to tell two texts apart. */
+const hashDigits = 16;
+
 /** Who announces. */
 export interface OwnIdentity {
   readonly daemon: DaemonId;
@@ -52,7 +55,7 @@
       ...this.identity,
       incarnation: BigInt(this.identity.incarnation),
       configVersion: BigInt(state.configVersion),
-      configHash: state.configHash,
+      configHash: state.configHash.slice(0, hashDigits),
       reachesPlatform: state.reachesPlatform,
       isDraining: state.isDraining,
       revision: BigInt(this.revision),
