Let a successor take in the copies that it keeps itself

Cause: records copied to a peer during an outage were asked for at the other peers only; when the keeper of the copies was the successor, they were lost. It also passed by peers that had missed heartbeats or were draining.

--- a/packages/daemon/src/daemon_core.ts
+++ b/packages/daemon/src/daemon_core.ts
@@ -52,6 +52,7 @@
   readonly gateway: CallGateway;
   private readonly desk: LimitDesk;
   private readonly releaser: CacheReleaser;
+  private readonly copies = RecordCopyStore.create(maxCopiedBytes);
   private isDraining = false;
 
   private constructor(private readonly options: DaemonOptions) {
@@ -193,6 +194,7 @@
     const {settings, clock, random, vmList, transport} = this.options;
     const {dataCentre} = settings;
     const fleet = this.membership;
+    const {copies} = this;
     return PartitionManager.create({
       store: this.store,
       clock,
@@ -203,10 +205,11 @@
       leases: this.leases,
       vmList,
       getConfig: () => this.getConfig(),
-      copier: PeerRecordCopier.create({dataCentre, fleet, transport}),
+      copier: PeerRecordCopier.create({dataCentre, fleet, transport, copies}),
       handovers: PeerHandoverSender.create({fleet, transport}),
       loopLimits: this.options.loopLimits,
       drainMs: settings.drainMs,
+      logger: this.options.logger,
     });
   }
 
@@ -302,7 +305,7 @@
     const handler = PeerRequestHandler.create({
       ...this.getParts(),
       operator: this.operator,
-      copies: RecordCopyStore.create(maxCopiedBytes),
+      copies: this.copies,
       desk: this.desk,
       follower: this.follower,
     });
--- a/packages/daemon/src/peers/peer_record_copier.ts
+++ b/packages/daemon/src/peers/peer_record_copier.ts
@@ -14,6 +14,7 @@
 } from '@marigoldpost/peers';
 import type {FleetMember, FleetView} from '@marigoldpost/platform';
 import {type CopiedRecords, RecordCopier} from '@marigoldpost/programs';
+import type {RecordCopyStore} from './record_copy_store.js';
 
 const timeoutMs = 1000;
 
@@ -22,6 +23,8 @@
   readonly dataCentre: DataCentreId;
   readonly fleet: FleetView;
   readonly transport: PeerTransport;
+  /** Copies that this daemon keeps for its peers. */
+  readonly copies: RecordCopyStore;
 }
 
 /** Copies records over the peer protocol. */
@@ -50,7 +53,8 @@
       firstSequence: BigInt(firstSequence),
       recordsJson: [...records],
     });
-    for (const peer of this.getPeers()) {
+    const peers = this.getPeers().filter(isFitToCopy);
+    for (const peer of peers) {
       if (await this.tryCopy(peer, value)) return;
     }
     const message = `no daemon of data centre "${this.options.dataCentre}" took copies of partition "${partition}"`;
@@ -64,7 +68,9 @@
     const value = create(FetchCopiesSchema, {partition, epoch: BigInt(epoch)});
     const fetches = this.getPeers().map((peer) => this.tryFetch(peer, value));
     const copies = await Promise.all(fetches);
-    return copies.filter((copied) => copied !== undefined);
+    // The former holder may have chosen this very daemon.
+    const own = this.options.copies.sealRecords(partition, epoch);
+    return [own, ...copies].filter((copied) => copied !== undefined);
   }
 
   /** Gets peers in a fixed order, so that copies stay on one of them. */
@@ -73,7 +79,7 @@
     return fleet
       .getMembers()
       .filter((member) => member.dataCentre === dataCentre)
-      .filter(({state, isDraining}) => state === 'alive' && !isDraining)
+      .filter(({state}) => state !== 'dead')
       .sort((left, right) => (left.daemon < right.daemon ? -1 : 1));
   }
 
@@ -111,3 +117,7 @@
     }
   }
 }
+
+function isFitToCopy({state, isDraining}: FleetMember): boolean {
+  return state === 'alive' && !isDraining;
+}
