Judge recorded histories of whole daemons under arbitrary faults

Cause: the parts were proved one by one, not the daemon that wires them. Change: three daemons with the real code on in-memory interfaces and a virtual clock run six programs with bookings, doubled sends and pauses while daemons are killed and paused, the platform is out, cut off or loses answers, engines die, a target leaves and the text changes; a checker judges answers, order, history, budget, memory, not run, at most once, leaving and configuration. Left out: graceful shutdown, and limits under faults, are judged elsewhere.

--- /dev/null
+++ b/packages/daemon/tests/histories/histories_steps.ts
@@ -0,0 +1,79 @@
+/** Steps for recorded histories. */
+import assert from 'node:assert/strict';
+import {Given, Then, type World} from '@cucumber/cucumber';
+import fc from 'fast-check';
+import {faultyParts} from '../fixtures/faulty_parts.js';
+import {findBrokenLines} from '../fixtures/history_checker.js';
+import {
+  arbitraryFaults,
+  type HistoryFault,
+  HistoryRun,
+} from '../fixtures/history_run.js';
+
+interface HistoriesWorld extends World {
+  /** Reports of broken runs: seed, faults and lines. */
+  failure: string | undefined;
+  brokenLines: Set<string>;
+}
+
+const stepTimeoutMs = 300_000;
+
+/** Faults that give each mechanism something to do. */
+const provokingFaults: readonly HistoryFault[] = [
+  {kind: 'kill', atMs: 2500, lastsMs: 6000, index: 0},
+  {kind: 'new text', atMs: 1000, lastsMs: 200, index: 0},
+  {kind: 'target leaves', atMs: 1500, lastsMs: 200, index: 0},
+];
+
+Given(
+  '{int} histories recorded under arbitrary faults from seed {int}',
+  {timeout: stepTimeoutMs},
+  async function (this: HistoriesWorld, count: number, seed: number) {
+    const property = fc.asyncProperty(
+      fc.nat(),
+      arbitraryFaults,
+      async (runSeed, faults) => {
+        const run = await HistoryRun.run(runSeed, faults);
+        assert.deepEqual(findBrokenLines(run), []);
+      },
+    );
+    const result = await fc.check(property, {seed, numRuns: count});
+    this.failure = result.failed
+      ? await fc.asyncDefaultReportMessage(result)
+      : undefined;
+  },
+);
+
+Then('no recorded history breaks a line', function (this: HistoriesWorld) {
+  assert.equal(this.failure, undefined);
+});
+
+Given(
+  /^(\d+) histories recorded with the (.+) switched off from seed (\d+)$/,
+  {timeout: stepTimeoutMs},
+  async function (
+    this: HistoriesWorld,
+    count: string,
+    mechanism: string,
+    seed: string,
+  ) {
+    const createParts = faultyParts[mechanism];
+    assert.ok(createParts, `no mechanism "${mechanism}"`);
+    this.brokenLines = new Set();
+    for (let index = 0; index < Number(count); index++) {
+      const run = await HistoryRun.run(
+        Number(seed) + index,
+        provokingFaults,
+        createParts(),
+      );
+      for (const line of findBrokenLines(run)) this.brokenLines.add(line);
+    }
+  },
+);
+
+Then(
+  'some recorded history breaks {string}',
+  function (this: HistoriesWorld, line: string) {
+    assert.ok(this.brokenLines.has(line), [...this.brokenLines].join(', '));
+  },
+);
