Measure the path against the direct call and a bare relay

Cause: the promise of at most 2 times a bare relay's latency and at least half its throughput had no measurement.

Change: measurePath in bench sends the same load in turn straight to the stand-ins, through a relay of Node's http and undici's stream, and through one daemon, over loopback sockets; bench path prints medians with the least and greatest round. Callers, daemon and stand-ins share one process and thread. findFreePort moves from the demo to standins, where both can reach it.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -3,6 +3,8 @@
 export * from './experiments/compare_experiments.js';
 export * from './experiments/plot_experiment.js';
 export * from './experiments/run_experiment.js';
+export * from './path/measure_path.js';
+export * from './path/path_summary.js';
 export * from './policies/policy_catalogue.js';
 export * from './reports/benchmark_report.js';
 export * from './reports/csv.js';
--- a/packages/cli/src/demo/demo_fleet.ts
+++ b/packages/cli/src/demo/demo_fleet.ts
@@ -1,5 +1,4 @@
 /** Eight entry VMs and all that surrounds them, over loopback sockets. */
-import {createServer, type AddressInfo} from 'node:net';
 import {
   type DaemonId,
   SeededRandom,
@@ -9,7 +8,11 @@
 import {Daemon} from '@marigoldpost/daemon';
 import {ConfigStore} from '@marigoldpost/operations';
 import {type DaemonSettings, parseOperatorsText} from '@marigoldpost/settings';
-import {type SiteAddresses, StandinSite} from '@marigoldpost/standins';
+import {
+  findFreePort,
+  type SiteAddresses,
+  StandinSite,
+} from '@marigoldpost/standins';
 import {EventLogger} from '@marigoldpost/telemetry';
 import {type Deployment, readOperatorsText} from './deployment.js';
 
@@ -132,14 +135,3 @@
     return config.dataCentres.size * config.fleet.partitionsPerDataCentre;
   }
 }
-
-function findFreePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once('error', reject);
-    server.listen(0, host, () => {
-      const {port} = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,6 +1,7 @@
 /** The command line. */
 import {Audit} from './commands/audit.js';
 import {BenchCompare} from './commands/bench/bench_compare.js';
+import {BenchPath} from './commands/bench/bench_path.js';
 import {BenchPlot} from './commands/bench/bench_plot.js';
 import {BenchRun} from './commands/bench/bench_run.js';
 import {ConfigApply} from './commands/config/config_apply.js';
@@ -30,6 +31,7 @@
 export const commands = {
   audit: Audit,
   'bench:compare': BenchCompare,
+  'bench:path': BenchPath,
   'bench:plot': BenchPlot,
   'bench:run': BenchRun,
   'config:apply': ConfigApply,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -12,6 +12,7 @@
 export * from './memory/memory_vm_list.js';
 export * from './memory/plain_ledger.js';
 export * from './servers/engine_server.js';
+export * from './servers/find_free_port.js';
 export * from './servers/object_api_server.js';
 export * from './servers/plain_service_server.js';
 export * from './servers/send_blocks.js';
