--- a/packages/bench/src/decision_cost/measure_decision_cost.ts
+++ b/packages/bench/src/decision_cost/measure_decision_cost.ts
@@ -12,6 +12,7 @@
 import {benchModel} from '../simulation/program_run.js';
 import {benchDataCentre} from '../simulation/run_simulation.js';
 import {getMean, getQuantile} from '../utils/statistics.js';
+import {getCollectedHeapBytes} from '../utils/usage_meter.js';
 
 /** Sizes to measure. */
 export interface DecisionCostOptions {
@@ -49,10 +50,10 @@
   options: DecisionCostOptions,
 ): DecisionCost {
   const {targets, programs} = options;
-  const heapBefore = process.memoryUsage().heapUsed;
+  const heapBefore = getCollectedHeapBytes();
   const fixture = DecisionFixture.create(options);
   for (let program = 0; program < programs; program += 1) fixture.run(program);
-  const heapBytes = process.memoryUsage().heapUsed - heapBefore;
+  const heapBytes = getCollectedHeapBytes() - heapBefore;
   const timesUs: number[] = [];
   const decisions = options.decisions ?? defaultDecisions;
   for (let i = 0; i < decisions; i += 1) {
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,5 +1,6 @@
 /** The command line. */
 import {Audit} from './commands/audit.js';
+import {BenchCapacity} from './commands/bench/bench_capacity.js';
 import {BenchCompare} from './commands/bench/bench_compare.js';
 import {BenchPath} from './commands/bench/bench_path.js';
 import {BenchPlot} from './commands/bench/bench_plot.js';
@@ -30,6 +31,7 @@
 /** Every command by the words that call it. */
 export const commands = {
   audit: Audit,
+  'bench:capacity': BenchCapacity,
   'bench:compare': BenchCompare,
   'bench:path': BenchPath,
   'bench:plot': BenchPlot,
