Let the text's stream, weight and heartbeat settings take effect

Cause: keeps_abandoned_streams, cache_weight and heartbeat_ms were checked and documented, but nothing read them; an engine also went on with the stream of a program that had ended. Change: a call whose last reader left is given up where the text says so; its stream, and that of an ended program, is cancelled at the engine unless another holder goes on with it; weight and heartbeat interval follow the text in force.

--- a/packages/daemon/src/calls/call_runner.ts
+++ b/packages/daemon/src/calls/call_runner.ts
@@ -7,6 +7,7 @@
 import type {
   Call,
   CallEvent,
+  CallStream,
   CallTicket,
   CallTraits,
   ChatCall,
@@ -29,6 +30,8 @@
 /** A call under way. */
 interface RunningCall {
   readonly ticket: CallTicket;
+  /** Aborted when no reader is left and none may come back. */
+  readonly abandoned: AbortController;
   readonly ended: Promise<void>;
 }
 
@@ -44,6 +47,7 @@
 export class CallRunner {
   private readonly chatRunner: ChatRunner;
   private readonly plainRunner: PlainRunner;
+  private readonly readers = new Map<CallStream, number>();
   private readonly running = new Map<CallId, RunningCall>();
 
   private constructor(private readonly options: CallRunnerOptions) {
@@ -83,7 +87,13 @@
     const ticket = keeper.admitCall(call, traits);
     if (ticket.isOwner) this.start(ticket, traits);
     const offsetTokens = call.kind === 'chat' ? call.offsetTokens : 0;
-    yield* ticket.stream.read(offsetTokens, signal);
+    const stream = ticket.stream;
+    this.readers.set(stream, (this.readers.get(stream) ?? 0) + 1);
+    try {
+      yield* stream.read(offsetTokens, signal);
+    } finally {
+      this.removeReader(stream, service);
+    }
   }
 
   /**
@@ -129,18 +139,40 @@
     if (ticket.isOwner) this.start(ticket, traits);
   }
 
+  /** Stops a call whose last reader left, where the text says so. */
+  private removeReader(stream: CallStream, service: ServiceConfig): void {
+    const readers = (this.readers.get(stream) ?? 1) - 1;
+    if (readers > 0) {
+      this.readers.set(stream, readers);
+      return;
+    }
+    this.readers.delete(stream);
+    if (stream.isEnded || service.kind !== 'engine') return;
+    if (service.keepsAbandonedStreams) return;
+    const message = `no caller of service "${service.id}" reads the answer any more`;
+    const reason = MarigoldpostError.create('cancelled', message);
+    for (const {ticket, abandoned} of this.running.values()) {
+      if (ticket.stream === stream) abandoned.abort(reason);
+    }
+  }
+
   private start(ticket: CallTicket, traits: CallTraits): void {
     const {callId} = ticket.call;
-    const ended = this.run(ticket, traits)
+    const abandoned = new AbortController();
+    const ended = this.run(ticket, traits, abandoned.signal)
       .catch((error: unknown) => this.logFailure(ticket.call, error))
       .finally(() => this.running.delete(callId));
-    this.running.set(callId, {ticket, ended});
+    this.running.set(callId, {ticket, abandoned, ended});
   }
 
-  private run(ticket: CallTicket, traits: CallTraits): Promise<void> {
+  private run(
+    ticket: CallTicket,
+    traits: CallTraits,
+    abandoned: AbortSignal,
+  ): Promise<void> {
     const {call} = ticket;
     return call.kind === 'chat'
-      ? this.chatRunner.run(ticket, call)
+      ? this.chatRunner.run(ticket, call, abandoned)
       : this.plainRunner.run(ticket, call, traits);
   }
 
--- a/packages/daemon/src/calls/chat_runner.ts
+++ b/packages/daemon/src/calls/chat_runner.ts
@@ -32,6 +32,8 @@
 /** What one run of a call has got to. */
 interface ChatRun {
   readonly ticket: CallTicket;
+  /** Aborted when the call must stop. */
+  readonly signal: AbortSignal;
   readonly call: ChatCall;
   readonly turn: TurnContext;
   readonly fingerprint: Fingerprint;
@@ -59,11 +61,17 @@
    * Runs a call to its end; the ticket's stream tells how it went.
    * @param ticket - The call's ticket, which must own the run.
    * @param call - The call.
+   * @param abandoned - Aborted when no reader is left and none may come back.
    */
-  async run(ticket: CallTicket, call: ChatCall): Promise<void> {
+  async run(
+    ticket: CallTicket,
+    call: ChatCall,
+    abandoned: AbortSignal,
+  ): Promise<void> {
     const admittedMs = this.context.clock.nowMs();
-    const turn = await ticket.waitForTurn(ticket.signal);
-    const run = createRun(ticket, call, turn, admittedMs);
+    const signal = AbortSignal.any([ticket.signal, abandoned]);
+    const turn = await ticket.waitForTurn(signal);
+    const run = createRun({ticket, signal, call, turn, admittedMs});
     try {
       await this.runWithPermit(run);
     } catch (error) {
@@ -74,7 +82,7 @@
   private async runWithPermit(run: ChatRun): Promise<void> {
     const {limiter, quarantine} = this.context;
     checkQuarantine(quarantine, run.fingerprint, 'not_run');
-    const permit = await limiter.acquire(run.call, run.ticket.signal);
+    const permit = await limiter.acquire(run.call, run.signal);
     try {
       await this.runAttempts(run);
     } finally {
@@ -128,7 +136,7 @@
         isAlone: this.context.quarantine.isSuspect(run.fingerprint),
         turnIndex: turn.turnIndex,
       },
-      ticket.signal,
+      run.signal,
     );
   }
 
@@ -170,6 +178,7 @@
       return end;
     } catch (error) {
       await registry.noteFailure(work, error);
+      if (run.signal.aborted) this.cancelStream(run, target);
       if (isErrorOfKind(error) && error.outcome === 'not_run') {
         run.previousOutcome = 'not_run';
       }
@@ -177,6 +186,14 @@
     }
   }
 
+  /** Frees the engine, unless a new holder goes on with the stream. */
+  private cancelStream(run: ChatRun, target: TargetId): void {
+    if (isErrorOfKind(run.signal.reason, 'fenced', 'not_holder')) return;
+    const engine = this.context.registry.getEngineClientOrThrow(target);
+    // An engine that does not hear of it stops at the answer's longest length.
+    engine.cancelStream(run.turn.streamId).catch(() => undefined);
+  }
+
   private async readStream(
     run: ChatRun,
     target: TargetId,
@@ -184,7 +201,7 @@
   ): Promise<EngineEnd> {
     const engine = this.context.registry.getEngineClientOrThrow(target);
     const request = toEngineRequest(run, isResumeOnly);
-    const {signal} = run.ticket;
+    const {signal} = run;
     for await (const event of engine.generate(request, signal)) {
       if (event.kind === 'end') return event;
       this.addToken(run, event.index, event.text, isResumeOnly);
@@ -222,16 +239,21 @@
   }
 }
 
-function createRun(
-  ticket: CallTicket,
-  call: ChatCall,
-  turn: TurnContext,
-  admittedMs: number,
-): ChatRun {
+function createRun({
+  ticket,
+  signal,
+  call,
+  turn,
+  admittedMs,
+}: Pick<
+  ChatRun,
+  'ticket' | 'signal' | 'call' | 'turn' | 'admittedMs'
+>): ChatRun {
   const timeoutMs = Math.min(call.timeoutMs, turn.remainingWallMs);
   const content = JSON.stringify([call.model, turn.messages, call.maxTokens]);
   return {
     ticket,
+    signal,
     call,
     turn,
     fingerprint: getFingerprint(call.team, call.service, content),
@@ -274,7 +296,7 @@
 }
 
 function isRetryable(run: ChatRun, error: unknown): boolean {
-  if (run.ticket.signal.aborted || run.attempts >= maxAttempts) return false;
+  if (run.signal.aborted || run.attempts >= maxAttempts) return false;
   return isErrorOfKind(
     error,
     'target_failed',
--- a/packages/daemon/src/daemon_core.ts
+++ b/packages/daemon/src/daemon_core.ts
@@ -4,7 +4,7 @@
 import {Membership, type OwnState} from '@marigoldpost/peers';
 import {LeaseKeeper, parseLease} from '@marigoldpost/platform';
 import {PartitionManager} from '@marigoldpost/programs';
-import {PolicyScheduler} from '@marigoldpost/scheduler';
+import {ExpectedCostHold, PolicyScheduler} from '@marigoldpost/scheduler';
 import {type OperatorsConfig, parseOperatorsText} from '@marigoldpost/settings';
 import {Quarantine, TargetRegistry} from '@marigoldpost/targets';
 import {CallRelay} from './calls/call_relay.js';
@@ -27,7 +27,7 @@
 import {moveCache} from './targets/cache_mover.js';
 import {TargetFeed} from './targets/target_feed.js';
 
-const heartbeatMs = 500;
+const defaultHeartbeatMs = 500;
 const defaultLeaseMs = 10_000;
 const defaultDeathsToQuarantine = 2;
 const defaultCacheWeight = 0.5;
@@ -44,6 +44,7 @@
   readonly registry: TargetRegistry;
   readonly quarantine: Quarantine;
   readonly scheduler: PolicyScheduler;
+  private readonly hold: ExpectedCostHold;
   readonly dispatchLoop: DispatchLoop;
   readonly locator: PartitionLocator;
   readonly limiter: OwnerLimiter;
@@ -66,6 +67,7 @@
       clock: options.clock,
       deathsToQuarantine: defaultDeathsToQuarantine,
     });
+    this.hold = ExpectedCostHold.create({clock: options.clock, options: {}});
     this.scheduler = this.createScheduler();
     this.dispatchLoop = this.createDispatchLoop();
     this.locator = this.createLocator();
@@ -165,12 +167,15 @@
 
   private createMembership(): Membership {
     const {settings, peerAddress, ...rest} = this.options;
+    const getConfig = () => this.getConfig();
     return Membership.create({
       ...rest,
       daemon: settings.name,
       dataCentre: settings.dataCentre,
       address: peerAddress,
-      heartbeatMs,
+      get heartbeatMs() {
+        return getConfig()?.fleet.heartbeatMs ?? defaultHeartbeatMs;
+      },
       getOwnState: () => this.getOwnState(),
       isDaemon: (vm) =>
         !this.registry.getTargets().some(({id}) => id === vm.name),
@@ -227,6 +232,7 @@
       random,
       dataCentre: settings.dataCentre,
       cacheWeight: defaultCacheWeight,
+      hold: this.hold,
     });
   }
 
@@ -362,7 +368,8 @@
 
   private applyConfig({config, version, hash}: ConfigInForce): void {
     this.registry.setConfig(config);
-    const {quarantineAfterDeaths} = config.fleet;
+    const {quarantineAfterDeaths, cacheWeight} = config.fleet;
+    this.hold.setCacheWeight(cacheWeight);
     this.quarantine.setDeathsToQuarantine(quarantineAfterDeaths);
     this.options.metrics.setGauge('config_version', {}, version);
     const source = this.store.reachesPlatform() ? 'platform' : 'peer';
--- a/packages/scheduler/src/hold/expected_cost_hold.ts
+++ b/packages/scheduler/src/hold/expected_cost_hold.ts
@@ -58,7 +58,7 @@
 
   private constructor(
     private readonly clock: Clock,
-    private readonly options: ExpectedCostOptions,
+    private options: ExpectedCostOptions,
   ) {
     super();
   }
@@ -71,6 +71,14 @@
     return new ExpectedCostHold(clock, {...defaultOptions, ...options});
   }
 
+  /**
+   * Changes the weight; pauses under way keep the hold that they have.
+   * @param cacheWeight - From latency (0) to wasted cache (1).
+   */
+  setCacheWeight(cacheWeight: number): void {
+    this.options = {...this.options, cacheWeight};
+  }
+
   override noteStarted(program: ProgramId, target: TargetId): void {
     const hold = this.getOrAddHold(program);
     if (hold.inFlight === 0) this.endPause(hold, true);
