--- a/packages/settings/src/daemon/daemon_schema.ts
+++ b/packages/settings/src/daemon/daemon_schema.ts
@@ -25,7 +25,10 @@
       max: 3_600_000,
     }),
     data_folder: toOptionalKey(
-      textKey({description: 'Folder for bulk data, on VMs that have a disk'}),
+      textKey({
+        description:
+          'Folder for bulk data, on VMs that have a disk; nothing is kept there yet',
+      }),
     ),
   },
   callers: {
