Log and measure what the catalogues promise, and drop the rest

Change: members, partitions, refused texts and lifted quarantines are logged; queue, partitions, open programs, uncommitted bytes, queue wait and commit wait are measured; six events and one metric that nothing reports yet are removed.

--- a/packages/daemon/src/calls/chat_runner.ts
+++ b/packages/daemon/src/calls/chat_runner.ts
@@ -157,7 +157,12 @@
     const end = await this.readWatched(run, target, isResumeOnly);
     const answer = toAnswer(run, end);
     if (!isResumeOnly) this.context.dispatchLoop.noteFinished(call.callId, end);
+    const {clock, metrics} = this.context;
+    const {service} = call;
+    metrics.recordValue('queue_wait_ms', {service}, waitMs);
+    const answeredMs = clock.nowMs();
     await ticket.complete(answer, {target, waitMs, terms});
+    metrics.recordValue('commit_wait_ms', {}, clock.nowMs() - answeredMs);
   }
 
   /** Reads a stream and tells the registry how the target fared. */
--- a/packages/daemon/src/calls/plain_runner.ts
+++ b/packages/daemon/src/calls/plain_runner.ts
@@ -139,7 +139,12 @@
       completionTokens: 0,
     });
     const report = {target, waitMs, terms};
+    const {clock, metrics} = this.context;
+    const {service} = call;
+    metrics.recordValue('queue_wait_ms', {service}, waitMs);
+    const answeredMs = clock.nowMs();
     await ticket.complete({kind: 'plain', response}, report);
+    metrics.recordValue('commit_wait_ms', {}, clock.nowMs() - answeredMs);
   }
 
   /** Sends the request and tells the registry how the target fared. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -115,7 +115,13 @@
     const {name: daemon, dataCentre} = settings;
     const parse = parseOperatorsText;
     return {
-      source: FleetStatusSource.create({daemon, dataCentre, clock, core}),
+      source: FleetStatusSource.create({
+        daemon,
+        dataCentre,
+        clock,
+        core,
+        logger,
+      }),
       configs: ConfigStore.create({store, clock, random, parse}),
       actions: ActionLog.create({store, clock, random}),
       logger,
--- a/packages/daemon/src/daemon_core.ts
+++ b/packages/daemon/src/daemon_core.ts
@@ -31,6 +31,8 @@
 import {CacheReleaser} from './targets/cache_releaser.js';
 import {moveCache} from './targets/cache_mover.js';
 import {TargetFeed} from './targets/target_feed.js';
+import {logFleetEvents} from './telemetry/fleet_events.js';
+import {GaugeReporter} from './telemetry/gauge_reporter.js';
 
 const defaultHeartbeatMs = 500;
 const defaultLeaseMs = 10_000;
@@ -58,6 +60,7 @@
   readonly gateway: CallGateway;
   private readonly desk: LimitDesk;
   private readonly releaser: CacheReleaser;
+  private readonly gauges: GaugeReporter;
   private readonly copies = RecordCopyStore.create(maxCopiedBytes);
   private isDraining = false;
 
@@ -80,6 +83,11 @@
     this.limiter = this.createLimiter();
     this.runner = this.createRunner();
     this.releaser = CacheReleaser.create({...options, ...this.getParts()});
+    this.gauges = GaugeReporter.create({
+      ...options,
+      ...this.getParts(),
+      scheduler: this.scheduler,
+    });
     this.operator = ProgramOperator.create({...options, ...this.getParts()});
     this.gateway = this.createGateway();
     this.servePeers();
@@ -104,6 +112,7 @@
     await this.registry.start();
     await this.manager.start();
     this.releaser.start();
+    this.gauges.start();
     this.membership.announceChange();
   }
 
@@ -134,6 +143,7 @@
   /** Leaves the fleet. */
   async stop(): Promise<void> {
     this.releaser.stop();
+    this.gauges.stop();
     this.dispatchLoop.stop();
     await this.manager.stop();
     await this.limiter.stop();
@@ -149,6 +159,7 @@
     this.membership.stop();
     await this.options.transport.stop();
     this.releaser.stop();
+    this.gauges.stop();
     this.dispatchLoop.stop();
     await this.manager.stop();
     await this.follower.stop();
@@ -359,6 +370,7 @@
   /** Makes the parts hear of each other's changes. */
   private connect(): void {
     const {logger} = this.options;
+    logFleetEvents({logger, ...this.getParts(), follower: this.follower});
     this.follower.addListener({
       onConfigChanged: (current) => this.applyConfig(current),
     });
--- a/packages/daemon/src/status/fleet_status_source.ts
+++ b/packages/daemon/src/status/fleet_status_source.ts
@@ -22,6 +22,7 @@
 import type {ProgramHistory, ProgramView} from '@marigoldpost/programs';
 import type {OperatorsConfig} from '@marigoldpost/settings';
 import type {TargetView} from '@marigoldpost/targets';
+import type {EventLogger} from '@marigoldpost/telemetry';
 import type {DaemonCore} from '../daemon_core.js';
 import type {ProgramOperation} from '../programs/program_operation.js';
 
@@ -31,6 +32,7 @@
   readonly dataCentre: DataCentreId;
   readonly clock: Clock;
   readonly core: DaemonCore;
+  readonly logger: EventLogger;
 }
 
 /** Status as one daemon knows it. */
@@ -92,6 +94,7 @@
   override async liftQuarantine(fingerprint: Fingerprint): Promise<void> {
     const {core} = this.options;
     core.quarantine.lift(fingerprint);
+    this.options.logger.log('quarantine_lifted', {fingerprint});
     core.membership.announceChange();
   }
 
--- /dev/null
+++ b/packages/daemon/src/telemetry/fleet_events.ts
@@ -0,0 +1,56 @@
+/** Logs what happens to members, partitions and the operators' text. */
+import type {DaemonId} from '@marigoldpost/common';
+import type {ConfigFollower} from '@marigoldpost/operations';
+import type {Membership} from '@marigoldpost/peers';
+import type {PartitionManager} from '@marigoldpost/programs';
+import type {EventLogger} from '@marigoldpost/telemetry';
+
+/** Parts that are followed. */
+export interface FleetEventsOptions {
+  readonly logger: EventLogger;
+  readonly membership: Membership;
+  readonly manager: PartitionManager;
+  readonly follower: ConfigFollower;
+}
+
+/**
+ * Logs events of the fleet from now on.
+ * @param options - Parts that are followed.
+ */
+export function logFleetEvents(options: FleetEventsOptions): void {
+  logMembers(options);
+  logPartitions(options);
+  const {follower, logger} = options;
+  follower.addListener({
+    onConfigRefused: ({kind}) => logger.log('config_rejected', {kind}),
+  });
+}
+
+function logMembers({membership, logger}: FleetEventsOptions): void {
+  const states = new Map<DaemonId, string>();
+  membership.addListener({
+    onMemberChanged: ({daemon, state: to}) => {
+      const from = states.get(daemon) ?? 'unknown';
+      states.set(daemon, to);
+      if (from === to) return;
+      logger.log('member_changed', {member: daemon, from, to});
+    },
+  });
+}
+
+function logPartitions({manager, logger}: FleetEventsOptions): void {
+  manager.addListener({
+    onOpened: (keeper) => {
+      const {partition, epoch, openPrograms} = keeper.getStatus();
+      const fields = {partition, epoch, programs: openPrograms};
+      logger.log('partition_taken', fields);
+    },
+    onClosed: (partition, epoch, reason) => {
+      if (reason === 'handed_over') {
+        logger.log('partition_released', {partition, epoch});
+      } else {
+        logger.log('partition_lost', {partition, epoch, reason});
+      }
+    },
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/telemetry/gauge_reporter.ts
@@ -0,0 +1,57 @@
+/** Keeps the gauges of a daemon current. */
+import type {Clock, Timer} from '@marigoldpost/common';
+import type {PartitionManager} from '@marigoldpost/programs';
+import type {CallScheduler} from '@marigoldpost/scheduler';
+import type {Metrics} from '@marigoldpost/telemetry';
+
+const intervalMs = 1000;
+
+/** Parts that are measured. */
+export interface GaugeReporterOptions {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly manager: PartitionManager;
+  readonly scheduler: CallScheduler;
+}
+
+/** Sets gauges at an interval. */
+export class GaugeReporter {
+  private timer: Timer | undefined;
+
+  private constructor(private readonly options: GaugeReporterOptions) {}
+
+  /**
+   * Creates a reporter.
+   * @param options - Parts that are measured.
+   */
+  static create(options: GaugeReporterOptions): GaugeReporter {
+    return new GaugeReporter(options);
+  }
+
+  /** Starts to report. */
+  start(): void {
+    this.report();
+    this.timer = this.options.clock.setTimer(intervalMs, () => this.start());
+  }
+
+  /** Stops reporting. */
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  private report(): void {
+    const {metrics, manager, scheduler} = this.options;
+    const partitions = manager.getPartitions();
+    let openPrograms = 0;
+    let uncommittedBytes = 0;
+    for (const {partition} of partitions) {
+      const status = manager.getKeeper(partition)?.getStatus();
+      openPrograms += status?.openPrograms ?? 0;
+      uncommittedBytes += status?.uncommittedBytes ?? 0;
+    }
+    metrics.setGauge('partitions_held', {}, partitions.length);
+    metrics.setGauge('programs_open', {}, openPrograms);
+    metrics.setGauge('uncommitted_bytes', {}, uncommittedBytes);
+    metrics.setGauge('queue_length', {}, scheduler.getQueueLength());
+  }
+}
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -77,7 +77,6 @@
   partition_taken: define(3001, 'info', 'A partition is held here', {
     partition: 'string',
     epoch: 'number',
-    recoveryMs: 'number',
     programs: 'number',
   }),
   partition_released: define(3002, 'info', 'A partition was handed over', {
@@ -89,17 +88,6 @@
     epoch: 'number',
     reason: 'string',
   }),
-  lease_lapsed: define(3004, 'warn', 'The lease could not be renewed in time', {
-    lateMs: 'number',
-  }),
-  journal_fenced: define(3005, 'warn', 'The journal has a newer writer', {
-    partition: 'string',
-    epoch: 'number',
-  }),
-  outcome_lost: define(3006, 'warn', 'A request has no known outcome', {
-    service: 'string',
-    reason: 'string',
-  }),
   program_ended: define(3007, 'debug', 'A program ended', {
     reason: 'string',
     usedTokens: 'number',
@@ -112,10 +100,6 @@
     from: 'string',
     to: 'string',
   }),
-  relay_failed: define(4002, 'warn', 'A call could not be relayed', {
-    member: 'string',
-    kind: 'string',
-  }),
 
   // 5000: targets.
   target_changed: define(5001, 'info', 'A target changed its state', {
@@ -134,17 +118,6 @@
   quarantine_lifted: define(5004, 'info', 'A quarantine was lifted', {
     fingerprint: 'string',
   }),
-  order_given: define(5005, 'info', 'A target was given an order', {
-    target: 'string',
-    order: 'string',
-    subject: 'string',
-    fencingNumber: 'number',
-  }),
-  order_refused: define(5006, 'warn', 'A target refused an order', {
-    target: 'string',
-    order: 'string',
-    kind: 'string',
-  }),
 
   // 6000: configuration and operators.
   config_in_force: define(6001, 'info', "The operators' text is in force", {
@@ -153,8 +126,7 @@
     source: 'string',
   }),
   config_rejected: define(6002, 'error', "The operators' text is not valid", {
-    version: 'number',
-    problems: 'number',
+    kind: 'string',
   }),
   config_accepted: define(6003, 'info', 'An operator changed the text', {
     version: 'number',
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -27,7 +27,6 @@
     'operation',
     'result',
   ]),
-  peer_bytes_total: define('counter', 'Bytes to and from peers', ['direction']),
   config_version: define('gauge', 'Version of the text in force', []),
   uncommitted_bytes: define('gauge', 'Bytes of turns not yet durable', []),
 } as const satisfies Record<string, MetricDefinition>;
