--- a/packages/daemon/tests/calls/abandoned_calls_steps.ts
+++ b/packages/daemon/tests/calls/abandoned_calls_steps.ts
@@ -1,44 +1,18 @@
 /** Steps for callers that go away. */
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
-import {
-  type CallId,
-  type ModelId,
-  type ProgramId,
-  type ServiceId,
-  type TeamId,
-  toId,
-} from '@marigoldpost/common';
-import type {ChatCall} from '@marigoldpost/programs';
+import {type ProgramId, type TeamId, toId} from '@marigoldpost/common';
 import {HistoryFleet} from '../fixtures/history_fleet.js';
 import {createHistoryText} from '../fixtures/history_text.js';
+import {createLongCall, longCallTokens} from '../fixtures/long_call.js';
 
 interface AbandonedWorld extends World {
   fleet: HistoryFleet;
 }
 
 const seed = 20261203;
-const maxTokens = 200;
 const settleMs = 60_000;
-const timeoutMs = 60_000;
 const team = toId<TeamId>('planners');
-const budget = {maxTokens: 2000, maxCalls: 10, maxWallMs: 3_600_000};
-
-function createLongCall(): ChatCall {
-  return {
-    kind: 'chat',
-    callId: toId<CallId>('long-call'),
-    team,
-    service: toId<ServiceId>('plan-models'),
-    model: toId<ModelId>('planner'),
-    messages: [{role: 'user', content: 'plan the whole week'}],
-    maxTokens,
-    offsetTokens: 0,
-    callClass: 'normal',
-    budget,
-    timeoutMs,
-  };
-}
 
 /** Reads some tokens of a call, then does something, and lets time pass. */
 async function readThen(
@@ -71,7 +45,7 @@
     );
     this.fleet = await HistoryFleet.start(seed, {
       text,
-      answerTokens: maxTokens,
+      answerTokens: longCallTokens,
     });
   },
 );
