--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 /** Lint rules: Google TypeScript Style, package layers, doc comments. */
 import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
-import {packageLayers} from './tools/package_layers.js';
+import {getPackageFolder, packageLayers} from './tools/package_layers.js';
 
 /** Forbids imports of packages that stand later in the layer order. */
 function layerRules(name, index) {
@@ -9,7 +9,7 @@
     .slice(index)
     .map((layer) => `@marigoldpost/${layer}`);
   return {
-    files: [`packages/${name}/src/**/*.ts`],
+    files: [`${getPackageFolder(name)}/src/**/*.ts`],
     rules: {
       'no-restricted-imports': [
         'error',
@@ -36,12 +36,16 @@
       '**/dist/**',
       'dist-tests/**',
       'build/**',
+      'target/**',
       'packages/*/src/generated/**',
     ],
   },
   ...tseslint.configs.recommended,
   {
-    files: ['packages/*/src/**/*.ts', 'packages/*/tests/**/*.ts'],
+    files: [
+      '{packages/*,platform}/src/**/*.ts',
+      '{packages/*,platform}/tests/**/*.ts',
+    ],
     languageOptions: {
       parserOptions: {
         projectService: {defaultProject: 'tsconfig.tests.json'},
@@ -98,7 +102,7 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['{packages/*,platform}/src/**/*.ts'],
     plugins: {jsdoc},
     rules: {
       'jsdoc/require-jsdoc': [
@@ -121,7 +125,7 @@
     },
   },
   {
-    files: ['packages/*/tests/**/*.ts'],
+    files: ['{packages/*,platform}/tests/**/*.ts'],
     rules: {'max-lines-per-function': 'off'},
   },
   ...packageLayers.map(layerRules),
--- /dev/null
+++ b/packages/dispatch/src/placement/placement_cost.ts
@@ -0,0 +1,67 @@
+/**
+ * Estimates when a target would finish a request.
+ *
+ * Load pattern: prompts share long parts and grow along a line, so a target
+ * that has read them saves up to a tenth of a second; but a target that gets
+ * all of a line's or a part's requests fills up.
+ */
+import type {DataCentreId} from '@marigoldpost/common';
+import type {PromptPart} from '@marigoldpost/sites';
+import type {TargetState} from '../targets/target_state.js';
+
+/** Prompt tokens that an engine reads in a millisecond, as CAPACITY.md has it. */
+const readTokensPerMs = 160;
+/** What each running request costs another: the reading of its prompt. */
+const contentionMs = 3;
+/** Mean time of a turn on an idle engine. */
+const turnMs = 350;
+/** Extra way and price of traffic between data centres, for a whole prompt. */
+const remotePromptMs = 30;
+/** The same for a short request. */
+const remoteCallMs = 6;
+/** Mean time of a short request. */
+const callMs = 20;
+
+/** What the estimate needs of a request. */
+export interface PlacementRequest {
+  /** Parts of the prompt; empty for plain services. */
+  readonly prompt: readonly PromptPart[];
+}
+
+/** Where the estimate is made. */
+export interface PlacementPlace {
+  readonly dataCentre: DataCentreId;
+  readonly nowMs: number;
+}
+
+/**
+ * Estimates the time until a target has finished a request, in milliseconds.
+ * @param target - The target.
+ * @param request - The request.
+ * @param place - Data centre and time of the daemon.
+ */
+export function estimateFinishMs(
+  target: TargetState,
+  request: PlacementRequest,
+  place: PlacementPlace,
+): number {
+  const isEngine = request.prompt.length > 0;
+  const pace = target.pace.getRatio(place.nowMs);
+  const isRemote = target.entry.dataCentre !== place.dataCentre;
+  const meanMs = isEngine ? turnMs : callMs;
+  const {slots} = target.entry;
+  const waiting = Math.max(0, target.load + 1 - slots);
+  const queueMs = (waiting / slots) * meanMs;
+  const workMs = isEngine
+    ? getReadMs(target, request) + target.load * contentionMs + turnMs
+    : callMs * (1 + target.load / slots);
+  const remoteMs = isEngine ? remotePromptMs : remoteCallMs;
+  return (queueMs + workMs) * pace + (isRemote ? remoteMs : 0);
+}
+
+function getReadMs(target: TargetState, {prompt}: PlacementRequest): number {
+  let tokens = 0;
+  for (const part of prompt) tokens += part.tokens;
+  const unread = tokens - target.cache.getCachedTokens(prompt);
+  return unread / readTokensPerMs;
+}
--- /dev/null
+++ b/packages/dispatch/src/targets/target_state.ts
@@ -0,0 +1,40 @@
+/** What a daemon knows of one target. */
+import type {EngineTerms, TargetEntry} from '@marigoldpost/sites';
+import {Pace} from './pace.js';
+import {PromptCache} from './prompt_cache.js';
+import {TargetHealth} from './target_health.js';
+
+/** Target of a service, with what this daemon and its peers have sent to it. */
+export class TargetState {
+  readonly health = TargetHealth.create();
+  readonly pace = Pace.create();
+  readonly cache: PromptCache;
+  /** Requests of this daemon that have not ended. */
+  inFlight = 0;
+  /** Requests of other daemons, as they last told. */
+  peerInFlight = 0;
+
+  private constructor(
+    public entry: TargetEntry,
+    engine: EngineTerms | undefined,
+  ) {
+    this.cache = PromptCache.create(engine?.cacheTokens ?? 0);
+  }
+
+  /**
+   * Creates the state of a target that has just been listed.
+   * @param entry - Its entry.
+   * @param engine - Terms of its engine; nothing for plain services.
+   */
+  static create(
+    entry: TargetEntry,
+    engine: EngineTerms | undefined,
+  ): TargetState {
+    return new TargetState(entry, engine);
+  }
+
+  /** Requests of all daemons. */
+  get load(): number {
+    return this.inFlight + this.peerInFlight;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/calls/call_services.ts
@@ -0,0 +1,20 @@
+/** What the handling of calls works with. */
+import type {Clock, DataCentreId, Random} from '@marigoldpost/common';
+import type {CallCodec} from '@marigoldpost/sites';
+import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import type {TurnStore} from '@marigoldpost/turns';
+import type {SiteState} from '../site/site_state.js';
+import type {TargetAgents} from '../targets/target_agents.js';
+
+/** Parts that every call shares. */
+export interface CallServices {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly dataCentre: DataCentreId;
+  readonly codec: CallCodec;
+  readonly site: SiteState;
+  readonly agents: TargetAgents;
+  readonly turns: TurnStore;
+  readonly logger: EventLogger;
+  readonly metrics: Metrics;
+}
--- /dev/null
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -0,0 +1,113 @@
+/** Calls whose answer is a stream of events. */
+import {MarigoldpostError, type ServiceId} from '@marigoldpost/common';
+import {readAnswerBody} from '../answers/answer_body.js';
+import {StreamRelay, type StreamResult} from '../answers/stream_relay.js';
+import type {CallServices} from './call_services.js';
+import type {IncomingCall} from './incoming_call.js';
+import {getClientHeaders} from './plain_call.js';
+import {
+  type CallBody,
+  type TargetAnswer,
+  TargetAttempts,
+} from './target_attempts.js';
+
+const okStatus = 200;
+/** Statuses that tell a client that its request has not run. */
+const notRunStatuses = new Set([408, 421, 429, 503]);
+
+/**
+ * Serves a streaming call up to the last event; the answer is left open then.
+ * Throws what the caller is to be told instead.
+ * @param call - The call.
+ * @param services - Parts that calls share.
+ * @param service - Service that the route chose.
+ * @param body - What the target receives.
+ * @returns How the stream ended; nothing when the target answered otherwise.
+ */
+export async function relayStreamCall(
+  call: IncomingCall,
+  services: CallServices,
+  service: ServiceId,
+  body: CallBody,
+): Promise<StreamResult | undefined> {
+  const attempts = TargetAttempts.create(call, services, service, body);
+  const begun = await attempts.next();
+  const status = begun.answer.response.statusCode ?? 0;
+  if (status !== okStatus) {
+    await passFailure(call, services, attempts, begun);
+    return undefined;
+  }
+  const {isSigned} = begun.answer.attributes;
+  if (!isSigned) {
+    attempts.noteBrokenAnswer(begun.lease, 'the answer carries no signature');
+    throw attempts.createFailure('the answer carries no signature');
+  }
+  const {response} = begun.answer;
+  const result = await StreamRelay.run({
+    call,
+    response,
+    headers: getClientHeaders(services, response),
+    clock: services.clock,
+  });
+  if (result.isComplete) {
+    const paceMs = result.gapMs;
+    attempts.release(begun.lease, {result: 'answered', paceMs});
+  } else if (call.signal.aborted) {
+    attempts.release(begun.lease, {result: 'cancelled'});
+  } else {
+    attempts.noteBrokenAnswer(begun.lease, result.message);
+  }
+  return result;
+}
+
+/**
+ * Completes a relayed answer, or breaks it off when it is not whole.
+ * @param call - The call.
+ * @param result - How its stream ended.
+ */
+export function finishStream(call: IncomingCall, result: StreamResult): void {
+  if (result.isComplete && call.isAnswered) {
+    call.complete();
+    return;
+  }
+  if (!call.isAnswered && !call.signal.aborted) {
+    throw MarigoldpostError.create('target_failed', result.message);
+  }
+  breakOffStream(call, result);
+}
+
+/**
+ * Breaks a relayed answer off, so that it does not look complete.
+ * @param call - The call.
+ * @param result - How its stream ended.
+ */
+export function breakOffStream(call: IncomingCall, result: StreamResult): void {
+  call.logger.log('answer_broken_off', {
+    route: call.route.name,
+    reason: call.endReason ?? result.message,
+    events: result.events,
+    durationMs: Math.round(call.elapsedMs),
+  });
+  call.breakOff();
+}
+
+async function passFailure(
+  call: IncomingCall,
+  services: CallServices,
+  attempts: TargetAttempts,
+  {answer, lease}: TargetAnswer,
+): Promise<void> {
+  const {response} = answer;
+  const status = response.statusCode ?? 0;
+  const body = await readAnswerBody(response);
+  if (!body.isComplete) {
+    attempts.noteBrokenAnswer(lease, body.message);
+    throw attempts.createFailure(body.message);
+  }
+  attempts.release(lease, {result: 'answered'});
+  if (notRunStatuses.has(status)) {
+    const message = `the target answered ${status}`;
+    throw MarigoldpostError.create('target_failed', message);
+  }
+  call.answer(status, getClientHeaders(services, response), body.bytes);
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,11 @@
+/** The way of a client's request through an entry VM. */
+export * from './answers/event_collector.js';
+export * from './answers/refusal.js';
+export * from './calls/call_handler.js';
+export * from './calls/call_services.js';
+export * from './server/gateway_server.js';
+export * from './server/page_server.js';
+export * from './site/site_state.js';
+export * from './targets/target_agent.js';
+export * from './targets/target_agents.js';
+export * from './targets/target_exchange.js';
--- /dev/null
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -0,0 +1,184 @@
+/** Process of an archive VM: keeps turns and budgets on its disk. */
+import type {Clock} from '@marigoldpost/common';
+import {PageServer} from '@marigoldpost/gateway';
+import {ConnectPeerTransport} from '@marigoldpost/peers';
+import {ObjectWatcher} from '@marigoldpost/platform';
+import {
+  Archive,
+  ArchiveDirectory,
+  ArchivePool,
+  archivePrefix,
+  ArchiveRepairer,
+  ArchiveService,
+  DiskLogFolder,
+  registerArchive,
+} from '@marigoldpost/turns';
+import {type NodeOptions, SiteNode} from '../node_options.js';
+import {BackgroundTasks} from '../utils/background_tasks.js';
+import {createLoggedListener} from '../utils/logged_listener.js';
+import {reportDroppedLines} from '../utils/report_dropped_lines.js';
+
+const archivePauseMs = 250;
+/** Pause before registration is tried again. */
+const registerRetryMs = 300;
+const gaugeIntervalMs = 1000;
+/** Time for replies under way; a sync takes far less. */
+const stopDelayMs = 150;
+const okStatus = 200;
+
+/** Daemon of one archive VM. */
+export class ArchiveNode extends SiteNode {
+  private readonly clock: Clock;
+  private readonly tasks: BackgroundTasks;
+  private readonly directory = ArchiveDirectory.create();
+  private readonly transport: ConnectPeerTransport;
+  private readonly page: PageServer;
+  private watcher: ObjectWatcher | undefined;
+
+  private constructor(private readonly options: NodeOptions) {
+    super();
+    const {settings, clock, metrics, logger} = options;
+    this.clock = clock;
+    this.tasks = BackgroundTasks.create(logger);
+    this.transport = ConnectPeerTransport.create({
+      daemon: settings.daemon,
+      host: settings.ip,
+      port: settings.peerPort,
+      clock,
+    });
+    this.page = PageServer.create(() => ({
+      status: okStatus,
+      body: metrics.renderExposition(),
+    }));
+  }
+
+  /**
+   * Creates a daemon that does not serve yet.
+   * @param options - Settings and parts.
+   */
+  static create(options: NodeOptions): ArchiveNode {
+    return new ArchiveNode(options);
+  }
+
+  override async start(): Promise<void> {
+    const startMs = this.clock.nowMs();
+    const {settings, logger} = this.options;
+    const archive = await this.openArchive();
+    const repairer = this.createRepairer(archive);
+    const service = ArchiveService.create(archive, () => repairer.isComplete);
+    this.transport.setHandler((sender, request) =>
+      service.handle(sender, request),
+    );
+    await this.transport.start();
+    await this.page.listen({host: settings.ip, port: settings.metricsPort});
+    this.watchArchives();
+    this.tasks.run('register', (signal) => this.register(archive, signal));
+    this.tasks.run('repair', (signal) => repairer.run(signal));
+    this.tasks.run('sweep', (signal) => archive.sweep(signal));
+    this.reportGauges(archive);
+    logger.log('node_started', {
+      role: 'archive',
+      startMs: Math.round(this.clock.nowMs() - startMs),
+      detail: `${settings.ip} in ${settings.dataCentre}`,
+    });
+  }
+
+  override async stop(signal: string): Promise<void> {
+    const startMs = this.clock.nowMs();
+    const {logger} = this.options;
+    logger.log('node_stopping', {signal, inFlight: 0});
+    this.tasks.stop();
+    this.watcher?.stop();
+    await this.clock.sleep(stopDelayMs);
+    await this.transport.stop();
+    this.page.close();
+    const drainMs = Math.round(this.clock.nowMs() - startMs);
+    logger.log('node_stopped', {drainMs, cutOff: 0});
+  }
+
+  override reload(): void {
+    this.options.logger.log('settings_reloaded', {});
+  }
+
+  private async openArchive(): Promise<Archive> {
+    const startMs = this.clock.nowMs();
+    const {settings, clock, random, logger} = this.options;
+    const folder = await DiskLogFolder.create(settings.dataFolder ?? '.');
+    const archive = await Archive.open({
+      folder,
+      clock,
+      random,
+      onSweepFailed: (error) => this.tasks.noteFailure('sweep', error),
+    });
+    logger.log('archive_opened', {
+      disk: archive.disk,
+      turns: archive.turnCount,
+      programs: archive.programCount,
+      elapsedMs: Math.round(clock.nowMs() - startMs),
+    });
+    return archive;
+  }
+
+  private createRepairer(archive: Archive): ArchiveRepairer {
+    const {settings, clock, logger} = this.options;
+    const pool = ArchivePool.create({
+      directory: this.directory,
+      transport: this.transport,
+      clock,
+      self: settings.daemon,
+      onReachability: ({daemon}, isReachable) =>
+        logger.log('archive_reachability', {archive: daemon, isReachable}),
+    });
+    const isDiskNew = archive.programCount === 0 && !settings.isFirstStart;
+    return ArchiveRepairer.create({
+      archive,
+      pool,
+      clock,
+      daemon: settings.daemon,
+      dataCentre: settings.dataCentre,
+      copies: settings.toleratedDisks + 1,
+      isDiskNew,
+      onFailed: (task, error) => this.tasks.noteFailure(task, error),
+    });
+  }
+
+  private watchArchives(): void {
+    const {platform, clock, random, logger} = this.options;
+    const {directory} = this;
+    this.watcher = ObjectWatcher.create({
+      store: platform.store,
+      prefix: archivePrefix,
+      listener: createLoggedListener(archivePrefix, logger, directory),
+      clock,
+      random,
+      pauseMs: archivePauseMs,
+    });
+    const {watcher} = this;
+    this.tasks.run(`watch ${archivePrefix}`, () => watcher.run());
+  }
+
+  private async register(archive: Archive, signal: AbortSignal): Promise<void> {
+    const {settings, platform} = this.options;
+    const {daemon, ip, peerPort, dataCentre} = settings;
+    const address = `http://${ip}:${peerPort}`;
+    const {disk} = archive;
+    const member = {daemon, address, dataCentre, disk};
+    while (!signal.aborted) {
+      try {
+        await registerArchive(platform.store, member);
+        return;
+      } catch (error) {
+        this.tasks.noteFailure('register', error);
+        await this.clock.sleep(registerRetryMs, signal);
+      }
+    }
+  }
+
+  private reportGauges(archive: Archive): void {
+    const {metrics, logger, output} = this.options;
+    metrics.setGauge('archive_turns', {}, archive.turnCount);
+    metrics.setGauge('archive_programs', {}, archive.programCount);
+    if (output !== undefined) reportDroppedLines(output, logger, metrics);
+    this.clock.setTimer(gaugeIntervalMs, () => this.reportGauges(archive));
+  }
+}
--- /dev/null
+++ b/packages/nodes/src/utils/logged_listener.ts
@@ -0,0 +1,33 @@
+/** Listeners of watches that log outages. */
+import type {
+  ObjectChange,
+  ObjectListener,
+  StoredObject,
+} from '@marigoldpost/platform';
+import type {EventLogger} from '@marigoldpost/telemetry';
+
+/** What a listener does with objects. */
+export interface ObjectSink {
+  replaceObjects(objects: readonly StoredObject[]): void;
+  applyChange(change: ObjectChange): void;
+}
+
+/**
+ * Creates a listener that passes objects on and logs outages.
+ * @param prefix - Start of the keys watched.
+ * @param logger - Where outages are logged.
+ * @param sink - Takes the objects.
+ */
+export function createLoggedListener(
+  prefix: string,
+  logger: EventLogger,
+  sink: ObjectSink,
+): ObjectListener {
+  return {
+    replaceObjects: (objects) => sink.replaceObjects(objects),
+    applyChange: (change) => sink.applyChange(change),
+    noteLost: ({message}) => logger.log('watch_lost', {prefix, message}),
+    noteBack: (outageMs) =>
+      logger.log('watch_back', {prefix, outageMs: Math.round(outageMs)}),
+  };
+}
--- a/packages/platform/src/store/object_store.ts
+++ b/packages/platform/src/store/object_store.ts
@@ -7,6 +7,15 @@
   readonly value: string;
   /** Version of the last change; grows over the whole store. */
   readonly version: number;
+  /** JSON text of the object's status, where the platform keeps one. */
+  readonly status?: string;
+}
+
+/** Every object of a prefix at one moment. */
+export interface ObjectSnapshot {
+  readonly objects: readonly StoredObject[];
+  /** Version from which a watch continues. */
+  readonly version: number;
 }
 
 /** One change that a watch reports. */
@@ -92,4 +101,20 @@
     sinceVersion: number,
     signal: AbortSignal,
   ): Promise<ObjectChanges>;
+
+  /**
+   * Reads every object of a prefix, page by page.
+   * @param prefix - Start of the keys.
+   */
+  async readSnapshot(prefix: string): Promise<ObjectSnapshot> {
+    const objects: StoredObject[] = [];
+    for (;;) {
+      const afterKey = objects.at(-1)?.key;
+      const page = await this.listObjects(prefix, {afterKey});
+      objects.push(...page);
+      if (page.length === 0) break;
+    }
+    const versions = objects.map((object) => object.version);
+    return {objects, version: Math.max(0, ...versions)};
+  }
 }
--- /dev/null
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -0,0 +1,144 @@
+/** Keeps a daemon's view of a prefix of objects up to date. */
+import {
+  Backoff,
+  type Clock,
+  isErrorOfKind,
+  type Random,
+  toMarigoldpostError,
+} from '@marigoldpost/common';
+import type {
+  ObjectChange,
+  ObjectStore,
+  StoredObject,
+} from '../store/object_store.js';
+
+/** Waits between failed calls: short enough for a 2 s bound on changes. */
+const retryWaits = {baseMs: 100, maxMs: 800};
+
+/** Learns what a watch sees. */
+export interface ObjectListener {
+  /**
+   * Called with every object of the prefix; those not named are gone.
+   * @param objects - The objects.
+   */
+  replaceObjects(objects: readonly StoredObject[]): void;
+
+  /**
+   * Called for each change after that.
+   * @param change - The change.
+   */
+  applyChange(change: ObjectChange): void;
+
+  /**
+   * Called when the platform stops answering.
+   * @param error - What the first failed call met.
+   */
+  noteLost(error: Error): void;
+
+  /**
+   * Called when the platform answers again.
+   * @param outageMs - Time since the last answer.
+   */
+  noteBack(outageMs: number): void;
+}
+
+/** Options of a watcher. */
+export interface ObjectWatcherOptions {
+  readonly store: ObjectStore;
+  readonly prefix: string;
+  readonly listener: ObjectListener;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Pause between two waits that brought changes; bounds the calls made. */
+  readonly pauseMs: number;
+}
+
+/** Lists a prefix once, then watches it; lists again when history is gone. */
+export class ObjectWatcher {
+  private readonly backoff: Backoff;
+  private readonly controller = new AbortController();
+  private version: number | undefined;
+  private lastAnswerMs: number;
+  private isLost = false;
+
+  private constructor(private readonly options: ObjectWatcherOptions) {
+    this.backoff = Backoff.create(retryWaits, options.random);
+    this.lastAnswerMs = options.clock.nowMs();
+  }
+
+  /**
+   * Creates a watcher that has not begun.
+   * @param options - What to watch and who learns of it.
+   */
+  static create(options: ObjectWatcherOptions): ObjectWatcher {
+    return new ObjectWatcher(options);
+  }
+
+  /** Time since the platform last answered, in milliseconds. */
+  get ageMs(): number {
+    return this.options.clock.nowMs() - this.lastAnswerMs;
+  }
+
+  /** Watches until stopped. */
+  async run(): Promise<void> {
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      try {
+        await this.step(signal);
+      } catch (error) {
+        if (signal.aborted) return;
+        await this.handleFailure(error, signal);
+      }
+    }
+  }
+
+  /** Ends the watch. */
+  stop(): void {
+    this.controller.abort();
+  }
+
+  private async step(signal: AbortSignal): Promise<void> {
+    const {store, prefix, listener, clock, pauseMs} = this.options;
+    if (this.version === undefined) {
+      const snapshot = await store.readSnapshot(prefix);
+      this.noteAnswer();
+      listener.replaceObjects(snapshot.objects);
+      this.version = snapshot.version;
+      return;
+    }
+    const {changes, version} = await store.waitForChanges(
+      prefix,
+      this.version,
+      signal,
+    );
+    this.noteAnswer();
+    for (const change of changes) listener.applyChange(change);
+    this.version = version;
+    if (changes.length > 0) await clock.sleep(pauseMs, signal);
+  }
+
+  private noteAnswer(): void {
+    const outageMs = this.ageMs;
+    this.lastAnswerMs = this.options.clock.nowMs();
+    this.backoff.reset();
+    if (!this.isLost) return;
+    this.isLost = false;
+    this.options.listener.noteBack(outageMs);
+  }
+
+  private async handleFailure(
+    error: unknown,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const known = toMarigoldpostError(error);
+    if (isErrorOfKind(known, 'history_gone')) this.version = undefined;
+    else if (!this.isLost) {
+      this.isLost = true;
+      this.options.listener.noteLost(known);
+    }
+    const waitMs = known.retryAfterMs ?? this.backoff.nextDelayMs();
+    await this.options.clock
+      .sleep(Math.min(waitMs, retryWaits.maxMs), signal)
+      .catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/packages/sites/src/node/node_settings.ts
@@ -0,0 +1,42 @@
+/** What a process learns about its VM and its surroundings. */
+import type {DaemonId, DataCentreId} from '@marigoldpost/common';
+import type {NetworkAddress} from '../targets/target_entry.js';
+
+/** Bounds that the operators promise or ask for. */
+export interface NodeBounds {
+  /** Time without disruption after which a VM must keep every time bound. */
+  readonly contactMs: number;
+  /** Time within which a change of the configuration is in force. */
+  readonly configApplyMs: number;
+  /** Time for which a leaving target still serves. */
+  readonly drainMs: number;
+  /** Time between the request to stop and the kill. */
+  readonly graceMs: number;
+}
+
+/** Settings of one process. */
+export interface NodeSettings {
+  readonly daemon: DaemonId;
+  readonly ip: string;
+  readonly dataCentre: DataCentreId;
+  /** Where clients connect; entry VMs only. */
+  readonly callerAddress: NetworkAddress | undefined;
+  /** Where the balancer asks whether the daemon is ready. */
+  readonly readyAddress: NetworkAddress | undefined;
+  /** Port for other daemons. */
+  readonly peerPort: number;
+  /** Port of the metrics page. */
+  readonly metricsPort: number;
+  /** Folder that outlives the process; VMs with a disk only. */
+  readonly dataFolder: string | undefined;
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean;
+  /** Disks whose loss at once must be borne. */
+  readonly toleratedDisks: number;
+  /** Room on the disk, in megabytes. */
+  readonly diskMb: number;
+  readonly memoryMb: number;
+  /** Object API of the platform. */
+  readonly platformAddress: NetworkAddress;
+  readonly bounds: NodeBounds;
+}
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -38,6 +38,27 @@
     kind: 'string',
     message: 'string',
   }),
+  node_started: define(1010, 'info', 'A process of a site serves', {
+    role: 'string',
+    startMs: 'number',
+    detail: 'string',
+  }),
+  node_stopping: define(1011, 'info', 'A process was asked to stop', {
+    signal: 'string',
+    inFlight: 'number',
+  }),
+  node_stopped: define(1012, 'info', 'A process of a site has stopped', {
+    drainMs: 'number',
+    cutOff: 'number',
+  }),
+  settings_reloaded: define(1013, 'info', 'The settings were read again', {}),
+  log_lines_dropped: define(1014, 'warn', 'Log lines were left out', {
+    lines: 'number',
+  }),
+  readiness_changed: define(1015, 'info', 'Readiness changed', {
+    isReady: 'boolean',
+    reason: 'string',
+  }),
 
   // 2000: callers.
   call_accepted: define(2001, 'debug', 'A call was accepted', {
@@ -72,6 +93,48 @@
   tls_reload_failed: define(2007, 'error', 'TLS files could not be read', {
     message: 'string',
   }),
+  call_placed: define(2101, 'info', 'A call was sent to a target', {
+    route: 'string',
+    service: 'string',
+    target: 'string',
+    attempt: 'number',
+    waitedMs: 'number',
+    load: 'number',
+    leftMs: 'number',
+    configVersion: 'number',
+  }),
+  attempt_failed: define(2102, 'warn', 'A target did not answer a call', {
+    target: 'string',
+    result: 'string',
+    isSent: 'boolean',
+    reason: 'string',
+    elapsedMs: 'number',
+  }),
+  call_ended: define(2103, 'info', 'A call was answered', {
+    route: 'string',
+    status: 'number',
+    durationMs: 'number',
+    events: 'number?',
+    target: 'string?',
+  }),
+  call_turned_away: define(2104, 'info', 'A call was turned away', {
+    route: 'string',
+    kind: 'string',
+    status: 'number',
+    message: 'string',
+    elapsedMs: 'number',
+    retryAfterMs: 'number?',
+  }),
+  answer_broken_off: define(2105, 'warn', 'An answer was broken off', {
+    route: 'string',
+    reason: 'string',
+    events: 'number',
+    durationMs: 'number',
+  }),
+  client_gone: define(2106, 'info', 'A client left before its answer', {
+    route: 'string',
+    elapsedMs: 'number',
+  }),
 
   // 3000: partitions, journal and programs.
   partition_taken: define(3001, 'info', 'A partition is held here', {
@@ -93,6 +156,35 @@
     usedTokens: 'number',
     usedCalls: 'number',
   }),
+  turn_read: define(3101, 'info', 'The turns before a turn were read', {
+    previous: 'string',
+    turns: 'number',
+    promptBytes: 'number',
+    elapsedMs: 'number',
+  }),
+  turn_stored: define(3102, 'info', 'A finished turn is durable', {
+    program: 'string',
+    tokens: 'number',
+    elapsedMs: 'number',
+  }),
+  budget_refused: define(3103, 'info', 'A turn was refused by its budget', {
+    program: 'string',
+    budgetTokens: 'number',
+    wantedTokens: 'number',
+  }),
+  archive_opened: define(3104, 'info', 'The archive was read from its disk', {
+    disk: 'string',
+    turns: 'number',
+    programs: 'number',
+    elapsedMs: 'number',
+  }),
+  archive_reachability: define(3105, 'warn', 'An archive changed its state', {
+    archive: 'string',
+    isReachable: 'boolean',
+  }),
+  archive_retired: define(3106, 'info', 'An archive was emptied', {
+    turns: 'number',
+  }),
 
   // 4000: peers.
   member_changed: define(4001, 'info', 'A daemon changed its state', {
@@ -118,6 +210,23 @@
   quarantine_lifted: define(5004, 'info', 'A quarantine was lifted', {
     fingerprint: 'string',
   }),
+  target_listed: define(5101, 'info', 'A target was listed or changed', {
+    target: 'string',
+    service: 'string',
+    address: 'string',
+    isDraining: 'boolean',
+    version: 'number',
+  }),
+  target_unlisted: define(5102, 'info', 'A target left the list', {
+    target: 'string',
+    isHeld: 'boolean',
+    version: 'number',
+  }),
+  target_ejected: define(5103, 'warn', 'A target is left out for a while', {
+    target: 'string',
+    service: 'string',
+    result: 'string',
+  }),
 
   // 6000: configuration and operators.
   config_in_force: define(6001, 'info', "The operators' text is in force", {
@@ -136,6 +245,11 @@
     kind: 'string',
     path: 'string',
   }),
+  site_config_in_force: define(6101, 'info', 'A configuration is in force', {
+    version: 'number',
+    routes: 'number',
+    revision: 'number',
+  }),
 
   // 7000: the platform.
   platform_lost: define(7001, 'warn', 'The platform does not answer', {
@@ -144,6 +258,14 @@
   platform_back: define(7002, 'info', 'The platform answers again', {
     outageMs: 'number',
   }),
+  watch_lost: define(7101, 'warn', 'A watch of the platform failed', {
+    prefix: 'string',
+    message: 'string',
+  }),
+  watch_back: define(7102, 'info', 'A watch of the platform works again', {
+    prefix: 'string',
+    outageMs: 'number',
+  }),
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -3,3 +3,4 @@
 export * from './events/event_logger.js';
 export * from './metrics/metric_catalogue.js';
 export * from './metrics/metrics.js';
+export * from './output/bounded_output.js';
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -28,6 +28,26 @@
     'result',
   ]),
   config_version: define('gauge', 'Version of the text in force', []),
+  requests_total: define('counter', 'Requests by route kind and status', [
+    'kind',
+    'status',
+  ]),
+  request_duration_ms: define('histogram', 'Time of a request', ['kind']),
+  attempts_total: define('counter', 'Requests sent to targets by result', [
+    'service',
+    'result',
+  ]),
+  target_wait_ms: define('histogram', 'Wait for a place at a target', [
+    'service',
+  ]),
+  turn_store_ms: define('histogram', 'Time to make a turn durable', []),
+  reservation_ms: define('histogram', 'Time to reserve tokens', []),
+  archive_turns: define('gauge', 'Turns held by the archive', []),
+  archive_programs: define('gauge', 'Programs in the ledger', []),
+  archive_requests_total: define('counter', 'Requests to the archive', [
+    'request',
+  ]),
+  log_lines_dropped_total: define('counter', 'Log lines left out', []),
   uncommitted_bytes: define('gauge', 'Bytes of turns not yet durable', []),
 } as const satisfies Record<string, MetricDefinition>;
 
--- /dev/null
+++ b/packages/turns/src/archive/archive_service.ts
@@ -0,0 +1,152 @@
+/** Answers the requests of other daemons to an archive. */
+import {create} from '@bufbuild/protobuf';
+import {
+  type DaemonId,
+  MarigoldpostError,
+  type ProgramId,
+  toId,
+} from '@marigoldpost/common';
+import {
+  AcknowledgementSchema,
+  ArchiveStatusSchema,
+  ChainSchema,
+  FoundTurnsSchema,
+  LedgerSchema,
+  type PeerReplyBody,
+  type PeerRequestBody,
+  ReserveReplySchema,
+} from '@marigoldpost/peers';
+import type {TurnId} from '@marigoldpost/sites';
+import {
+  fromTurnMessage,
+  type ProgramEntries,
+  toLedgerMessage,
+  toTurnMessage,
+} from '../records/turn_codec.js';
+import type {Archive} from './archive.js';
+
+const acknowledgement: PeerReplyBody = {
+  case: 'acknowledgement',
+  value: create(AcknowledgementSchema),
+};
+
+type RequestOf<Case extends PeerRequestBody['case']> = Extract<
+  PeerRequestBody,
+  {case: Case}
+>['value'];
+
+/** Serves one archive. */
+export class ArchiveService {
+  private constructor(
+    private readonly archive: Archive,
+    private readonly isComplete: () => boolean,
+  ) {}
+
+  /**
+   * Creates a service.
+   * @param archive - The archive.
+   * @param isComplete - Whether it knows what its peers recorded meanwhile.
+   */
+  static create(archive: Archive, isComplete: () => boolean): ArchiveService {
+    return new ArchiveService(archive, isComplete);
+  }
+
+  /**
+   * Answers one request; see `PeerHandler`.
+   * @param _sender - The daemon that asks.
+   * @param request - Its request.
+   */
+  async *handle(
+    _sender: DaemonId,
+    request: PeerRequestBody,
+  ): AsyncIterable<PeerReplyBody> {
+    yield await this.answer(request);
+  }
+
+  private async answer(request: PeerRequestBody): Promise<PeerReplyBody> {
+    switch (request.case) {
+      case 'reserveTokens':
+        return this.reserve(request.value);
+      case 'settleTokens':
+        await this.archive.mergeLedgers(toLedgers(request.value));
+        return acknowledgement;
+      case 'fetchLedger':
+        return this.fetchLedger(request.value);
+      case 'storeTurns':
+        await this.archive.storeTurns(request.value.turns.map(fromTurnMessage));
+        return acknowledgement;
+      case 'fetchChain':
+        return this.fetchChain(request.value);
+      case 'findTurns':
+        return this.findTurns(request.value);
+      case 'archiveProbe':
+        await this.archive.checkDisk();
+        return {case: 'archiveStatus', value: this.getStatus()};
+      default:
+        throw MarigoldpostError.create(
+          'invalid_request',
+          `an archive does not answer ${request.case}`,
+        );
+    }
+  }
+
+  private async reserve(
+    request: RequestOf<'reserveTokens'>,
+  ): Promise<PeerReplyBody> {
+    const {isGranted, heldTokens} = await this.archive.reserve({
+      program: toId<ProgramId>(request.program),
+      attempt: toId<TurnId>(request.attempt),
+      tokens: request.tokens,
+      budgetTokens: request.budgetTokens,
+      isForced: request.isForced,
+    });
+    const isComplete = this.isComplete();
+    return {
+      case: 'reserve',
+      value: create(ReserveReplySchema, {isGranted, heldTokens, isComplete}),
+    };
+  }
+
+  private fetchLedger({program}: RequestOf<'fetchLedger'>): PeerReplyBody {
+    const ledgers =
+      program === undefined
+        ? this.archive.getLedgers()
+        : [this.archive.getLedger(toId<ProgramId>(program))];
+    const programs = ledgers.map(toLedgerMessage);
+    return {case: 'ledger', value: create(LedgerSchema, {programs})};
+  }
+
+  private async fetchChain({
+    turn,
+  }: RequestOf<'fetchChain'>): Promise<PeerReplyBody> {
+    const chain = await this.archive.readChain(toId<TurnId>(turn));
+    const turns = chain.turns.map(toTurnMessage);
+    const missing = chain.missing ?? '';
+    return {case: 'chain', value: create(ChainSchema, {turns, missing})};
+  }
+
+  private findTurns({turns}: RequestOf<'findTurns'>): PeerReplyBody {
+    const isHeld = turns.map((turn) =>
+      this.archive.hasTurn(toId<TurnId>(turn)),
+    );
+    const status = this.getStatus();
+    return {
+      case: 'foundTurns',
+      value: create(FoundTurnsSchema, {isHeld, status}),
+    };
+  }
+
+  private getStatus() {
+    return create(ArchiveStatusSchema, {
+      disk: this.archive.disk,
+      isComplete: this.isComplete(),
+    });
+  }
+}
+
+function toLedgers({settlements}: RequestOf<'settleTokens'>): ProgramEntries[] {
+  return settlements.map(({program, attempt, tokens}) => ({
+    program: toId<ProgramId>(program),
+    entries: [{attempt: toId<TurnId>(attempt), tokens, isSettled: true}],
+  }));
+}
--- /dev/null
+++ b/packages/turns/src/client/budget_client.ts
@@ -0,0 +1,169 @@
+/** Reserves tokens of programs at the archives. */
+import {
+  type DataCentreId,
+  Deferred,
+  MarigoldpostError,
+  type ProgramId,
+} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
+import type {Reservation} from '../ledger/budget_ledger.js';
+import {sumMergedTokens} from '../ledger/merge_entries.js';
+import {
+  decideReservation,
+  type ReservationAnswer,
+  type ReservationDecision,
+  type ReservationPlace,
+  type ReservationVote,
+} from '../ledger/reservation_quorum.js';
+import type {ArchiveClient} from './archive_client.js';
+import type {ArchivePool} from './archive_pool.js';
+import type {SettlementSender} from './settlement_sender.js';
+
+/** What an attempt at a turn needs of its program's budget. */
+export interface TokenRequest {
+  readonly program: ProgramId;
+  readonly attempt: TurnId;
+  /** Most tokens that the attempt generates. */
+  readonly tokens: number;
+  readonly budgetTokens: number;
+  /** Data centre in which the program began. */
+  readonly home: DataCentreId;
+}
+
+/** Options of a client. */
+export interface BudgetClientOptions {
+  readonly pool: ArchivePool;
+  readonly settlements: SettlementSender;
+  readonly ownDataCentre: DataCentreId;
+}
+
+/** Client of the budgets. */
+export class BudgetClient {
+  private constructor(private readonly options: BudgetClientOptions) {}
+
+  /**
+   * Creates a client.
+   * @param options - The archives.
+   */
+  static create(options: BudgetClientOptions): BudgetClient {
+    return new BudgetClient(options);
+  }
+
+  /**
+   * Reserves tokens. Throws `tokens_spent` when the budget does not hold them,
+   * `archive_unavailable` when that cannot be known; nothing is reserved then.
+   * @param request - What to reserve.
+   */
+  async reserve(request: TokenRequest): Promise<void> {
+    const decision = await this.askArchives(request, false);
+    if (decision === 'granted') return;
+    if (decision === 'refused' && (await this.isWithinBudget(request))) {
+      if ((await this.askArchives(request, true)) === 'granted') return;
+    }
+    this.options.settlements.add(request.program, request.attempt, 0);
+    if (decision === 'refused') throw createSpent(request);
+    throw MarigoldpostError.create(
+      'archive_unavailable',
+      `the budget of program "${request.program}" cannot be counted`,
+    );
+  }
+
+  private async askArchives(
+    request: TokenRequest,
+    isForced: boolean,
+  ): Promise<ReservationDecision> {
+    const place = {home: request.home, own: this.options.ownDataCentre};
+    const ballot = ReservationBallot.create(
+      this.options.pool.getClients(),
+      place,
+    );
+    return ballot.run({...request, isForced});
+  }
+
+  /** Archives lag each other; together they know what is really used. */
+  private async isWithinBudget(request: TokenRequest): Promise<boolean> {
+    const {program, attempt, tokens, budgetTokens} = request;
+    const replies = await Promise.allSettled(
+      this.options.pool
+        .getClients()
+        .map((client) => client.fetchLedgers(program)),
+    );
+    const lists = replies.flatMap((reply) =>
+      reply.status === 'fulfilled'
+        ? reply.value.map(({entries}) =>
+            entries.filter((entry) => entry.attempt !== attempt),
+          )
+        : [],
+    );
+    return sumMergedTokens(lists) + tokens <= budgetTokens;
+  }
+}
+
+/** One round of asking every archive. */
+class ReservationBallot {
+  private readonly votes: ReservationVote[];
+  private readonly decided = Deferred.create<ReservationDecision>();
+
+  private constructor(
+    private readonly clients: readonly ArchiveClient[],
+    private readonly place: ReservationPlace,
+  ) {
+    this.votes = clients.map(({dataCentre}) => ({
+      dataCentre,
+      answer: 'pending',
+      isComplete: false,
+    }));
+  }
+
+  static create(
+    clients: readonly ArchiveClient[],
+    place: ReservationPlace,
+  ): ReservationBallot {
+    return new ReservationBallot(clients, place);
+  }
+
+  run(reservation: Reservation): Promise<ReservationDecision> {
+    this.clients.forEach((client, index) => {
+      void this.askArchive(client, index, reservation);
+    });
+    this.decide();
+    return this.decided.promise;
+  }
+
+  private async askArchive(
+    client: ArchiveClient,
+    index: number,
+    reservation: Reservation,
+  ): Promise<void> {
+    try {
+      const reply = await client.reserve(reservation);
+      const answer = reply.isGranted ? 'granted' : 'refused';
+      this.setVote(index, answer, reply.isComplete);
+    } catch {
+      // The pool reports archives that fall silent; here it is one vote less.
+      this.setVote(index, 'failed', false);
+    }
+  }
+
+  private setVote(
+    index: number,
+    answer: ReservationAnswer,
+    isComplete: boolean,
+  ): void {
+    const {dataCentre} = this.clients[index] as ArchiveClient;
+    this.votes[index] = {dataCentre, answer, isComplete};
+    this.decide();
+  }
+
+  private decide(): void {
+    const decision = decideReservation(this.votes, this.place);
+    if (decision !== 'pending') this.decided.resolve(decision);
+  }
+}
+
+function createSpent({program, budgetTokens}: TokenRequest): MarigoldpostError {
+  return MarigoldpostError.create(
+    'tokens_spent',
+    `program "${program}" has spent its budget of ${budgetTokens} tokens`,
+  );
+}
--- a/tools/layout_packages.js
+++ b/tools/layout_packages.js
@@ -3,7 +3,7 @@
  * that project references always match the allowed dependencies.
  */
 import {existsSync, readFileSync, writeFileSync} from 'node:fs';
-import {packageLayers} from './package_layers.js';
+import {getPackageFolder, packageLayers} from './package_layers.js';
 
 const jsonIndent = 2;
 
@@ -18,18 +18,24 @@
 }
 
 const existing = packageLayers.filter((name) =>
-  existsSync(`packages/${name}/package.json`),
+  existsSync(`${getPackageFolder(name)}/package.json`),
 );
 
 for (const name of existing) {
-  const path = `packages/${name}/package.json`;
+  const folder = getPackageFolder(name);
+  const root = folder.replace(/[^/]+/g, '..');
+  const path = `${folder}/package.json`;
   const manifest = JSON.parse(readFileSync(path, 'utf8'));
   manifest.exports = {
-    '.': {types: './dist/index.d.ts', default: './dist/index.js'},
+    '.': {
+      'marigoldpost-source': './src/index.ts',
+      types: './dist/index.d.ts',
+      default: './dist/index.js',
+    },
   };
   writeJson(path, manifest);
-  writeJson(`packages/${name}/tsconfig.json`, {
-    extends: '../../tsconfig.base.json',
+  writeJson(`${folder}/tsconfig.json`, {
+    extends: `${root}/tsconfig.base.json`,
     compilerOptions: {
       rootDir: 'src',
       outDir: 'dist',
@@ -37,25 +43,23 @@
     },
     include: ['src'],
     references: readDependencies(manifest).map((dependency) => ({
-      path: `../${dependency}`,
+      path: `${root}/${getPackageFolder(dependency)}`,
     })),
   });
 }
 
+const references = existing.map((name) => ({path: getPackageFolder(name)}));
 writeJson('tsconfig.tests.json', {
   extends: './tsconfig.base.json',
   compilerOptions: {
-    rootDir: 'packages',
+    rootDir: '.',
     outDir: 'dist-tests',
     tsBuildInfoFile: 'dist-tests/tsconfig.tsbuildinfo',
   },
-  include: ['packages/*/tests/**/*.ts'],
-  references: existing.map((name) => ({path: `packages/${name}`})),
+  include: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
+  references,
 });
 writeJson('tsconfig.json', {
   files: [],
-  references: [
-    ...existing.map((name) => ({path: `packages/${name}`})),
-    {path: './tsconfig.tests.json'},
-  ],
+  references: [...references, {path: './tsconfig.tests.json'}],
 });
--- a/tools/package_layers.js
+++ b/tools/package_layers.js
@@ -15,8 +15,22 @@
   'scheduler',
   'entry',
   'operations',
+  'sites',
+  'turns',
+  'dispatch',
+  'gateway',
+  'nodes',
+  'platform-adapter',
   'daemon',
   'standins',
   'bench',
   'cli',
 ];
+
+/**
+ * Gets the folder of a package, from the root of the workspace.
+ * @param name - A name of `packageLayers`.
+ */
+export function getPackageFolder(name) {
+  return name === 'platform-adapter' ? 'platform' : `packages/${name}`;
+}
--- a/tools/record_histories.js
+++ b/tools/record_histories.js
@@ -4,7 +4,7 @@
  */
 import fc from 'fast-check';
 
-const fixtures = '../dist-tests/daemon/tests/fixtures';
+const fixtures = '../dist-tests/packages/daemon/tests/fixtures';
 const {arbitraryFaults, HistoryRun} = await import(
   `${fixtures}/history_run.js`
 );
