--- a/packages/gateway/src/targets/target_agent.ts
+++ b/packages/gateway/src/targets/target_agent.ts
@@ -50,8 +50,10 @@
     if (idleMs <= 0) return false;
     socket.setKeepAlive(true, millisecondsPerSecond);
     socket.on('data', this.onUnexpectedData);
-    socket.once('close', () => this.forget(socket));
-    const timer = setTimeout(() => socket.destroy(), idleMs);
+    const timer = setTimeout(() => {
+      this.idleTimers.delete(socket);
+      socket.destroy();
+    }, idleMs);
     this.idleTimers.set(socket, timer);
     return true;
   }
@@ -59,7 +61,7 @@
   override reuseSocket(socket: Socket, request: http.ClientRequest): void {
     this.forget(socket);
     socket.removeListener('data', this.onUnexpectedData);
-    request.reusedSocket = true;
+    super.reuseSocket(socket, request);
   }
 
   private forget(socket: Socket): void {
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -27,8 +27,6 @@
 const configPauseMs = 100;
 const targetPauseMs = 250;
 const archivePauseMs = 250;
-/** The balancer asks every second and leaves a daemon out after two misses. */
-const balancerNoticeMs = 2300;
 /** Time kept back for the end of the process within the grace period. */
 const stopMarginMs = 800;
 const drainCheckMs = 50;
@@ -124,7 +122,7 @@
     this.server.drain();
     logger.log('node_stopping', {signal, inFlight: this.server.inFlight});
     const lastMs = startMs + settings.bounds.graceMs - stopMarginMs;
-    await this.clock.sleep(balancerNoticeMs);
+    await this.clock.sleep(settings.bounds.balancerNoticeMs);
     while (this.server.connectionCount > 0 && this.clock.nowMs() < lastMs) {
       this.server.closeIdle();
       await this.clock.sleep(drainCheckMs);
--- a/packages/peers/src/messages/message_link.ts
+++ b/packages/peers/src/messages/message_link.ts
@@ -19,7 +19,7 @@
 import {MessageFramer} from './message_framer.js';
 
 /** How often replies that are due are looked for. */
-const checkIntervalMs = 25;
+const checkIntervalMs = 50;
 
 interface PendingReply {
   readonly sentAtMs: number;
--- a/packages/sites/src/node/node_settings.ts
+++ b/packages/sites/src/node/node_settings.ts
@@ -10,6 +10,8 @@
   readonly configApplyMs: number;
   /** Time for which a leaving target still serves. */
   readonly drainMs: number;
+  /** Time until the balancer sends no new connections to a daemon. */
+  readonly balancerNoticeMs: number;
   /** Time between the request to stop and the kill. */
   readonly graceMs: number;
 }
--- a/packages/telemetry/src/output/bounded_output.ts
+++ b/packages/telemetry/src/output/bounded_output.ts
@@ -7,7 +7,9 @@
 /** Lines of a second; a call takes about three, and a daemon serves some 200. */
 const maxLinesPerSecond = 1500;
 const secondMs = 1000;
-const flushIntervalMs = 100;
+/** Bytes that are written together; a shorter rest waits for the next flush. */
+const writeBytes = 16 * 1024;
+const flushIntervalMs = 250;
 
 /** Where the bytes go. */
 export interface LogSink {
@@ -47,7 +49,7 @@
       fd: 1,
       sync: false,
       maxLength: maxUnwrittenBytes,
-      minLength: 0,
+      minLength: writeBytes,
     });
     const output = new BoundedOutput({sink: stdout, nowMs});
     stdout.on('drop', () => output.noteDropped());
--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -130,7 +130,10 @@
   private check(): void {
     if (this.stored >= this.options.copies) this.done.resolve();
     if (this.underWay > 0) return;
-    if (this.stored > 0) this.done.resolve();
+    if (this.stored > 0) {
+      this.done.resolve();
+      return;
+    }
     const message = `turn "${this.record.id}" could not be stored anywhere`;
     this.done.reject(MarigoldpostError.create('archive_unavailable', message));
   }
