--- a/packages/gateway/src/targets/target_agent.ts
+++ b/packages/gateway/src/targets/target_agent.ts
@@ -73,7 +73,8 @@
     const message = (socket as {_httpMessage?: {res?: http.IncomingMessage}})
       ._httpMessage;
     const hint = message?.res?.headers['keep-alive'];
-    const [, seconds] = /(?:^|,)\s*timeout=(\d+)/.exec(String(hint ?? '')) ?? [];
+    const [, seconds] =
+      /(?:^|,)\s*timeout=(\d+)/.exec(String(hint ?? '')) ?? [];
     if (seconds === undefined) return defaultIdleMs;
     return Number(seconds) * millisecondsPerSecond - idleMarginMs;
   }
--- a/packages/telemetry/src/output/bounded_output.ts
+++ b/packages/telemetry/src/output/bounded_output.ts
@@ -8,7 +8,7 @@
 const maxLinesPerSecond = 1500;
 const secondMs = 1000;
 /** Bytes that are written together; a shorter rest waits for the next flush. */
-const writeBytes = 16 * 1024;
+const writeBytes = 8 * 1024;
 const flushIntervalMs = 250;
 
 /** Where the bytes go. */
