--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -106,8 +106,7 @@
   }
   attempts.release(lease, {result: 'answered'});
   if (notRunStatuses.has(status)) {
-    const message = `the target answered ${status}`;
-    throw MarigoldpostError.create('target_failed', message);
+    throw attempts.createFailure(`the target answered ${status}`);
   }
   call.answer(status, getClientHeaders(services, response), body.bytes);
 }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -101,7 +101,10 @@
     for (;;) {
       const lease = await this.acquire();
       const outcome = await this.send(lease);
-      if (outcome.kind === 'answer') return {answer: outcome, lease};
+      if (outcome.kind === 'answer') {
+        this.noteSent();
+        return {answer: outcome, lease};
+      }
       this.noteFailure(lease, outcome);
     }
   }
@@ -112,8 +115,6 @@
    * @param message - What went wrong.
    */
   noteBrokenAnswer(lease: TargetLease, message: string): void {
-    this.mayHaveRun = true;
-    this.attempts += 1;
     this.excluded.add(lease.target.id);
     this.release(lease, {result: 'broken'});
     this.logFailure(lease, 'broken', true, message);
@@ -135,7 +136,7 @@
 
   /** Gets what the caller is told when nothing more can be tried. */
   createFailure(message: string): MarigoldpostError {
-    const isLate = this.call.leftMs <= 0;
+    const isLate = this.call.endReason === 'timeout';
     if (this.mayHaveRun) {
       const kind = isLate ? 'target_timeout' : 'target_failed';
       return MarigoldpostError.create(kind, message);
@@ -234,14 +235,16 @@
     this.release(lease, {result: targetResults[reason]});
     this.logFailure(lease, reason, isSent, message);
     if (reason === 'silent') this.services.agents.get(lease.target).closeIdle();
-    if (isSent) {
-      this.attempts += 1;
-      this.mayHaveRun = true;
-    }
+    if (isSent) this.noteSent();
     const mayGoOn = isSent ? this.canRepeat : !this.call.signal.aborted;
     if (!mayGoOn) throw this.createFailure(message);
   }
 
+  private noteSent(): void {
+    this.attempts += 1;
+    this.mayHaveRun = true;
+  }
+
   private logPlaced(
     lease: TargetLease,
     dispatcher: ServiceDispatcher,
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -34,6 +34,7 @@
   private readonly transport: MessageTransport;
   private readonly page: PageServer;
   private watcher: ObjectWatcher | undefined;
+  private archive: Archive | undefined;
 
   private constructor(private readonly options: NodeOptions) {
     super();
@@ -64,6 +65,7 @@
     const startMs = this.clock.nowMs();
     const {settings, logger} = this.options;
     const archive = await this.openArchive();
+    this.archive = archive;
     const repairer = this.createRepairer(archive);
     const service = ArchiveService.create(archive, () => repairer.isComplete);
     await this.transport.start((_sender, request) => service.answer(request));
@@ -72,7 +74,7 @@
     this.tasks.run('register', (signal) => this.register(archive, signal));
     this.tasks.run('repair', (signal) => repairer.run(signal));
     this.tasks.run('sweep', (signal) => archive.sweep(signal));
-    this.reportGauges(archive);
+    this.tasks.run('gauges', (signal) => this.reportGauges(archive, signal));
     logger.log('node_started', {
       role: 'archive',
       startMs: Math.round(this.clock.nowMs() - startMs),
@@ -88,6 +90,7 @@
     this.watcher?.stop();
     await this.clock.sleep(stopDelayMs);
     this.transport.stop();
+    this.archive?.close();
     this.page.close();
     const drainMs = Math.round(this.clock.nowMs() - startMs);
     logger.log('node_stopped', {drainMs, cutOff: 0});
@@ -122,6 +125,7 @@
       directory: this.directory,
       transport: this.transport,
       clock,
+      signal: this.tasks.signal,
       self: settings.daemon,
       onReachability: ({daemon}, isReachable) =>
         logger.log('archive_reachability', {archive: daemon, isReachable}),
@@ -171,11 +175,16 @@
     }
   }
 
-  private reportGauges(archive: Archive): void {
+  private async reportGauges(
+    archive: Archive,
+    signal: AbortSignal,
+  ): Promise<void> {
     const {metrics, logger, output} = this.options;
-    metrics.setGauge('archive_turns', {}, archive.turnCount);
-    metrics.setGauge('archive_programs', {}, archive.programCount);
-    if (output !== undefined) reportDroppedLines(output, logger, metrics);
-    this.clock.setTimer(gaugeIntervalMs, () => this.reportGauges(archive));
+    while (!signal.aborted) {
+      metrics.setGauge('archive_turns', {}, archive.turnCount);
+      metrics.setGauge('archive_programs', {}, archive.programCount);
+      if (output !== undefined) reportDroppedLines(output, logger, metrics);
+      await this.clock.sleep(gaugeIntervalMs, signal);
+    }
   }
 }
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -1,5 +1,5 @@
 /** Process of an entry VM: takes clients' requests and passes them to targets. */
-import type {Clock, Timer} from '@marigoldpost/common';
+import type {Clock} from '@marigoldpost/common';
 import {
   CallHandler,
   GatewayServer,
@@ -33,6 +33,7 @@
 /** Share of the VM's memory that recent turns may take. */
 const cacheShare = 0.15;
 const bytesPerMb = 2 ** 20;
+const gaugeIntervalMs = 1000;
 const okStatus = 200;
 const unavailableStatus = 503;
 
@@ -106,7 +107,7 @@
     this.watchWith(keys.targetPrefix, targetPauseMs, this.roster);
     this.watch(archivePrefix, archivePauseMs, this.directory);
     await this.listen();
-    this.reportGauges();
+    this.tasks.run('gauges', (signal) => this.reportGauges(signal));
     logger.log('node_started', {
       role: 'entry',
       startMs: Math.round(this.clock.nowMs() - startMs),
@@ -133,6 +134,7 @@
     for (const page of this.pages) page.close();
     for (const watcher of this.watchers) watcher.stop();
     this.roster.stop();
+    this.turns.stop();
     this.tasks.stop();
     this.transport.stop();
   }
@@ -181,6 +183,7 @@
       directory: this.directory,
       transport: this.transport,
       clock,
+      signal: this.tasks.signal,
       onReachability: ({daemon}, isReachable) =>
         logger.log('archive_reachability', {archive: daemon, isReachable}),
     });
@@ -266,9 +269,9 @@
     return 'ready';
   }
 
-  private reportGauges(): void {
+  private async reportGauges(signal: AbortSignal): Promise<void> {
     const {metrics, logger, output} = this.options;
-    const report = (): Timer => {
+    while (!signal.aborted) {
       metrics.setGauge('calls_in_flight', {}, this.server.inFlight);
       let waiting = 0;
       for (const dispatcher of this.site.getDispatchers()) {
@@ -276,10 +279,7 @@
       }
       metrics.setGauge('queue_length', {}, waiting);
       if (output !== undefined) reportDroppedLines(output, logger, metrics);
-      return this.clock.setTimer(gaugeIntervalMs, report);
-    };
-    report();
+      await this.clock.sleep(gaugeIntervalMs, signal);
+    }
   }
 }
-
-const gaugeIntervalMs = 1000;
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -202,6 +202,11 @@
     }
   }
 
+  /** Closes the log. */
+  close(): void {
+    this.log.close();
+  }
+
   private async removeExpired(): Promise<void> {
     const nowMs = this.nowMs();
     this.ledger.removeIdle(nowMs - ledgerRetentionMs);
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -58,6 +58,8 @@
   readonly member: ArchiveMember;
   readonly transport: PeerRequester;
   readonly clock: Clock;
+  /** Ends the probes of a silent archive. */
+  readonly signal: AbortSignal;
   /** Called when the archive falls silent or answers again. */
   readonly onReachability?: (
     member: ArchiveMember,
@@ -182,10 +184,10 @@
 
   /** Probes the archive while it is silent, until it answers. */
   private async probeUntilBack(sinceMs: number): Promise<void> {
-    const {clock, transport} = this.options;
+    const {clock, transport, signal} = this.options;
     const {daemon, address} = this.member;
     for (;;) {
-      await clock.sleep(probePauseMs);
+      await clock.sleep(probePauseMs, signal);
       try {
         const value = create(ArchiveProbeSchema);
         await transport.ask(
@@ -232,7 +234,8 @@
     const nowMs = this.options.clock.nowMs();
     this.silentSinceMs = nowMs;
     this.options.onReachability?.(this.member, false);
-    void this.probeUntilBack(nowMs);
+    // Only the end of the process ends the probes with an error.
+    this.probeUntilBack(nowMs).catch(() => undefined);
   }
 
   private createUnexpected(reply: PeerReplyBody): MarigoldpostError {
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -12,6 +12,8 @@
   readonly directory: ArchiveDirectory;
   readonly transport: PeerRequester;
   readonly clock: Clock;
+  /** Ends the probes of silent archives. */
+  readonly signal: AbortSignal;
   /** The daemon itself, which is left out. */
   readonly self?: DaemonId;
   readonly onReachability?: (
@@ -65,8 +67,14 @@
   private getClient(member: ArchiveMember): ArchiveClient {
     const known = this.clients.get(toKey(member));
     if (known !== undefined) return known;
-    const {transport, clock, onReachability} = this.options;
-    return ArchiveClient.create({member, transport, clock, onReachability});
+    const {transport, clock, signal, onReachability} = this.options;
+    return ArchiveClient.create({
+      member,
+      transport,
+      clock,
+      signal,
+      onReachability,
+    });
   }
 }
 
--- a/packages/turns/src/client/settlement_sender.ts
+++ b/packages/turns/src/client/settlement_sender.ts
@@ -17,6 +17,7 @@
 export class SettlementSender {
   private readonly waiting = new Map<string, ProgramEntries[]>();
   private timer: Timer | undefined;
+  private isStopped = false;
 
   private constructor(
     private readonly pool: ArchivePool,
@@ -53,7 +54,14 @@
     this.schedule(batchMs);
   }
 
+  /** Sends nothing more. */
+  stop(): void {
+    this.isStopped = true;
+    this.timer?.cancel();
+  }
+
   private schedule(delayMs: number): void {
+    if (this.isStopped) return;
     if (this.timer !== undefined || this.waiting.size === 0) return;
     this.timer = this.clock.setTimer(delayMs, () => {
       this.timer = undefined;
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -57,6 +57,11 @@
     return this.settlements.waitingCount;
   }
 
+  /** Ends the work in the background. */
+  stop(): void {
+    this.settlements.stop();
+  }
+
   /**
    * Gets a turn and all turns before it; see `ChainReader.readChain`.
    * @param turn - The turn.
--- a/packages/turns/src/log/entry_log.ts
+++ b/packages/turns/src/log/entry_log.ts
@@ -108,6 +108,11 @@
     await this.folder.removeFile(toSegmentName(segment));
   }
 
+  /** Closes the current file; everything acknowledged is durable already. */
+  close(): void {
+    this.closeSegment();
+  }
+
   private async writePending(): Promise<void> {
     this.isWriting = true;
     while (this.pending.length > 0) {
