--- /dev/null
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -0,0 +1,358 @@
+/** Steps for turns and budgets as an entry VM sees them. */
+import assert from 'node:assert/strict';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {
+  type DataCentreId,
+  type ErrorKind,
+  isErrorOfKind,
+  type ProgramId,
+  toId,
+} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
+import {ArchiveFleet, createTurn} from '../fixtures/archive_fleet.js';
+
+interface StoreWorld extends World {
+  archives: ArchiveFleet;
+  holders: string[];
+  admitted: number;
+}
+
+const program = toId<ProgramId>('program');
+const maxAttempts = 30;
+
+Given(
+  'archives {string} that keep {int} copies',
+  async function (this: StoreWorld, names: string, copies: number) {
+    this.archives = await ArchiveFleet.create(split(names), copies);
+  },
+);
+
+Given('archive {string} is killed', function (this: StoreWorld, name: string) {
+  this.archives.kill(name);
+});
+
+Given(
+  'the disk of archive {string} is stalled',
+  function (this: StoreWorld, name: string) {
+    this.archives.getFolder(name).fault = 'stalled';
+  },
+);
+
+Given(
+  'data centre {string} is cut off',
+  async function (this: StoreWorld, name: string) {
+    this.archives.cutOff = name;
+    // The first request that is not answered shows the cut.
+    const {archives} = this;
+    const probe = archives.getStore(name).readChain(toId<TurnId>('probe'));
+    await archives.run(probe.catch(() => undefined));
+  },
+);
+
+When(
+  'turn {string} finishes in {string}',
+  async function (this: StoreWorld, id: string, dataCentre: string) {
+    await finish(this, id, undefined, dataCentre);
+  },
+);
+
+When(
+  'turn {string} after {string} finishes in {string}',
+  async function (
+    this: StoreWorld,
+    id: string,
+    previous: string,
+    dataCentre: string,
+  ) {
+    await finish(this, id, previous, dataCentre);
+  },
+);
+
+When(
+  'turn {string} finishes in {string} within {int} ms',
+  async function (
+    this: StoreWorld,
+    id: string,
+    dataCentre: string,
+    withinMs: number,
+  ) {
+    const startMs = this.archives.clock.nowMs();
+    await finish(this, id, undefined, dataCentre);
+    assert.ok(this.archives.clock.nowMs() - startMs <= withinMs);
+  },
+);
+
+When(
+  'turn {string} finishes in {string} within {int} ms of the silence',
+  async function (
+    this: StoreWorld,
+    id: string,
+    dataCentre: string,
+    withinMs: number,
+  ) {
+    const startMs = this.archives.clock.nowMs();
+    await finish(this, id, undefined, dataCentre);
+    assert.ok(this.archives.clock.nowMs() - startMs <= withinMs);
+  },
+);
+
+When(
+  'the cut heals and {int} ms pass',
+  async function (this: StoreWorld, elapsedMs: number) {
+    this.archives.cutOff = undefined;
+    await this.archives.clock.advance(elapsedMs);
+  },
+);
+
+When(
+  'the disk of the archive {string} is lost and {int} ms pass',
+  async function (this: StoreWorld, name: string, elapsedMs: number) {
+    await loseDisk(this, name, elapsedMs);
+  },
+);
+
+When(
+  'the other disk with turn {string} is lost and {int} ms pass',
+  async function (this: StoreWorld, id: string, elapsedMs: number) {
+    assert.ok(this.holders.includes('a'));
+    const other = this.holders.find((name) => name !== 'a');
+    assert.ok(other, `turn "${id}" had no other disk`);
+    await loseDisk(this, other, elapsedMs);
+  },
+);
+
+When(
+  'archive {string} is killed and taken off the list',
+  function (this: StoreWorld, name: string) {
+    this.archives.kill(name);
+    this.archives.unregister(name);
+  },
+);
+
+When('{int} ms pass', async function (this: StoreWorld, elapsedMs: number) {
+  await this.archives.clock.advance(elapsedMs);
+});
+
+When(
+  'all archives lose power and start again',
+  async function (this: StoreWorld) {
+    for (const name of ['a', 'b', 'c', 'd']) {
+      this.archives.kill(name);
+      this.archives.getFolder(name).losePower('torn');
+    }
+    for (const name of ['a', 'b', 'c', 'd']) await this.archives.start(name);
+    await this.archives.clock.advance(1000);
+  },
+);
+
+When(
+  '{int} attempts of {int} tokens at most reserve from a budget of {int} at once, in turn in {string}',
+  async function (
+    this: StoreWorld,
+    count: number,
+    tokens: number,
+    budget: number,
+    names: string,
+  ) {
+    const places = split(names);
+    const tries = Array.from({length: count}, (_none, index) =>
+      reserve(
+        this,
+        `p${index}`,
+        tokens,
+        budget,
+        places[index % places.length] ?? '',
+      ),
+    );
+    const results = await this.archives.run(Promise.allSettled(tries));
+    this.admitted = results.filter(({status}) => status === 'fulfilled').length;
+  },
+);
+
+When(
+  'attempts of {int} tokens at most that use {int} run one after another in {string} on a budget of {int}',
+  async function (
+    this: StoreWorld,
+    tokens: number,
+    used: number,
+    dataCentre: string,
+    budget: number,
+  ) {
+    this.admitted = 0;
+    const {archives} = this;
+    for (let index = 0; index < maxAttempts; index++) {
+      const attempt = `s${index}`;
+      try {
+        const reserved = reserve(this, attempt, tokens, budget, dataCentre);
+        await archives.run(reserved);
+      } catch (error) {
+        assert.ok(isErrorOfKind(error, 'tokens_spent'));
+        return;
+      }
+      this.admitted += 1;
+      const store = archives.getStore(dataCentre);
+      store.settle(program, toId<TurnId>(attempt), used);
+      await archives.clock.advance(400);
+    }
+  },
+);
+
+Then(
+  /^turn "(\w+)" is on (at least )?(\d+) disks(?:, among them "(\w)")?$/,
+  function (
+    this: StoreWorld,
+    id: string,
+    atLeast: string | null,
+    count: string,
+    among: string | null,
+  ) {
+    const holders = this.archives.findHolders(id);
+    const least = Number(count);
+    assert.ok(holders.length >= least, `only on ${holders.join(', ')}`);
+    if (atLeast === null) assert.equal(holders.length, least);
+    if (among !== null) assert.ok(holders.includes(among));
+  },
+);
+
+Then(
+  'turns {string} and {string} are on the same disks',
+  function (this: StoreWorld, left: string, right: string) {
+    const {archives} = this;
+    assert.deepEqual(archives.findHolders(left), archives.findHolders(right));
+  },
+);
+
+Then(
+  'a fresh entry VM in {string} reads the chain {string}',
+  async function (this: StoreWorld, dataCentre: string, ids: string) {
+    const expected = split(ids);
+    const store = this.archives.getStore(dataCentre, true);
+    const last = toId<TurnId>(expected.at(-1) ?? '');
+    const chain = await this.archives.run(store.readChain(last));
+    assert.deepEqual(
+      chain.map(({id}) => id),
+      expected,
+    );
+    for (const {id, output} of chain) {
+      assert.equal(Buffer.from(output).toString(), `output ${id}\n`);
+    }
+  },
+);
+
+Then(
+  'reading turn {string} in {string} fails with {word}',
+  async function (
+    this: StoreWorld,
+    id: string,
+    dataCentre: string,
+    kind: ErrorKind,
+  ) {
+    const store = this.archives.getStore(dataCentre, true);
+    const read = store.readChain(toId<TurnId>(id));
+    await assertFails(this.archives.run(read), kind);
+  },
+);
+
+Then(
+  'at most {int} attempts hold a reservation',
+  function (this: StoreWorld, most: number) {
+    assert.ok(this.admitted <= most, `${this.admitted} were admitted`);
+  },
+);
+
+Then('{int} of them are admitted', function (this: StoreWorld, count: number) {
+  assert.equal(this.admitted, count);
+});
+
+Then(
+  'another attempt of {int} tokens in {string} fails with {word}',
+  async function (
+    this: StoreWorld,
+    tokens: number,
+    dataCentre: string,
+    kind: ErrorKind,
+  ) {
+    const tried = reserve(this, 'another', tokens, 200, dataCentre);
+    await assertFails(this.archives.run(tried), kind);
+  },
+);
+
+Then(
+  'an attempt of a program of {string} is admitted in {string}',
+  async function (this: StoreWorld, home: string, dataCentre: string) {
+    const tried = reserve(this, 'own', 10, 200, dataCentre, home);
+    await this.archives.run(tried);
+  },
+);
+
+Then(
+  'an attempt of a program of {string} in {string} fails with {word}',
+  async function (
+    this: StoreWorld,
+    home: string,
+    dataCentre: string,
+    kind: ErrorKind,
+  ) {
+    const tried = reserve(this, `of-${home}`, 10, 200, dataCentre, home);
+    await assertFails(this.archives.run(tried), kind);
+  },
+);
+
+function split(names: string): string[] {
+  return names.split(', ');
+}
+
+async function finish(
+  world: StoreWorld,
+  id: string,
+  previous: string | undefined,
+  dataCentre: string,
+): Promise<void> {
+  const {archives} = world;
+  const store = archives.getStore(dataCentre);
+  const chain =
+    previous === undefined
+      ? []
+      : await archives.run(store.readChain(toId<TurnId>(previous)));
+  const disks = chain.at(-1)?.disks ?? [];
+  await archives.run(store.record(createTurn(id, previous), disks));
+  world.holders = archives.findHolders(id);
+}
+
+async function loseDisk(
+  {archives}: StoreWorld,
+  name: string,
+  elapsedMs: number,
+): Promise<void> {
+  archives.kill(name);
+  archives.getFolder(name).wipe();
+  await archives.start(name);
+  await archives.clock.advance(elapsedMs);
+}
+
+function reserve(
+  {archives}: StoreWorld,
+  attempt: string,
+  tokens: number,
+  budgetTokens: number,
+  dataCentre: string,
+  home = dataCentre,
+): Promise<void> {
+  return archives.getStore(dataCentre).reserve({
+    program,
+    attempt: toId<TurnId>(attempt),
+    tokens,
+    budgetTokens,
+    home: toId<DataCentreId>(home),
+  });
+}
+
+async function assertFails(
+  work: Promise<unknown>,
+  kind: ErrorKind,
+): Promise<void> {
+  await assert.rejects(work, (error) => {
+    assert.ok(isErrorOfKind(error, kind), String(error));
+    return true;
+  });
+}
--- /dev/null
+++ b/packages/turns/tests/ledger/ledger_steps.ts
@@ -0,0 +1,128 @@
+/** Steps for ledgers and votes on reservations. */
+import assert from 'node:assert/strict';
+import {Then, When, type World} from '@cucumber/cucumber';
+import {type DataCentreId, type ProgramId, toId} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
+import {
+  BudgetLedger,
+  decideReservation,
+  type LedgerEntry,
+  type ReservationDecision,
+  type ReservationVote,
+  sumMergedTokens,
+} from '@marigoldpost/turns';
+import fc from 'fast-check';
+
+interface LedgerWorld extends World {
+  decision: ReservationDecision;
+}
+
+const seed = 20261204;
+const program = toId<ProgramId>('program');
+
+When(
+  'archives vote {string} on a program of {string} in {string}',
+  function (this: LedgerWorld, votes: string, home: string, own: string) {
+    this.decision = decideReservation(votes.split(', ').map(toVote), {
+      home: toId<DataCentreId>(home),
+      own: toId<DataCentreId>(own),
+    });
+  },
+);
+
+Then(
+  /^the reservation is (granted|refused|unavailable|pending)$/,
+  function (this: LedgerWorld, decision: string) {
+    assert.equal(this.decision, decision);
+  },
+);
+
+Then(
+  'a ledger holds the same after any order of merges, and never less than was used',
+  function () {
+    const arbitraryEntry = fc.record({
+      attempt: fc.constantFrom('t1', 't2', 't3', 't4'),
+      isSettled: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(arbitraryEntry, {maxLength: 20}),
+        fc.infiniteStream(fc.nat()),
+        (drawn, order) => {
+          const entries = drawn.map(toEntry);
+          const shuffled = entries
+            .map((entry) => ({entry, rank: order.next().value as number}))
+            .toSorted((left, right) => left.rank - right.rank)
+            .map(({entry}) => entry);
+          assert.equal(sumLedger(entries), sumLedger(shuffled));
+          assert.equal(sumLedger(entries), sumMergedTokens([entries]));
+        },
+      ),
+      {seed},
+    );
+  },
+);
+
+Then(
+  'no order of reservations and settlements exceeds the budget of a ledger',
+  function () {
+    const budgetTokens = 100;
+    const arbitraryStep = fc.record({
+      attempt: fc.integer({min: 0, max: 9}),
+      tokens: fc.integer({min: 1, max: 40}),
+      isSettlement: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(arbitraryStep, {maxLength: 40}), (steps) => {
+        const ledger = BudgetLedger.create();
+        const reserved = new Map<string, number>();
+        for (const {attempt: number, tokens, isSettlement} of steps) {
+          const attempt = toId<TurnId>(`t${number}`);
+          const most = reserved.get(attempt);
+          if (isSettlement && most !== undefined) {
+            const used = Math.min(tokens, most);
+            const entry = {attempt, tokens: used, isSettled: true};
+            ledger.mergeEntry(program, entry, 0);
+          } else if (!isSettlement) {
+            const isForced = false;
+            const wish = {program, attempt, tokens, budgetTokens, isForced};
+            if (ledger.reserve(wish, 0).isNew) reserved.set(attempt, tokens);
+          }
+          const held = sumMergedTokens([ledger.getEntries(program)]);
+          assert.ok(held <= budgetTokens);
+        }
+      }),
+      {seed},
+    );
+  },
+);
+
+function toVote(text: string): ReservationVote {
+  const [dataCentre = '', answer = ''] = text.split(/ (.*)/);
+  const answers: Record<string, ReservationVote['answer']> = {
+    yes: 'granted',
+    late: 'granted',
+    no: 'refused',
+    'no answer': 'failed',
+    '?': 'pending',
+  };
+  const known = answers[answer];
+  assert.ok(known, `no answer "${answer}"`);
+  return {
+    dataCentre: toId<DataCentreId>(dataCentre),
+    answer: known,
+    isComplete: answer === 'yes',
+  };
+}
+
+function toEntry(drawn: {attempt: string; isSettled: boolean}): LedgerEntry {
+  // What an attempt used is one figure, however often it is told.
+  const tokens = drawn.isSettled ? drawn.attempt.charCodeAt(1) : 100;
+  return {...drawn, attempt: toId<TurnId>(drawn.attempt), tokens};
+}
+
+function sumLedger(entries: readonly LedgerEntry[]): number {
+  const ledger = BudgetLedger.create();
+  for (const entry of entries) ledger.mergeEntry(program, entry, 0);
+  return sumMergedTokens([ledger.getEntries(program)]);
+}
