--- /dev/null
+++ b/packages/gateway/tests/answers/event_collector_steps.ts
@@ -0,0 +1,67 @@
+/** Steps for the events of a stream. */
+import assert from 'node:assert/strict';
+import {Then, When, type World} from '@cucumber/cucumber';
+import {EventCollector} from '@marigoldpost/gateway';
+import fc from 'fast-check';
+
+interface CollectorWorld extends World {
+  collector: EventCollector;
+}
+
+const seed = 20261204;
+
+When(
+  'an event collector reads {string}',
+  function (this: CollectorWorld, bytes: string) {
+    this.collector = EventCollector.create();
+    this.collector.add(Buffer.from(unescape(bytes)));
+  },
+);
+
+Then(
+  'it has seen {int} events with data {string}',
+  function (this: CollectorWorld, events: number, data: string) {
+    assert.equal(this.collector.eventCount, events);
+    assert.equal(this.collector.getData().toString(), unescape(data));
+  },
+);
+
+Then(
+  /^the stream (ends|does not end) between two events$/,
+  function (this: CollectorWorld, ends: string) {
+    assert.equal(this.collector.isBetweenEvents, ends === 'ends');
+  },
+);
+
+Then(
+  'an event collector gives the same events for any split of a stream',
+  function () {
+    const arbitraryData = fc.stringMatching(/^[a-z0-9.]{1,12}$/);
+    fc.assert(
+      fc.property(
+        fc.array(arbitraryData, {minLength: 1, maxLength: 8}),
+        fc.array(fc.integer({min: 1, max: 30}), {minLength: 1}),
+        (datas, sizes) => {
+          const text = datas
+            .map((data, index) => `id: ${index}\ndata: ${data}\n\n`)
+            .join('');
+          const collector = EventCollector.create();
+          let start = 0;
+          for (let turn = 0; start < text.length; turn++) {
+            const size = sizes[turn % sizes.length] ?? 1;
+            collector.add(Buffer.from(text.slice(start, start + size)));
+            start += size;
+          }
+          assert.equal(collector.eventCount, datas.length);
+          const expected = datas.map((data) => `${data}\n`).join('');
+          assert.equal(collector.getData().toString(), expected);
+        },
+      ),
+      {seed},
+    );
+  },
+);
+
+function unescape(text: string): string {
+  return text.replaceAll('\\n', '\n').replaceAll('\\r', '\r');
+}
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -15,10 +15,15 @@
 } from '@marigoldpost/turns';
 import {type NodeOptions, SiteNode} from '../node_options.js';
 import {BackgroundTasks} from '../utils/background_tasks.js';
-import {createLoggedListener} from '../utils/logged_listener.js';
+import {
+  createLoggedListener,
+  type ObjectSink,
+} from '../utils/logged_listener.js';
 import {reportDroppedLines} from '../utils/report_dropped_lines.js';
+import {RetirementTask} from './retirement_task.js';
 
-const archivePauseMs = 250;
+/** Pause between two waits that brought changes. */
+const watchPauseMs = 250;
 /** Pause before registration is tried again. */
 const registerRetryMs = 300;
 const gaugeIntervalMs = 1000;
@@ -33,7 +38,7 @@
   private readonly directory = ArchiveDirectory.create();
   private readonly transport: MessageTransport;
   private readonly page: PageServer;
-  private watcher: ObjectWatcher | undefined;
+  private readonly watchers: ObjectWatcher[] = [];
   private archive: Archive | undefined;
 
   private constructor(private readonly options: NodeOptions) {
@@ -70,8 +75,13 @@
     const service = ArchiveService.create(archive, () => repairer.isComplete);
     await this.transport.start((_sender, request) => service.answer(request));
     await this.page.listen({host: settings.ip, port: settings.metricsPort});
-    this.watchArchives();
-    this.tasks.run('register', (signal) => this.register(archive, signal));
+    const retirement = this.createRetirement(repairer);
+    const {retirementPrefix} = this.options.platform.keys;
+    this.watch(archivePrefix, this.directory);
+    this.watch(retirementPrefix, retirement);
+    this.tasks.run('register', (signal) =>
+      this.register(archive, retirement, signal),
+    );
     this.tasks.run('repair', (signal) => repairer.run(signal));
     this.tasks.run('sweep', (signal) => archive.sweep(signal));
     this.tasks.run('gauges', (signal) => this.reportGauges(archive, signal));
@@ -87,7 +97,7 @@
     const {logger} = this.options;
     logger.log('node_stopping', {signal, inFlight: 0});
     this.tasks.stop();
-    this.watcher?.stop();
+    for (const watcher of this.watchers) watcher.stop();
     await this.clock.sleep(stopDelayMs);
     this.transport.stop();
     this.archive?.close();
@@ -143,28 +153,48 @@
     });
   }
 
-  private watchArchives(): void {
+  private createRetirement(repairer: ArchiveRepairer): RetirementTask {
+    const {settings, platform, clock, logger} = this.options;
+    return RetirementTask.create({
+      daemon: settings.daemon,
+      platform,
+      repairer,
+      clock,
+      start: (work) => this.tasks.run('retire', work),
+      onFailed: (error) => this.tasks.noteFailure('retire', error),
+      onRetired: () =>
+        logger.log('archive_retired', {turns: this.archive?.turnCount ?? 0}),
+    });
+  }
+
+  private watch(prefix: string, sink: ObjectSink): void {
     const {platform, clock, random, logger} = this.options;
-    const {directory} = this;
-    this.watcher = ObjectWatcher.create({
+    const watcher = ObjectWatcher.create({
       store: platform.store,
-      prefix: archivePrefix,
-      listener: createLoggedListener(archivePrefix, logger, directory),
+      prefix,
+      listener: createLoggedListener(prefix, logger, sink),
       clock,
       random,
-      pauseMs: archivePauseMs,
+      pauseMs: watchPauseMs,
     });
-    const {watcher} = this;
-    this.tasks.run(`watch ${archivePrefix}`, () => watcher.run());
+    this.watchers.push(watcher);
+    this.tasks.run(`watch ${prefix}`, () => watcher.run());
   }
 
-  private async register(archive: Archive, signal: AbortSignal): Promise<void> {
+  private async register(
+    archive: Archive,
+    retirement: RetirementTask,
+    signal: AbortSignal,
+  ): Promise<void> {
     const {settings, platform} = this.options;
     const {daemon, ip, peerPort, dataCentre} = settings;
     const address = `http://${ip}:${peerPort}`;
     const {disk} = archive;
     const member = {daemon, address, dataCentre, disk};
-    while (!signal.aborted) {
+    while (!retirement.isLoaded) {
+      await this.clock.sleep(registerRetryMs, signal);
+    }
+    while (!signal.aborted && !retirement.isRequested) {
       try {
         await registerArchive(platform.store, member);
         return;
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -41,7 +41,12 @@
   /** Archives whose ledger has been read since they last fell silent. */
   private readonly ledgersRead = new Set<ArchiveClient>();
 
-  private constructor(private readonly options: ArchiveRepairerOptions) {}
+  /** Copies due on disks beside the own one. */
+  private copiesElsewhere: number;
+
+  private constructor(private readonly options: ArchiveRepairerOptions) {
+    this.copiesElsewhere = options.copies - 1;
+  }
 
   /**
    * Creates a repairer.
@@ -63,6 +68,11 @@
     return this.findIncomplete(Number.POSITIVE_INFINITY).length === 0;
   }
 
+  /** Counts the own disk no more, since it is taken away. */
+  retire(): void {
+    this.copiesElsewhere = this.options.copies;
+  }
+
   /**
    * Works until stopped.
    * @param signal - Ends the work.
@@ -120,11 +130,11 @@
   }
 
   private findIncomplete(storedBeforeMs: number): IndexedTurn[] {
-    const {archive, copies} = this.options;
+    const {archive} = this.options;
     return [...archive.getTurns()].filter(
       (turn) =>
         turn.storedAtMs <= storedBeforeMs &&
-        (this.verified.get(turn.id)?.size ?? 0) < copies - 1,
+        (this.verified.get(turn.id)?.size ?? 0) < this.copiesElsewhere,
     );
   }
 
@@ -139,7 +149,7 @@
   }
 
   private chooseHolders(turn: IndexedTurn): ArchiveClient[] {
-    const {pool, dataCentre, copies} = this.options;
+    const {pool, dataCentre} = this.options;
     const held = this.verified.get(turn.id) ?? new Set<DiskId>();
     const clients = pool
       .getClients()
@@ -154,7 +164,7 @@
       ...members.filter((member) => member.dataCentre !== dataCentre),
       ...members.filter((member) => member.dataCentre === dataCentre),
     ];
-    const missing = copies - 1 - held.size;
+    const missing = this.copiesElsewhere - held.size;
     return ordered
       .slice(0, missing)
       .map(({daemon}) => clients.find(({member}) => member.daemon === daemon))
