--- a/packages/peers/src/messages/message_link.ts
+++ b/packages/peers/src/messages/message_link.ts
@@ -77,7 +77,15 @@
 
   /** Closes the connection; requests under way fail. */
   close(): void {
-    this.socket?.destroy();
+    this.drop();
+  }
+
+  /** Lets the next request connect anew. */
+  private drop(): void {
+    const {socket} = this;
+    if (socket === undefined) return;
+    this.fail(socket, undefined);
+    socket.destroy();
   }
 
   private open(): MessageFramer {
@@ -125,7 +133,7 @@
       pending.reject(this.createLost('did not reply in time'));
     }
     // Nothing came since the request: the connection may be dead for good.
-    if (isSilent) this.socket?.destroy();
+    if (isSilent) this.drop();
   }
 
   private fail(socket: Socket, cause: Error | undefined): void {
--- /dev/null
+++ b/packages/peers/tests/messages/message_transport.feature
@@ -0,0 +1,30 @@
+Feature: Requests with one reply between daemons
+
+  Scenario: Concurrent requests get their own replies
+    Given a message peer that answers in reverse order of arrival
+    When 50 message requests are sent at once
+    Then each message request has its own reply
+
+  Scenario Outline: A request to a peer that <does> fails with <kind>
+    Given a message peer that <does>
+    When a message request is sent with a time limit of 200 ms
+    Then the message request fails with <kind>
+
+    Examples:
+      | does                     | kind          |
+      | refuses                  | limit_reached |
+      | never answers            | peer_lost     |
+      | is not there             | peer_lost     |
+      | closes the connection    | peer_lost     |
+      | sends arbitrary bytes    | peer_lost     |
+
+  Scenario: A connection that falls silent is replaced
+    Given a message peer whose first connection falls silent
+    When a message request is sent with a time limit of 200 ms
+    And another message request is sent with a time limit of 1000 ms
+    Then the other message request has its reply
+
+  Scenario: A reply of several megabytes arrives whole
+    Given a message peer that replies with 5000000 bytes
+    When a message request is sent with a time limit of 5000 ms
+    Then the reply of the message peer has 5000000 bytes
--- /dev/null
+++ b/packages/peers/tests/messages/message_transport_steps.ts
@@ -0,0 +1,245 @@
+/** Steps for requests with one reply between daemons. */
+import assert from 'node:assert/strict';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {create} from '@bufbuild/protobuf';
+import {After, Given, Then, When, type World} from '@cucumber/cucumber';
+import {
+  type DaemonId,
+  type ErrorKind,
+  isErrorOfKind,
+  MarigoldpostError,
+  SystemClock,
+  toId,
+} from '@marigoldpost/common';
+import {
+  ConfigTextSchema,
+  FetchConfigSchema,
+  type MessageHandler,
+  MessageTransport,
+  type PeerAddress,
+  type PeerReplyBody,
+  type PeerRequestBody,
+} from '@marigoldpost/peers';
+
+interface MessageWorld extends World {
+  client: MessageTransport;
+  peer: PeerAddress;
+  cleanups: Array<() => void>;
+  replies: PeerReplyBody[];
+  results: Array<PromiseSettledResult<PeerReplyBody>>;
+}
+
+const host = '127.0.0.1';
+const clock = SystemClock.create();
+const peerId = toId<DaemonId>('peer');
+
+After(function (this: MessageWorld) {
+  for (const cleanup of this.cleanups ?? []) cleanup();
+});
+
+Given(
+  'a message peer that answers in reverse order of arrival',
+  async function (this: MessageWorld) {
+    let held: Array<() => void> = [];
+    await serve(this, async (_sender, request) => {
+      await new Promise<void>((resolve) => {
+        held.push(resolve);
+        setTimeout(() => {
+          for (const release of held.toReversed()) release();
+          held = [];
+        }, 20);
+      });
+      return toReply(getNumber(request));
+    });
+  },
+);
+
+Given(
+  /^a message peer that (refuses|never answers|is not there)$/,
+  async function (this: MessageWorld, does: string) {
+    await serve(this, (_sender, request) => {
+      if (does === 'never answers') return new Promise(() => undefined);
+      if (does === 'refuses') {
+        throw MarigoldpostError.create('limit_reached', 'too many');
+      }
+      return Promise.resolve(toReply(getNumber(request)));
+    });
+    if (does === 'is not there') {
+      for (const cleanup of this.cleanups) cleanup();
+      startClient(this);
+    }
+  },
+);
+
+Given(
+  /^a message peer that (closes the connection|sends arbitrary bytes)$/,
+  async function (this: MessageWorld, does: string) {
+    await serveBytes(this, (socket) => {
+      if (does === 'closes the connection') socket.destroy();
+      else socket.write(Buffer.alloc(64, 0xff));
+    });
+  },
+);
+
+Given(
+  'a message peer whose first connection falls silent',
+  async function (this: MessageWorld) {
+    let connections = 0;
+    const answering = MessageTransport.create({
+      daemon: peerId,
+      host,
+      port: 0,
+      clock,
+    });
+    await answering.start((_sender, request) =>
+      Promise.resolve(toReply(getNumber(request))),
+    );
+    const {port} = new URL(answering.getAddress().address);
+    await serveBytes(this, (socket, chunk, isFirst) => {
+      if (isFirst) connections += 1;
+      if (connections === 1) return;
+      forward(socket, chunk, Number(port));
+    });
+    this.cleanups.push(() => answering.stop());
+  },
+);
+
+Given(
+  'a message peer that replies with {int} bytes',
+  async function (this: MessageWorld, bytes: number) {
+    await serve(this, () => Promise.resolve(toReply(1, 'x'.repeat(bytes))));
+  },
+);
+
+When(
+  '{int} message requests are sent at once',
+  async function (this: MessageWorld, count: number) {
+    this.replies = await Promise.all(
+      Array.from({length: count}, (_none, index) => ask(this, index, 2000)),
+    );
+  },
+);
+
+When(
+  /^(?:a|another) message request is sent with a time limit of (\d+) ms$/,
+  async function (this: MessageWorld, timeoutMs: string) {
+    const asked = ask(this, 1, Number(timeoutMs));
+    const [result] = await Promise.allSettled([asked]);
+    this.results = [...(this.results ?? []), result];
+  },
+);
+
+Then('each message request has its own reply', function (this: MessageWorld) {
+  for (const [index, reply] of this.replies.entries()) {
+    assert.ok(reply.case === 'config');
+    assert.equal(reply.value.version, BigInt(index));
+  }
+});
+
+Then(
+  'the message request fails with {word}',
+  function (this: MessageWorld, kind: ErrorKind) {
+    const [result] = this.results;
+    assert.ok(result?.status === 'rejected');
+    assert.ok(isErrorOfKind(result.reason, kind), String(result.reason));
+  },
+);
+
+Then('the other message request has its reply', function (this: MessageWorld) {
+  assert.equal(this.results[0]?.status, 'rejected');
+  assert.equal(this.results[1]?.status, 'fulfilled');
+});
+
+Then(
+  'the reply of the message peer has {int} bytes',
+  function (this: MessageWorld, bytes: number) {
+    const [result] = this.results;
+    assert.ok(result?.status === 'fulfilled');
+    assert.ok(result.value.case === 'config');
+    assert.equal(result.value.value.objectJson.length, bytes);
+  },
+);
+
+async function serve(
+  world: MessageWorld,
+  handler: MessageHandler,
+): Promise<void> {
+  const server = MessageTransport.create({
+    daemon: peerId,
+    host,
+    port: 0,
+    clock,
+  });
+  await server.start(handler);
+  world.peer = server.getAddress();
+  world.cleanups = [() => server.stop()];
+  startClient(world);
+}
+
+async function serveBytes(
+  world: MessageWorld,
+  onData: (socket: Socket, chunk: Buffer, isFirst: boolean) => void,
+): Promise<void> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    let isFirst = true;
+    socket.on('data', (chunk: Buffer) => {
+      onData(socket, chunk, isFirst);
+      isFirst = false;
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, host, resolve));
+  const {port} = server.address() as AddressInfo;
+  world.peer = {daemon: peerId, address: `http://${host}:${port}`};
+  world.cleanups = [
+    () => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  ];
+  startClient(world);
+}
+
+function startClient(world: MessageWorld): void {
+  const daemon = toId<DaemonId>('client');
+  world.client = MessageTransport.create({daemon, host, port: 0, clock});
+  world.cleanups.push(() => world.client.stop());
+}
+
+/** Passes one request on to another port, and its reply back. */
+async function forward(
+  socket: Socket,
+  chunk: Buffer,
+  port: number,
+): Promise<void> {
+  const {connect} = await import('node:net');
+  const upstream = connect(port, host);
+  upstream.write(chunk);
+  upstream.on('data', (reply: Buffer) => socket.write(reply));
+  upstream.on('error', () => undefined);
+  socket.once('close', () => upstream.destroy());
+}
+
+function ask(
+  {client, peer}: MessageWorld,
+  number: number,
+  timeoutMs: number,
+): Promise<PeerReplyBody> {
+  const value = create(FetchConfigSchema, {aboveVersion: BigInt(number)});
+  return client.ask(peer, {case: 'fetchConfig', value}, timeoutMs);
+}
+
+function getNumber(request: PeerRequestBody): number {
+  assert.ok(request.case === 'fetchConfig');
+  return Number(request.value.aboveVersion);
+}
+
+function toReply(number: number, objectJson = ''): PeerReplyBody {
+  const version = BigInt(number);
+  return {
+    case: 'config',
+    value: create(ConfigTextSchema, {version, objectJson}),
+  };
+}
--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -53,7 +53,7 @@
   readonly pauseMs: number;
 }
 
-/** Lists a prefix once, then watches it; lists again when history is gone. */
+/** Lists a prefix, then watches it; lists again after each failure. */
 export class ObjectWatcher {
   private readonly backoff: Backoff;
   private readonly controller = new AbortController();
@@ -131,8 +131,9 @@
     signal: AbortSignal,
   ): Promise<void> {
     const known = toMarigoldpostError(error);
-    if (isErrorOfKind(known, 'history_gone')) this.version = undefined;
-    else if (!this.isLost) {
+    // Changes that a broken watch missed may no longer be in the history.
+    this.version = undefined;
+    if (!isErrorOfKind(known, 'history_gone') && !this.isLost) {
       this.isLost = true;
       this.options.listener.noteLost(known);
     }
