--- a/packages/gateway/src/answers/stream_relay.ts
+++ b/packages/gateway/src/answers/stream_relay.ts
@@ -1,6 +1,6 @@
 /** Passes a stream of events on as it comes. */
 import type {IncomingMessage} from 'node:http';
-import type {Clock} from '@marigoldpost/common';
+import type {Clock, Timer} from '@marigoldpost/common';
 import type {IncomingCall} from '../calls/incoming_call.js';
 import {EventCollector} from './event_collector.js';
 
@@ -11,6 +11,8 @@
   /** Headers for the client, names and values in turn. */
   readonly headers: readonly string[];
   readonly clock: Clock;
+  /** Longest silence between two events before the target counts as lost. */
+  readonly stallMs: number;
 }
 
 /** How a relayed stream ended. */
@@ -32,6 +34,7 @@
   private readonly collector = EventCollector.create();
   private firstEventMs: number | undefined;
   private lastEventMs = 0;
+  private stallTimer: Timer | undefined;
 
   private constructor(private readonly options: StreamRelayOptions) {}
 
@@ -52,6 +55,7 @@
         ({message} = error);
       });
       response.once('close', () => {
+        this.stallTimer?.cancel();
         const isWhole = response.complete && response.errored === null;
         const isComplete = isWhole && this.collector.isBetweenEvents;
         resolve(this.createResult(isComplete, message));
@@ -68,12 +72,23 @@
       this.firstEventMs ??= this.lastEventMs;
     }
     if (call.signal.aborted) return;
+    this.watchForStall();
     if (!call.isAnswered) call.begin(response.statusCode ?? 0, headers);
     if (call.write(chunk)) return;
     response.pause();
     call.onceDrained(() => response.resume());
   }
 
+  private watchForStall(): void {
+    const {response, clock, stallMs} = this.options;
+    this.stallTimer?.cancel();
+    this.stallTimer = clock.setTimer(stallMs, () => {
+      // A client that reads too slowly pauses the target by itself.
+      if (response.isPaused()) this.watchForStall();
+      else response.destroy(new Error(`no event for ${stallMs} ms`));
+    });
+  }
+
   private createResult(isComplete: boolean, message: string): StreamResult {
     const events = this.collector.eventCount;
     const spanMs = this.lastEventMs - (this.firstEventMs ?? 0);
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -12,6 +12,10 @@
 } from './target_attempts.js';
 
 const okStatus = 200;
+/** Pauses on time after which a silent stream counts as lost. */
+const stallGaps = 3;
+/** An engine that puts a request back reads its prompt again: well below 1 s. */
+const minStallMs = 1000;
 /** Statuses that tell a client that its request has not run. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -48,6 +52,7 @@
     response,
     headers: getClientHeaders(services, response),
     clock: services.clock,
+    stallMs: getStallMs(call),
   });
   if (result.isComplete) {
     const paceMs = result.gapMs;
@@ -91,6 +96,12 @@
   call.breakOff();
 }
 
+function getStallMs({route, leftMs}: IncomingCall): number {
+  const {gapObjectiveMs} = route;
+  if (gapObjectiveMs === undefined) return leftMs;
+  return Math.max(minStallMs, gapObjectiveMs * stallGaps);
+}
+
 async function passFailure(
   call: IncomingCall,
   services: CallServices,
--- a/packages/gateway/src/targets/target_exchange.ts
+++ b/packages/gateway/src/targets/target_exchange.ts
@@ -9,7 +9,7 @@
 import type {TargetAgent} from './target_agent.js';
 
 /** Longest time to connect: far above the way between data centres. */
-const connectTimeoutMs = 300;
+const connectTimeoutMs = 120;
 
 /** Request to a target. */
 export interface TargetRequest {
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -10,6 +10,12 @@
 import type {ArchivePool} from './archive_pool.js';
 import type {TurnCache} from './turn_cache.js';
 
+/**
+ * When callers are to come back after an archive was out of reach. Cuts last for
+ * seconds; callers wait at most a third of their time, here of some 4 s.
+ */
+export const unavailableRetryMs = 1200;
+
 /** Options of a reader. */
 export interface ChainReaderOptions {
   readonly pool: ArchivePool;
@@ -74,6 +80,7 @@
     throw MarigoldpostError.create(
       'archive_unavailable',
       `turn "${turn}" may be held by an archive that does not answer`,
+      {retryAfterMs: unavailableRetryMs},
     );
   }
 }
