--- a/packages/peers/tests/messages/message_transport_steps.ts
+++ b/packages/peers/tests/messages/message_transport_steps.ts
@@ -98,7 +98,7 @@
     await serveBytes(this, (socket, chunk, isFirst) => {
       if (isFirst) connections += 1;
       if (connections === 1) return;
-      forward(socket, chunk, Number(port));
+      void forward(socket, chunk, Number(port));
     });
     this.cleanups.push(() => answering.stop());
   },
