--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -8,10 +8,12 @@
 const maxHeaderBytes = 64 * 1024;
 /** How often the server looks for headers that take too long. */
 const checkIntervalMs = 500;
-const badRequestAnswer =
-  'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
-const timeoutAnswer =
-  'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+/** Status lines for bytes that are no acceptable request, by Node's error. */
+const rejections: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+};
+const defaultRejection = '400 Bad Request';
 
 /** Server for clients. */
 export class GatewayServer {
@@ -104,6 +106,7 @@
     socket.destroy();
     return;
   }
-  const isTimeout = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
-  socket.end(isTimeout ? timeoutAnswer : badRequestAnswer);
+  const status = rejections[error.code ?? ''] ?? defaultRejection;
+  const lines = [`HTTP/1.1 ${status}`, 'Connection: close'];
+  socket.end([...lines, 'Content-Length: 0', '', ''].join('\r\n'));
 }
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -1,8 +1,9 @@
 /** Process of an archive VM: keeps turns and budgets on its disk. */
-import type {Clock} from '@marigoldpost/common';
+import {type Clock, MarigoldpostError} from '@marigoldpost/common';
 import {PageServer} from '@marigoldpost/gateway';
 import {MessageTransport} from '@marigoldpost/peers';
 import {ObjectWatcher} from '@marigoldpost/platform';
+import type {NodeSettings} from '@marigoldpost/sites';
 import {
   Archive,
   ArchiveDirectory,
@@ -19,6 +20,7 @@
   createLoggedListener,
   type ObjectSink,
 } from '../utils/logged_listener.js';
+import {findChangedSettings} from '../utils/changed_settings.js';
 import {reportDroppedLines} from '../utils/report_dropped_lines.js';
 import {RetirementTask} from './retirement_task.js';
 
@@ -40,10 +42,12 @@
   private readonly page: PageServer;
   private readonly watchers: ObjectWatcher[] = [];
   private archive: Archive | undefined;
+  private settings: NodeSettings;
 
   private constructor(private readonly options: NodeOptions) {
     super();
     const {settings, clock, metrics, logger} = options;
+    this.settings = settings;
     this.clock = clock;
     this.tasks = BackgroundTasks.create(logger);
     this.transport = MessageTransport.create({
@@ -106,14 +110,16 @@
     logger.log('node_stopped', {drainMs, cutOff: 0});
   }
 
-  override reload(): void {
-    this.options.logger.log('settings_reloaded', {});
+  override reload(settings: NodeSettings): void {
+    const changed = findChangedSettings(this.settings, settings).join(', ');
+    this.settings = settings;
+    this.options.logger.log('settings_reloaded', {changed});
   }
 
   private async openArchive(): Promise<Archive> {
     const startMs = this.clock.nowMs();
     const {settings, clock, random, logger} = this.options;
-    const folder = await DiskLogFolder.create(settings.dataFolder ?? '.');
+    const folder = await DiskLogFolder.create(getDataFolderOrThrow(settings));
     const archive = await Archive.open({
       folder,
       clock,
@@ -218,3 +224,9 @@
     }
   }
 }
+
+function getDataFolderOrThrow({daemon, dataFolder}: NodeSettings): string {
+  if (dataFolder !== undefined) return dataFolder;
+  const message = `archive "${daemon}" has no data folder in its settings`;
+  throw MarigoldpostError.create('settings_invalid', message);
+}
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -9,7 +9,11 @@
 } from '@marigoldpost/gateway';
 import {MessageTransport} from '@marigoldpost/peers';
 import {type ObjectListener, ObjectWatcher} from '@marigoldpost/platform';
-import type {NetworkAddress, SiteConfig} from '@marigoldpost/sites';
+import type {
+  NetworkAddress,
+  NodeSettings,
+  SiteConfig,
+} from '@marigoldpost/sites';
 import {
   ArchiveDirectory,
   ArchivePool,
@@ -20,6 +24,7 @@
 import {TargetRoster} from '../targets/target_roster.js';
 import {BackgroundTasks} from '../utils/background_tasks.js';
 import {createLoggedListener} from '../utils/logged_listener.js';
+import {findChangedSettings} from '../utils/changed_settings.js';
 import {reportDroppedLines} from '../utils/report_dropped_lines.js';
 import {SiteConfigFollower} from './config_follower.js';
 
@@ -50,11 +55,13 @@
   private readonly pages: PageServer[];
   private readonly transport: MessageTransport;
   private readonly watchers: ObjectWatcher[] = [];
+  private settings: NodeSettings;
   private isDraining = false;
   private lastReadiness = '';
 
   private constructor(private readonly options: NodeOptions) {
     super();
+    this.settings = options.settings;
     this.clock = options.clock;
     this.tasks = BackgroundTasks.create(options.logger);
     this.transport = this.createTransport();
@@ -118,7 +125,8 @@
   override async stop(signal: string): Promise<void> {
     if (this.isDraining) return;
     const startMs = this.clock.nowMs();
-    const {logger, settings} = this.options;
+    const {settings} = this;
+    const {logger} = this.options;
     this.isDraining = true;
     this.server.drain();
     logger.log('node_stopping', {signal, inFlight: this.server.inFlight});
@@ -139,8 +147,10 @@
     this.transport.stop();
   }
 
-  override reload(): void {
-    this.options.logger.log('settings_reloaded', {});
+  override reload(settings: NodeSettings): void {
+    const changed = findChangedSettings(this.settings, settings).join(', ');
+    this.settings = settings;
+    this.options.logger.log('settings_reloaded', {changed});
   }
 
   private createTransport(): MessageTransport {
--- a/packages/nodes/src/node_options.ts
+++ b/packages/nodes/src/node_options.ts
@@ -30,6 +30,10 @@
    */
   abstract stop(signal: string): Promise<void>;
 
-  /** Notes that the settings file has changed. */
-  abstract reload(): void;
+  /**
+   * Takes over settings that were read again; addresses stay as they were until
+   * the next start.
+   * @param settings - The settings.
+   */
+  abstract reload(settings: NodeSettings): void;
 }
--- /dev/null
+++ b/packages/nodes/src/utils/changed_settings.ts
@@ -0,0 +1,20 @@
+/** What differs between two readings of the settings. */
+import type {NodeSettings} from '@marigoldpost/sites';
+
+/**
+ * Gets the names of the settings that changed, in order.
+ * @param before - Settings in force.
+ * @param after - Settings read again.
+ */
+export function findChangedSettings(
+  before: NodeSettings,
+  after: NodeSettings,
+): string[] {
+  const names = Object.keys({...before, ...after}) as Array<keyof NodeSettings>;
+  return names
+    .filter((name) => {
+      const [old, current] = [before[name], after[name]];
+      return JSON.stringify(old) !== JSON.stringify(current);
+    })
+    .toSorted();
+}
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -51,7 +51,9 @@
     drainMs: 'number',
     cutOff: 'number',
   }),
-  settings_reloaded: define(1013, 'info', 'The settings were read again', {}),
+  settings_reloaded: define(1013, 'info', 'The settings were read again', {
+    changed: 'string',
+  }),
   log_lines_dropped: define(1014, 'warn', 'Log lines were left out', {
     lines: 'number',
   }),
