--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -86,7 +86,8 @@
       clock,
       arrivedAtMs,
       logger: this.services.logger.withContext({requestId}),
-      isClosing: () => this.isDraining,
+      // Other daemons may reach an archive, and new connections go to them.
+      isClosing: () => this.isDraining || !this.services.turns.isReachable,
     });
     await this.serveOrRefuse(call);
     this.noteEnd(call);
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -17,7 +17,7 @@
 } from '../ledger/reservation_quorum.js';
 import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
-import {unavailableRetryMs} from './chain_reader.js';
+import {getUnavailableRetryMs} from './chain_reader.js';
 import type {SettlementSender} from './settlement_sender.js';
 
 /** What an attempt at a turn needs of its program's budget. */
@@ -66,7 +66,7 @@
     throw MarigoldpostError.create(
       'archive_unavailable',
       `the budget of program "${request.program}" cannot be counted`,
-      {retryAfterMs: unavailableRetryMs},
+      {retryAfterMs: getUnavailableRetryMs(this.options.pool)},
     );
   }
 
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -14,7 +14,17 @@
  * When callers are to come back after an archive was out of reach. Cuts last for
  * seconds; callers wait at most a third of their time, here of some 4 s.
  */
-export const unavailableRetryMs = 1200;
+const cutOffRetryMs = 1200;
+/** The same where this daemon reaches no archive: others may, at once. */
+const elsewhereRetryMs = 50;
+
+/**
+ * Gets when a caller is to come back whose turn needs an archive out of reach.
+ * @param pool - The archives.
+ */
+export function getUnavailableRetryMs(pool: ArchivePool): number {
+  return pool.isAnyReachable ? cutOffRetryMs : elsewhereRetryMs;
+}
 
 /** Options of a reader. */
 export interface ChainReaderOptions {
@@ -80,7 +90,7 @@
     throw MarigoldpostError.create(
       'archive_unavailable',
       `turn "${turn}" may be held by an archive that does not answer`,
-      {retryAfterMs: unavailableRetryMs},
+      {retryAfterMs: getUnavailableRetryMs(pool)},
     );
   }
 }
