--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -3,6 +3,7 @@
 import type {ServiceId} from '@marigoldpost/common';
 import {isRepeatable} from '@marigoldpost/sites';
 import {type BodyResult, readAnswerBody} from '../answers/answer_body.js';
+import {saysNotRun} from '../answers/not_run_statuses.js';
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
 import {
@@ -13,8 +14,6 @@
 
 const firstServerErrorStatus = 500;
 const firstFailureStatus = 300;
-/** Statuses that tell a client that its request has not run. */
-const notRunStatuses = new Set([408, 421, 429, 503]);
 
 /**
  * Serves a plain call; throws what the caller is to be told instead.
@@ -48,7 +47,7 @@
       continue;
     }
     attempts.release(begun.lease, {result: 'answered', paceMs});
-    if (notRunStatuses.has(status) && !isRepeatable(call.route)) {
+    if (saysNotRun(status) && !isRepeatable(call.route)) {
       throw attempts.createFailure(`the target answered ${status}`);
     }
     call.answer(status, getClientHeaders(services, response), answer.bytes);
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -2,6 +2,7 @@
 import {MarigoldpostError, type ServiceId} from '@marigoldpost/common';
 import {readAnswerBody} from '../answers/answer_body.js';
 import {StreamRelay, type StreamResult} from '../answers/stream_relay.js';
+import {saysNotRun} from '../answers/not_run_statuses.js';
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
 import {getClientHeaders} from './plain_call.js';
@@ -16,8 +17,6 @@
 const stallGaps = 3;
 /** An engine that puts a request back reads its prompt again: well below 1 s. */
 const minStallMs = 1000;
-/** Statuses that tell a client that its request has not run. */
-const notRunStatuses = new Set([408, 421, 429, 503]);
 
 /**
  * Serves a streaming call up to the last event; the answer is left open then.
@@ -116,7 +115,7 @@
     throw attempts.createFailure(body.message);
   }
   attempts.release(lease, {result: 'answered'});
-  if (notRunStatuses.has(status)) {
+  if (saysNotRun(status)) {
     throw attempts.createFailure(`the target answered ${status}`);
   }
   call.answer(status, getClientHeaders(services, response), body.bytes);
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -1,5 +1,4 @@
 /** Process of an entry VM: takes clients' requests and passes them to targets. */
-import type {Clock} from '@marigoldpost/common';
 import {
   CallHandler,
   GatewayServer,
@@ -7,25 +6,11 @@
   SiteState,
   TargetAgents,
 } from '@marigoldpost/gateway';
-import {MessageTransport} from '@marigoldpost/peers';
-import {type ObjectListener, ObjectWatcher} from '@marigoldpost/platform';
-import type {
-  NetworkAddress,
-  NodeSettings,
-  SiteConfig,
-} from '@marigoldpost/sites';
-import {
-  ArchiveDirectory,
-  ArchivePool,
-  archivePrefix,
-  TurnStore,
-} from '@marigoldpost/turns';
-import {type NodeOptions, SiteNode} from '../node_options.js';
+import type {SiteConfig} from '@marigoldpost/sites';
+import {archivePrefix, TurnStore} from '@marigoldpost/turns';
+import type {NodeOptions} from '../node_options.js';
+import {SiteNode} from '../site_node.js';
 import {TargetRoster} from '../targets/target_roster.js';
-import {BackgroundTasks} from '../utils/background_tasks.js';
-import {createLoggedListener} from '../utils/logged_listener.js';
-import {findChangedSettings} from '../utils/changed_settings.js';
-import {reportDroppedLines} from '../utils/report_dropped_lines.js';
 import {SiteConfigFollower} from './config_follower.js';
 
 /** Pauses between waits that brought changes; the bounds on both are 2 s. */
@@ -38,33 +23,22 @@
 /** Share of the VM's memory that recent turns may take. */
 const cacheShare = 0.15;
 const bytesPerMb = 2 ** 20;
-const gaugeIntervalMs = 1000;
 const okStatus = 200;
 const unavailableStatus = 503;
 
 /** Daemon of one entry VM. */
 export class EntryNode extends SiteNode {
-  private readonly clock: Clock;
-  private readonly tasks: BackgroundTasks;
   private readonly agents = TargetAgents.create();
-  private readonly directory = ArchiveDirectory.create();
   private readonly site: SiteState;
   private readonly roster: TargetRoster;
   private readonly turns: TurnStore;
   private readonly server: GatewayServer;
-  private readonly pages: PageServer[];
-  private readonly transport: MessageTransport;
-  private readonly watchers: ObjectWatcher[] = [];
-  private settings: NodeSettings;
+  private readonly readyPage: PageServer;
   private isDraining = false;
   private lastReadiness = '';
 
-  private constructor(private readonly options: NodeOptions) {
-    super();
-    this.settings = options.settings;
-    this.clock = options.clock;
-    this.tasks = BackgroundTasks.create(options.logger);
-    this.transport = this.createTransport();
+  private constructor(options: NodeOptions) {
+    super(options);
     this.site = this.createSite();
     this.roster = this.createRoster();
     this.turns = this.createTurnStore();
@@ -82,13 +56,7 @@
       metrics,
     });
     this.server = GatewayServer.create(handler);
-    this.pages = [
-      PageServer.create(() => this.getReadyPage()),
-      PageServer.create(() => ({
-        status: okStatus,
-        body: metrics.renderExposition(),
-      })),
-    ];
+    this.readyPage = PageServer.create(() => this.getReadyPage());
   }
 
   /**
@@ -101,7 +69,7 @@
 
   override async start(): Promise<void> {
     const startMs = this.clock.nowMs();
-    const {settings, logger, platform} = this.options;
+    const {logger, platform} = this.options;
     const {keys} = platform;
     const follower = SiteConfigFollower.create({
       key: keys.config,
@@ -114,12 +82,7 @@
     this.watchWith(keys.targetPrefix, targetPauseMs, this.roster);
     this.watch(archivePrefix, archivePauseMs, this.directory);
     await this.listen();
-    this.tasks.run('gauges', (signal) => this.reportGauges(signal));
-    logger.log('node_started', {
-      role: 'entry',
-      startMs: Math.round(this.clock.nowMs() - startMs),
-      detail: `${settings.ip} in ${settings.dataCentre}`,
-    });
+    await this.startCommon('entry', startMs);
   }
 
   override async stop(signal: string): Promise<void> {
@@ -139,28 +102,10 @@
     const drainMs = Math.round(this.clock.nowMs() - startMs);
     logger.log('node_stopped', {drainMs, cutOff: this.server.inFlight});
     this.server.close();
-    for (const page of this.pages) page.close();
-    for (const watcher of this.watchers) watcher.stop();
+    this.readyPage.close();
     this.roster.stop();
     this.turns.stop();
-    this.tasks.stop();
-    this.transport.stop();
-  }
-
-  override reload(settings: NodeSettings): void {
-    const changed = findChangedSettings(this.settings, settings).join(', ');
-    this.settings = settings;
-    this.options.logger.log('settings_reloaded', {changed});
-  }
-
-  private createTransport(): MessageTransport {
-    const {settings, clock} = this.options;
-    return MessageTransport.create({
-      daemon: settings.daemon,
-      host: settings.ip,
-      port: settings.peerPort,
-      clock,
-    });
+    this.stopCommon();
   }
 
   private createSite(): SiteState {
@@ -188,17 +133,9 @@
   }
 
   private createTurnStore(): TurnStore {
-    const {clock, logger, settings} = this.options;
-    const pool = ArchivePool.create({
-      directory: this.directory,
-      transport: this.transport,
-      clock,
-      signal: this.tasks.signal,
-      onReachability: ({daemon}, isReachable) =>
-        logger.log('archive_reachability', {archive: daemon, isReachable}),
-    });
+    const {clock, settings} = this.options;
     return TurnStore.create({
-      pool,
+      pool: this.createArchivePool(),
       clock,
       ownDataCentre: settings.dataCentre,
       copies: settings.toleratedDisks + 1,
@@ -214,45 +151,9 @@
     return true;
   }
 
-  private watch(
-    prefix: string,
-    pauseMs: number,
-    sink: Parameters<typeof createLoggedListener>[2],
-  ): void {
-    const {logger} = this.options;
-    this.watchWith(prefix, pauseMs, createLoggedListener(prefix, logger, sink));
-  }
-
-  private watchWith(
-    prefix: string,
-    pauseMs: number,
-    listener: ObjectListener,
-  ): void {
-    const {platform, clock, random} = this.options;
-    const {store} = platform;
-    const watcher = ObjectWatcher.create({
-      store,
-      prefix,
-      listener,
-      clock,
-      random,
-      pauseMs,
-    });
-    this.watchers.push(watcher);
-    this.tasks.run(`watch ${prefix}`, () => watcher.run());
-  }
-
   private async listen(): Promise<void> {
-    const {settings} = this.options;
-    const {callerAddress, readyAddress, ip, metricsPort} = settings;
-    const metricsAddress = {host: ip, port: metricsPort};
-    const pageAddresses: Array<NetworkAddress | undefined> = [
-      readyAddress,
-      metricsAddress,
-    ];
-    for (const [index, address] of pageAddresses.entries()) {
-      if (address !== undefined) await this.pages[index]?.listen(address);
-    }
+    const {callerAddress, readyAddress} = this.settings;
+    if (readyAddress !== undefined) await this.readyPage.listen(readyAddress);
     if (callerAddress !== undefined) await this.server.listen(callerAddress);
   }
 
@@ -279,17 +180,13 @@
     return 'ready';
   }
 
-  private async reportGauges(signal: AbortSignal): Promise<void> {
-    const {metrics, logger, output} = this.options;
-    while (!signal.aborted) {
-      metrics.setGauge('calls_in_flight', {}, this.server.inFlight);
-      let waiting = 0;
-      for (const dispatcher of this.site.getDispatchers()) {
-        waiting += dispatcher.waitingCount;
-      }
-      metrics.setGauge('queue_length', {}, waiting);
-      if (output !== undefined) reportDroppedLines(output, logger, metrics);
-      await this.clock.sleep(gaugeIntervalMs, signal);
+  protected override setGauges(): void {
+    const {metrics} = this.options;
+    metrics.setGauge('calls_in_flight', {}, this.server.inFlight);
+    let waiting = 0;
+    for (const dispatcher of this.site.getDispatchers()) {
+      waiting += dispatcher.waitingCount;
     }
+    metrics.setGauge('queue_length', {}, waiting);
   }
 }
--- a/packages/nodes/src/node_options.ts
+++ b/packages/nodes/src/node_options.ts
@@ -18,22 +18,3 @@
   /** Where the logger writes, so that lines left out are counted. */
   readonly output?: BoundedOutput;
 }
-
-/** A process of a site. */
-export abstract class SiteNode {
-  /** Starts to serve; resolves when every server listens. */
-  abstract start(): Promise<void>;
-
-  /**
-   * Stops taking work, finishes what is under way, then ends.
-   * @param signal - What asked for the stop, for the log.
-   */
-  abstract stop(signal: string): Promise<void>;
-
-  /**
-   * Takes over settings that were read again; addresses stay as they were until
-   * the next start.
-   * @param settings - The settings.
-   */
-  abstract reload(settings: NodeSettings): void;
-}
