--- a/packages/turns/src/ledger/reservation_quorum.ts
+++ b/packages/turns/src/ledger/reservation_quorum.ts
@@ -43,8 +43,11 @@
   const granted = votes.filter((vote) => vote.answer === 'granted');
   const informed = granted.filter((vote) => vote.isComplete);
   const isOwnProgram = place.home === place.own;
-  const isHomeHeard = granted.some((vote) => vote.dataCentre === place.home);
-  if (informed.length >= majority && (isHomeHeard || isOwnProgram)) {
+  const isOfHome = (vote: ReservationVote) => vote.dataCentre === place.home;
+  const isHomeHeard = granted.some(isOfHome);
+  // A data centre without an archive cannot count anything by itself.
+  const mayCountHere = isHomeHeard || isOwnProgram || !votes.some(isOfHome);
+  if (informed.length >= majority && mayCountHere) {
     return 'granted';
   }
   const refused = count('refused');
--- a/packages/turns/tests/ledger/reservation_quorum.feature
+++ b/packages/turns/tests/ledger/reservation_quorum.feature
@@ -15,6 +15,7 @@
       | a home without its archive counts itself   | a no answer, b yes, c yes, d yes | a | a   | granted     |
       | a data centre cut off counts its own       | a yes, b no answer, c no answer, d no answer | a | a | granted |
       | a data centre cut off counts no other's    | a yes, b no answer, c no answer, d no answer | b | a | unavailable |
+      | a home whose archive was emptied counts no more | a yes, b yes, d ?       | c    | a   | granted     |
       | no archive at all                          | a no answer, b no answer      | a    | a   | unavailable |
       | an archive that lags does not inform       | a late, b yes, c ?, d ?       | a    | a   | pending     |
       | a refusal with a majority heard            | a no, b yes, c yes, d ?       | a    | a   | refused     |
