--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -10,11 +10,9 @@
   registerArchive,
 } from '@marigoldpost/turns';
 import type {NodeOptions} from '../node_options.js';
-import {SiteNode} from '../site_node.js';
+import {seldomChanged, SiteNode} from '../site_node.js';
 import {RetirementTask} from './retirement_task.js';
 
-/** Pause between two waits that brought changes. */
-const watchPauseMs = 250;
 /** Pause before registration is tried again. */
 const registerRetryMs = 300;
 /** Time for replies under way; a sync takes far less. */
@@ -41,8 +39,8 @@
     await this.transport.start((_sender, request) => service.answer(request));
     const retirement = this.createRetirement(repairer);
     const {retirementPrefix} = this.options.platform.keys;
-    this.watch(archivePrefix, watchPauseMs, this.directory);
-    this.watch(retirementPrefix, watchPauseMs, retirement);
+    this.watch(archivePrefix, seldomChanged, this.directory);
+    this.watch(retirementPrefix, seldomChanged, retirement);
     this.tasks.run('register', (signal) =>
       this.register(archive, retirement, signal),
     );
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -9,14 +9,13 @@
 import type {SiteConfig} from '@marigoldpost/sites';
 import {archivePrefix, TurnStore} from '@marigoldpost/turns';
 import type {NodeOptions} from '../node_options.js';
-import {SiteNode} from '../site_node.js';
+import {seldomChanged, SiteNode} from '../site_node.js';
 import {TargetRoster} from '../targets/target_roster.js';
 import {SiteConfigFollower} from './config_follower.js';
 
-/** Pauses between waits that brought changes; the bounds on both are 2 s. */
-const configPauseMs = 100;
-const targetPauseMs = 250;
-const archivePauseMs = 250;
+/** Both have bounds of 2 s from the change to its effect. */
+const configTiming = {pauseMs: 100};
+const targetTiming = {pauseMs: 250};
 /** Time kept back for the end of the process within the grace period. */
 const stopMarginMs = 800;
 const drainCheckMs = 50;
@@ -78,9 +77,9 @@
       apply: (config) => this.applyConfig(config),
     });
     const configPrefix = keys.config.replace(/[^/]*$/, '');
-    this.watch(configPrefix, configPauseMs, follower);
-    this.watchWith(keys.targetPrefix, targetPauseMs, this.roster);
-    this.watch(archivePrefix, archivePauseMs, this.directory);
+    this.watch(configPrefix, configTiming, follower);
+    this.watchWith(keys.targetPrefix, targetTiming, this.roster);
+    this.watch(archivePrefix, seldomChanged, this.directory);
     await this.listen();
     await this.startCommon('entry', startMs);
   }
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -17,6 +17,17 @@
 const gaugeIntervalMs = 1000;
 const okStatus = 200;
 
+/** How often a watch may call the platform. */
+export interface WatchTiming {
+  /** Pause between two waits that brought changes, in milliseconds. */
+  readonly pauseMs: number;
+  /** Longest wait of one call, in milliseconds; the client's own by default. */
+  readonly waitMs?: number;
+}
+
+/** Archives and retirements change seldom, and each call is paid for. */
+export const seldomChanged: WatchTiming = {pauseMs: 250, waitMs: 8000};
+
 /** A process of a site. */
 export abstract class SiteNode {
   protected readonly clock: Clock;
@@ -116,24 +127,24 @@
   /**
    * Watches a prefix of objects; outages are logged.
    * @param prefix - Start of the keys.
-   * @param pauseMs - Pause between two waits that brought changes.
+   * @param timing - Pauses and waits.
    * @param sink - Takes the objects.
    */
-  protected watch(prefix: string, pauseMs: number, sink: ObjectSink): void {
+  protected watch(prefix: string, timing: WatchTiming, sink: ObjectSink): void {
     const {logger} = this.options;
     const listener = createLoggedListener(prefix, logger, sink);
-    this.watchWith(prefix, pauseMs, listener);
+    this.watchWith(prefix, timing, listener);
   }
 
   /**
    * Watches a prefix of objects.
    * @param prefix - Start of the keys.
-   * @param pauseMs - Pause between two waits that brought changes.
+   * @param timing - Pauses and waits.
    * @param listener - Takes the objects and learns of outages.
    */
   protected watchWith(
     prefix: string,
-    pauseMs: number,
+    timing: WatchTiming,
     listener: ObjectListener,
   ): void {
     const {platform, clock, random} = this.options;
@@ -143,7 +154,7 @@
       listener,
       clock,
       random,
-      pauseMs,
+      ...timing,
     });
     this.watchers.push(watcher);
     this.tasks.run(`watch ${prefix}`, () => watcher.run());
--- a/packages/platform/src/store/object_store.ts
+++ b/packages/platform/src/store/object_store.ts
@@ -95,11 +95,13 @@
    * @param prefix - Start of the keys watched.
    * @param sinceVersion - Changes after this version are reported.
    * @param signal - Ends the wait.
+   * @param waitMs - Longest wait; the client's own by default.
    */
   abstract waitForChanges(
     prefix: string,
     sinceVersion: number,
     signal: AbortSignal,
+    waitMs?: number,
   ): Promise<ObjectChanges>;
 
   /**
--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -51,6 +51,8 @@
   readonly random: Random;
   /** Pause between two waits that brought changes; bounds the calls made. */
   readonly pauseMs: number;
+  /** Longest wait of one call; bounds how long a silent connection can hide. */
+  readonly waitMs?: number;
 }
 
 /** Lists a prefix, then watches it; lists again after each failure. */
@@ -98,7 +100,7 @@
   }
 
   private async step(signal: AbortSignal): Promise<void> {
-    const {store, prefix, listener, clock, pauseMs} = this.options;
+    const {store, prefix, listener, clock, pauseMs, waitMs} = this.options;
     if (this.version === undefined) {
       const snapshot = await store.readSnapshot(prefix);
       this.noteAnswer();
@@ -110,6 +112,7 @@
       prefix,
       this.version,
       signal,
+      waitMs,
     );
     this.noteAnswer();
     for (const change of changes) listener.applyChange(change);
