--- a/packages/dispatch/src/placement/placement_cost.ts
+++ b/packages/dispatch/src/placement/placement_cost.ts
@@ -50,11 +50,11 @@
   const isRemote = target.entry.dataCentre !== place.dataCentre;
   const meanMs = isEngine ? turnMs : callMs;
   const {slots} = target.entry;
-  const waiting = Math.max(0, target.load + 1 - slots);
+  const waiting = Math.max(0, target.inFlight + 1 - slots);
   const queueMs = (waiting / slots) * meanMs;
   const workMs = isEngine
-    ? getReadMs(target, request) + target.load * contentionMs + turnMs
-    : callMs * (1 + target.load / slots);
+    ? getReadMs(target, request) + target.inFlight * contentionMs + turnMs
+    : callMs * (1 + target.inFlight / slots);
   const remoteMs = isEngine ? remotePromptMs : remoteCallMs;
   return (queueMs + workMs) * pace + (isRemote ? remoteMs : 0);
 }
--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -51,7 +51,7 @@
 const engineWindowFactor = 1;
 /** A plain target gets a short queue of its own, so that it never idles. */
 const plainWindowFactor = 2;
-/** Share of a target's connections that the daemons use together. */
+/** Share of a target's connections that one daemon uses at most. */
 const connectionShare = 0.8;
 /** Mean time of a request before any has ended. */
 const defaultServiceMs = 100;
@@ -102,7 +102,6 @@
   private readonly means = new Map<string, MeanDuration>();
   private readonly serviceTime = MeanDuration.create();
   private service: Service;
-  private daemonCount = 1;
 
   private constructor(private readonly options: ServiceDispatcherOptions) {
     this.service = options.service;
@@ -132,11 +131,11 @@
   }
 
   /**
-   * Gets the requests that all daemons have at a target.
+   * Gets the requests of this daemon that a target has.
    * @param target - The target.
    */
   getLoad(target: TargetId): number {
-    return this.targets.get(target)?.load ?? 0;
+    return this.targets.get(target)?.inFlight ?? 0;
   }
 
   /**
@@ -147,14 +146,6 @@
     this.service = service;
   }
 
-  /**
-   * Sets how many daemons share the targets' connections.
-   * @param count - At least 1.
-   */
-  setDaemonCount(count: number): void {
-    this.daemonCount = Math.max(1, count);
-  }
-
   /**
    * Sets the targets that may get requests.
    * @param entries - Their entries.
@@ -176,17 +167,6 @@
     this.placeWaiting();
   }
 
-  /**
-   * Sets what other daemons have in flight.
-   * @param counts - Requests by target.
-   */
-  setPeerLoad(counts: ReadonlyMap<TargetId, number>): void {
-    for (const [id, state] of this.targets) {
-      state.peerInFlight = counts.get(id) ?? 0;
-    }
-    this.placeWaiting();
-  }
-
   /**
    * Waits for a place at a target. Throws `no_target` when there is none to
    * wait for, `overloaded` when the wait would be too long; the request has not
@@ -276,9 +256,8 @@
     const {engine, maxConnections} = this.service;
     const factor =
       engine === undefined ? plainWindowFactor : engineWindowFactor;
-    const free = slots * factor - target.peerInFlight;
-    const connections = (maxConnections * connectionShare) / this.daemonCount;
-    return Math.max(1, Math.min(free, Math.floor(connections)));
+    const connections = Math.floor(maxConnections * connectionShare);
+    return Math.max(1, Math.min(slots * factor, connections));
   }
 
   private lease(target: TargetState, request: DispatchRequest): TargetLease {
--- a/packages/dispatch/src/targets/target_state.ts
+++ b/packages/dispatch/src/targets/target_state.ts
@@ -4,15 +4,13 @@
 import {PromptCache} from './prompt_cache.js';
 import {TargetHealth} from './target_health.js';
 
-/** Target of a service, with what this daemon and its peers have sent to it. */
+/** Target of a service, with what this daemon has sent to it. */
 export class TargetState {
   readonly health = TargetHealth.create();
   readonly pace = Pace.create();
   readonly cache: PromptCache;
   /** Requests of this daemon that have not ended. */
   inFlight = 0;
-  /** Requests of other daemons, as they last told. */
-  peerInFlight = 0;
 
   private constructor(
     public entry: TargetEntry,
@@ -32,9 +30,4 @@
   ): TargetState {
     return new TargetState(entry, engine);
   }
-
-  /** Requests of all daemons. */
-  get load(): number {
-    return this.inFlight + this.peerInFlight;
-  }
 }
--- a/packages/gateway/src/site/site_state.ts
+++ b/packages/gateway/src/site/site_state.ts
@@ -22,7 +22,6 @@
   private config: SiteConfig | undefined;
   private routes = RouteTable.create([]);
   private targets: readonly TargetEntry[] = [];
-  private daemonCount = 1;
 
   private constructor(private readonly options: SiteStateOptions) {}
 
@@ -68,17 +67,6 @@
     this.spreadTargets();
   }
 
-  /**
-   * Sets how many daemons share the targets.
-   * @param count - At least 1.
-   */
-  setDaemonCount(count: number): void {
-    this.daemonCount = count;
-    for (const dispatcher of this.dispatchers.values()) {
-      dispatcher.setDaemonCount(count);
-    }
-  }
-
   /**
    * Gets a request's route; nothing when the configuration has none.
    * @param host - Its `Host`.
@@ -107,7 +95,6 @@
     const {clock, dataCentre, onEjected} = this.options;
     const options = {service, clock, dataCentre, onEjected};
     const added = ServiceDispatcher.create(options);
-    added.setDaemonCount(this.daemonCount);
     this.dispatchers.set(service.id, added);
     return added;
   }
--- a/packages/sites/src/node/node_settings.ts
+++ b/packages/sites/src/node/node_settings.ts
@@ -4,12 +4,6 @@
 
 /** Bounds that the operators promise or ask for. */
 export interface NodeBounds {
-  /** Time without disruption after which a VM must keep every time bound. */
-  readonly contactMs: number;
-  /** Time within which a change of the configuration is in force. */
-  readonly configApplyMs: number;
-  /** Time for which a leaving target still serves. */
-  readonly drainMs: number;
   /** Time until the balancer sends no new connections to a daemon. */
   readonly balancerNoticeMs: number;
   /** Time between the request to stop and the kill. */
@@ -35,8 +29,6 @@
   readonly isFirstStart: boolean;
   /** Disks whose loss at once must be borne. */
   readonly toleratedDisks: number;
-  /** Room on the disk, in megabytes. */
-  readonly diskMb: number;
   readonly memoryMb: number;
   /** Object API of the platform. */
   readonly platformAddress: NetworkAddress;
