Remove what nothing reads, and write whole answers in one place

Cause: the last read-through found getters and fields without a reader, two writers of refusals, two translations from archives back to their clients, and a list of clients rebuilt for each reservation. Change: the getters and fields are gone; answers of known length and the line of a refusal have one writer; orderHolders orders what it is given; the pool lists its clients again only when the directory has changed; an object that only one daemon writes is put by one function of the platform package. Ruled out: using coldLeftMs in placement, since no deployment has cold targets and the measured pace covers them.

--- a/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
@@ -292,7 +292,6 @@
     slots,
     isDraining: false,
     startedAtMs,
-    coldLeftMs: 0,
   };
 }
 
--- a/packages/gateway/src/answers/refusal.ts
+++ b/packages/gateway/src/answers/refusal.ts
@@ -1,13 +1,6 @@
 /** Answers to requests that the system does not serve. */
 import {errorAnswers, type MarigoldpostError} from '@marigoldpost/common';
-
-/** An answer of the system's own. */
-export interface Refusal {
-  readonly status: number;
-  /** Names and values in turn. */
-  readonly headers: readonly string[];
-  readonly body: Uint8Array;
-}
+import type {WholeAnswer} from './write_answer.js';
 
 const millisecondsPerSecond = 1000;
 const badGatewayStatus = 502;
@@ -17,7 +10,7 @@
  * a status that says it has not.
  * @param error - The error.
  */
-export function toRefusal(error: MarigoldpostError): Refusal {
+export function toRefusal(error: MarigoldpostError): WholeAnswer {
   const {kind, outcome, retryAfterMs} = error;
   const known = errorAnswers[kind];
   const mayHaveRun = outcome !== 'not_run' && known.outcome === 'not_run';
--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -9,6 +9,7 @@
 } from '@marigoldpost/common';
 import type {CallAttributes, Route, SiteConfig} from '@marigoldpost/sites';
 import {toRefusal} from '../answers/refusal.js';
+import {logTurnedAway, writeAnswer} from '../answers/write_answer.js';
 import {readBody} from './body_reader.js';
 import type {CallServices} from './call_services.js';
 import {IncomingCall} from './incoming_call.js';
@@ -133,40 +134,23 @@
       return;
     }
     call.refuse(error);
-    this.logRefusal(call, error);
+    const {route, status, logger} = call;
+    const elapsedMs = Math.round(call.elapsedMs);
+    logTurnedAway(logger, {route: route.name, status, error, elapsedMs});
     // The rest of the body would have to be read before the next request.
     if (isErrorOfKind(error, 'too_large', 'body_timeout')) call.closeAfter();
   }
 
-  private logRefusal(call: IncomingCall, error: MarigoldpostError): void {
-    call.logger.log('call_turned_away', {
-      route: call.route.name,
-      kind: error.kind,
-      status: call.status,
-      message: error.message,
-      elapsedMs: Math.round(call.elapsedMs),
-      retryAfterMs: error.retryAfterMs,
-    });
-  }
-
   private refuseEarly(
     response: ServerResponse,
     {requestId}: CallAttributes,
     error: MarigoldpostError,
   ): void {
-    const {status, headers, body} = toRefusal(error);
-    const length = ['Content-Length', String(body.byteLength)];
-    const closing = this.isDraining ? ['Connection', 'close'] : [];
-    response.writeHead(status, [...headers, ...length, ...closing]);
-    response.end(body);
-    this.services.logger.withContext({requestId}).log('call_turned_away', {
-      route: '',
-      kind: error.kind,
-      status,
-      message: error.message,
-      elapsedMs: 0,
-      retryAfterMs: error.retryAfterMs,
-    });
+    const answer = toRefusal(error);
+    writeAnswer(response, answer, this.isDraining);
+    const logger = this.services.logger.withContext({requestId});
+    const {status} = answer;
+    logTurnedAway(logger, {route: '', status, error, elapsedMs: 0});
   }
 
   private noteEnd(call: IncomingCall): void {
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -4,6 +4,11 @@
 import type {CallAttributes, Route, SiteConfig} from '@marigoldpost/sites';
 import type {EventLogger} from '@marigoldpost/telemetry';
 import {toRefusal} from '../answers/refusal.js';
+import {
+  getConnectionHeaders,
+  type WholeAnswer,
+  writeAnswer,
+} from '../answers/write_answer.js';
 
 /** Why a call ended before its answer was complete. */
 export type CallEndReason = 'client_gone' | 'timeout';
@@ -103,21 +108,13 @@
 
   /**
    * Sends a whole answer; ignored once an answer has begun.
-   * @param status - Its status.
-   * @param headers - Names and values in turn, without those of length.
-   * @param body - Its body.
+   * @param answer - The answer.
    */
-  answer(status: number, headers: readonly string[], body: Uint8Array): void {
-    const {response} = this.options;
+  answer(answer: WholeAnswer): void {
+    const {response, isClosing} = this.options;
     if (this.isAnswered || response.destroyed) return;
-    this.status = status;
-    const length = ['Content-Length', String(body.byteLength)];
-    response.writeHead(status, [
-      ...headers,
-      ...length,
-      ...this.getConnectionHeaders(),
-    ]);
-    response.end(body);
+    this.status = answer.status;
+    writeAnswer(response, answer, isClosing());
   }
 
   /**
@@ -125,8 +122,7 @@
    * @param error - The error.
    */
   refuse(error: MarigoldpostError): void {
-    const {status, headers, body} = toRefusal(error);
-    this.answer(status, headers, body);
+    this.answer(toRefusal(error));
   }
 
   /**
@@ -136,8 +132,9 @@
    */
   begin(status: number, headers: readonly string[]): void {
     this.status = status;
-    const all = [...headers, ...this.getConnectionHeaders()];
-    this.options.response.writeHead(status, all);
+    const {response, isClosing} = this.options;
+    const closing = getConnectionHeaders(isClosing());
+    response.writeHead(status, [...headers, ...closing]);
   }
 
   /**
@@ -177,8 +174,4 @@
     this.reason = reason;
     this.controller.abort();
   }
-
-  private getConnectionHeaders(): string[] {
-    return this.options.isClosing() ? ['Connection', 'close'] : [];
-  }
 }
--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -50,7 +50,8 @@
     if (saysNotRun(status) && !isRepeatable(call.route)) {
       throw attempts.createFailure(`the target answered ${status}`);
     }
-    call.answer(status, getClientHeaders(services, response), answer.bytes);
+    const headers = getClientHeaders(services, response);
+    call.answer({status, headers, body: answer.bytes});
     return;
   }
 }
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -118,5 +118,6 @@
   if (saysNotRun(status)) {
     throw attempts.createFailure(`the target answered ${status}`);
   }
-  call.answer(status, getClientHeaders(services, response), body.bytes);
+  const headers = getClientHeaders(services, response);
+  call.answer({status, headers, body: body.bytes});
 }
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -53,12 +53,6 @@
     return this.sockets.size;
   }
 
-  /** Where the server listens; nothing before it does. */
-  get port(): number | undefined {
-    const address = this.server.address();
-    return typeof address === 'object' ? address?.port : undefined;
-  }
-
   /**
    * Sets how long clients may take.
    * @param limits - Limits in force.
--- a/packages/gateway/src/site/site_state.ts
+++ b/packages/gateway/src/site/site_state.ts
@@ -38,11 +38,6 @@
     return this.config;
   }
 
-  /** Targets that may get requests. */
-  get usableTargets(): readonly TargetEntry[] {
-    return this.targets;
-  }
-
   /**
    * Puts a configuration in force; false for one that is not newer.
    * @param config - The configuration.
--- a/packages/nodes/tests/targets/target_roster_steps.ts
+++ b/packages/nodes/tests/targets/target_roster_steps.ts
@@ -121,6 +121,5 @@
     slots: 1,
     isDraining: value === 'draining',
     startedAtMs: 1,
-    coldLeftMs: 0,
   };
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -11,5 +11,6 @@
 export * from './leases/lease_keeper.js';
 export * from './leases/lease_observer.js';
 export * from './partitions/partition_directory.js';
+export * from './store/put_object.js';
 export * from './store/store_errors.js';
 export * from './watch/object_watcher.js';
--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -76,11 +76,6 @@
     return new ObjectWatcher(options);
   }
 
-  /** Time since the platform last answered, in milliseconds. */
-  get ageMs(): number {
-    return this.options.clock.nowMs() - this.lastAnswerMs;
-  }
-
   /** Watches until stopped. */
   async run(): Promise<void> {
     const {signal} = this.controller;
@@ -121,8 +116,9 @@
   }
 
   private noteAnswer(): void {
-    const outageMs = this.ageMs;
-    this.lastAnswerMs = this.options.clock.nowMs();
+    const nowMs = this.options.clock.nowMs();
+    const outageMs = nowMs - this.lastAnswerMs;
+    this.lastAnswerMs = nowMs;
     this.backoff.reset();
     if (!this.isLost) return;
     this.isLost = false;
--- a/packages/sites/src/calls/call_attributes.ts
+++ b/packages/sites/src/calls/call_attributes.ts
@@ -3,8 +3,6 @@
 
 /** A finished or running turn; the id of the request that asked for it. */
 export type TurnId = Brand<string, 'TurnId'>;
-/** A line of turns within a program. */
-export type LineId = Brand<string, 'LineId'>;
 /** A part of a prompt that engines cache as one. */
 export type PromptPartId = Brand<string, 'PromptPartId'>;
 
@@ -21,7 +19,6 @@
   /** Time that the client will wait, from the call's arrival. */
   readonly deadlineMs: number | undefined;
   readonly program: ProgramId | undefined;
-  readonly line: LineId | undefined;
   /** Time left until the whole program should be finished. */
   readonly finishMs: number | undefined;
   /** Tokens that all turns of the program may generate. */
--- a/packages/sites/src/config/route.ts
+++ b/packages/sites/src/config/route.ts
@@ -20,8 +20,6 @@
   readonly kind: CallKind;
   /** Longest time that a request may be kept waiting. */
   readonly timeoutMs: number;
-  /** Time within which an answer counts in full. */
-  readonly objectiveMs: number;
   /** Rank; 0 is the most urgent. */
   readonly priority: number;
   readonly services: readonly ServiceShare[];
--- a/packages/sites/src/targets/target_entry.ts
+++ b/packages/sites/src/targets/target_entry.ts
@@ -18,6 +18,4 @@
   readonly isDraining: boolean;
   /** Wall time of its start, in milliseconds since 1970; 0 when unknown. */
   readonly startedAtMs: number;
-  /** How much longer it stays slow after its start. */
-  readonly coldLeftMs: number;
 }
--- a/packages/sites/tests/config/route_table_steps.ts
+++ b/packages/sites/tests/config/route_table_steps.ts
@@ -31,7 +31,6 @@
     pathPrefix,
     kind: 'idempotent',
     timeoutMs: 1000,
-    objectiveMs: 100,
     priority: 0,
     services: [],
     attempts: 1,
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -24,7 +24,8 @@
 
 /** Clients by archive; one whose address changes gets a new client. */
 export class ArchivePool {
-  private clients = new Map<string, ArchiveClient>();
+  private clients: readonly ArchiveClient[] = [];
+  private seenChanges = -1;
 
   private constructor(private readonly options: ArchivePoolOptions) {}
 
@@ -37,16 +38,15 @@
   }
 
   /** Gets a client of each registered archive. */
-  getClients(): ArchiveClient[] {
+  getClients(): readonly ArchiveClient[] {
     const {directory, self} = this.options;
-    const members = directory
+    if (this.seenChanges === directory.changeCount) return this.clients;
+    this.seenChanges = directory.changeCount;
+    this.clients = directory
       .getMembers()
-      .filter(({daemon}) => daemon !== self);
-    const clients = members.map((member) => this.getClient(member));
-    this.clients = new Map(
-      clients.map((client) => [toKey(client.member), client]),
-    );
-    return clients;
+      .filter(({daemon}) => daemon !== self)
+      .map((member) => this.getClient(member));
+    return this.clients;
   }
 
   /** Whether any archive answers. */
@@ -65,7 +65,8 @@
   }
 
   private getClient(member: ArchiveMember): ArchiveClient {
-    const known = this.clients.get(toKey(member));
+    const key = toKey(member);
+    const known = this.clients.find((client) => toKey(client.member) === key);
     if (known !== undefined) return known;
     const {transport, clock, signal, onReachability} = this.options;
     return ArchiveClient.create({
--- a/packages/turns/src/client/copy_plan.ts
+++ b/packages/turns/src/client/copy_plan.ts
@@ -15,27 +15,33 @@
   readonly chainDisks: readonly DiskId[];
 }
 
+/** Something that stands for an archive. */
+interface Holder {
+  readonly member: ArchiveMember;
+}
+
 /**
  * Orders archives by how well they suit as holders: those of the chain, then
  * the own data centre, then the others by a hash of the program. Of each data
  * centre one stands before the second of any.
- * @param members - Archives to choose from.
+ * @param holders - Archives to choose from.
  * @param options - The turn.
  */
-export function orderHolders<Member extends ArchiveMember>(
-  members: readonly Member[],
+export function orderHolders<T extends Holder>(
+  holders: readonly T[],
   options: CopyPlanOptions,
-): Member[] {
-  const ranked = members
-    .map((member) => ({member, rank: getRank(member, options)}))
+): T[] {
+  const ranked = holders
+    .map((holder) => ({holder, rank: getRank(holder.member, options)}))
     .toSorted((left, right) => left.rank - right.rank)
-    .map(({member}) => member);
+    .map(({holder}) => holder);
   const seen = new Set<DataCentreId>();
-  const first: Member[] = [];
-  const rest: Member[] = [];
-  for (const member of ranked) {
-    (seen.has(member.dataCentre) ? rest : first).push(member);
-    seen.add(member.dataCentre);
+  const first: T[] = [];
+  const rest: T[] = [];
+  for (const holder of ranked) {
+    const {dataCentre} = holder.member;
+    (seen.has(dataCentre) ? rest : first).push(holder);
+    seen.add(dataCentre);
   }
   return [...first, ...rest];
 }
--- a/packages/turns/src/client/settlement_sender.ts
+++ b/packages/turns/src/client/settlement_sender.ts
@@ -33,13 +33,6 @@
     return new SettlementSender(pool, clock);
   }
 
-  /** Number of settlements that an archive has not acknowledged yet. */
-  get waitingCount(): number {
-    let count = 0;
-    for (const ledgers of this.waiting.values()) count += ledgers.length;
-    return count;
-  }
-
   /**
    * Settles an attempt.
    * @param program - Its program.
--- a/packages/turns/src/client/turn_cache.ts
+++ b/packages/turns/src/client/turn_cache.ts
@@ -17,11 +17,6 @@
     return new TurnCache(maxBytes);
   }
 
-  /** Bytes of the turns kept. */
-  get sizeBytes(): number {
-    return this.bytes;
-  }
-
   /**
    * Gets a turn; nothing when it is not kept.
    * @param id - The turn.
--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -52,19 +52,10 @@
     const {pool, ownDataCentre, copies} = this.options;
     const {program} = turn;
     const clients = pool.getClients().filter((client) => client.isReachable);
-    const byDaemon = new Map(
-      clients.map((client) => [client.member.daemon, client]),
-    );
-    const holders = orderHolders(
-      clients.map(({member}) => member),
-      {program, ownDataCentre, chainDisks},
-    );
-    const disks = holders.slice(0, copies).map(({disk}) => disk);
+    const holders = orderHolders(clients, {program, ownDataCentre, chainDisks});
+    const disks = holders.slice(0, copies).map(({member}) => member.disk);
     const record = {...turn, disks};
-    const ordered = holders.map(
-      ({daemon}) => byDaemon.get(daemon) as ArchiveClient,
-    );
-    await CopyRound.create(record, ordered, this.options).run();
+    await CopyRound.create(record, holders, this.options).run();
     return record;
   }
 }
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -52,11 +52,6 @@
     return this.options.pool.isAnyReachable;
   }
 
-  /** Settlements that some archive has not acknowledged yet. */
-  get waitingSettlements(): number {
-    return this.settlements.waitingCount;
-  }
-
   /** Ends the work in the background. */
   stop(): void {
     this.settlements.stop();
--- a/packages/turns/src/directory/archive_directory.ts
+++ b/packages/turns/src/directory/archive_directory.ts
@@ -1,14 +1,10 @@
 /** Archives of a site, as they registered themselves in the object API. */
+import {type DaemonId, type DataCentreId, toId} from '@marigoldpost/common';
 import {
-  type DaemonId,
-  type DataCentreId,
-  isErrorOfKind,
-  toId,
-} from '@marigoldpost/common';
-import type {
-  ObjectChange,
-  ObjectStore,
-  StoredObject,
+  type ObjectChange,
+  type ObjectStore,
+  putOwnObject,
+  type StoredObject,
 } from '@marigoldpost/platform';
 import type {DiskId} from '../log/disk_identity.js';
 
@@ -28,6 +24,7 @@
 export class ArchiveDirectory {
   private readonly members = new Map<string, ArchiveMember>();
   private isKnown = false;
+  private changes = 0;
 
   private constructor() {}
 
@@ -41,6 +38,11 @@
     return this.isKnown;
   }
 
+  /** Number of changes so far, so that users know when to look again. */
+  get changeCount(): number {
+    return this.changes;
+  }
+
   /** Gets every archive. */
   getMembers(): ArchiveMember[] {
     return [...this.members.values()];
@@ -60,6 +62,7 @@
    */
   replaceObjects(objects: readonly StoredObject[]): void {
     this.isKnown = true;
+    this.changes += 1;
     this.members.clear();
     for (const object of objects) this.putObject(object);
   }
@@ -69,6 +72,7 @@
    * @param change - The change.
    */
   applyChange({key, object}: ObjectChange): void {
+    this.changes += 1;
     if (object === undefined) this.members.delete(key);
     else this.putObject(object);
   }
@@ -90,22 +94,7 @@
   member: ArchiveMember,
 ): Promise<void> {
   const key = `${archivePrefix}${member.daemon}`;
-  const value = JSON.stringify(member);
-  const known = await store.getObject(key);
-  if (known?.value === value) return;
-  try {
-    if (known === undefined) await store.createObject(key, value);
-    else await store.updateObject(key, value, known.version);
-  } catch (error) {
-    const isOwnWrite = isErrorOfKind(
-      error,
-      'object_exists',
-      'version_conflict',
-    );
-    if (!isOwnWrite) throw error;
-    // Only this daemon writes the key, so the conflict is with a former try.
-    await registerArchive(store, member);
-  }
+  await putOwnObject(store, key, JSON.stringify(member));
 }
 
 function parseMember(value: string): ArchiveMember | undefined {
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -155,20 +155,17 @@
       .getClients()
       .filter(({isReachable, member}) => isReachable && !held.has(member.disk));
     const {program, disks} = turn;
-    const members = orderHolders(
-      clients.map(({member}) => member),
-      {program, ownDataCentre: dataCentre, chainDisks: disks},
-    );
+    const holders = orderHolders(clients, {
+      program,
+      ownDataCentre: dataCentre,
+      chainDisks: disks,
+    });
     // A second copy in the own data centre would be lost with the first.
     const ordered = [
-      ...members.filter((member) => member.dataCentre !== dataCentre),
-      ...members.filter((member) => member.dataCentre === dataCentre),
+      ...holders.filter((holder) => holder.dataCentre !== dataCentre),
+      ...holders.filter((holder) => holder.dataCentre === dataCentre),
     ];
-    const missing = this.copiesElsewhere - held.size;
-    return ordered
-      .slice(0, missing)
-      .map(({daemon}) => clients.find(({member}) => member.daemon === daemon))
-      .filter((client) => client !== undefined);
+    return ordered.slice(0, this.copiesElsewhere - held.size);
   }
 
   private async copyTurns(
