Stop requests that crash their targets at every entry VM

Ruled out: counting at each entry VM alone (a request that comes back at another daemon would crash three targets for each of them); counting each break (one fault breaks many targets at once, so only runs that began after the last break count); keeping it once a target has answered the request. Change: CrashSuspects takes breaks and answers from the attempts, CrashNews tells them through one object an entry VM, written only when a target breaks. Before and after: the first scenario fails without the note of breaks (502 at the other daemon, a fourth target crashed), the second without the note of answers (422 in place of 200); both pass now.

--- a/packages/common/src/utils/digest.ts
+++ b/packages/common/src/utils/digest.ts
@@ -5,7 +5,7 @@
  * Gets the SHA-256 digest of a text, in hexadecimal.
  * @param text - Any text.
  */
-export function getDigest(text: string): string {
+export function getDigest(text: string | Uint8Array): string {
   return createHash('sha256').update(text).digest('hex');
 }
 
--- a/packages/gateway/src/answers/stream_relay.ts
+++ b/packages/gateway/src/answers/stream_relay.ts
@@ -21,6 +21,8 @@
   readonly isComplete: boolean;
   /** What cut it off; empty for a whole one. */
   readonly message: string;
+  /** Whether it was given up because no event came. */
+  readonly isStalled: boolean;
   readonly events: number;
   /** Mean time between two events; nothing with fewer than three. */
   readonly gapMs: number | undefined;
@@ -34,6 +36,7 @@
   private readonly collector = EventCollector.create();
   private firstEventMs: number | undefined;
   private lastEventMs = 0;
+  private isStalled = false;
   private stallTimer: Timer | undefined;
 
   private constructor(private readonly options: StreamRelayOptions) {}
@@ -84,8 +87,12 @@
     this.stallTimer?.cancel();
     this.stallTimer = clock.setTimer(stallMs, () => {
       // A client that reads too slowly pauses the target by itself.
-      if (response.isPaused()) this.watchForStall();
-      else response.destroy(new Error(`no event for ${stallMs} ms`));
+      if (response.isPaused()) {
+        this.watchForStall();
+        return;
+      }
+      this.isStalled = true;
+      response.destroy(new Error(`no event for ${stallMs} ms`));
     });
   }
 
@@ -95,6 +102,7 @@
     return {
       isComplete,
       message: isComplete ? '' : message,
+      isStalled: this.isStalled,
       events,
       gapMs: events < minEventsForGap ? undefined : spanMs / (events - 1),
       data: this.collector.getData(),
--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -37,6 +37,7 @@
     const problem = findProblem(begun, answer);
     if (problem !== undefined) {
       attempts.noteBrokenAnswer(begun.lease, problem);
+      if (!answer.isComplete) attempts.noteCrash(begun.lease);
       if (attempts.canRepeat) continue;
       throw attempts.createFailure(problem);
     }
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -60,6 +60,7 @@
     attempts.release(begun.lease, {result: 'cancelled'});
   } else {
     attempts.noteBrokenAnswer(begun.lease, result.message);
+    if (!result.isStalled) attempts.noteCrash(begun.lease);
   }
   return result;
 }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -20,6 +20,7 @@
   TargetExchange,
 } from '../targets/target_exchange.js';
 import type {CallServices} from './call_services.js';
+import type {SuspectRequest} from './crash_suspects.js';
 import type {IncomingCall} from './incoming_call.js';
 
 /** Targets that may turn one call away before the caller is told. */
@@ -57,6 +58,7 @@
   private readonly excluded = new Set<TargetId>();
   private attempts = 0;
   private turnedAway = 0;
+  private sentAtMs = 0;
   private mayHaveRun = false;
 
   private constructor(
@@ -99,7 +101,9 @@
    */
   async next(): Promise<TargetAnswer> {
     for (;;) {
+      this.checkSuspicion();
       const lease = await this.acquire();
+      this.sentAtMs = this.services.clock.nowMs();
       const outcome = await this.send(lease);
       if (outcome.kind === 'answer') {
         this.noteSent();
@@ -120,6 +124,15 @@
     this.logFailure(lease, 'broken', true, message);
   }
 
+  /**
+   * Notes that a target closed its connection while it ran the request.
+   * @param lease - Place at the target.
+   */
+  noteCrash({target}: TargetLease): void {
+    const ranMs = this.services.clock.nowMs() - this.sentAtMs;
+    this.services.suspects.noteBroken(this.request, target.id, ranMs);
+  }
+
   /**
    * Gives a place back after an answer.
    * @param lease - The place.
@@ -127,6 +140,9 @@
    */
   release(lease: TargetLease, result: DispatchResult): void {
     lease.release(result);
+    if (result.result === 'answered') {
+      this.services.suspects.noteAnswered(this.request);
+    }
     const {service} = this;
     this.services.metrics.addToCounter('attempts_total', {
       service,
@@ -146,6 +162,15 @@
     });
   }
 
+  private get request(): SuspectRequest {
+    return {call: this.call, body: this.body.bytes};
+  }
+
+  private checkSuspicion(): void {
+    const outcome = this.mayHaveRun ? 'unknown' : 'not_run';
+    this.services.suspects.check(this.request, outcome);
+  }
+
   private async acquire(): Promise<TargetLease> {
     const dispatcher = this.getDispatcher();
     const startMs = this.services.clock.nowMs();
@@ -234,6 +259,7 @@
     const {reason, isSent, message} = outcome;
     this.release(lease, {result: targetResults[reason]});
     this.logFailure(lease, reason, isSent, message);
+    if (reason === 'broken') this.noteCrash(lease);
     if (reason === 'silent') this.services.agents.get(lease.target).closeIdle();
     if (isSent) this.noteSent();
     const mayGoOn = isSent ? this.canRepeat : !this.call.signal.aborted;
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -1,6 +1,7 @@
 /** Process of an entry VM: takes clients' requests and passes them to targets. */
 import {
   CallHandler,
+  CrashSuspects,
   GatewayServer,
   PageServer,
   SiteState,
@@ -8,14 +9,20 @@
 } from '@marigoldpost/gateway';
 import type {SiteConfig} from '@marigoldpost/sites';
 import {archivePrefix, TurnStore} from '@marigoldpost/turns';
+import {Quarantine} from '@marigoldpost/targets';
 import type {NodeOptions} from '../node_options.js';
 import {seldomChanged, SiteNode} from '../site_node.js';
 import {TargetRoster} from '../targets/target_roster.js';
 import {SiteConfigFollower} from './config_follower.js';
+import {CrashNews, crashPrefix} from './crash_news.js';
 
 /** Both have bounds of 2 s from the change to its effect. */
 const configTiming = {pauseMs: 100};
 const targetTiming = {pauseMs: 250};
+/** Crashes are rare; the wait is the longest that the object API allows. */
+const crashTiming = {pauseMs: 250, waitMs: 30_000};
+/** As many as callers may see before a request counts as the cause. */
+const deathsToQuarantine = 3;
 /** Time kept back for the end of the process within the grace period. */
 const stopMarginMs = 800;
 const drainCheckMs = 50;
@@ -31,6 +38,8 @@
   private readonly site: SiteState;
   private readonly roster: TargetRoster;
   private readonly turns: TurnStore;
+  private readonly quarantine: Quarantine;
+  private readonly crashNews: CrashNews;
   private readonly server: GatewayServer;
   private readonly readyPage: PageServer;
   private isDraining = false;
@@ -42,7 +51,9 @@
     this.roster = this.createRoster();
     this.turns = this.createTurnStore();
     const {clock, random, logger, metrics, platform, settings} = options;
-    const {site, agents, turns} = this;
+    this.quarantine = Quarantine.create({clock, deathsToQuarantine});
+    this.crashNews = this.createCrashNews();
+    const {site, agents, turns, quarantine} = this;
     const handler = CallHandler.create({
       clock,
       random,
@@ -51,6 +62,11 @@
       site,
       agents,
       turns,
+      suspects: CrashSuspects.create({
+        clock,
+        quarantine,
+        onChanged: () => this.crashNews.publish(),
+      }),
       logger,
       metrics,
     });
@@ -80,6 +96,7 @@
     this.watch(configPrefix, configTiming, follower);
     this.watchWith(keys.targetPrefix, targetTiming, this.roster);
     this.watch(archivePrefix, seldomChanged, this.directory);
+    this.watch(crashPrefix, crashTiming, this.crashNews);
     await this.listen();
     await this.startCommon('entry', startMs);
   }
@@ -103,6 +120,7 @@
     this.server.close();
     this.readyPage.close();
     this.roster.stop();
+    this.crashNews.stop();
     this.turns.stop();
     this.stopCommon();
   }
@@ -142,6 +160,17 @@
     });
   }
 
+  private createCrashNews(): CrashNews {
+    const {clock, platform, settings} = this.options;
+    return CrashNews.create({
+      daemon: settings.daemon,
+      store: platform.store,
+      clock,
+      quarantine: this.quarantine,
+      onFailed: (error) => this.tasks.noteFailure('crash news', error),
+    });
+  }
+
   private applyConfig(config: SiteConfig): boolean {
     if (!this.site.applyConfig(config)) return false;
     this.server.setLimits(config.limits);
--- a/packages/targets/src/quarantine/fingerprint.ts
+++ b/packages/targets/src/quarantine/fingerprint.ts
@@ -20,6 +20,14 @@
   service: ServiceId,
   content: string,
 ): Fingerprint {
-  const digest = getDigest(JSON.stringify([team, service, content]));
+  return getFingerprintOfParts([team, service, content]);
+}
+
+/**
+ * Gets the fingerprint of a request from everything that makes it up.
+ * @param parts - Equal for each re-send of the request, and no other's.
+ */
+export function getFingerprintOfParts(parts: readonly string[]): Fingerprint {
+  const digest = getDigest(JSON.stringify(parts));
   return toId<Fingerprint>(digest.slice(0, fingerprintLength));
 }
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -61,6 +61,11 @@
     return new Quarantine(options);
   }
 
+  /** Whether no request is known. */
+  get isEmpty(): boolean {
+    return this.entries.size === 0;
+  }
+
   /**
    * Sets after how many deaths a request is quarantined.
    * @param deaths - At least 1.
