Wait longer on watches, and find dead connections by one of them

Ruled out: stale reads at a tenth of the price (bounds of 2 s on configuration and drains); TCP keep-alive (Node's default finds a dead link after 11 s). Change: a group of watches waits 20 s on everything but one prefix, whose waits of 3.5 s find a dead link within the bound; when it is back, the long waits that began before begin anew. A pause of 400 ms gathers changes of targets.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -10,9 +10,10 @@
   registerArchive,
 } from '@marigoldpost/turns';
 import type {NodeOptions} from '../node_options.js';
-import {seldomChanged, SiteNode} from '../site_node.js';
+import {deadLinkWaitMs, seldomChanged, SiteNode} from '../site_node.js';
 import {RetirementTask} from './retirement_task.js';
 
+const archiveTiming = {pauseMs: 250, waitMs: deadLinkWaitMs};
 /** Pause before registration is tried again. */
 const registerRetryMs = 300;
 /** Time for replies under way; a sync takes far less. */
@@ -39,7 +40,7 @@
     await this.transport.start((_sender, request) => service.answer(request));
     const retirement = this.createRetirement(repairer);
     const {retirementPrefix} = this.options.platform.keys;
-    this.watch(archivePrefix, seldomChanged, this.directory);
+    this.watch(archivePrefix, archiveTiming, this.directory);
     this.watch(retirementPrefix, seldomChanged, retirement);
     this.tasks.run('register', (signal) =>
       this.register(archive, retirement, signal),
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -11,16 +11,14 @@
 import {archivePrefix, TurnStore} from '@marigoldpost/turns';
 import {Quarantine} from '@marigoldpost/targets';
 import type {NodeOptions} from '../node_options.js';
-import {seldomChanged, SiteNode} from '../site_node.js';
+import {deadLinkWaitMs, seldomChanged, SiteNode} from '../site_node.js';
 import {TargetRoster} from '../targets/target_roster.js';
 import {SiteConfigFollower} from './config_follower.js';
 import {CrashNews, crashPrefix} from './crash_news.js';
 
 /** Both have bounds of 2 s from the change to its effect. */
-const configTiming = {pauseMs: 100};
-const targetTiming = {pauseMs: 250};
-/** Crashes are rare; the wait is the longest that the object API allows. */
-const crashTiming = {pauseMs: 250, waitMs: 30_000};
+const configTiming = {pauseMs: 100, waitMs: 20_000};
+const targetTiming = {pauseMs: 400, waitMs: deadLinkWaitMs};
 /** As many as callers may see before a request counts as the cause. */
 const deathsToQuarantine = 3;
 /** Time kept back for the end of the process within the grace period. */
@@ -96,7 +94,7 @@
     this.watch(configPrefix, configTiming, follower);
     this.watchWith(keys.targetPrefix, targetTiming, this.roster);
     this.watch(archivePrefix, seldomChanged, this.directory);
-    this.watch(crashPrefix, crashTiming, this.crashNews);
+    this.watch(crashPrefix, seldomChanged, this.crashNews);
     await this.listen();
     await this.startCommon('entry', startMs);
   }
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@marigoldpost/common';
 import {PageServer} from '@marigoldpost/gateway';
 import {MessageTransport} from '@marigoldpost/peers';
-import {type ObjectListener, ObjectWatcher} from '@marigoldpost/platform';
+import {type ObjectListener, WatchGroup} from '@marigoldpost/platform';
 import type {NodeSettings} from '@marigoldpost/sites';
 import {ArchiveDirectory, ArchivePool} from '@marigoldpost/turns';
 import type {NodeOptions} from './node_options.js';
@@ -25,8 +25,14 @@
   readonly waitMs?: number;
 }
 
-/** Archives and retirements change seldom, and each call is paid for. */
-export const seldomChanged: WatchTiming = {pauseMs: 250, waitMs: 8000};
+/**
+ * Each call is paid for, so only one watch of a daemon finds dead connections
+ * by a short wait; with the time of a call it stays below the 5 s from a silent
+ * connection to the bound of a configuration.
+ */
+export const deadLinkWaitMs = 3500;
+/** Waits of the other watches; the object API allows 30 s. */
+export const seldomChanged: WatchTiming = {pauseMs: 250, waitMs: 20_000};
 
 /** A process of a site. */
 export abstract class SiteNode {
@@ -35,11 +41,13 @@
   protected readonly transport: MessageTransport;
   protected readonly directory = ArchiveDirectory.create();
   private readonly metricsPage: PageServer;
-  private readonly watchers: ObjectWatcher[] = [];
+  private readonly watches: WatchGroup;
   private currentSettings: NodeSettings;
 
   protected constructor(protected readonly options: NodeOptions) {
-    const {settings, clock, metrics, logger} = options;
+    const {settings, clock, random, metrics, logger, platform} = options;
+    const {store} = platform;
+    this.watches = WatchGroup.create({store, clock, random});
     this.currentSettings = settings;
     this.clock = clock;
     this.tasks = BackgroundTasks.create(logger);
@@ -105,7 +113,7 @@
   /** Ends watches, background work and servers that every process has. */
   protected stopCommon(): void {
     this.tasks.stop();
-    for (const watcher of this.watchers) watcher.stop();
+    this.watches.stop();
     this.transport.stop();
     this.metricsPage.close();
   }
@@ -147,16 +155,7 @@
     timing: WatchTiming,
     listener: ObjectListener,
   ): void {
-    const {platform, clock, random} = this.options;
-    const watcher = ObjectWatcher.create({
-      store: platform.store,
-      prefix,
-      listener,
-      clock,
-      random,
-      ...timing,
-    });
-    this.watchers.push(watcher);
+    const watcher = this.watches.add({prefix, listener, ...timing});
     this.tasks.run(`watch ${prefix}`, () => watcher.run());
   }
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -14,3 +14,4 @@
 export * from './store/put_object.js';
 export * from './store/store_errors.js';
 export * from './watch/object_watcher.js';
+export * from './watch/watch_group.js';
--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -8,6 +8,7 @@
 } from '@marigoldpost/common';
 import type {
   ObjectChange,
+  ObjectChanges,
   ObjectStore,
   StoredObject,
 } from '../store/object_store.js';
@@ -55,10 +56,19 @@
   readonly waitMs?: number;
 }
 
+/** A call that waits for changes. */
+interface WaitingCall {
+  readonly controller: AbortController;
+  readonly startedAtMs: number;
+  /** Whether it was ended so that another takes its place. */
+  isRenewed: boolean;
+}
+
 /** Lists a prefix, then watches it; lists again after each failure. */
 export class ObjectWatcher {
   private readonly backoff: Backoff;
   private readonly controller = new AbortController();
+  private wait: WaitingCall | undefined;
   private version: number | undefined;
   private lastAnswerMs: number;
   private isLost = false;
@@ -92,10 +102,22 @@
   /** Ends the watch. */
   stop(): void {
     this.controller.abort();
+    this.wait?.controller.abort();
+  }
+
+  /**
+   * Waits on a new call, since the connection of an older one may be dead.
+   * @param startedBeforeMs - Calls that began later are left alone.
+   */
+  renewWait(startedBeforeMs: number): void {
+    const {wait} = this;
+    if (wait === undefined || wait.startedAtMs >= startedBeforeMs) return;
+    wait.isRenewed = true;
+    wait.controller.abort();
   }
 
   private async step(signal: AbortSignal): Promise<void> {
-    const {store, prefix, listener, clock, pauseMs, waitMs} = this.options;
+    const {store, prefix, listener, clock, pauseMs} = this.options;
     if (this.version === undefined) {
       const snapshot = await store.readSnapshot(prefix);
       this.noteAnswer();
@@ -103,18 +125,34 @@
       this.version = snapshot.version;
       return;
     }
-    const {changes, version} = await store.waitForChanges(
-      prefix,
-      this.version,
-      signal,
-      waitMs,
-    );
+    const answer = await this.waitForChanges(this.version);
+    if (answer === undefined) return;
+    const {changes, version} = answer;
     this.noteAnswer();
     for (const change of changes) listener.applyChange(change);
     this.version = version;
     if (changes.length > 0) await clock.sleep(pauseMs, signal);
   }
 
+  /** Waits once; nothing when the wait is to begin anew. */
+  private async waitForChanges(
+    version: number,
+  ): Promise<ObjectChanges | undefined> {
+    const {store, prefix, clock, waitMs} = this.options;
+    const controller = new AbortController();
+    const wait = {controller, startedAtMs: clock.nowMs(), isRenewed: false};
+    this.wait = wait;
+    try {
+      const {signal} = controller;
+      return await store.waitForChanges(prefix, version, signal, waitMs);
+    } catch (error) {
+      if (wait.isRenewed) return undefined;
+      throw error;
+    } finally {
+      this.wait = undefined;
+    }
+  }
+
   private noteAnswer(): void {
     const nowMs = this.options.clock.nowMs();
     const outageMs = nowMs - this.lastAnswerMs;
