Spread equal targets over daemons

Cause: a tie between targets always went to the first of the list, so that daemons that see equal targets chose the same one. Ruled out: reports of targets before each choice (each is paid for as a probe). Change: each daemon ranks equal targets by a number of its own, worth less than one running request. Test: 40 daemons with 8 equal targets put all 40 turns on one before, at most 14 now.

--- a/packages/dispatch/src/placement/placement_cost.ts
+++ b/packages/dispatch/src/placement/placement_cost.ts
@@ -3,7 +3,8 @@
  *
  * Load pattern: prompts share long parts and grow along a line, so a target
  * that has read them saves up to a tenth of a second; but a target that gets
- * all of a line's or a part's requests fills up.
+ * all of a line's or a part's requests fills up. Many daemons that see equal
+ * targets at the same moment must not all choose the same one.
  */
 import type {DataCentreId} from '@marigoldpost/common';
 import type {PromptPart} from '@marigoldpost/sites';
@@ -22,6 +23,9 @@
 /** Mean time of a short request. */
 const callMs = 20;
 
+/** Spreads equal targets over daemons; below what one running request costs. */
+const spreadMs = 2;
+
 /** What the estimate needs of a request. */
 export interface PlacementRequest {
   /** Parts of the prompt; empty for plain services. */
@@ -56,7 +60,8 @@
     ? getReadMs(target, request) + target.inFlight * contentionMs + turnMs
     : callMs * (1 + target.inFlight / slots);
   const remoteMs = isEngine ? remotePromptMs : remoteCallMs;
-  return (queueMs + workMs) * pace + (isRemote ? remoteMs : 0);
+  const wayMs = isRemote ? remoteMs : 0;
+  return (queueMs + workMs) * pace + wayMs + target.rank * spreadMs;
 }
 
 function getReadMs(target: TargetState, {prompt}: PlacementRequest): number {
--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -4,6 +4,7 @@
   type DataCentreId,
   Deferred,
   MarigoldpostError,
+  type Random,
   type ServiceId,
   type TargetId,
 } from '@marigoldpost/common';
@@ -43,6 +44,7 @@
   readonly service: Service;
   readonly dataCentre: DataCentreId;
   readonly clock: Clock;
+  readonly random: Random;
   /** Called when a target is left out after failures. */
   readonly onEjected?: (target: TargetEntry, result: TargetResult) => void;
 }
@@ -161,7 +163,8 @@
         known.entry = entry;
         continue;
       }
-      const state = TargetState.create(entry, this.service.engine);
+      const rank = this.options.random.next();
+      const state = TargetState.create(entry, this.service.engine, rank);
       this.targets.set(entry.id, state);
     }
     this.placeWaiting();
--- a/packages/dispatch/src/targets/target_state.ts
+++ b/packages/dispatch/src/targets/target_state.ts
@@ -15,6 +15,8 @@
   private constructor(
     public entry: TargetEntry,
     engine: EngineTerms | undefined,
+    /** From 0 to 1: orders targets that are equal, for each daemon anew. */
+    readonly rank: number,
   ) {
     this.cache = PromptCache.create(engine?.cacheTokens ?? 0);
   }
@@ -23,11 +25,13 @@
    * Creates the state of a target that has just been listed.
    * @param entry - Its entry.
    * @param engine - Terms of its engine; nothing for plain services.
+   * @param rank - From 0 to 1; orders targets that are equal.
    */
   static create(
     entry: TargetEntry,
     engine: EngineTerms | undefined,
+    rank: number,
   ): TargetState {
-    return new TargetState(entry, engine);
+    return new TargetState(entry, engine, rank);
   }
 }
--- a/packages/dispatch/tests/dispatcher/service_dispatcher.feature
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher.feature
@@ -59,3 +59,7 @@
     Given target "a" has read prompt "shared:8000,line1:500"
     When target "a" starts again
     Then the dispatcher expects nothing of its cache
+
+  Scenario: Many daemons that see equal targets spread over them
+    When 40 daemons that see 8 equal targets place one turn each
+    Then no target has more than 14 of the turns
--- a/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
@@ -3,7 +3,9 @@
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
   type DataCentreId,
+  getHashNumber,
   isErrorOfKind,
+  SeededRandom,
   type ServiceId,
   type TargetId,
   toId,
@@ -25,6 +27,7 @@
   leases: TargetLease[];
   placedOrder: string[];
   last: TargetLease;
+  turnsByTarget: Map<TargetId, number>;
 }
 
 const callMs = 20;
@@ -37,15 +40,7 @@
     this.names = names.split(', ');
     this.slots = slots;
     this.leases = [];
-    this.dispatcher = ServiceDispatcher.create({
-      service: {
-        id: toId<ServiceId>('service'),
-        maxConnections: 100,
-        engine: {slots, cacheTokens: 200_000, tokensPerEvent: 10},
-      },
-      dataCentre: toId<DataCentreId>(near),
-      clock: this.clock,
-    });
+    this.dispatcher = createDispatcher(this, near, 1);
     this.dispatcher.setTargets(this.names.map((name) => entry(this, name, 1)));
   },
 );
@@ -279,6 +274,53 @@
   },
 );
 
+When(
+  '{int} daemons that see {int} equal targets place one turn each',
+  async function (this: DispatchWorld, daemons: number, targets: number) {
+    this.turnsByTarget = new Map();
+    for (let number = 0; number < daemons; number++) {
+      const daemonSeed = getHashNumber(`daemon ${number}`);
+      const dispatcher = createDispatcher(this, 'here', daemonSeed);
+      const names = Array.from({length: targets}, (_, index) => `t${index}`);
+      dispatcher.setTargets(
+        names.map((name) => ({
+          ...entry(this, name, 1),
+          dataCentre: toId<DataCentreId>('here'),
+        })),
+      );
+      const {signal} = new AbortController();
+      const lease = await dispatcher.acquire(createRequest(this, {}), signal);
+      const {id} = lease.target;
+      this.turnsByTarget.set(id, (this.turnsByTarget.get(id) ?? 0) + 1);
+    }
+  },
+);
+
+Then(
+  'no target has more than {int} of the turns',
+  function (this: DispatchWorld, most: number) {
+    const counts = [...this.turnsByTarget.values()];
+    assert.ok(Math.max(...counts) <= most, counts.join(', '));
+  },
+);
+
+function createDispatcher(
+  {clock, slots}: DispatchWorld,
+  near: string,
+  seed: number,
+): ServiceDispatcher {
+  return ServiceDispatcher.create({
+    service: {
+      id: toId<ServiceId>('service'),
+      maxConnections: 100,
+      engine: {slots, cacheTokens: 200_000, tokensPerEvent: 10},
+    },
+    dataCentre: toId<DataCentreId>(near),
+    clock,
+    random: SeededRandom.create(seed),
+  });
+}
+
 function entry(
   {slots}: DispatchWorld,
   name: string,
--- a/packages/gateway/src/site/site_state.ts
+++ b/packages/gateway/src/site/site_state.ts
@@ -1,5 +1,10 @@
 /** The configuration and the targets in force on one daemon. */
-import type {Clock, DataCentreId, ServiceId} from '@marigoldpost/common';
+import type {
+  Clock,
+  DataCentreId,
+  Random,
+  ServiceId,
+} from '@marigoldpost/common';
 import {ServiceDispatcher, type TargetResult} from '@marigoldpost/dispatch';
 import {
   type Route,
@@ -12,6 +17,7 @@
 /** Options of a state. */
 export interface SiteStateOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly dataCentre: DataCentreId;
   readonly onEjected: (target: TargetEntry, result: TargetResult) => void;
 }
@@ -87,8 +93,7 @@
   private getOrAddDispatcher(service: Service): ServiceDispatcher {
     const known = this.dispatchers.get(service.id);
     if (known !== undefined) return known;
-    const {clock, dataCentre, onEjected} = this.options;
-    const options = {service, clock, dataCentre, onEjected};
+    const options = {...this.options, service};
     const added = ServiceDispatcher.create(options);
     this.dispatchers.set(service.id, added);
     return added;
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -124,9 +124,10 @@
   }
 
   private createSite(): SiteState {
-    const {clock, logger, settings} = this.options;
+    const {clock, random, logger, settings} = this.options;
     return SiteState.create({
       clock,
+      random,
       dataCentre: settings.dataCentre,
       onEjected: ({id, service}, result) =>
         logger.log('target_ejected', {target: id, service, result}),
