Let entry VMs begin with what an archive knows

Ruled out: pushing each change of targets from entry VMs to archives (7 KB times 68 entry VMs times 10 archives on the grown site); a copy on the archives' disks (would also cover archives killed at the same moment, not done). Change: archives mirror configuration, targets and the list of archives by two more watches of 20 s each; an entry VM that knows nothing after 0.4 s asks its seeds. The object API's own word goes first as soon as it comes.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -11,7 +11,9 @@
 } from '@marigoldpost/turns';
 import type {NodeOptions} from '../node_options.js';
 import {deadLinkWaitMs, seldomChanged, SiteNode} from '../site_node.js';
+import {getPrefix, joinSinks} from '../utils/object_sink.js';
 import {RetirementTask} from './retirement_task.js';
+import {SiteMirror} from './site_mirror.js';
 
 const archiveTiming = {pauseMs: 250, waitMs: deadLinkWaitMs};
 /** Pause before registration is tried again. */
@@ -37,10 +39,15 @@
     this.archive = archive;
     const repairer = this.createRepairer(archive);
     const service = ArchiveService.create(archive, () => repairer.isComplete);
-    await this.transport.start((_sender, request) => service.answer(request));
+    const mirror = SiteMirror.create();
+    await this.transport.start((_sender, request) =>
+      request.case === 'fetchSite'
+        ? Promise.resolve(mirror.createReply())
+        : service.answer(request),
+    );
     const retirement = this.createRetirement(repairer);
     const {retirementPrefix} = this.options.platform.keys;
-    this.watch(archivePrefix, archiveTiming, this.directory);
+    this.watchSite(mirror);
     this.watch(retirementPrefix, seldomChanged, retirement);
     this.tasks.run('register', (signal) =>
       this.register(archive, retirement, signal),
@@ -61,6 +68,16 @@
     logger.log('node_stopped', {drainMs, cutOff: 0});
   }
 
+  private watchSite(mirror: SiteMirror): void {
+    const {keys} = this.options.platform;
+    const kept = mirror.getSink(archivePrefix);
+    const sink = joinSinks(this.directory, kept);
+    this.watch(archivePrefix, archiveTiming, sink);
+    for (const prefix of [getPrefix(keys.config), keys.targetPrefix]) {
+      this.watch(prefix, seldomChanged, mirror.getSink(prefix));
+    }
+  }
+
   private async openArchive(): Promise<Archive> {
     const startMs = this.clock.nowMs();
     const {settings, clock, random, logger} = this.options;
--- a/packages/nodes/src/archive/retirement_task.ts
+++ b/packages/nodes/src/archive/retirement_task.ts
@@ -3,7 +3,7 @@
 import type {ObjectChange, StoredObject} from '@marigoldpost/platform';
 import type {SitePlatform} from '@marigoldpost/sites';
 import {archivePrefix, type ArchiveRepairer} from '@marigoldpost/turns';
-import type {ObjectSink} from '../utils/logged_listener.js';
+import type {ObjectSink} from '../utils/object_sink.js';
 
 /** Pause between looks at what is left, and before a failed call is repeated. */
 const checkMs = 200;
--- a/packages/nodes/src/entry/config_follower.ts
+++ b/packages/nodes/src/entry/config_follower.ts
@@ -3,7 +3,7 @@
 import type {ObjectChange, StoredObject} from '@marigoldpost/platform';
 import type {SiteConfig} from '@marigoldpost/sites';
 import type {EventLogger} from '@marigoldpost/telemetry';
-import type {ObjectSink} from '../utils/logged_listener.js';
+import type {ObjectSink} from '../utils/object_sink.js';
 
 /** Options of a follower. */
 export interface SiteConfigFollowerOptions {
--- a/packages/nodes/src/entry/crash_news.ts
+++ b/packages/nodes/src/entry/crash_news.ts
@@ -18,7 +18,7 @@
 } from '@marigoldpost/platform';
 import type {Quarantine, QuarantineEntry} from '@marigoldpost/targets';
 import {z} from 'zod';
-import type {ObjectSink} from '../utils/logged_listener.js';
+import type {ObjectSink} from '../utils/object_sink.js';
 
 /** Kind of the objects, one for each entry VM. */
 export const crashPrefix = 'crashes/';
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -13,8 +13,10 @@
 import type {NodeOptions} from '../node_options.js';
 import {deadLinkWaitMs, seldomChanged, SiteNode} from '../site_node.js';
 import {TargetRoster} from '../targets/target_roster.js';
+import {getPrefix} from '../utils/object_sink.js';
 import {SiteConfigFollower} from './config_follower.js';
 import {CrashNews, crashPrefix} from './crash_news.js';
+import {SeedReader} from './seed_reader.js';
 
 /** Both have bounds of 2 s from the change to its effect. */
 const configTiming = {pauseMs: 100, waitMs: 20_000};
@@ -90,11 +92,13 @@
       decode: (object) => platform.decodeConfig(object),
       apply: (config) => this.applyConfig(config),
     });
-    const configPrefix = keys.config.replace(/[^/]*$/, '');
+    const configPrefix = getPrefix(keys.config);
     this.watch(configPrefix, configTiming, follower);
     this.watchWith(keys.targetPrefix, targetTiming, this.roster);
     this.watch(archivePrefix, seldomChanged, this.directory);
     this.watch(crashPrefix, seldomChanged, this.crashNews);
+    const reader = this.createSeedReader(configPrefix, follower);
+    this.tasks.run('seeds', (signal) => reader.run(signal));
     await this.listen();
     await this.startCommon('entry', startMs);
   }
@@ -159,6 +163,38 @@
     });
   }
 
+  private createSeedReader(
+    configPrefix: string,
+    follower: SiteConfigFollower,
+  ): SeedReader {
+    const {clock, transport, site, roster, directory} = this;
+    const {logger, platform} = this.options;
+    const {targetPrefix} = platform.keys;
+    return SeedReader.create({
+      seeds: this.settings.seeds,
+      transport,
+      clock,
+      logger,
+      parts: [
+        {
+          prefix: configPrefix,
+          sink: follower,
+          isKnown: () => site.currentConfig !== undefined,
+        },
+        {
+          prefix: targetPrefix,
+          sink: roster,
+          isKnown: () => roster.isLoaded,
+        },
+        {
+          prefix: archivePrefix,
+          sink: directory,
+          isKnown: () => directory.isLoaded,
+        },
+      ],
+    });
+  }
+
   private createCrashNews(): CrashNews {
     const {clock, platform, settings} = this.options;
     return CrashNews.create({
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -8,10 +8,7 @@
 import type {NodeOptions} from './node_options.js';
 import {BackgroundTasks} from './utils/background_tasks.js';
 import {findChangedSettings} from './utils/changed_settings.js';
-import {
-  createLoggedListener,
-  type ObjectSink,
-} from './utils/logged_listener.js';
+import {createLoggedListener, type ObjectSink} from './utils/object_sink.js';
 import {reportDroppedLines} from './utils/report_dropped_lines.js';
 
 const gaugeIntervalMs = 1000;
--- a/packages/nodes/src/utils/logged_listener.ts
+++ b/packages/nodes/src/utils/object_sink.ts
@@ -31,3 +31,29 @@
       logger.log('watch_back', {prefix, outageMs: Math.round(outageMs)}),
   };
 }
+
+/**
+ * Creates a sink that passes objects on to two others.
+ * @param first - Learns of them first.
+ * @param second - Learns of them then.
+ */
+export function joinSinks(first: ObjectSink, second: ObjectSink): ObjectSink {
+  return {
+    replaceObjects: (objects) => {
+      first.replaceObjects(objects);
+      second.replaceObjects(objects);
+    },
+    applyChange: (change) => {
+      first.applyChange(change);
+      second.applyChange(change);
+    },
+  };
+}
+
+/**
+ * Gets the prefix of the objects of a key's kind.
+ * @param key - The key.
+ */
+export function getPrefix(key: string): string {
+  return key.replace(/[^/]*$/, '');
+}
--- a/packages/sites/src/node/node_settings.ts
+++ b/packages/sites/src/node/node_settings.ts
@@ -21,6 +21,8 @@
   readonly readyAddress: NetworkAddress | undefined;
   /** Port for other daemons. */
   readonly peerPort: number;
+  /** Archives that may know the site already; some may be away. */
+  readonly seeds: readonly NetworkAddress[];
   /** Port of the metrics page. */
   readonly metricsPort: number;
   /** Folder that outlives the process; VMs with a disk only. */
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -268,6 +268,16 @@
     prefix: 'string',
     outageMs: 'number',
   }),
+  seed_failed: define(7103, 'warn', 'A seed did not tell of the site', {
+    seed: 'string',
+    message: 'string',
+  }),
+  site_read_from_seed: define(
+    7104,
+    'info',
+    'Objects came from a seed, not from the platform',
+    {seed: 'string', prefix: 'string', objects: 'number'},
+  ),
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
