Tell every entry VM where a line's prompt has been read

Of 19.3 million prompt tokens that engines read, about 6 million had been read before. Change: a finished turn's record names the target that ran it and the parts of its prompt, and the dispatcher of the next turn takes that as known. Test: a turn that continues at another daemon goes to the engine that read the line; fails without the note.

--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -8,7 +8,7 @@
   type ServiceId,
   type TargetId,
 } from '@marigoldpost/common';
-import type {Service, TargetEntry} from '@marigoldpost/sites';
+import type {PromptPart, Service, TargetEntry} from '@marigoldpost/sites';
 import {
   estimateFinishMs,
   type PlacementRequest,
@@ -18,6 +18,12 @@
 import type {TargetResult} from './targets/target_health.js';
 import {TargetState} from './targets/target_state.js';
 
+/** A prompt that a target has read, for whichever daemon. */
+export interface SeenPrompt {
+  readonly target: TargetId;
+  readonly prompt: readonly PromptPart[];
+}
+
 /** A request that asks for a target. */
 export interface DispatchRequest extends PlacementRequest {
   /** Rank of the route; 0 is the most urgent. */
@@ -28,6 +34,8 @@
   readonly giveUpAtMs: number;
   /** Targets that have already turned the request away or failed it. */
   readonly excluded: ReadonlySet<TargetId>;
+  /** What the request continues; nothing when it begins a line. */
+  readonly continues: SeenPrompt | undefined;
   /** Requests with this name take about equally long. */
   readonly kind: string;
 }
@@ -181,12 +189,19 @@
     request: DispatchRequest,
     signal: AbortSignal,
   ): Promise<TargetLease> {
+    this.learnPrompt(request);
     const target = this.choose(request);
     if (target !== undefined) return this.lease(target, request);
     this.checkWait(request);
     return this.wait(request, signal);
   }
 
+  /** Another daemon may have sent the line's earlier prompt. */
+  private learnPrompt({continues}: DispatchRequest): void {
+    if (continues === undefined) return;
+    this.targets.get(continues.target)?.cache.notePrompt(continues.prompt);
+  }
+
   private async wait(
     request: DispatchRequest,
     signal: AbortSignal,
--- a/packages/dispatch/tests/dispatcher/service_dispatcher.feature
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher.feature
@@ -9,6 +9,9 @@
     And 6 turns with other prompts of 3000 tokens are placed and have ended
     Then a turn with prompt "shared:8000,line1:900" goes to the same target
 
+  Scenario: A line goes on at the target that read it for another daemon
+    Then a turn with prompt "shared:8000,line1:900" that continues "shared:8000,line1:800" at "b" goes to target "b"
+
   Scenario: A full target is not waited for while another is free
     Given target "a" has read prompt "shared:300,line1:100"
     When 2 turns with prompt "shared:300,line1:100" are placed
--- a/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
@@ -197,6 +197,22 @@
   },
 );
 
+Then(
+  'a turn with prompt {string} that continues {string} at {string} goes to target {string}',
+  async function (
+    this: DispatchWorld,
+    prompt: string,
+    earlier: string,
+    at: string,
+    name: string,
+  ) {
+    const seen = {target: toId<TargetId>(at), prompt: toPrompt(earlier)};
+    const wish = {prompt: toPrompt(prompt), continues: seen};
+    const lease = await place(this, wish);
+    assert.equal(lease.target.id, name);
+  },
+);
+
 Then(
   'they are placed in the order {string}',
   async function (this: DispatchWorld, order: string) {
@@ -348,6 +364,7 @@
     finishByMs: nowMs + farMs,
     giveUpAtMs: nowMs + farMs,
     excluded: new Set(),
+    continues: undefined,
     kind: 'turn',
     ...wish,
   };
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -1,5 +1,9 @@
 /** Calls whose answer is a stream of events. */
-import {MarigoldpostError, type ServiceId} from '@marigoldpost/common';
+import {
+  MarigoldpostError,
+  type ServiceId,
+  type TargetId,
+} from '@marigoldpost/common';
 import {readAnswerBody} from '../answers/answer_body.js';
 import {StreamRelay, type StreamResult} from '../answers/stream_relay.js';
 import {saysNotRun} from '../answers/not_run_statuses.js';
@@ -18,6 +22,11 @@
 /** An engine that puts a request back reads its prompt again: well below 1 s. */
 const minStallMs = 1000;
 
+/** A stream and the target that sent it. */
+export interface ServedStream extends StreamResult {
+  readonly target: TargetId;
+}
+
 /**
  * Serves a streaming call up to the last event; the answer is left open then.
  * Throws what the caller is to be told instead.
@@ -32,7 +41,7 @@
   services: CallServices,
   service: ServiceId,
   body: CallBody,
-): Promise<StreamResult | undefined> {
+): Promise<ServedStream | undefined> {
   const attempts = TargetAttempts.create(call, services, service, body);
   const begun = await attempts.next();
   const status = begun.answer.response.statusCode ?? 0;
@@ -62,7 +71,7 @@
     attempts.noteBrokenAnswer(begun.lease, result.message);
     if (!result.isStalled) attempts.noteCrash(begun.lease);
   }
-  return result;
+  return {...result, target: begun.lease.target.id};
 }
 
 /**
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -8,6 +8,7 @@
 import type {
   DispatchRequest,
   DispatchResult,
+  SeenPrompt,
   ServiceDispatcher,
   TargetLease,
   TargetResult,
@@ -34,10 +35,12 @@
 /** Retry-After for a call that every target turned away. */
 const turnedAwayRetryMs = 150;
 
-/** Body that a target receives. */
+/** What a target receives. */
 export interface CallBody {
   readonly bytes: Uint8Array;
   readonly isPresent: boolean;
+  /** Prompt that it continues; nothing for all but turns of a chain. */
+  readonly continues?: SeenPrompt;
 }
 
 /** An answer that has begun, with the place that it holds. */
@@ -207,6 +210,7 @@
       finishByMs: nowMs + finishMs - this.call.elapsedMs,
       giveUpAtMs: nowMs + leftMs,
       excluded: this.excluded,
+      continues: this.body.continues,
       kind: route.name,
     };
   }
--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -8,10 +8,14 @@
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import {buildPrompt, type TurnChain} from '@marigoldpost/turns';
-import type {StreamResult} from '../answers/stream_relay.js';
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
-import {breakOffStream, finishStream, relayStreamCall} from './stream_call.js';
+import {
+  breakOffStream,
+  finishStream,
+  relayStreamCall,
+  type ServedStream,
+} from './stream_call.js';
 
 /** One turn on its way. */
 export class TurnCall {
@@ -50,9 +54,10 @@
     const chain = await this.readChain();
     await this.reserve(chain);
     const prompt = buildPrompt(chain, this.input);
-    let result: StreamResult | undefined;
+    let result: ServedStream | undefined;
     try {
-      const body = {bytes: prompt, isPresent: true};
+      const continues = chain.at(-1);
+      const body = {bytes: prompt, isPresent: true, continues};
       const {call, services, service} = this;
       result = await relayStreamCall(call, services, service, body);
     } catch (error) {
@@ -106,7 +111,7 @@
     metrics.recordValue('reservation_ms', {}, clock.nowMs() - startMs);
   }
 
-  private async finish(chain: TurnChain, result: StreamResult): Promise<void> {
+  private async finish(chain: TurnChain, result: ServedStream): Promise<void> {
     const tokens = result.events * this.getTokensPerEvent();
     if (!result.isComplete || this.call.signal.aborted) {
       this.settle(tokens);
@@ -126,7 +131,7 @@
 
   private async store(
     chain: TurnChain,
-    {data}: StreamResult,
+    {data, target}: ServedStream,
     tokens: number,
   ): Promise<void> {
     const {call, services, program, input} = this;
@@ -140,6 +145,8 @@
       output: data,
       tokens,
       retentionMs: call.route.retentionMs ?? 0,
+      target,
+      prompt: call.attributes.prompt,
     };
     await services.turns.record(turn, chain.at(-1)?.disks ?? []);
     const elapsedMs = services.clock.nowMs() - startMs;
--- a/packages/turns/src/records/turn_codec.ts
+++ b/packages/turns/src/records/turn_codec.ts
@@ -1,14 +1,20 @@
 /** Turns and ledgers as messages between daemons and as entries on a disk. */
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
-import {type DataCentreId, type ProgramId, toId} from '@marigoldpost/common';
+import {
+  type DataCentreId,
+  type ProgramId,
+  type TargetId,
+  toId,
+} from '@marigoldpost/common';
 import {
   ArchiveLogEntrySchema,
   type ProgramLedger,
   ProgramLedgerSchema,
   type Turn,
+  TurnPromptPartSchema,
   TurnSchema,
 } from '@marigoldpost/peers';
-import type {TurnId} from '@marigoldpost/sites';
+import type {PromptPartId, TurnId} from '@marigoldpost/sites';
 import type {LedgerEntry} from '../ledger/budget_ledger.js';
 import type {DiskId} from '../log/disk_identity.js';
 import type {TurnRecord} from './turn_record.js';
@@ -32,6 +38,7 @@
   return create(TurnSchema, {
     ...record,
     previous: record.previous ?? '',
+    prompt: record.prompt.map((part) => create(TurnPromptPartSchema, part)),
     disks: [...record.disks],
   });
 }
@@ -51,6 +58,11 @@
     output: message.output,
     tokens: message.tokens,
     retentionMs: message.retentionMs,
+    target: toId<TargetId>(message.target),
+    prompt: message.prompt.map(({id, tokens}) => ({
+      id: toId<PromptPartId>(id),
+      tokens,
+    })),
     disks: message.disks.map((disk) => toId<DiskId>(disk)),
   };
 }
--- a/packages/turns/src/records/turn_record.ts
+++ b/packages/turns/src/records/turn_record.ts
@@ -1,6 +1,6 @@
 /** A finished turn as archives keep it. */
-import type {DataCentreId, ProgramId} from '@marigoldpost/common';
-import type {TurnId} from '@marigoldpost/sites';
+import type {DataCentreId, ProgramId, TargetId} from '@marigoldpost/common';
+import type {PromptPart, TurnId} from '@marigoldpost/sites';
 import type {DiskId} from '../log/disk_identity.js';
 
 /** A finished turn; never changes. */
@@ -18,6 +18,10 @@
   /** Tokens that it generated. */
   readonly tokens: number;
   readonly retentionMs: number;
+  /** Target that ran it, and may keep what it read. */
+  readonly target: TargetId;
+  /** Parts of the prompt that the target read. */
+  readonly prompt: readonly PromptPart[];
   /** Disks that were to hold it when it was written. */
   readonly disks: readonly DiskId[];
 }
