Let small differences in pace not move a line from where it was read

The pace of a target, a mean over streams, differs by a tenth from sample to sample, and a tenth of a turn is more than the reading of a line. Change: a target counts as slow from 1.5 times the usual pace of its peers on, the usual one being that of the middle target; a running request costs 6 ms. Test: the new scenario fails without the dead band; the one of a slow target failed with a fixed reference and passes with the middle target's.

--- a/packages/dispatch/src/placement/placement_cost.ts
+++ b/packages/dispatch/src/placement/placement_cost.ts
@@ -12,8 +12,14 @@
 
 /** Prompt tokens that an engine reads in a millisecond, as CAPACITY.md has it. */
 const readTokensPerMs = 160;
-/** What each running request costs another: the reading of its prompt. */
-const contentionMs = 3;
+/** What each running request costs the others: longer steps, a prompt to read. */
+const contentionMs = 6;
+/**
+ * Ratio up to which a target counts as no slower than its peers. Streams of one
+ * target differ this much by the prompts read beside them, and half of a turn is
+ * more than the reading of a whole line.
+ */
+const evenPaceRatio = 1.5;
 /** Mean time of a turn on an idle engine. */
 const turnMs = 350;
 /** Extra way and price of traffic between data centres, for a whole prompt. */
@@ -36,6 +42,8 @@
 export interface PlacementPlace {
   readonly dataCentre: DataCentreId;
   readonly nowMs: number;
+  /** Pace that the targets' own is compared with. */
+  readonly usualPace: number;
 }
 
 /**
@@ -50,7 +58,8 @@
   place: PlacementPlace,
 ): number {
   const isEngine = request.prompt.length > 0;
-  const pace = target.pace.getRatio(place.nowMs);
+  const ratio = target.pace.getRatio(place.nowMs) / place.usualPace;
+  const pace = ratio <= evenPaceRatio ? 1 : ratio;
   const isRemote = target.entry.dataCentre !== place.dataCentre;
   const meanMs = isEngine ? turnMs : callMs;
   const {slots} = target.entry;
@@ -64,6 +73,21 @@
   return (queueMs + workMs) * pace + wayMs + target.rank * spreadMs;
 }
 
+/**
+ * Gets the pace of the middle one of some targets; of two, the faster one's.
+ * @param targets - The targets, at least one.
+ * @param nowMs - Time of the daemon's clock.
+ */
+export function getUsualPace(
+  targets: readonly TargetState[],
+  nowMs: number,
+): number {
+  const ratios = targets
+    .map(({pace}) => pace.getRatio(nowMs))
+    .toSorted((left, right) => left - right);
+  return ratios[Math.floor((ratios.length - 1) / 2)] ?? 1;
+}
+
 function getReadMs(target: TargetState, {prompt}: PlacementRequest): number {
   let tokens = 0;
   for (const part of prompt) tokens += part.tokens;
--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -11,6 +11,7 @@
 import type {PromptPart, Service, TargetEntry} from '@marigoldpost/sites';
 import {
   estimateFinishMs,
+  getUsualPace,
   type PlacementRequest,
 } from './placement/placement_cost.js';
 import {type WaitingItem, WaitingQueue} from './queue/waiting_queue.js';
@@ -256,10 +257,12 @@
     );
     // Failures may be this daemon's own, so it never leaves out every target.
     const candidates = usable.length > 0 ? usable : open;
+    const usualPace = getUsualPace(candidates, nowMs);
+    const place = {dataCentre, nowMs, usualPace};
     let best: TargetState | undefined;
     let bestMs = Number.POSITIVE_INFINITY;
     for (const target of candidates) {
-      const costMs = estimateFinishMs(target, request, {dataCentre, nowMs});
+      const costMs = estimateFinishMs(target, request, place);
       if (costMs >= bestMs) continue;
       best = target;
       bestMs = costMs;
--- a/packages/dispatch/tests/dispatcher/service_dispatcher.feature
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher.feature
@@ -46,6 +46,11 @@
     When 3500 ms pass at the dispatcher
     Then requests go to target "a" again
 
+  Scenario: A small difference in pace does not move a line away from what was read
+    When target "b" has read prompt "shared:8000,line1:3000"
+    And target "b" takes 1.3 times as long as "a" for 20 requests
+    Then a turn with prompt "shared:8000,line1:3200" goes to target "b"
+
   Scenario: A request that cannot be served in time is turned away at once
     Given each request takes 1000 ms
     When 4 turns with prompt "shared:300,line1:100" are placed
--- a/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
@@ -154,7 +154,7 @@
 );
 
 When(
-  'target {string} takes {int} times as long as {string} for {int} requests',
+  'target {string} takes {float} times as long as {string} for {int} requests',
   async function (
     this: DispatchWorld,
     slow: string,
