Let an archive count once every peer in reach has told its ledger

Ruled out: taking silent archives off the list (they may only be cut off). Change: an archive with a new disk counts again once every peer in reach has told its ledger, one at least, and then for as long as it runs. What is given up: a reservation under way that only archives out of reach know; it is one turn, and lives for seconds, until its settlement goes to all. Test: two replacements among three archives; failed with archive_unavailable before, passes now.

--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -11,7 +11,6 @@
 import type {ArchiveClient} from '../client/archive_client.js';
 import type {ArchivePool} from '../client/archive_pool.js';
 import {orderHolders} from '../client/copy_plan.js';
-import {getMajority} from '../ledger/reservation_quorum.js';
 import type {DiskId} from '../log/disk_identity.js';
 
 /** Pause between two rounds. */
@@ -42,11 +41,14 @@
   /** Archives whose ledger has been read since they last fell silent. */
   private readonly ledgersRead = new Set<ArchiveClient>();
 
+  /** Whether every peer in reach has told its ledger since this start. */
+  private hasLedgers: boolean;
   /** Copies due on disks beside the own one. */
   private copiesElsewhere: number;
 
   private constructor(private readonly options: ArchiveRepairerOptions) {
     this.copiesElsewhere = options.copies - 1;
+    this.hasLedgers = !options.isDiskNew;
   }
 
   /**
@@ -57,16 +59,9 @@
     return new ArchiveRepairer(options);
   }
 
-  /**
-   * Whether the ledger holds what peers recorded before this start. A majority
-   * of all archives has each reservation; what is left of it without the own
-   * disk meets a majority of the peers.
-   */
+  /** Whether the ledger holds what peers recorded before this start. */
   get isComplete(): boolean {
-    const {pool, isDiskNew} = this.options;
-    const peers = pool.getClients().length;
-    if (!isDiskNew || peers === 0) return true;
-    return this.ledgersRead.size >= getMajority(peers);
+    return this.hasLedgers || this.options.pool.getClients().length === 0;
   }
 
   /** Whether every turn stands on as many disks as are due. */
@@ -114,6 +109,11 @@
       await this.options.archive.mergeLedgers(await client.fetchLedgers());
       this.ledgersRead.add(client);
     }
+    // Peers that are gone for good stay listed, so those in reach must do.
+    const inReach = clients.filter(({isReachable}) => isReachable);
+    this.hasLedgers ||=
+      inReach.length > 0 &&
+      inReach.every((client) => this.ledgersRead.has(client));
   }
 
   private async repairTurns(): Promise<void> {
--- a/packages/turns/tests/client/turn_store.feature
+++ b/packages/turns/tests/client/turn_store.feature
@@ -86,6 +86,12 @@
     And the disk of each archive is lost and read again, one after the other
     Then another attempt of 40 tokens in "b" fails with tokens_spent
 
+  Scenario: Archives that took the places of others count, though those stay on the list
+    Given archives "a, b, c" that keep 2 copies
+    When archive "a" is gone for good and "d" comes in its place
+    And archive "b" is gone for good and "e" comes in its place
+    Then an attempt of a program of "c" is admitted in "d"
+
   Scenario: What was not used is free again
     When attempts of 100 tokens at most that use 10 run one after another in "a" on a budget of 200
     Then 11 of them are admitted
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -248,6 +248,23 @@
   },
 );
 
+When(
+  'archive {string} is gone for good and {string} comes in its place',
+  async function (this: StoreWorld, gone: string, added: string) {
+    this.archives.kill(gone);
+    await this.archives.add(added);
+    await this.archives.clock.advance(2000);
+  },
+);
+
+Then(
+  'an attempt of a program of {string} is admitted in {string}',
+  async function (this: StoreWorld, home: string, dataCentre: string) {
+    const tried = reserve(this, `of-${home}`, 10, 200, dataCentre, home);
+    await this.archives.run(tried);
+  },
+);
+
 When(
   'the disk of each archive is lost and read again, one after the other',
   async function (this: StoreWorld) {
@@ -279,14 +296,6 @@
   },
 );
 
-Then(
-  'an attempt of a program of {string} is admitted in {string}',
-  async function (this: StoreWorld, home: string, dataCentre: string) {
-    const tried = reserve(this, 'own', 10, 200, dataCentre, home);
-    await this.archives.run(tried);
-  },
-);
-
 Then(
   'an attempt of a program of {string} is admitted in {string} within {int} ms',
   async function (
