--- a/packages/daemon/src/calls/chat_runner.ts
+++ b/packages/daemon/src/calls/chat_runner.ts
@@ -1,16 +1,10 @@
 /** Runs one call to a model engine, on as many engines as it takes. */
 import {
-  type Fingerprint,
   isErrorOfKind,
   MarigoldpostError,
   type TargetId,
 } from '@marigoldpost/common';
-import type {
-  CallTicket,
-  ChatAnswer,
-  ChatCall,
-  TurnContext,
-} from '@marigoldpost/programs';
+import type {CallTicket, ChatAnswer, ChatCall} from '@marigoldpost/programs';
 import {
   countTokens,
   type Dispatch,
@@ -21,34 +15,26 @@
   type EngineEnd,
   type EngineRequest,
   getFingerprint,
-  type TargetWork,
 } from '@marigoldpost/targets';
-import {checkQuarantine} from './quarantine_check.js';
 import type {RunnerContext} from './runner_context.js';
+import {type RunSize, type TargetRun, TargetRunner} from './target_runner.js';
 
-/** Engines that one call may be sent to, the first included. */
-const maxAttempts = 3;
+/** Failures after which another engine may go on. */
+const repeatable = [
+  'target_failed',
+  'target_timeout',
+  'stream_truncated',
+  'no_target',
+] as const;
 
 /** What one run of a call has got to. */
-interface ChatRun {
-  readonly ticket: CallTicket;
-  /** Aborted when the call must stop. */
-  readonly signal: AbortSignal;
+interface ChatRun extends TargetRun {
   readonly call: ChatCall;
-  readonly turn: TurnContext;
-  readonly fingerprint: Fingerprint;
-  readonly admittedMs: number;
-  readonly deadlineMs: number;
   readonly tokens: string[];
-  readonly excludedTargets: Set<TargetId>;
-  attempts: number;
-  previousOutcome: 'not_run' | 'unknown' | undefined;
 }
 
 /** Runs calls to model engines. */
-export class ChatRunner {
-  private constructor(private readonly context: RunnerContext) {}
-
+export class ChatRunner extends TargetRunner<ChatRun> {
   /**
    * Creates a runner.
    * @param context - Parts of the daemon.
@@ -72,79 +58,54 @@
     const signal = AbortSignal.any([ticket.signal, abandoned]);
     const turn = await ticket.waitForTurn(signal);
     const run = createRun({ticket, signal, call, turn, admittedMs});
-    try {
-      await this.runWithPermit(run);
-    } catch (error) {
-      await ticket.fail(error instanceof Error ? error : new Error('failed'));
-    }
-  }
-
-  private async runWithPermit(run: ChatRun): Promise<void> {
-    const {limiter, quarantine} = this.context;
-    checkQuarantine(quarantine, run.fingerprint, 'not_run');
-    const permit = await limiter.acquire(run.call, run.signal);
-    try {
-      await this.runAttempts(run);
-    } finally {
-      permit.release(run.tokens.length);
-    }
-  }
-
-  private async runAttempts(run: ChatRun): Promise<void> {
-    if (await this.resumeOnPreviousTarget(run)) return;
-    for (;;) {
-      const dispatch = await this.waitForDispatch(run);
-      try {
-        await this.runOnTarget(run, dispatch, false);
-        return;
-      } catch (error) {
-        this.prepareRetry(run, dispatch.target, error);
-      }
-    }
+    await this.runToEnd(run);
   }
 
   /** Picks up the stream that a former holder left on an engine. */
-  private async resumeOnPreviousTarget(run: ChatRun): Promise<boolean> {
+  protected override async resume(run: ChatRun): Promise<boolean> {
     const target = run.turn.previousTarget ?? run.call.resumeTarget;
     if (target === undefined) return false;
     if (this.context.registry.getTarget(target) === undefined) return false;
     try {
-      await this.runOnTarget(run, {target, terms: {}}, true);
+      await this.readFromTarget(run, {target, terms: {}}, true);
       return true;
     } catch (error) {
-      if (!isRetryable(run, error)) throw error;
+      if (!this.mayRepeat(run, error)) throw error;
       return false;
     }
   }
 
-  private waitForDispatch(run: ChatRun): Promise<Dispatch> {
-    const {call, turn, ticket} = run;
-    const prompt = renderPrompt(turn.messages) + run.tokens.join('');
-    return this.context.dispatchLoop.waitForDispatch(
-      {
-        callId: call.callId,
-        program: ticket.program,
-        rootProgram: turn.rootProgram,
-        service: call.service,
-        model: call.model,
-        callClass: call.callClass,
-        promptTokens: countTokens(prompt),
-        maxTokens: call.maxTokens - run.tokens.length,
-        blockHashes: getBlockHashes(call.model, prompt),
-        deadlineMs: run.deadlineMs,
-        excludedTargets: run.excludedTargets,
-        isAlone: this.context.quarantine.isSuspect(run.fingerprint),
-        turnIndex: turn.turnIndex,
-      },
-      run.signal,
-    );
+  protected override getSize({call, turn, tokens}: ChatRun): RunSize {
+    const prompt = renderPrompt(turn.messages) + tokens.join('');
+    return {
+      model: call.model,
+      promptTokens: countTokens(prompt),
+      maxTokens: call.maxTokens - tokens.length,
+      blockHashes: getBlockHashes(call.model, prompt),
+    };
   }
 
-  private async runOnTarget(
+  protected override runOnTarget(
     run: ChatRun,
-    {target, terms}: Pick<Dispatch, 'target' | 'terms'>,
+    dispatch: Dispatch,
+  ): Promise<void> {
+    return this.readFromTarget(run, dispatch, false);
+  }
+
+  protected override mayRepeat(run: ChatRun, error: unknown): boolean {
+    return this.hasAttemptsLeft(run) && isErrorOfKind(error, ...repeatable);
+  }
+
+  protected override getUsedTokens({tokens}: ChatRun): number {
+    return tokens.length;
+  }
+
+  private async readFromTarget(
+    run: ChatRun,
+    dispatch: Pick<Dispatch, 'target' | 'terms'>,
     isResumeOnly: boolean,
   ): Promise<void> {
+    const {target} = dispatch;
     const {call, ticket} = run;
     const waitMs = this.context.clock.nowMs() - run.admittedMs;
     const {previousOutcome} = run;
@@ -157,36 +118,20 @@
     const end = await this.readWatched(run, target, isResumeOnly);
     const answer = toAnswer(run, end);
     if (!isResumeOnly) this.context.dispatchLoop.noteFinished(call.callId, end);
-    const {clock, metrics} = this.context;
-    const {service} = call;
-    metrics.recordValue('queue_wait_ms', {service}, waitMs);
-    const answeredMs = clock.nowMs();
-    await ticket.complete(answer, {target, waitMs, terms});
-    metrics.recordValue('commit_wait_ms', {}, clock.nowMs() - answeredMs);
+    await this.complete(run, answer, dispatch, waitMs);
   }
 
-  /** Reads a stream and tells the registry how the target fared. */
   private async readWatched(
     run: ChatRun,
     target: TargetId,
     isResumeOnly: boolean,
   ): Promise<EngineEnd> {
-    const {registry, quarantine} = this.context;
-    const {fingerprint} = run;
-    const {callId} = run.call;
-    const work: TargetWork = {target, callId, fingerprint};
-    registry.noteStarted(work);
     try {
-      const end = await this.readStream(run, target, isResumeOnly);
-      registry.noteSuccess(work);
-      quarantine.noteSurvived(fingerprint);
-      return end;
+      return await this.watchTarget(run, target, () =>
+        this.readStream(run, target, isResumeOnly),
+      );
     } catch (error) {
-      await registry.noteFailure(work, error);
       if (run.signal.aborted) this.cancelStream(run, target);
-      if (isErrorOfKind(error) && error.outcome === 'not_run') {
-        run.previousOutcome = 'not_run';
-      }
       throw error;
     }
   }
@@ -234,14 +179,6 @@
     metrics.recordValue('first_token_ms', {service}, waitMs);
     if (!isResumeOnly) dispatchLoop.noteFirstToken(callId);
   }
-
-  /** Throws the error when the call must not be tried again. */
-  private prepareRetry(run: ChatRun, target: TargetId, error: unknown): void {
-    this.context.dispatchLoop.removeCall(run.call.callId);
-    if (!isRetryable(run, error)) throw error;
-    run.excludedTargets.add(target);
-    checkQuarantine(this.context.quarantine, run.fingerprint, 'unknown');
-  }
 }
 
 function createRun({
@@ -299,14 +236,3 @@
     usage: {promptTokens, cachedTokens, completionTokens},
   };
 }
-
-function isRetryable(run: ChatRun, error: unknown): boolean {
-  if (run.signal.aborted || run.attempts >= maxAttempts) return false;
-  return isErrorOfKind(
-    error,
-    'target_failed',
-    'target_timeout',
-    'stream_truncated',
-    'no_target',
-  );
-}
--- a/packages/daemon/src/calls/plain_runner.ts
+++ b/packages/daemon/src/calls/plain_runner.ts
@@ -5,42 +5,20 @@
   MarigoldpostError,
   type TargetId,
 } from '@marigoldpost/common';
-import type {
-  CallTicket,
-  CallTraits,
-  PlainCall,
-  TurnContext,
-} from '@marigoldpost/programs';
+import type {CallTicket, CallTraits, PlainCall} from '@marigoldpost/programs';
 import type {Dispatch} from '@marigoldpost/scheduler';
-import {
-  getFingerprint,
-  type PlainResponse,
-  type TargetWork,
-} from '@marigoldpost/targets';
-import {checkQuarantine} from './quarantine_check.js';
+import {getFingerprint, type PlainResponse} from '@marigoldpost/targets';
 import type {RunnerContext} from './runner_context.js';
-
-/** Instances that one call may be sent to, the first included. */
-const maxAttempts = 3;
+import {type RunSize, type TargetRun, TargetRunner} from './target_runner.js';
 
 /** What one run of a call has got to. */
-interface PlainRun {
-  readonly ticket: CallTicket;
+interface PlainRun extends TargetRun {
   readonly call: PlainCall;
   readonly traits: CallTraits;
-  readonly turn: TurnContext;
-  readonly fingerprint: Fingerprint;
-  readonly admittedMs: number;
-  readonly deadlineMs: number;
-  readonly excludedTargets: Set<TargetId>;
-  attempts: number;
-  previousOutcome: 'not_run' | 'unknown' | undefined;
 }
 
 /** Runs calls to plain services. */
-export class PlainRunner {
-  private constructor(private readonly context: RunnerContext) {}
-
+export class PlainRunner extends TargetRunner<PlainRun> {
   /**
    * Creates a runner.
    * @param context - Parts of the daemon.
@@ -63,8 +41,9 @@
     const admittedMs = this.context.clock.nowMs();
     const turn = await ticket.waitForTurn(ticket.signal);
     const timeoutMs = Math.min(call.timeoutMs, turn.remainingWallMs);
-    const run: PlainRun = {
+    await this.runToEnd({
       ticket,
+      signal: ticket.signal,
       call,
       traits,
       turn,
@@ -74,109 +53,55 @@
       excludedTargets: new Set(),
       attempts: 0,
       previousOutcome: undefined,
-    };
-    try {
-      await this.runWithPermit(run);
-    } catch (error) {
-      await ticket.fail(error instanceof Error ? error : new Error('failed'));
-    }
+    });
   }
 
-  private async runWithPermit(run: PlainRun): Promise<void> {
-    const {limiter, quarantine} = this.context;
-    checkQuarantine(quarantine, run.fingerprint, 'not_run');
-    const permit = await limiter.acquire(run.call, run.ticket.signal);
-    try {
-      await this.runAttempts(run);
-    } finally {
-      permit.release(0);
-    }
+  protected override getSize(): RunSize {
+    return {promptTokens: 0, maxTokens: 0, blockHashes: []};
   }
 
-  private async runAttempts(run: PlainRun): Promise<void> {
-    for (;;) {
-      const dispatch = await this.waitForDispatch(run);
-      try {
-        await this.runOnTarget(run, dispatch);
-        return;
-      } catch (error) {
-        this.prepareRetry(run, dispatch.target, error);
-      }
+  protected override mayRepeat(run: PlainRun, error: unknown): boolean {
+    if (!this.hasAttemptsLeft(run)) return false;
+    if (!(error instanceof MarigoldpostError)) return false;
+    if (!isErrorOfKind(error, 'target_failed', 'target_timeout', 'no_target')) {
+      return false;
     }
+    const {isIdempotent, deduplicatesByKey} = run.traits;
+    return error.outcome === 'not_run' || isIdempotent || deduplicatesByKey;
   }
 
-  private waitForDispatch(run: PlainRun): Promise<Dispatch> {
-    const {call, turn, ticket} = run;
-    return this.context.dispatchLoop.waitForDispatch(
-      {
-        callId: call.callId,
-        program: ticket.program,
-        rootProgram: turn.rootProgram,
-        service: call.service,
-        callClass: call.callClass,
-        promptTokens: 0,
-        maxTokens: 0,
-        blockHashes: [],
-        deadlineMs: run.deadlineMs,
-        excludedTargets: run.excludedTargets,
-        isAlone: this.context.quarantine.isSuspect(run.fingerprint),
-        turnIndex: turn.turnIndex,
-      },
-      ticket.signal,
-    );
+  protected override getUsedTokens(): number {
+    return 0;
   }
 
-  private async runOnTarget(run: PlainRun, dispatch: Dispatch): Promise<void> {
-    const {target, terms} = dispatch;
+  protected override getRetryOutcome(run: PlainRun): 'not_run' | 'unknown' {
+    return run.previousOutcome ?? 'unknown';
+  }
+
+  protected override async runOnTarget(
+    run: PlainRun,
+    dispatch: Dispatch,
+  ): Promise<void> {
+    const {target} = dispatch;
     const {call, ticket, previousOutcome} = run;
     const waitMs = this.context.clock.nowMs() - run.admittedMs;
     await ticket.commitDispatch(target, {previousOutcome});
     run.attempts += 1;
-    const response = await this.sendWatched(run, target);
+    const response = await this.send(run, target);
     this.context.dispatchLoop.noteFinished(call.callId, {
       promptTokens: 0,
       cachedTokens: 0,
       completionTokens: 0,
     });
-    const report = {target, waitMs, terms};
-    const {clock, metrics} = this.context;
-    const {service} = call;
-    metrics.recordValue('queue_wait_ms', {service}, waitMs);
-    const answeredMs = clock.nowMs();
-    await ticket.complete({kind: 'plain', response}, report);
-    metrics.recordValue('commit_wait_ms', {}, clock.nowMs() - answeredMs);
-  }
-
-  /** Sends the request and tells the registry how the target fared. */
-  private async sendWatched(
-    run: PlainRun,
-    target: TargetId,
-  ): Promise<PlainResponse> {
-    const {registry, quarantine} = this.context;
-    const {fingerprint, call, ticket} = run;
-    const work: TargetWork = {target, callId: call.callId, fingerprint};
-    const client = registry.getPlainClientOrThrow(target);
-    registry.noteStarted(work);
-    try {
-      const response = await client.send(call.request, ticket.signal);
-      registry.noteSuccess(work);
-      quarantine.noteSurvived(fingerprint);
-      return response;
-    } catch (error) {
-      await registry.noteFailure(work, error);
-      const isNotRun = isErrorOfKind(error) && error.outcome === 'not_run';
-      run.previousOutcome = isNotRun ? 'not_run' : 'unknown';
-      throw error;
-    }
+    await this.complete(run, {kind: 'plain', response}, dispatch, waitMs);
   }
 
-  /** Throws the error when the call must not be tried again. */
-  private prepareRetry(run: PlainRun, target: TargetId, error: unknown): void {
-    this.context.dispatchLoop.removeCall(run.call.callId);
-    if (!isRetryable(run, error)) throw error;
-    run.excludedTargets.add(target);
-    const outcome = run.previousOutcome ?? 'unknown';
-    checkQuarantine(this.context.quarantine, run.fingerprint, outcome);
+  private send(run: PlainRun, target: TargetId): Promise<PlainResponse> {
+    const client = this.context.registry.getPlainClientOrThrow(target);
+    const {call, signal} = run;
+    return this.watchTarget(run, target, () =>
+      client.send(call.request, signal),
+    );
   }
 }
 
@@ -185,13 +110,3 @@
   const content = JSON.stringify([method, path, body]);
   return getFingerprint(call.team, call.service, content);
 }
-
-function isRetryable(run: PlainRun, error: unknown): boolean {
-  if (run.ticket.signal.aborted || run.attempts >= maxAttempts) return false;
-  if (!(error instanceof MarigoldpostError)) return false;
-  if (!isErrorOfKind(error, 'target_failed', 'target_timeout', 'no_target')) {
-    return false;
-  }
-  const {isIdempotent, deduplicatesByKey} = run.traits;
-  return error.outcome === 'not_run' || isIdempotent || deduplicatesByKey;
-}
