Let one piece of code serve what stood twice

A watch always names its wait, so the choice of none is gone. Behaviour: as it was, but that a read of the platform's store that its own caller gives up is told 'cancelled'; only watches give up, and they look at the signal. Left as they are: TargetHealth and CircuitBreaker (success while left out and the probe differ, so one would change the other), the two readers of bodies (text with an announced length against bytes under a deadline), ConfigFollower's own watch.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -13,3 +13,4 @@
 export * from './utils/deferred.js';
 export * from './utils/digest.js';
 export * from './utils/linked_list.js';
+export * from './utils/parse_json.js';
--- a/packages/daemon/src/calls/quarantine_check.ts
+++ b/packages/daemon/src/calls/quarantine_check.ts
@@ -14,8 +14,7 @@
   outcome: 'not_run' | 'unknown',
 ): void {
   if (!quarantine.isQuarantined(fingerprint)) return;
-  const deaths = quarantine.getEntry(fingerprint)?.deaths ?? [];
-  const targets = [...new Set(deaths.map(({target}) => target))].join(', ');
+  const targets = quarantine.getDeadTargets(fingerprint).join(', ');
   const message = `request "${fingerprint}" is in quarantine: targets died while they ran it (${targets}); an operator can lift it`;
   throw MarigoldpostError.create('quarantined', message, {outcome});
 }
--- a/packages/daemon/src/status/fleet_status_source.ts
+++ b/packages/daemon/src/status/fleet_status_source.ts
@@ -175,14 +175,11 @@
 
   private getQuarantined(): QuarantinedRequest[] {
     const {quarantine} = this.options.core;
-    return quarantine.getQuarantined().map((fingerprint) => {
-      const deaths = quarantine.getEntry(fingerprint)?.deaths ?? [];
-      return {
-        fingerprint,
-        targets: [...new Set(deaths.map(({target}) => target))],
-        lastDeathAtMs: Math.max(0, ...deaths.map(({atMs}) => atMs)),
-      };
-    });
+    return quarantine.getQuarantined().map((fingerprint) => ({
+      fingerprint,
+      targets: quarantine.getDeadTargets(fingerprint),
+      lastDeathAtMs: quarantine.getLastDeathMs(fingerprint),
+    }));
   }
 }
 
--- a/packages/gateway/src/calls/crash_suspects.ts
+++ b/packages/gateway/src/calls/crash_suspects.ts
@@ -49,8 +49,7 @@
     if (quarantine.isEmpty) return;
     const fingerprint = getFingerprint(request);
     if (!quarantine.isQuarantined(fingerprint)) return;
-    const deaths = quarantine.getEntry(fingerprint)?.deaths ?? [];
-    const targets = [...new Set(deaths.map(({target}) => target))].join(', ');
+    const targets = quarantine.getDeadTargets(fingerprint).join(', ');
     const message = `request "${fingerprint}" broke each target that ran it: ${targets}`;
     throw MarigoldpostError.create('quarantined', message, {outcome});
   }
@@ -66,9 +65,8 @@
   noteBroken(request: SuspectRequest, target: TargetId, ranMs: number): void {
     const {clock, quarantine, onChanged} = this.options;
     const fingerprint = getFingerprint(request);
-    const deaths = quarantine.getEntry(fingerprint)?.deaths ?? [];
-    const lastMs = Math.max(...deaths.map(({atMs}) => atMs));
-    if (clock.wallTimeMs() - ranMs < lastMs) return;
+    const beganAtMs = clock.wallTimeMs() - ranMs;
+    if (beganAtMs < quarantine.getLastDeathMs(fingerprint)) return;
     quarantine.noteDeath(target, [fingerprint]);
     onChanged();
   }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -133,7 +133,7 @@
    */
   noteCrash({target}: TargetLease): void {
     const ranMs = this.services.clock.nowMs() - this.sentAtMs;
-    this.services.suspects.noteBroken(this.request, target.id, ranMs);
+    this.services.suspects.noteBroken(this.suspect, target.id, ranMs);
   }
 
   /**
@@ -144,7 +144,7 @@
   release(lease: TargetLease, result: DispatchResult): void {
     lease.release(result);
     if (result.result === 'answered') {
-      this.services.suspects.noteAnswered(this.request);
+      this.services.suspects.noteAnswered(this.suspect);
     }
     const {service} = this;
     this.services.metrics.addToCounter('attempts_total', {
@@ -165,13 +165,13 @@
     });
   }
 
-  private get request(): SuspectRequest {
+  private get suspect(): SuspectRequest {
     return {call: this.call, body: this.body.bytes};
   }
 
   private checkSuspicion(): void {
     const outcome = this.mayHaveRun ? 'unknown' : 'not_run';
-    this.services.suspects.check(this.request, outcome);
+    this.services.suspects.check(this.suspect, outcome);
   }
 
   private async acquire(): Promise<TargetLease> {
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -18,8 +18,8 @@
 export interface WatchTiming {
   /** Pause between two waits that brought changes, in milliseconds. */
   readonly pauseMs: number;
-  /** Longest wait of one call, in milliseconds; the client's own by default. */
-  readonly waitMs?: number;
+  /** Longest wait of one call, in milliseconds. */
+  readonly waitMs: number;
 }
 
 /**
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -12,6 +12,7 @@
 export * from './leases/lease_observer.js';
 export * from './partitions/partition_directory.js';
 export * from './store/put_object.js';
+export * from './store/store_call.js';
 export * from './store/store_errors.js';
 export * from './watch/object_watcher.js';
 export * from './watch/watch_group.js';
--- a/packages/platform/src/store/http_object_store.ts
+++ b/packages/platform/src/store/http_object_store.ts
@@ -1,9 +1,10 @@
 /** Object API over HTTP. */
 import type {Clock} from '@marigoldpost/common';
-import {MarigoldpostError} from '@marigoldpost/common';
+import {parseJson} from '@marigoldpost/common';
 import * as z from 'zod';
 import {HttpChannel} from '../http/http_channel.js';
-import type {HttpAnswer, HttpFailure} from '../http/http_types.js';
+import type {HttpAnswer} from '../http/http_types.js';
+import {type StoreCall, sendStoreCall} from './store_call.js';
 import {toStoreError, toStoreFailure} from './store_errors.js';
 import {
   type ListOptions,
@@ -43,14 +44,6 @@
   version: z.number().int(),
 });
 
-/** One call to the object API. */
-interface StoreCall {
-  readonly method: string;
-  readonly path: string;
-  readonly isWrite: boolean;
-  readonly body?: object;
-}
-
 /** Client of the object API over HTTP. */
 export class HttpObjectStore extends ObjectStore {
   private constructor(
@@ -131,9 +124,10 @@
       sinceVersion: `${sinceVersion}`,
       waitMs: `${watchWaitMs}`,
     });
-    const call = {method: 'GET', path: `/changes?${query}`, isWrite: false};
+    const path = `/changes?${query}`;
     const timeoutMs = this.timeoutMs + watchWaitMs;
-    const answer = await this.send(call, timeoutMs, signal);
+    const call = {method: 'GET', path, isWrite: false, timeoutMs, signal};
+    const answer = await this.send(call);
     const {changes, version} = this.read(answer, call, changesSchema);
     return {
       version,
@@ -146,20 +140,8 @@
     await this.channel.close();
   }
 
-  private async send(
-    call: StoreCall,
-    timeoutMs = this.timeoutMs,
-    signal?: AbortSignal,
-  ): Promise<HttpAnswer> {
-    const {method, path} = call;
-    const body =
-      call.body === undefined ? undefined : JSON.stringify(call.body);
-    const headers =
-      body === undefined ? undefined : {'content-type': 'application/json'};
-    const request = {method, path, headers, body, timeoutMs};
-    const outcome = await this.channel.send(request, signal);
-    if (outcome.kind === 'answer') return outcome;
-    throw toFailure(outcome, call, signal);
+  private send(call: StoreCall): Promise<HttpAnswer> {
+    return sendStoreCall(this.channel, {timeoutMs: this.timeoutMs, ...call});
   }
 
   private read<Value>(
@@ -175,28 +157,6 @@
   }
 }
 
-function toFailure(
-  failure: HttpFailure,
-  call: StoreCall,
-  signal: AbortSignal | undefined,
-): Error {
-  if (signal?.aborted && !call.isWrite) {
-    const message = `${call.method} ${call.path} was given up`;
-    return MarigoldpostError.create('cancelled', message);
-  }
-  const isWrite = call.isWrite && failure.isSent;
-  return toStoreFailure(failure.cause, {...call, isWrite});
-}
-
 function toObjectPath(key: string): string {
   return `/objects/${encodeURIComponent(key)}`;
 }
-
-function parseJson(text: string): unknown {
-  if (text === '') return undefined;
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/targets/src/engine/engine_stream_reader.ts
+++ b/packages/targets/src/engine/engine_stream_reader.ts
@@ -1,8 +1,7 @@
 /** Checks that an engine's stream is complete and in order. */
-import {MarigoldpostError} from '@marigoldpost/common';
+import {MarigoldpostError, parseJson} from '@marigoldpost/common';
 import type {HttpFailure} from '@marigoldpost/platform';
 import {SseReader, type SseEvent} from '../sse/sse_reader.js';
-import {parseJson} from '../utils/parse_json.js';
 import {toTargetError, type TargetCall} from '../utils/target_errors.js';
 import type {EngineEnd, EngineEvent, EngineToken} from './engine_client.js';
 import {endSchema} from './engine_schemas.js';
--- a/packages/targets/src/engine/http_engine_client.ts
+++ b/packages/targets/src/engine/http_engine_client.ts
@@ -2,6 +2,7 @@
 import {
   type Clock,
   MarigoldpostError,
+  parseJson,
   type ProgramId,
   type TargetId,
 } from '@marigoldpost/common';
@@ -17,7 +18,6 @@
   toTargetError,
   type TargetCall,
 } from '../utils/target_errors.js';
-import {parseJson} from '../utils/parse_json.js';
 import {
   type CacheEvents,
   EngineClient,
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -138,6 +138,25 @@
     return this.entries.get(fingerprint)?.entry;
   }
 
+  /**
+   * Gets the targets that died while they ran a request, each once.
+   * @param fingerprint - The request.
+   */
+  getDeadTargets(fingerprint: Fingerprint): readonly TargetId[] {
+    const deaths = this.getEntry(fingerprint)?.deaths ?? [];
+    return [...new Set(deaths.map(({target}) => target))];
+  }
+
+  /**
+   * Gets the wall time of the last death in which a request took part; 0 when
+   * there was none.
+   * @param fingerprint - The request.
+   */
+  getLastDeathMs(fingerprint: Fingerprint): number {
+    const deaths = this.getEntry(fingerprint)?.deaths ?? [];
+    return Math.max(0, ...deaths.map(({atMs}) => atMs));
+  }
+
   /** Gets what the other daemons should hear: quarantines, and recent news. */
   getEntries(): readonly QuarantineEntry[] {
     const oldestMs = this.clock.nowMs() - newsMs;
