Do not hold calls that only share their path responsible together

Nothing lets a quarantined request go again, so the path stayed shut. Ruled out: clearing a quarantine by success (what is quarantined does not run); waiting for proof of the target's death (crashes of several targets at once would still add up). Change: the program of a call, its caller, is part of the fingerprint; a call with neither program nor body is never held responsible. Test: three programs' calls crash three tools, a fourth program's call must be served; answered 422 before.

--- a/packages/gateway/src/calls/crash_suspects.ts
+++ b/packages/gateway/src/calls/crash_suspects.ts
@@ -47,7 +47,8 @@
   check(request: SuspectRequest, outcome: 'not_run' | 'unknown'): void {
     const {quarantine} = this.options;
     if (quarantine.isEmpty) return;
-    const fingerprint = getFingerprint(request);
+    const fingerprint = findFingerprint(request);
+    if (fingerprint === undefined) return;
     if (!quarantine.isQuarantined(fingerprint)) return;
     const targets = quarantine.getDeadTargets(fingerprint).join(', ');
     const message = `request "${fingerprint}" broke each target that ran it: ${targets}`;
@@ -64,7 +65,8 @@
    */
   noteBroken(request: SuspectRequest, target: TargetId, ranMs: number): void {
     const {clock, quarantine, onChanged} = this.options;
-    const fingerprint = getFingerprint(request);
+    const fingerprint = findFingerprint(request);
+    if (fingerprint === undefined) return;
     const beganAtMs = clock.wallTimeMs() - ranMs;
     if (beganAtMs < quarantine.getLastDeathMs(fingerprint)) return;
     quarantine.noteDeath(target, [fingerprint]);
@@ -78,15 +80,25 @@
   noteAnswered(request: SuspectRequest): void {
     const {quarantine, onChanged} = this.options;
     if (quarantine.isEmpty) return;
-    const fingerprint = getFingerprint(request);
-    if (!quarantine.isSuspect(fingerprint)) return;
+    const fingerprint = findFingerprint(request);
+    if (fingerprint === undefined || !quarantine.isSuspect(fingerprint)) return;
     quarantine.noteSurvived(fingerprint);
     onChanged();
   }
 }
 
-function getFingerprint({call, body}: SuspectRequest): Fingerprint {
+/**
+ * Gets what each re-send of a request has in common; nothing for a request that
+ * only its path tells apart, since others share that.
+ */
+function findFingerprint({
+  call,
+  body,
+}: SuspectRequest): Fingerprint | undefined {
   const {method = '', url = '', headers} = call.request;
+  const {program} = call.attributes;
+  if (program === undefined && body.byteLength === 0) return undefined;
   const {host = ''} = headers;
-  return getFingerprintOfParts([method, host, url, getDigest(body)]);
+  const parts = [method, host, url, program ?? '', getDigest(body)];
+  return getFingerprintOfParts(parts);
 }
