Log which crash a daemon heard of, from whom and how late

Recording, ignoring, merging and clearing a crash were silent, so that no log could tell a lost report from an uncounted crash or a cleared suspicion.

No decision changes.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -11,12 +11,14 @@
   type TargetId,
 } from '@marigoldpost/common';
 import {getFingerprintOfParts, type Quarantine} from '@marigoldpost/targets';
+import type {Metrics} from '@marigoldpost/telemetry';
 import type {IncomingCall} from './incoming_call.js';
 
 /** Dependencies of the tracker. */
 export interface CrashTrackerOptions {
   readonly clock: Clock;
   readonly quarantine: Quarantine;
+  readonly metrics: Metrics;
   /** Called when this daemon adds or clears a suspected request. */
   readonly onChanged: () => void;
 }
@@ -58,6 +60,21 @@
     throw MarigoldpostError.create('quarantined', message, {outcome});
   }
 
+  /**
+   * Logs that a request is sent although a target has crashed on it.
+   * @param request - Request about to be sent.
+   * @param target - Target that receives it.
+   */
+  recordSend(request: TrackedRequest, target: TargetId): void {
+    const {quarantine, metrics} = this.options;
+    if (quarantine.isEmpty) return;
+    const fingerprint = findFingerprint(request);
+    if (fingerprint === undefined || !quarantine.isSuspect(fingerprint)) return;
+    const deaths = quarantine.getDeadTargets(fingerprint).length;
+    metrics.addToCounter('crash_records_total', {event: 'suspect_sent'});
+    request.call.logger.log('suspect_sent', {fingerprint, target, deaths});
+  }
+
   /**
    * Records that a target closed its connection while it ran a request. Ignores
    * a run that started before the request's last recorded crash, since one
@@ -67,12 +84,29 @@
    * @param ranMs - Time since the request was sent to the target.
    */
   recordCrash(request: TrackedRequest, target: TargetId, ranMs: number): void {
-    const {clock, quarantine, onChanged} = this.options;
+    const {clock, quarantine, metrics, onChanged} = this.options;
+    const {logger} = request.call;
+    const roundedMs = Math.round(ranMs);
     const fingerprint = findFingerprint(request);
-    if (fingerprint === undefined) return;
+    if (fingerprint === undefined) {
+      const reason = 'the request has no fingerprint';
+      logger.log('crash_not_counted', {target, reason, ranMs: roundedMs});
+      return;
+    }
     const startedAtMs = clock.wallTimeMs() - ranMs;
-    if (startedAtMs < quarantine.getLastDeathMs(fingerprint)) return;
+    if (startedAtMs < quarantine.getLastDeathMs(fingerprint)) {
+      const reason = 'the run began before the last crash';
+      logger.log('crash_not_counted', {target, reason, ranMs: roundedMs});
+      return;
+    }
     quarantine.recordDeath(target, [fingerprint]);
+    metrics.addToCounter('crash_records_total', {event: 'recorded'});
+    const deaths = quarantine.getDeadTargets(fingerprint).length;
+    const fields = {fingerprint, target, deaths, ranMs: roundedMs};
+    logger.log('crash_recorded', fields);
+    if (quarantine.isQuarantined(fingerprint)) {
+      logger.log('request_quarantined', {fingerprint, deaths});
+    }
     onChanged();
   }
 
@@ -80,13 +114,21 @@
    * Records that a target responded completely, which clears a suspected
    * request.
    * @param request - Request that completed.
+   * @param target - Target that responded.
+   * @param status - Status of the response.
    */
-  recordCompletion(request: TrackedRequest): void {
-    const {quarantine, onChanged} = this.options;
+  recordCompletion(
+    request: TrackedRequest,
+    target: TargetId,
+    status: number,
+  ): void {
+    const {quarantine, metrics, onChanged} = this.options;
     if (quarantine.isEmpty) return;
     const fingerprint = findFingerprint(request);
     if (fingerprint === undefined || !quarantine.isSuspect(fingerprint)) return;
     quarantine.recordSurvival(fingerprint);
+    metrics.addToCounter('crash_records_total', {event: 'cleared'});
+    request.call.logger.log('suspicion_cleared', {fingerprint, target, status});
     onChanged();
   }
 }
--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -51,10 +51,7 @@
       attempts.recordBrokenResponse(started.lease, `status ${status}`);
       continue;
     }
-    attempts.release(started.lease, {
-      result: 'answered',
-      latencySampleMs,
-    });
+    attempts.complete(started.lease, status, latencySampleMs);
     if (isNotRunStatus(status) && !isRepeatable(call.route)) {
       throw attempts.createFailure(
         `the target responded with status ${status}`,
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -71,11 +71,7 @@
     stallMs: getStallMs(call),
   });
   if (result.isComplete) {
-    const latencySampleMs = result.gapMs;
-    attempts.release(started.lease, {
-      result: 'answered',
-      latencySampleMs,
-    });
+    attempts.complete(started.lease, status, result.gapMs);
   } else if (call.signal.aborted) {
     attempts.release(started.lease, {result: 'cancelled'});
   } else {
@@ -136,7 +132,7 @@
     attempts.recordBrokenResponse(lease, body.message);
     throw attempts.createFailure(body.message);
   }
-  attempts.release(lease, {result: 'answered'});
+  attempts.complete(lease, status);
   if (isNotRunStatus(status)) {
     throw attempts.createFailure(`the target responded with status ${status}`);
   }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -107,6 +107,7 @@
     for (;;) {
       this.rejectIfQuarantined();
       const lease = await this.acquire();
+      this.services.crashTracker.recordSend(this.suspect, lease.target.id);
       this.sentAtMs = this.services.clock.nowMs();
       const outcome = await this.send(lease);
       if (outcome.kind === 'answer') {
@@ -145,9 +146,6 @@
    */
   release(lease: TargetLease, result: DispatchResult): void {
     lease.release(result);
-    if (result.result === 'answered') {
-      this.services.crashTracker.recordCompletion(this.suspect);
-    }
     const {service} = this;
     this.services.metrics.addToCounter('attempts_total', {
       service,
@@ -155,6 +153,18 @@
     });
   }
 
+  /**
+   * Releases the lease of an attempt whose response is complete.
+   * @param lease - Lease of the attempt.
+   * @param status - Status of the response.
+   * @param latencySampleMs - Latency to compare with other targets.
+   */
+  complete(lease: TargetLease, status: number, latencySampleMs?: number): void {
+    this.release(lease, {result: 'answered', latencySampleMs});
+    const {crashTracker} = this.services;
+    crashTracker.recordCompletion(this.suspect, lease.target.id, status);
+  }
+
   /** Creates the error for the client when no further attempt is allowed. */
   createFailure(message: string): MarigoldpostError {
     const isLate = this.call.endReason === 'timeout';
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -68,6 +68,7 @@
       crashTracker: CrashTracker.create({
         clock,
         quarantine,
+        metrics,
         onChanged: () => this.quarantineReplicator.publish(),
       }),
       logger,
@@ -206,12 +207,14 @@
   }
 
   private createQuarantineReplicator(): QuarantineReplicator {
-    const {clock, platform, settings} = this.options;
+    const {clock, platform, settings, logger, metrics} = this.options;
     return QuarantineReplicator.create({
       daemon: settings.daemon,
       store: platform.store,
       clock,
       quarantine: this.quarantine,
+      logger,
+      metrics,
       onFailed: (error) => this.tasks.logFailure('crash news', error),
     });
   }
@@ -261,5 +264,7 @@
       waiting += dispatcher.waitingCount;
     }
     metrics.setGauge('queue_length', {}, waiting);
+    const quarantined = this.quarantine.getQuarantined().length;
+    metrics.setGauge('quarantined_requests', {}, quarantined);
   }
 }
--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -17,6 +17,7 @@
   type StoredObject,
 } from '@marigoldpost/platform';
 import type {Quarantine, QuarantineEntry} from '@marigoldpost/targets';
+import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import * as z from 'zod';
 import type {ObjectSink} from '../utils/object_sink.js';
 
@@ -44,12 +45,16 @@
   readonly store: ObjectStore;
   readonly clock: Clock;
   readonly quarantine: Quarantine;
+  readonly logger: EventLogger;
+  readonly metrics: Metrics;
   readonly onFailed: (error: unknown) => void;
 }
 
 /** Writes the entries of this entry VM and merges those of the others. */
 export class QuarantineReplicator implements ObjectSink {
   private timer: Timer | undefined;
+  /** When the oldest change was made that has not been written. */
+  private changedAtMs: number | undefined;
   private isStopped = false;
 
   private constructor(private readonly options: QuarantineReplicatorOptions) {}
@@ -64,6 +69,7 @@
 
   /** Schedules a write of all entries of this entry VM. */
   publish(): void {
+    this.changedAtMs ??= this.options.clock.nowMs();
     this.schedule(batchDelayMs);
   }
 
@@ -88,7 +94,22 @@
     const entries = parseEntries(value).filter(({deaths}) =>
       deaths.every(({atMs}) => atMs >= oldestMs),
     );
-    quarantine.mergeEntries(entries);
+    for (const entry of quarantine.mergeEntries(entries)) {
+      this.logMerged(key, entry);
+    }
+  }
+
+  private logMerged(source: string, entry: QuarantineEntry): void {
+    const {clock, quarantine, logger, metrics} = this.options;
+    const {fingerprint, deaths} = entry;
+    metrics.addToCounter('crash_records_total', {event: 'merged'});
+    logger.log('crash_records_merged', {
+      source,
+      fingerprint,
+      deaths: deaths.length,
+      ageMs: clock.wallTimeMs() - quarantine.getLastDeathMs(fingerprint),
+      isQuarantined: quarantine.isQuarantined(fingerprint),
+    });
   }
 
   private schedule(delayMs: number): void {
@@ -100,12 +121,20 @@
   }
 
   private async writeEntries(): Promise<void> {
-    const {daemon, store, quarantine, onFailed} = this.options;
+    const {clock, daemon, store, quarantine, onFailed} = this.options;
     const key = `${crashPrefix}${daemon}`;
+    const changedAtMs = this.changedAtMs ?? clock.nowMs();
+    this.changedAtMs = undefined;
     try {
-      const value = JSON.stringify(quarantine.getEntries());
-      await putOwnObject(store, key, value);
+      const entries = quarantine.getEntries();
+      await putOwnObject(store, key, JSON.stringify(entries));
+      this.options.logger.log('crash_records_sent', {
+        destination: key,
+        requests: entries.length,
+        delayMs: Math.round(clock.nowMs() - changedAtMs),
+      });
     } catch (error) {
+      this.changedAtMs = changedAtMs;
       onFailed(error);
       this.schedule(retryDelayMs);
     }
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -177,18 +177,21 @@
   }
 
   /**
-   * Merges another daemon's entries; commutative and idempotent.
+   * Merges another daemon's entries; commutative and idempotent. Returns the
+   * merged entries that have changed.
    * @param entries - Entries that the other daemon announced.
    */
-  mergeEntries(entries: readonly QuarantineEntry[]): void {
-    for (const entry of entries) {
+  mergeEntries(entries: readonly QuarantineEntry[]): QuarantineEntry[] {
+    return entries.flatMap((entry) => {
       const own = this.getEntry(entry.fingerprint);
       if (own === undefined || entry.version > own.version) {
         this.putEntry(entry);
       } else if (entry.version === own.version) {
         this.mergeEntryDeaths(own, entry.deaths);
       }
-    }
+      const merged = this.getEntry(entry.fingerprint);
+      return merged === undefined || merged === own ? [] : [merged];
+    });
   }
 
   /** Merges deaths; an entry that already has them all counts as unchanged. */
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -37,6 +37,10 @@
     'service',
     'result',
   ]),
+  crash_records_total: define('counter', 'Records of target crashes', [
+    'event',
+  ]),
+  quarantined_requests: define('gauge', 'Requests in quarantine', []),
   target_wait_ms: define('histogram', 'Wait for a free slot at a target', [
     'service',
   ]),
