--- a/packages/targets/tests/quarantine/quarantine.feature
+++ b/packages/targets/tests/quarantine/quarantine.feature
@@ -11,6 +11,8 @@
       | a@0 b@1            | quarantined |
       | a@0 a@1            | suspect     |
       | a@0 a@60000        | quarantined |
+      | a@0 a@5000         | suspect     |
+      | a@0 a@5000 a@10000 | quarantined |
       | a@0 survived       | free        |
       | a@0 survived b@1   | suspect     |
       | a@0 b@1 survived   | quarantined |
@@ -30,6 +32,10 @@
     When two quarantines record one death and then merge
     Then the quarantine holds the request as suspect
 
+  Scenario: A completion at a daemon that has not heard of the last death does not lift a quarantine
+    When a request completes at a daemon that has heard of its first death only
+    Then both daemons hold the request as quarantined in the end
+
   Scenario Outline: Entries are announced and kept for a limited time (<deaths>)
     When the quarantine hears of deaths <deaths> with the request
     And <minutes> minutes pass in the quarantine and another death is recorded
--- a/packages/targets/tests/quarantine/quarantine_steps.ts
+++ b/packages/targets/tests/quarantine/quarantine_steps.ts
@@ -13,6 +13,7 @@
 
 interface QuarantineWorld extends World {
   quarantine: Quarantine;
+  other: Quarantine;
   clock: VirtualClock;
   fleetResults: FleetResult[];
   load: fc.Arbitrary<RequestLoad>;
@@ -61,6 +62,29 @@
   },
 );
 
+When(
+  'a request completes at a daemon that has heard of its first death only',
+  function (this: QuarantineWorld) {
+    const clock = VirtualClock.create();
+    this.quarantine = createQuarantine(clock);
+    this.other = createQuarantine(clock);
+    recordDeathAt(this.quarantine, clock, 'a@0');
+    this.other.mergeEntries(this.quarantine.getEntries());
+    recordDeathAt(this.quarantine, clock, 'b@1');
+    this.other.recordSurvival(request);
+    this.quarantine.mergeEntries(this.other.getEntries());
+    this.other.mergeEntries(this.quarantine.getEntries());
+  },
+);
+
+Then(
+  'both daemons hold the request as quarantined in the end',
+  function (this: QuarantineWorld) {
+    assert.equal(this.quarantine.isQuarantined(request), true);
+    assert.equal(this.other.isQuarantined(request), true);
+  },
+);
+
 Then(
   /^the quarantine holds the request as (free|suspect|quarantined)$/,
   function (this: QuarantineWorld, state: string) {
