Count each crash of a target once, and merge crash records as a set

Callers: a request that had crashed three targets was sent on.

Cause, one class: daemons decided by what they believed of each other's time and versions which crashes are the same. - A crash was dropped if its run began before the last known one, by the wall clocks of two VMs: a clock 5 s ahead hid the crashes of 5 s, and of two overlapping runs at two VMs only one counted. - Crashes of one target within 10 s of the previous one counted as one, so a target that crashed every 5 s never counted twice. - A completion raised the entry's version and replaced the crashes that others had recorded meanwhile; any response counted as one, a 500 too.

A death is now identified by target, registered start of the instance and an ordinal, new if the run began after this daemon learned of the previous death, by its own monotonic clock. Records merge as a set; a completion clears the deaths that its daemon knows, and quarantinedDeaths keeps a quarantine that another daemon had not heard of. Server errors clear nothing. Runs of one VM that overlap still count once: one fault of the VM breaks all of its connections. Heartbeats and the object of an entry VM carry the new fields; records of earlier builds are read (deaths of one target count once).

The quarantine's property test generates the new fields; it still asks that merging be commutative and idempotent.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -5,14 +5,15 @@
  */
 import {
   type Clock,
-  type Fingerprint,
-  getDigest,
   MarigoldpostError,
   type TargetId,
 } from '@marigoldpost/common';
-import {getFingerprintOfParts, type Quarantine} from '@marigoldpost/targets';
+import type {TargetEntry} from '@marigoldpost/sites';
+import type {Quarantine} from '@marigoldpost/targets';
 import type {Metrics} from '@marigoldpost/telemetry';
-import type {IncomingCall} from './incoming_call.js';
+import type {TrackedRequest} from './tracked_request.js';
+
+const minServerErrorStatus = 500;
 
 /** Dependencies of the tracker. */
 export interface CrashTrackerOptions {
@@ -23,12 +24,6 @@
   readonly onChanged: () => void;
 }
 
-/** A request with the body that targets receive. */
-export interface TrackedRequest {
-  readonly call: IncomingCall;
-  readonly body: Uint8Array;
-}
-
 /**
  * Records crashes that one daemon observes in the fleet-wide quarantine. Has no
  * cost while no target crashes: requests are not hashed then.
@@ -52,7 +47,7 @@
   check(request: TrackedRequest, outcome: 'not_run' | 'unknown'): void {
     const {quarantine} = this.options;
     if (quarantine.isEmpty) return;
-    const fingerprint = findFingerprint(request);
+    const {fingerprint} = request;
     if (fingerprint === undefined) return;
     if (!quarantine.isQuarantined(fingerprint)) return;
     const targets = quarantine.getDeadTargets(fingerprint).join(', ');
@@ -68,42 +63,44 @@
   recordSend(request: TrackedRequest, target: TargetId): void {
     const {quarantine, metrics} = this.options;
     if (quarantine.isEmpty) return;
-    const fingerprint = findFingerprint(request);
+    const {fingerprint} = request;
     if (fingerprint === undefined || !quarantine.isSuspect(fingerprint)) return;
-    const deaths = quarantine.getDeadTargets(fingerprint).length;
+    const deaths = quarantine.countDeaths(fingerprint);
     metrics.addToCounter('crash_records_total', {event: 'suspect_sent'});
     request.call.logger.log('suspect_sent', {fingerprint, target, deaths});
   }
 
   /**
-   * Records that a target closed its connection while it ran a request. Ignores
-   * a run that started before the request's last recorded crash, since one
-   * fault may crash many targets at the same time.
+   * Records that a target closed its connection while it ran a request.
    * @param request - Request that the target was running.
    * @param target - Target that crashed.
-   * @param ranMs - Time since the request was sent to the target.
+   * @param runStartedAtMs - When the request was sent, on the daemon's clock.
    */
-  recordCrash(request: TrackedRequest, target: TargetId, ranMs: number): void {
+  recordCrash(
+    request: TrackedRequest,
+    {id: target, startedAtMs}: TargetEntry,
+    runStartedAtMs: number,
+  ): void {
     const {clock, quarantine, metrics, onChanged} = this.options;
     const {logger} = request.call;
-    const roundedMs = Math.round(ranMs);
-    const fingerprint = findFingerprint(request);
+    const ranMs = Math.round(clock.nowMs() - runStartedAtMs);
+    const {fingerprint} = request;
     if (fingerprint === undefined) {
       const reason = 'the request has no fingerprint';
-      logger.log('crash_not_counted', {target, reason, ranMs: roundedMs});
+      logger.log('crash_not_counted', {target, reason, ranMs});
       return;
     }
-    const startedAtMs = clock.wallTimeMs() - ranMs;
-    if (startedAtMs < quarantine.getLastDeathMs(fingerprint)) {
-      const reason = 'the run began before the last crash';
-      logger.log('crash_not_counted', {target, reason, ranMs: roundedMs});
+    const details = {startedAtMs, runStartedAtMs};
+    const isNew =
+      quarantine.recordDeath(target, [fingerprint], details).length > 0;
+    if (!isNew) {
+      const reason = 'a recorded crash explains it';
+      logger.log('crash_not_counted', {target, reason, ranMs});
       return;
     }
-    quarantine.recordDeath(target, [fingerprint]);
     metrics.addToCounter('crash_records_total', {event: 'recorded'});
-    const deaths = quarantine.getDeadTargets(fingerprint).length;
-    const fields = {fingerprint, target, deaths, ranMs: roundedMs};
-    logger.log('crash_recorded', fields);
+    const deaths = quarantine.countDeaths(fingerprint);
+    logger.log('crash_recorded', {fingerprint, target, deaths, ranMs});
     if (quarantine.isQuarantined(fingerprint)) {
       logger.log('request_quarantined', {fingerprint, deaths});
     }
@@ -112,7 +109,8 @@
 
   /**
    * Records that a target responded completely, which clears a suspected
-   * request.
+   * request. A server error clears nothing: a failing target may send it for a
+   * request that it has not started.
    * @param request - Request that completed.
    * @param target - Target that responded.
    * @param status - Status of the response.
@@ -123,8 +121,8 @@
     status: number,
   ): void {
     const {quarantine, metrics, onChanged} = this.options;
-    if (quarantine.isEmpty) return;
-    const fingerprint = findFingerprint(request);
+    if (quarantine.isEmpty || status >= minServerErrorStatus) return;
+    const {fingerprint} = request;
     if (fingerprint === undefined || !quarantine.isSuspect(fingerprint)) return;
     quarantine.recordSurvival(fingerprint);
     metrics.addToCounter('crash_records_total', {event: 'cleared'});
@@ -132,20 +130,3 @@
     onChanged();
   }
 }
-
-/**
- * Gets a fingerprint that is the same for each retry of a request. It is
- * `undefined` for a request with neither program nor body: only its path would
- * identify it, and other requests share that.
- */
-function findFingerprint({
-  call,
-  body,
-}: TrackedRequest): Fingerprint | undefined {
-  const {method = '', url = '', headers} = call.request;
-  const {program} = call.attributes;
-  if (program === undefined && body.byteLength === 0) return undefined;
-  const {host = ''} = headers;
-  const parts = [method, host, url, program ?? '', getDigest(body)];
-  return getFingerprintOfParts(parts);
-}
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -21,8 +21,8 @@
   TargetExchange,
 } from '../targets/target_exchange.js';
 import type {CallServices} from './call_services.js';
-import type {TrackedRequest} from './crash_tracker.js';
 import type {IncomingCall} from './incoming_call.js';
+import {TrackedRequest} from './tracked_request.js';
 
 /** Targets that may reject one call before the client gets an error. */
 const maxRejections = 4;
@@ -64,13 +64,16 @@
   private rejections = 0;
   private sentAtMs = 0;
   private mayHaveRun = false;
+  private readonly trackedRequest: TrackedRequest;
 
   private constructor(
     private readonly call: IncomingCall,
     private readonly services: CallServices,
     private readonly service: ServiceId,
     private readonly body: CallBody,
-  ) {}
+  ) {
+    this.trackedRequest = TrackedRequest.create(call, body.bytes);
+  }
 
   /**
    * Creates the attempts of a call; sends nothing yet.
@@ -107,7 +110,10 @@
     for (;;) {
       this.rejectIfQuarantined();
       const lease = await this.acquire();
-      this.services.crashTracker.recordSend(this.suspect, lease.target.id);
+      this.services.crashTracker.recordSend(
+        this.trackedRequest,
+        lease.target.id,
+      );
       this.sentAtMs = this.services.clock.nowMs();
       const outcome = await this.send(lease);
       if (outcome.kind === 'answer') {
@@ -135,8 +141,8 @@
    * @param lease - Lease of the attempt.
    */
   recordCrash({target}: TargetLease): void {
-    const ranMs = this.services.clock.nowMs() - this.sentAtMs;
-    this.services.crashTracker.recordCrash(this.suspect, target.id, ranMs);
+    const {crashTracker} = this.services;
+    crashTracker.recordCrash(this.trackedRequest, target, this.sentAtMs);
   }
 
   /**
@@ -162,7 +168,7 @@
   complete(lease: TargetLease, status: number, latencySampleMs?: number): void {
     this.release(lease, {result: 'answered', latencySampleMs});
     const {crashTracker} = this.services;
-    crashTracker.recordCompletion(this.suspect, lease.target.id, status);
+    crashTracker.recordCompletion(this.trackedRequest, lease.target.id, status);
   }
 
   /** Creates the error for the client when no further attempt is allowed. */
@@ -177,13 +183,9 @@
     });
   }
 
-  private get suspect(): TrackedRequest {
-    return {call: this.call, body: this.body.bytes};
-  }
-
   private rejectIfQuarantined(): void {
     const outcome = this.mayHaveRun ? 'unknown' : 'not_run';
-    this.services.crashTracker.check(this.suspect, outcome);
+    this.services.crashTracker.check(this.trackedRequest, outcome);
   }
 
   private async acquire(): Promise<TargetLease> {
--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -35,7 +35,17 @@
   z.object({
     fingerprint: z.string(),
     version: z.number(),
-    deaths: z.array(z.object({target: z.string(), atMs: z.number()})),
+    quarantinedDeaths: z.number().default(0),
+    deaths: z.array(
+      z.object({
+        target: z.string(),
+        startedAtMs: z.number().default(0),
+        // Daemons of earlier versions do not number deaths.
+        ordinal: z.number().default(1),
+        atMs: z.number(),
+        isCleared: z.boolean().default(false),
+      }),
+    ),
   }),
 );
 
@@ -144,12 +154,12 @@
 function parseEntries(value: string): QuarantineEntry[] {
   const parsed = entriesSchema.safeParse(JSON.parse(value));
   if (!parsed.success) return [];
-  return parsed.data.map(({fingerprint, version, deaths}) => ({
+  return parsed.data.map(({fingerprint, deaths, ...entry}) => ({
+    ...entry,
     fingerprint: toId<Fingerprint>(fingerprint),
-    version,
-    deaths: deaths.map(({target, atMs}) => ({
+    deaths: deaths.map(({target, ...death}) => ({
+      ...death,
       target: toId<TargetId>(target),
-      atMs,
     })),
   }));
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -11,3 +11,4 @@
 export * from './transport/reply_window.js';
 export * from './transport/tls_material.js';
 export * from './messages/message_transport.js';
+export * from './messages/quarantine_codec.js';
--- a/packages/peers/src/membership/heartbeat_builder.ts
+++ b/packages/peers/src/membership/heartbeat_builder.ts
@@ -1,12 +1,14 @@
 /** Builds the heartbeats that this daemon sends. */
 import {create} from '@bufbuild/protobuf';
 import type {DaemonId, DataCentreId} from '@marigoldpost/common';
+import type {QuarantineEntry} from '@marigoldpost/targets';
 import {
   type DaemonNews,
   type Heartbeat,
   HeartbeatSchema,
 } from '../generated/marigoldpost/peers/v1/peers_pb.js';
-import type {OwnState, AnnouncedQuarantine} from './own_state.js';
+import {toQuarantineMessage} from '../messages/quarantine_codec.js';
+import type {OwnState} from './own_state.js';
 
 /** Maximum number of quarantine entries in one heartbeat. */
 const maxQuarantines = 4;
@@ -83,22 +85,18 @@
 
   /** Selects a few entries in round-robin order, so that each is repeated. */
   private selectQuarantines(
-    entries: readonly AnnouncedQuarantine[],
+    entries: readonly QuarantineEntry[],
     selectsAll: boolean,
   ) {
     const count = selectsAll
       ? entries.length
       : Math.min(maxQuarantines, entries.length);
-    const chosen: AnnouncedQuarantine[] = [];
+    const chosen: QuarantineEntry[] = [];
     for (let taken = 0; taken < count; taken++) {
       const entry = entries[this.nextQuarantineIndex % entries.length];
       this.nextQuarantineIndex += 1;
       if (entry !== undefined) chosen.push(entry);
     }
-    return chosen.map(({fingerprint, version, deaths}) => ({
-      fingerprint,
-      version: BigInt(version),
-      deaths: deaths.map(({target, atMs}) => ({target, atMs})),
-    }));
+    return chosen.map(toQuarantineMessage);
   }
 }
--- a/packages/peers/src/membership/membership.ts
+++ b/packages/peers/src/membership/membership.ts
@@ -4,9 +4,7 @@
   type Clock,
   type DaemonId,
   type DataCentreId,
-  type Fingerprint,
   type Random,
-  type TargetId,
   type Timer,
   toId,
 } from '@marigoldpost/common';
@@ -22,6 +20,7 @@
   HeartbeatReplySchema,
   HeartbeatSchema,
 } from '../generated/marigoldpost/peers/v1/peers_pb.js';
+import {fromQuarantineMessage} from '../messages/quarantine_codec.js';
 import {isConnectionRefused} from '../transport/connection_refused.js';
 import type {PeerTransport} from '../transport/peer_transport.js';
 import {ChangePublisher} from './change_publisher.js';
@@ -270,14 +269,7 @@
     const {address, configHash: hash} = heartbeat;
     const daemon = toId<DaemonId>(heartbeat.daemon);
     const version = Number(heartbeat.configVersion);
-    const quarantines = heartbeat.quarantines.map((quarantine) => ({
-      fingerprint: toId<Fingerprint>(quarantine.fingerprint),
-      version: Number(quarantine.version),
-      deaths: quarantine.deaths.map(({target, atMs}) => ({
-        target: toId<TargetId>(target),
-        atMs,
-      })),
-    }));
+    const quarantines = heartbeat.quarantines.map(fromQuarantineMessage);
     for (const listener of this.listeners) {
       listener.onConfigVersionReceived?.({
         peer: {daemon, address},
--- a/packages/peers/src/membership/membership_listener.ts
+++ b/packages/peers/src/membership/membership_listener.ts
@@ -1,7 +1,7 @@
 /** Notifications about what heartbeats carry. */
 import type {FleetMember} from '@marigoldpost/platform';
 import type {PeerAddress} from '../transport/peer_transport.js';
-import type {AnnouncedQuarantine} from './own_state.js';
+import type {QuarantineEntry} from '@marigoldpost/targets';
 
 /** Version of the operators' configuration that a peer has in force. */
 export interface PeerConfigVersion {
@@ -29,5 +29,5 @@
    * Called when a peer's heartbeat carries quarantine entries.
    * @param quarantines - Entries in the heartbeat; at least one.
    */
-  onQuarantinesReceived?(quarantines: readonly AnnouncedQuarantine[]): void;
+  onQuarantinesReceived?(quarantines: readonly QuarantineEntry[]): void;
 }
--- a/packages/peers/tests/membership/membership_steps.ts
+++ b/packages/peers/tests/membership/membership_steps.ts
@@ -21,6 +21,7 @@
   fingerprint: toId<Fingerprint>('f1'),
   deaths: [],
   version: 1,
+  quarantinedDeaths: 0,
 };
 
 After(function (this: MembershipWorld) {
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -4,17 +4,39 @@
 /** Death of a target while it ran a request. */
 export interface DeathRecord {
   readonly target: TargetId;
+  /** Registered start of the target instance that died; 0 if unknown. */
+  readonly startedAtMs: number;
+  /**
+   * Number of the death among those of the instance, from 1: a daemon may know
+   * a restarted target by its old registration.
+   */
+  readonly ordinal: number;
   /** Wall time at the daemon that detected it, in milliseconds since 1970. */
   readonly atMs: number;
+  /** Whether a daemon that knew of the death saw the request complete. */
+  readonly isCleared: boolean;
 }
 
 /** Quarantine state of one request; daemons exchange and merge entries. */
 export interface QuarantineEntry {
   readonly fingerprint: Fingerprint;
-  /** Incremented when a suspicion is cleared or lifted; the higher one wins. */
+  /** Incremented when an operator lifts the quarantine; the higher one wins. */
   readonly version: number;
-  /** Deaths recorded under this version. */
+  /** Deaths recorded under this version, cleared ones included. */
   readonly deaths: readonly DeathRecord[];
+  /**
+   * Number of deaths when the request was quarantined, 0 before. A completion
+   * at a daemon that did not know all of them does not lift the quarantine.
+   */
+  readonly quarantinedDeaths: number;
+}
+
+/** What is known of a death besides its target. */
+export interface DeathDetails {
+  /** Registered start of the target instance; 0 if unknown. */
+  readonly startedAtMs?: number;
+  /** Start of the run, on the quarantine's clock, if known. */
+  readonly runStartedAtMs?: number;
 }
 
 /** Clock and bounds of a quarantine. */
@@ -26,10 +48,16 @@
   readonly maxEntries?: number;
 }
 
-/** An entry, and the time on this daemon's clock at which it last changed. */
+/** An entry with times on this daemon's clock. */
 interface TimestampedEntry {
   readonly entry: QuarantineEntry;
   readonly changedAtMs: number;
+  /** Revision of the quarantine at the last change. */
+  readonly revision: number;
+  /** When this daemon learned of each death, by key. */
+  readonly learnedAtMs: ReadonlyMap<string, number>;
+  /** When this daemon last detected a death itself. */
+  readonly detectedAtMs: number;
 }
 
 const defaultMaxEntries = 10_000;
@@ -40,7 +68,10 @@
  * announcement could restore an expired suspicion.
  */
 const suspicionRetentionMs = 600_000;
-/** Daemons that detect the same death record it within this time. */
+/**
+ * Time within which daemons detect the same death; for deaths whose run's start
+ * is unknown.
+ */
 const duplicateDeathWindowMs = 10_000;
 
 /**
@@ -53,6 +84,7 @@
   private readonly maxEntries: number;
   private deathsToQuarantine: number;
   private readonly entries = new Map<Fingerprint, TimestampedEntry>();
+  private lastRevision = 0;
 
   private constructor(options: QuarantineOptions) {
     this.clock = options.clock;
@@ -68,6 +100,11 @@
     return new Quarantine(options);
   }
 
+  /** Number of changes so far. */
+  get revision(): number {
+    return this.lastRevision;
+  }
+
   /** Whether there are no entries, cleared ones included. */
   get isEmpty(): boolean {
     return this.entries.size === 0;
@@ -83,24 +120,42 @@
   }
 
   /**
-   * Records the death of a target, once for each request that it ran.
+   * Records the death of a target, once for each request that it ran. Returns
+   * the requests for which the death is new.
    * @param target - Target that died.
    * @param fingerprints - Requests that were running on it.
+   * @param details - Instance of the target and start of the run.
    */
-  recordDeath(target: TargetId, fingerprints: readonly Fingerprint[]): void {
-    const death = {target, atMs: this.clock.wallTimeMs()};
-    for (const fingerprint of new Set(fingerprints)) {
-      const {version, deaths} = this.getEntryOrEmpty(fingerprint);
-      this.putEntry({fingerprint, version, deaths: [...deaths, death]});
-    }
+  recordDeath(
+    target: TargetId,
+    fingerprints: readonly Fingerprint[],
+    details: DeathDetails = {},
+  ): Fingerprint[] {
+    const {startedAtMs = 0} = details;
+    const detectedAtMs = this.clock.nowMs();
+    const atMs = this.clock.wallTimeMs();
+    return [...new Set(fingerprints)].filter((fingerprint) => {
+      const entry = this.getEntryOrEmpty(fingerprint);
+      const ordinal = this.findNextOrdinal(entry, target, details);
+      if (ordinal === undefined) return false;
+      const isCleared = false;
+      const death = {target, startedAtMs, ordinal, atMs, isCleared};
+      const deaths = mergeDeaths(entry.deaths, [death]);
+      this.putEntry(this.markQuarantined({...entry, deaths}), detectedAtMs);
+      return true;
+    });
   }
 
   /**
-   * Records that a request completed; clears its suspicion, not a quarantine.
+   * Records that a request completed, which clears the deaths that this daemon
+   * knows of unless the request is quarantined.
    * @param fingerprint - Request that completed.
    */
   recordSurvival(fingerprint: Fingerprint): void {
-    if (this.isSuspect(fingerprint)) this.clearDeaths(fingerprint);
+    if (!this.isSuspect(fingerprint)) return;
+    const entry = this.getEntryOrEmpty(fingerprint);
+    const deaths = entry.deaths.map((death) => ({...death, isCleared: true}));
+    this.putEntry({...entry, deaths});
   }
 
   /**
@@ -108,7 +163,11 @@
    * @param fingerprint - Request to lift; an unknown one is ignored.
    */
   lift(fingerprint: Fingerprint): void {
-    if (this.entries.has(fingerprint)) this.clearDeaths(fingerprint);
+    const entry = this.getEntry(fingerprint);
+    if (entry === undefined) return;
+    // Keeps the entry, so that other daemons lift theirs as well.
+    const version = entry.version + 1;
+    this.putEntry({fingerprint, version, deaths: [], quarantinedDeaths: 0});
   }
 
   /**
@@ -116,7 +175,10 @@
    * @param fingerprint - Request to check.
    */
   isQuarantined(fingerprint: Fingerprint): boolean {
-    return this.countDeaths(fingerprint) >= this.deathsToQuarantine;
+    const quarantinedDeaths =
+      this.getEntry(fingerprint)?.quarantinedDeaths ?? 0;
+    const deaths = Math.max(quarantinedDeaths, this.countDeaths(fingerprint));
+    return deaths >= this.deathsToQuarantine;
   }
 
   /**
@@ -124,8 +186,17 @@
    * @param fingerprint - Request to check.
    */
   isSuspect(fingerprint: Fingerprint): boolean {
-    const deaths = this.countDeaths(fingerprint);
-    return deaths > 0 && deaths < this.deathsToQuarantine;
+    const hasDeaths = this.countDeaths(fingerprint) > 0;
+    return hasDeaths && !this.isQuarantined(fingerprint);
+  }
+
+  /**
+   * Counts the deaths of targets that ran a request, without cleared ones.
+   * @param fingerprint - Request to look up.
+   */
+  countDeaths(fingerprint: Fingerprint): number {
+    const deaths = this.getEntry(fingerprint)?.deaths ?? [];
+    return deaths.filter(({isCleared}) => !isCleared).length;
   }
 
   /** Gets the suspect requests, which must run alone. */
@@ -165,10 +236,15 @@
     return Math.max(0, ...deaths.map(({atMs}) => atMs));
   }
 
-  /** Gets the entries to announce: quarantined or recently changed ones. */
-  getEntries(): readonly QuarantineEntry[] {
+  /**
+   * Gets the entries to announce: quarantined or recently changed ones.
+   * @param sinceRevision - Omits entries that have not changed since.
+   */
+  getEntries(sinceRevision = 0): readonly QuarantineEntry[] {
+    if (this.lastRevision <= sinceRevision) return [];
     const oldestMs = this.clock.nowMs() - announcementMs;
     return [...this.entries.values()]
+      .filter(({revision}) => revision > sinceRevision)
       .filter(
         ({entry, changedAtMs}) =>
           changedAtMs >= oldestMs || this.isQuarantined(entry.fingerprint),
@@ -182,51 +258,80 @@
    * @param entries - Entries that the other daemon announced.
    */
   mergeEntries(entries: readonly QuarantineEntry[]): QuarantineEntry[] {
-    return entries.flatMap((entry) => {
-      const own = this.getEntry(entry.fingerprint);
-      if (own === undefined || entry.version > own.version) {
-        this.putEntry(entry);
-      } else if (entry.version === own.version) {
-        this.mergeEntryDeaths(own, entry.deaths);
-      }
-      const merged = this.getEntry(entry.fingerprint);
-      return merged === undefined || merged === own ? [] : [merged];
+    return entries.flatMap((received) => {
+      const own = this.getEntry(received.fingerprint);
+      const merged = mergeEntry(own, received);
+      if (merged === own) return [];
+      this.putEntry(merged);
+      return [merged];
     });
   }
 
-  /** Merges deaths; an entry that already has them all counts as unchanged. */
-  private mergeEntryDeaths(
-    own: QuarantineEntry,
-    others: readonly DeathRecord[],
-  ): void {
-    const deaths = mergeDeaths(own.deaths, others);
-    if (deaths.length > own.deaths.length) this.putEntry({...own, deaths});
+  /**
+   * Gets the ordinal of a new death; `undefined` if a recorded death explains
+   * the broken run as well.
+   */
+  private findNextOrdinal(
+    {fingerprint, deaths}: QuarantineEntry,
+    target: TargetId,
+    {startedAtMs = 0, runStartedAtMs}: DeathDetails,
+  ): number | undefined {
+    const known = this.entries.get(fingerprint);
+    // One fault of this daemon or its network may break all of its runs.
+    const detectedAtMs = known?.detectedAtMs ?? Number.NEGATIVE_INFINITY;
+    if (runStartedAtMs !== undefined && runStartedAtMs < detectedAtMs) {
+      return undefined;
+    }
+    const last = deaths
+      .filter((death) => isOfInstance(death, target, startedAtMs))
+      .reduce((ordinal, death) => Math.max(ordinal, death.ordinal), 0);
+    if (last === 0) return 1;
+    const key = getDeathKey({target, startedAtMs, ordinal: last});
+    const learnedAtMs = known?.learnedAtMs.get(key) ?? 0;
+    const isSameDeath =
+      runStartedAtMs === undefined
+        ? this.clock.nowMs() - learnedAtMs < duplicateDeathWindowMs
+        : runStartedAtMs < learnedAtMs;
+    return isSameDeath ? undefined : last + 1;
   }
 
-  private countDeaths(fingerprint: Fingerprint): number {
-    const entry = this.getEntry(fingerprint);
-    return entry === undefined ? 0 : countDistinctDeaths(entry.deaths);
+  private markQuarantined(entry: QuarantineEntry): QuarantineEntry {
+    const {length} = entry.deaths.filter(({isCleared}) => !isCleared);
+    if (length < this.deathsToQuarantine) return entry;
+    const quarantinedDeaths = Math.max(length, entry.quarantinedDeaths);
+    return {...entry, quarantinedDeaths};
   }
 
   private getEntryOrEmpty(fingerprint: Fingerprint): QuarantineEntry {
     const entry = this.getEntry(fingerprint);
-    return entry ?? {fingerprint, version: 0, deaths: []};
+    return entry ?? {fingerprint, version: 0, deaths: [], quarantinedDeaths: 0};
   }
 
-  /**
-   * Removes the deaths but keeps the entry with a higher version, so that other
-   * daemons clear theirs as well.
-   */
-  private clearDeaths(fingerprint: Fingerprint): void {
-    const {version} = this.getEntryOrEmpty(fingerprint);
-    this.putEntry({fingerprint, version: version + 1, deaths: []});
-  }
-
-  private putEntry(entry: QuarantineEntry): void {
-    // Reinserts the entry, so that the map is ordered by time of change.
-    this.entries.delete(entry.fingerprint);
+  private putEntry(
+    changed: QuarantineEntry,
+    detectedAtMs = Number.NEGATIVE_INFINITY,
+  ): void {
+    const {fingerprint, deaths} = changed;
+    const known = this.entries.get(fingerprint);
     const changedAtMs = this.clock.nowMs();
-    this.entries.set(entry.fingerprint, {entry, changedAtMs});
+    this.lastRevision += 1;
+    // Reinserts the entry, so that the map is ordered by time of change.
+    this.entries.delete(fingerprint);
+    this.entries.set(fingerprint, {
+      entry: changed,
+      changedAtMs,
+      revision: this.lastRevision,
+      learnedAtMs: new Map(
+        deaths.map((death) => {
+          const key = getDeathKey(death);
+          return [key, known?.learnedAtMs.get(key) ?? changedAtMs];
+        }),
+      ),
+      detectedAtMs: Math.max(
+        detectedAtMs,
+        known?.detectedAtMs ?? Number.NEGATIVE_INFINITY,
+      ),
+    });
     this.removeExpiredSuspicions();
     if (this.entries.size > this.maxEntries) this.evictOldest();
   }
@@ -246,6 +351,27 @@
   }
 }
 
+/** Merges an entry into the own one, which is returned if nothing changes. */
+function mergeEntry(
+  own: QuarantineEntry | undefined,
+  received: QuarantineEntry,
+): QuarantineEntry {
+  if (own === undefined || received.version > own.version) {
+    return {...received, deaths: mergeDeaths(received.deaths, [])};
+  }
+  if (received.version < own.version) return own;
+  const deaths = mergeDeaths(own.deaths, received.deaths);
+  const quarantinedDeaths = Math.max(
+    own.quarantinedDeaths,
+    received.quarantinedDeaths,
+  );
+  const isChanged =
+    quarantinedDeaths > own.quarantinedDeaths ||
+    deaths.length > own.deaths.length ||
+    deaths.some((death, index) => !isSameRecord(death, own.deaths[index]));
+  return isChanged ? {...own, deaths, quarantinedDeaths} : own;
+}
+
 /** Merges two sets of deaths; commutative and idempotent. */
 function mergeDeaths(
   left: readonly DeathRecord[],
@@ -253,26 +379,36 @@
 ): DeathRecord[] {
   const deaths = new Map<string, DeathRecord>();
   for (const death of [...left, ...right]) {
-    deaths.set(`${death.target} ${death.atMs}`, death);
+    const key = getDeathKey(death);
+    const known = deaths.get(key) ?? death;
+    const atMs = Math.min(known.atMs, death.atMs);
+    const isCleared = known.isCleared || death.isCleared;
+    deaths.set(key, {...death, atMs, isCleared});
   }
-  return [...deaths.values()].sort(compareDeaths);
+  return [...deaths]
+    .sort(([leftKey], [rightKey]) => (leftKey < rightKey ? -1 : 1))
+    .map(([, death]) => death);
 }
 
-/** Counts deaths; records of one target close in time count as one. */
-function countDistinctDeaths(deaths: readonly DeathRecord[]): number {
-  const lastMs = new Map<TargetId, number>();
-  let count = 0;
-  for (const {target, atMs} of [...deaths].sort(compareDeaths)) {
-    const previousMs = lastMs.get(target);
-    lastMs.set(target, atMs);
-    const isSameDeath =
-      previousMs !== undefined && atMs - previousMs <= duplicateDeathWindowMs;
-    if (!isSameDeath) count += 1;
-  }
-  return count;
+function getDeathKey({
+  target,
+  startedAtMs,
+  ordinal,
+}: Pick<DeathRecord, 'target' | 'startedAtMs' | 'ordinal'>): string {
+  return `${target} ${startedAtMs} ${ordinal}`;
+}
+
+function isOfInstance(
+  death: DeathRecord,
+  target: TargetId,
+  startedAtMs: number,
+): boolean {
+  return death.target === target && death.startedAtMs === startedAtMs;
 }
 
-function compareDeaths(left: DeathRecord, right: DeathRecord): number {
-  if (left.target !== right.target) return left.target < right.target ? -1 : 1;
-  return left.atMs - right.atMs;
+function isSameRecord(
+  death: DeathRecord,
+  known: DeathRecord | undefined,
+): boolean {
+  return death.atMs === known?.atMs && death.isCleared === known.isCleared;
 }
--- a/packages/targets/tests/quarantine/quarantine_steps.ts
+++ b/packages/targets/tests/quarantine/quarantine_steps.ts
@@ -184,10 +184,14 @@
     const entry = fc.record({
       fingerprint: fc.nat({max: 2}).map(toFingerprint),
       version: fc.nat({max: 2}),
+      quarantinedDeaths: fc.nat({max: 2}),
       deaths: fc.array(
         fc.record({
           target: fc.constantFrom('a', 'b').map((id) => toId<TargetId>(id)),
+          startedAtMs: fc.nat({max: 1}),
+          ordinal: fc.integer({min: 1, max: 2}),
           atMs: fc.nat({max: 30_000}),
+          isCleared: fc.boolean(),
         }),
         {maxLength: 3},
       ),
@@ -257,7 +261,7 @@
   const entries = quarantine.getEntries().map(({deaths, ...entry}) => ({
     ...entry,
     deaths: [
-      ...new Set(deaths.map((one) => `${one.target} ${one.atMs}`)),
+      ...new Set(deaths.map((one) => JSON.stringify(Object.entries(one)))),
     ].sort(),
     isQuarantined: quarantine.isQuarantined(entry.fingerprint),
   }));
