Keep crash records over restarts of entry VMs

Callers: a request that had crashed three targets was sent again by each entry VM that had restarted, three times by each.

Cause: an entry VM skipped its own object when it read the crash records, and its next write replaced that object by what the new process had seen. Others held the records in memory only, so after a restart in turn nobody knew them. A stop dropped the write that waited for its batch of 300 ms.

An entry VM now merges its own object like the others', reads it before its first write, and flushes the waiting write when it stops.

--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -29,6 +29,8 @@
 /** Part of the grace period that is reserved for the exit of the process. */
 const exitMarginMs = 800;
 const drainPollMs = 50;
+/** Longest wait for the last write of crash records; within `exitMarginMs`. */
+const flushTimeoutMs = 400;
 /** Share of the VM's memory that the cache of recent turns may use. */
 const cacheShare = 0.15;
 const bytesPerMb = 2 ** 20;
@@ -128,6 +130,10 @@
       this.server.closeIdle();
       await this.clock.sleep(drainPollMs);
     }
+    await Promise.race([
+      this.quarantineReplicator.flush(),
+      this.clock.sleep(flushTimeoutMs),
+    ]);
     const drainMs = Math.round(this.clock.nowMs() - startMs);
     logger.log('node_stopped', {drainMs, cutOff: this.server.inFlight});
     this.server.close();
--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -63,6 +63,8 @@
 /** Writes the entries of this entry VM and merges those of the others. */
 export class QuarantineReplicator implements ObjectSink {
   private timer: Timer | undefined;
+  /** Whether the object that an earlier process of this daemon wrote is merged. */
+  private hasReadOwnObject = false;
   /** When the oldest change was made that has not been written. */
   private changedAtMs: number | undefined;
   private isStopped = false;
@@ -83,6 +85,14 @@
     this.schedule(batchDelayMs);
   }
 
+  /** Writes changes that are still waiting for their batch. */
+  async flush(): Promise<void> {
+    if (this.timer === undefined) return;
+    this.timer.cancel();
+    this.timer = undefined;
+    await this.writeEntries();
+  }
+
   /** Cancels the scheduled write and ignores later ones. */
   stop(): void {
     this.isStopped = true;
@@ -91,6 +101,7 @@
 
   replaceObjects(objects: readonly StoredObject[]): void {
     for (const object of objects) this.mergeObject(object);
+    this.hasReadOwnObject = true;
   }
 
   applyChange({object}: ObjectChange): void {
@@ -98,8 +109,7 @@
   }
 
   private mergeObject({key, value}: StoredObject): void {
-    const {clock, daemon, quarantine} = this.options;
-    if (key === `${crashPrefix}${daemon}`) return;
+    const {clock, quarantine} = this.options;
     const oldestMs = clock.wallTimeMs() - maxEntryAgeMs;
     const entries = parseEntries(value).filter(({deaths}) =>
       deaths.every(({atMs}) => atMs >= oldestMs),
@@ -130,12 +140,20 @@
     });
   }
 
+  private async readOwnObject(key: string): Promise<void> {
+    if (this.hasReadOwnObject) return;
+    const object = await this.options.store.getObject(key);
+    if (object !== undefined) this.mergeObject(object);
+    this.hasReadOwnObject = true;
+  }
+
   private async writeEntries(): Promise<void> {
     const {clock, daemon, store, quarantine, onFailed} = this.options;
     const key = `${crashPrefix}${daemon}`;
     const changedAtMs = this.changedAtMs ?? clock.nowMs();
     this.changedAtMs = undefined;
     try {
+      await this.readOwnObject(key);
       const entries = quarantine.getEntries();
       await putOwnObject(store, key, JSON.stringify(entries));
       this.options.logger.log('crash_records_sent', {
