Exchange crash records through the archives as well as the object API

Callers: while the object API was silent for an entry VM, a request that had crashed three targets elsewhere was sent on, three times by each VM, and by each one that started meanwhile.

Cause: one route.

Entry VMs now send their records to every reachable archive at once and ask the nearest one twice a second for those of others; archives keep them in memory. Records merge as a set, so both routes and any order give the same state. The object API stays the route that outlives a loss of power. An entry VM is ready once it has read the list or asked an archive. A failed exchange does not mark an archive unreachable, as one of an earlier build rejects it.

Before: 'A crashing request is rejected elsewhere while the store does not respond' and '... by an entry VM that starts while the store does not respond' failed with 502 in place of 422.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Clock,
+  type Fingerprint,
   MarigoldpostError,
   type TargetId,
 } from '@marigoldpost/common';
@@ -20,8 +21,8 @@
   readonly clock: Clock;
   readonly quarantine: Quarantine;
   readonly metrics: Metrics;
-  /** Called when this daemon adds or clears a suspected request. */
-  readonly onChanged: () => void;
+  /** Called when this daemon records a crash or clears a suspected request. */
+  readonly onChanged: (fingerprint: Fingerprint) => void;
 }
 
 /**
@@ -104,7 +105,7 @@
     if (quarantine.isQuarantined(fingerprint)) {
       logger.log('request_quarantined', {fingerprint, deaths});
     }
-    onChanged();
+    onChanged(fingerprint);
   }
 
   /**
@@ -127,6 +128,6 @@
     quarantine.recordSurvival(fingerprint);
     metrics.addToCounter('crash_records_total', {event: 'cleared'});
     request.call.logger.log('suspicion_cleared', {fingerprint, target, status});
-    onChanged();
+    onChanged(fingerprint);
   }
 }
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -9,9 +9,12 @@
   DiskLogFolder,
   registerArchive,
 } from '@marigoldpost/turns';
+import {Quarantine} from '@marigoldpost/targets';
 import type {NodeOptions} from '../node_options.js';
+import {deathsToQuarantine} from '../quarantine_settings.js';
 import {promptWaitMs, relaxedTiming, SiteNode} from '../site_node.js';
 import {getKindPrefix, combineSinks} from '../utils/object_sink.js';
+import {QuarantineRelay} from './quarantine_relay.js';
 import {RetirementTask} from './retirement_task.js';
 import {SiteMirror} from './site_mirror.js';
 
@@ -40,11 +43,15 @@
     const repairer = this.createRepairer(archive);
     const service = ArchiveService.create(archive, () => repairer.isComplete);
     const mirror = SiteMirror.create();
-    await this.transport.start((_sender, request) =>
-      request.case === 'fetchSite'
-        ? Promise.resolve(mirror.createReply())
-        : service.answer(request),
-    );
+    const relay = this.createQuarantineRelay();
+    await this.transport.start((_sender, request) => {
+      if (request.case === 'fetchSite') {
+        return Promise.resolve(mirror.createReply());
+      }
+      return request.case === 'exchangeQuarantines'
+        ? Promise.resolve(relay.answer(request.value))
+        : service.answer(request);
+    });
     const retirement = this.createRetirement(repairer);
     const {retirementPrefix} = this.options.platform.keys;
     this.watchSite(mirror);
@@ -78,6 +85,12 @@
     }
   }
 
+  private createQuarantineRelay(): QuarantineRelay {
+    const {clock, random} = this.options;
+    const quarantine = Quarantine.create({clock, deathsToQuarantine});
+    return QuarantineRelay.create(quarantine, String(random.next()));
+  }
+
   private async openArchive(): Promise<Archive> {
     const startMs = this.clock.nowMs();
     const {settings, clock, random, logger} = this.options;
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -8,24 +8,22 @@
   TargetAgents,
 } from '@marigoldpost/gateway';
 import type {SiteConfig} from '@marigoldpost/sites';
-import {archivePrefix, TurnStore} from '@marigoldpost/turns';
+import {type ArchivePool, archivePrefix, TurnStore} from '@marigoldpost/turns';
 import {Quarantine} from '@marigoldpost/targets';
 import type {NodeOptions} from '../node_options.js';
+import {deathsToQuarantine} from '../quarantine_settings.js';
 import {promptWaitMs, relaxedTiming, SiteNode} from '../site_node.js';
 import {TargetDirectory} from '../targets/target_directory.js';
 import {getKindPrefix} from '../utils/object_sink.js';
 import {SiteConfigUpdater} from './site_config_updater.js';
+import {QuarantineExchange} from './quarantine_exchange.js';
+import {QuarantineReceiver} from './quarantine_receiver.js';
 import {QuarantineReplicator, crashPrefix} from './quarantine_replicator.js';
 import {SeedReader} from './seed_reader.js';
 
 /** Configuration and target changes must take effect within 2 s. */
 const configTiming = {pauseMs: 100, waitMs: promptWaitMs};
 const targetTiming = {pauseMs: 400, waitMs: promptWaitMs};
-/**
- * Target crashes after which a request is quarantined; callers may see at most
- * that many.
- */
-const deathsToQuarantine = 3;
 /** Part of the grace period that is reserved for the exit of the process. */
 const exitMarginMs = 800;
 const drainPollMs = 50;
@@ -44,7 +42,10 @@
   private readonly targetDirectory: TargetDirectory;
   private readonly turns: TurnStore;
   private readonly quarantine: Quarantine;
+  private readonly archivePool: ArchivePool;
+  private readonly quarantineReceiver: QuarantineReceiver;
   private readonly quarantineReplicator: QuarantineReplicator;
+  private readonly quarantineExchange: QuarantineExchange;
   private readonly server: GatewayServer;
   private readonly readyPage: PageServer;
   private isDraining = false;
@@ -54,10 +55,18 @@
     super(options);
     this.site = this.createSite();
     this.targetDirectory = this.createTargetDirectory();
+    this.archivePool = this.createArchivePool();
     this.turns = this.createTurnStore();
     const {clock, random, logger, metrics, platform, settings} = options;
     this.quarantine = Quarantine.create({clock, deathsToQuarantine});
+    this.quarantineReceiver = QuarantineReceiver.create({
+      clock,
+      quarantine: this.quarantine,
+      logger,
+      metrics,
+    });
     this.quarantineReplicator = this.createQuarantineReplicator();
+    this.quarantineExchange = this.createQuarantineExchange();
     const {site, agents, turns, quarantine} = this;
     const handler = CallHandler.create({
       clock,
@@ -71,7 +80,10 @@
         clock,
         quarantine,
         metrics,
-        onChanged: () => this.quarantineReplicator.publish(),
+        onChanged: (fingerprint) => {
+          this.quarantineReplicator.publish();
+          this.quarantineExchange.publish(fingerprint);
+        },
       }),
       logger,
       metrics,
@@ -109,6 +121,9 @@
     this.watch(crashPrefix, relaxedTiming, this.quarantineReplicator);
     const reader = this.createSeedReader(configPrefix, configUpdater);
     this.tasks.run('seeds', (signal) => reader.run(signal));
+    this.tasks.run('crash records', (signal) =>
+      this.quarantineExchange.run(signal),
+    );
     await this.listen();
     await this.startSharedServices('entry', startMs);
   }
@@ -172,7 +187,7 @@
   private createTurnStore(): TurnStore {
     const {clock, settings} = this.options;
     return TurnStore.create({
-      pool: this.createArchivePool(),
+      pool: this.archivePool,
       clock,
       ownDataCentre: settings.dataCentre,
       replicaCount: settings.toleratedDisks + 1,
@@ -213,15 +228,27 @@
   }
 
   private createQuarantineReplicator(): QuarantineReplicator {
-    const {clock, platform, settings, logger, metrics} = this.options;
+    const {clock, platform, settings, logger} = this.options;
     return QuarantineReplicator.create({
       daemon: settings.daemon,
       store: platform.store,
       clock,
       quarantine: this.quarantine,
+      receiver: this.quarantineReceiver,
+      logger,
+      onFailed: (error) => this.tasks.logFailure('crash records', error),
+    });
+  }
+
+  private createQuarantineExchange(): QuarantineExchange {
+    const {clock, settings, logger} = this.options;
+    return QuarantineExchange.create({
+      pool: this.archivePool,
+      dataCentre: settings.dataCentre,
+      clock,
+      quarantine: this.quarantine,
+      receiver: this.quarantineReceiver,
       logger,
-      metrics,
-      onFailed: (error) => this.tasks.logFailure('crash news', error),
     });
   }
 
@@ -255,6 +282,9 @@
     const config = this.site.currentConfig;
     if (config === undefined) return 'no configuration';
     if (!this.targetDirectory.isLoaded) return 'no list of targets';
+    const hasCrashRecords =
+      this.quarantineReplicator.isLoaded || this.quarantineExchange.isLoaded;
+    if (!hasCrashRecords) return 'no crash records';
     const keepsTurns = config.routes.some(
       ({retentionMs}) => retentionMs !== undefined,
     );
--- /dev/null
+++ b/packages/nodes/src/entry/quarantine_exchange.ts
@@ -0,0 +1,175 @@
+/**
+ * Exchanges crash records with the archives, which relay them to the other
+ * entry VMs while the object API is slow, down or unreachable for some of them.
+ */
+import {create} from '@bufbuild/protobuf';
+import {
+  type Clock,
+  type DataCentreId,
+  Deferred,
+  type Fingerprint,
+} from '@marigoldpost/common';
+import {
+  ExchangeQuarantinesSchema,
+  fromQuarantineMessage,
+  toQuarantineMessage,
+} from '@marigoldpost/peers';
+import type {Quarantine} from '@marigoldpost/targets';
+import type {EventLogger} from '@marigoldpost/telemetry';
+import type {ArchiveClient, ArchivePool} from '@marigoldpost/turns';
+import type {QuarantineReceiver} from './quarantine_receiver.js';
+
+/** Pause between two requests for the records of other entry VMs. */
+const pollMs = 500;
+/** Pause before the first request, until an archive is known. */
+const initialPollMs = 50;
+/** One crash fails many requests at a time; they are sent as one batch. */
+const batchDelayMs = 30;
+
+/** Archives, quarantine and clock of an exchange. */
+export interface QuarantineExchangeOptions {
+  readonly pool: ArchivePool;
+  readonly dataCentre: DataCentreId;
+  readonly clock: Clock;
+  readonly quarantine: Quarantine;
+  readonly receiver: QuarantineReceiver;
+  readonly logger: EventLogger;
+}
+
+/** What this entry VM and one archive have told each other. */
+interface ExchangeState {
+  /** Last change of this entry VM that the archive has. */
+  sentChange: number;
+  /** Process of the archive, and its revision that this entry VM has. */
+  process: string;
+  revision: bigint;
+}
+
+/** Sends own records to every archive and asks one for those of others. */
+export class QuarantineExchange {
+  /** Number of the last own change of each request. */
+  private readonly changes = new Map<Fingerprint, number>();
+  private lastChange = 0;
+  private readonly states = new WeakMap<ArchiveClient, ExchangeState>();
+  private hasAskedArchive = false;
+  private wake = Deferred.create<void>();
+
+  private constructor(private readonly options: QuarantineExchangeOptions) {}
+
+  /**
+   * Creates an exchange; `run` starts it.
+   * @param options - Archives, quarantine and clock.
+   */
+  static create(options: QuarantineExchangeOptions): QuarantineExchange {
+    return new QuarantineExchange(options);
+  }
+
+  /** Whether a reachable archive has been asked for its records. */
+  get isLoaded(): boolean {
+    return this.hasAskedArchive;
+  }
+
+  /**
+   * Sends the entry of a request to the archives soon.
+   * @param fingerprint - Request whose entry this entry VM has changed.
+   */
+  publish(fingerprint: Fingerprint): void {
+    this.lastChange += 1;
+    this.changes.set(fingerprint, this.lastChange);
+    this.wake.resolve();
+  }
+
+  /**
+   * Exchanges records until aborted.
+   * @param signal - Stops the exchange.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock, pool} = this.options;
+    while (!signal.aborted) {
+      this.removeExpiredChanges();
+      await this.exchangeWithArchives(pool.getClients());
+      const pauseMs = this.hasAskedArchive ? pollMs : initialPollMs;
+      await Promise.race([clock.sleep(pauseMs, signal), this.wake.promise]);
+      this.wake = Deferred.create<void>();
+      await clock.sleep(batchDelayMs, signal);
+    }
+  }
+
+  private async exchangeWithArchives(
+    clients: readonly ArchiveClient[],
+  ): Promise<void> {
+    const {dataCentre} = this.options;
+    const reachable = clients.filter(({isReachable}) => isReachable);
+    const [nearest, ...others] = [
+      ...reachable.filter((client) => client.dataCentre === dataCentre),
+      ...reachable.filter((client) => client.dataCentre !== dataCentre),
+    ];
+    if (nearest === undefined) return;
+    const hasReplied = await Promise.all([
+      this.exchange(nearest),
+      ...others
+        .filter((client) => this.hasUnsent(client))
+        .map((client) => this.exchange(client)),
+    ]);
+    if (!hasReplied.includes(true)) {
+      for (const client of others) {
+        if (await this.exchange(client)) break;
+      }
+    }
+    this.hasAskedArchive = true;
+  }
+
+  private hasUnsent(client: ArchiveClient): boolean {
+    return this.getState(client).sentChange < this.lastChange;
+  }
+
+  /** Exchanges records with an archive; false if it does not reply. */
+  private async exchange(client: ArchiveClient): Promise<boolean> {
+    const {quarantine, receiver, logger, clock} = this.options;
+    const state = this.getState(client);
+    const {lastChange} = this;
+    const entries = quarantine
+      .getEntries()
+      .filter(
+        ({fingerprint}) =>
+          (this.changes.get(fingerprint) ?? 0) > state.sentChange,
+      );
+    const startMs = clock.nowMs();
+    const request = create(ExchangeQuarantinesSchema, {
+      quarantines: entries.map(toQuarantineMessage),
+      process: state.process,
+      sinceRevision: state.revision,
+    });
+    const reply = await client.exchangeQuarantines(request);
+    if (reply === undefined) return false;
+    state.sentChange = lastChange;
+    state.process = reply.process;
+    state.revision = reply.revision;
+    const {daemon} = client.member;
+    receiver.receive(daemon, reply.quarantines.map(fromQuarantineMessage));
+    if (entries.length === 0) return true;
+    logger.log('crash_records_sent', {
+      destination: daemon,
+      requests: entries.length,
+      delayMs: Math.round(clock.nowMs() - startMs),
+    });
+    return true;
+  }
+
+  private getState(client: ArchiveClient): ExchangeState {
+    const existing = this.states.get(client);
+    if (existing !== undefined) return existing;
+    const added = {sentChange: 0, process: '', revision: 0n};
+    this.states.set(client, added);
+    return added;
+  }
+
+  private removeExpiredChanges(): void {
+    if (this.changes.size === 0) return;
+    const entries = this.options.quarantine.getEntries();
+    const announced = new Set(entries.map(({fingerprint}) => fingerprint));
+    for (const fingerprint of this.changes.keys()) {
+      if (!announced.has(fingerprint)) this.changes.delete(fingerprint);
+    }
+  }
+}
--- /dev/null
+++ b/packages/nodes/src/entry/quarantine_receiver.ts
@@ -0,0 +1,44 @@
+/** Merges the crash records that this entry VM receives, and logs them. */
+import type {Clock} from '@marigoldpost/common';
+import type {Quarantine, QuarantineEntry} from '@marigoldpost/targets';
+import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+
+/** Quarantine that receives records, and its telemetry. */
+export interface QuarantineReceiverOptions {
+  readonly clock: Clock;
+  readonly quarantine: Quarantine;
+  readonly logger: EventLogger;
+  readonly metrics: Metrics;
+}
+
+/** Merges received entries into the quarantine of this entry VM. */
+export class QuarantineReceiver {
+  private constructor(private readonly options: QuarantineReceiverOptions) {}
+
+  /**
+   * Creates a receiver.
+   * @param options - Quarantine and telemetry.
+   */
+  static create(options: QuarantineReceiverOptions): QuarantineReceiver {
+    return new QuarantineReceiver(options);
+  }
+
+  /**
+   * Merges entries of other daemons.
+   * @param source - Object or daemon that they come from, for the log.
+   * @param entries - Received entries.
+   */
+  receive(source: string, entries: readonly QuarantineEntry[]): void {
+    const {clock, quarantine, logger, metrics} = this.options;
+    for (const {fingerprint, deaths} of quarantine.mergeEntries(entries)) {
+      metrics.addToCounter('crash_records_total', {event: 'merged'});
+      logger.log('crash_records_merged', {
+        source,
+        fingerprint,
+        deaths: deaths.length,
+        ageMs: clock.wallTimeMs() - quarantine.getLastDeathMs(fingerprint),
+        isQuarantined: quarantine.isQuarantined(fingerprint),
+      });
+    }
+  }
+}
--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -17,9 +17,10 @@
   type StoredObject,
 } from '@marigoldpost/platform';
 import type {Quarantine, QuarantineEntry} from '@marigoldpost/targets';
-import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import type {EventLogger} from '@marigoldpost/telemetry';
 import * as z from 'zod';
 import type {ObjectSink} from '../utils/object_sink.js';
+import type {QuarantineReceiver} from './quarantine_receiver.js';
 
 /** Key prefix of the objects, one per entry VM. */
 export const crashPrefix = 'crashes/';
@@ -55,16 +56,17 @@
   readonly store: ObjectStore;
   readonly clock: Clock;
   readonly quarantine: Quarantine;
+  readonly receiver: QuarantineReceiver;
   readonly logger: EventLogger;
-  readonly metrics: Metrics;
   readonly onFailed: (error: unknown) => void;
 }
 
 /** Writes the entries of this entry VM and merges those of the others. */
 export class QuarantineReplicator implements ObjectSink {
   private timer: Timer | undefined;
-  /** Whether the object that an earlier process of this daemon wrote is merged. */
+  /** Whether the object of an earlier process of this daemon is merged. */
   private hasReadOwnObject = false;
+  private hasLoaded = false;
   /** When the oldest change was made that has not been written. */
   private changedAtMs: number | undefined;
   private isStopped = false;
@@ -79,6 +81,11 @@
     return new QuarantineReplicator(options);
   }
 
+  /** Whether the records of all entry VMs have been read. */
+  get isLoaded(): boolean {
+    return this.hasLoaded;
+  }
+
   /** Schedules a write of all entries of this entry VM. */
   publish(): void {
     this.changedAtMs ??= this.options.clock.nowMs();
@@ -102,6 +109,7 @@
   replaceObjects(objects: readonly StoredObject[]): void {
     for (const object of objects) this.mergeObject(object);
     this.hasReadOwnObject = true;
+    this.hasLoaded = true;
   }
 
   applyChange({object}: ObjectChange): void {
@@ -109,27 +117,12 @@
   }
 
   private mergeObject({key, value}: StoredObject): void {
-    const {clock, quarantine} = this.options;
+    const {clock} = this.options;
     const oldestMs = clock.wallTimeMs() - maxEntryAgeMs;
     const entries = parseEntries(value).filter(({deaths}) =>
       deaths.every(({atMs}) => atMs >= oldestMs),
     );
-    for (const entry of quarantine.mergeEntries(entries)) {
-      this.logMerged(key, entry);
-    }
-  }
-
-  private logMerged(source: string, entry: QuarantineEntry): void {
-    const {clock, quarantine, logger, metrics} = this.options;
-    const {fingerprint, deaths} = entry;
-    metrics.addToCounter('crash_records_total', {event: 'merged'});
-    logger.log('crash_records_merged', {
-      source,
-      fingerprint,
-      deaths: deaths.length,
-      ageMs: clock.wallTimeMs() - quarantine.getLastDeathMs(fingerprint),
-      isQuarantined: quarantine.isQuarantined(fingerprint),
-    });
+    this.options.receiver.receive(key, entries);
   }
 
   private schedule(delayMs: number): void {
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -9,12 +9,14 @@
 } from '@marigoldpost/common';
 import {
   ArchiveProbeSchema,
+  type ExchangeQuarantines,
   FetchChainSchema,
   FetchLedgerSchema,
   FindTurnsSchema,
   type PeerReplyBody,
   type PeerRequestBody,
   type PeerRequester,
+  type QuarantineChanges,
   ReserveTokensSchema,
   SettleTokensSchema,
   StoreTurnsSchema,
@@ -188,6 +190,29 @@
     };
   }
 
+  /**
+   * Exchanges quarantine entries; `undefined` if the archive does not reply.
+   * Does not mark the archive unreachable, since one of an earlier version
+   * rejects the request.
+   * @param value - Entries to send and the revision that the sender has.
+   */
+  async exchangeQuarantines(
+    value: ExchangeQuarantines,
+  ): Promise<QuarantineChanges | undefined> {
+    const {daemon, address} = this.member;
+    const request = {case: 'exchangeQuarantines', value} as const;
+    try {
+      const reply = await this.options.transport.ask(
+        {daemon, address},
+        request,
+        replyTimeoutMs,
+      );
+      return reply.case === 'quarantineChanges' ? reply.value : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
   /** Probes the archive until it replies, for at least `minUnreachableMs`. */
   private async probeUntilReachable(sinceMs: number): Promise<void> {
     const {clock, transport, signal} = this.options;
