Count a target that goes silent under a request as crashed once it is lost

Callers: a request under which targets went silent for good was sent to one target after the other.

Cause: only a connection that the target closed counted. A target that loses power closes none: the run ends by a time-out, a stall or the client's departure, and was forgotten. The other way round, the body of a plain response that the client's own departure cut counted as a crash.

A draining target counts for nothing.

Before: 'A target that goes silent and is unregistered under a request counts as crashed' failed with 504 in place of 422.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -11,8 +11,9 @@
 } from '@marigoldpost/common';
 import type {TargetEntry} from '@marigoldpost/sites';
 import type {Quarantine} from '@marigoldpost/targets';
-import type {Metrics} from '@marigoldpost/telemetry';
+import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import type {TrackedRequest} from './tracked_request.js';
+import {UnconfirmedCrashes} from './unconfirmed_crashes.js';
 
 const minServerErrorStatus = 500;
 
@@ -25,12 +26,22 @@
   readonly onChanged: (fingerprint: Fingerprint) => void;
 }
 
+/** Start and end of a run, on the daemon's clock. */
+export interface TargetRun {
+  readonly runStartedAtMs: number;
+  readonly runEndedAtMs: number;
+}
+
 /**
  * Records crashes that one daemon observes in the fleet-wide quarantine. Has no
  * cost while no target crashes: requests are not hashed then.
  */
 export class CrashTracker {
-  private constructor(private readonly options: CrashTrackerOptions) {}
+  private readonly unconfirmed: UnconfirmedCrashes;
+
+  private constructor(private readonly options: CrashTrackerOptions) {
+    this.unconfirmed = UnconfirmedCrashes.create(options.clock);
+  }
 
   /**
    * Creates a tracker.
@@ -75,37 +86,40 @@
    * Records that a target closed its connection while it ran a request.
    * @param request - Request that the target was running.
    * @param target - Target that crashed.
-   * @param runStartedAtMs - When the request was sent, on the daemon's clock.
+   * @param run - Start and end of the run, on the daemon's clock.
    */
   recordCrash(
-    request: TrackedRequest,
-    {id: target, startedAtMs}: TargetEntry,
-    runStartedAtMs: number,
+    {call, fingerprint}: TrackedRequest,
+    target: TargetEntry,
+    run: TargetRun,
   ): void {
-    const {clock, quarantine, metrics, onChanged} = this.options;
-    const {logger} = request.call;
-    const ranMs = Math.round(clock.nowMs() - runStartedAtMs);
-    const {fingerprint} = request;
-    if (fingerprint === undefined) {
-      const reason = 'the request has no fingerprint';
-      logger.log('crash_not_counted', {target, reason, ranMs});
-      return;
-    }
-    const details = {startedAtMs, runStartedAtMs};
-    const isNew =
-      quarantine.recordDeath(target, [fingerprint], details).length > 0;
-    if (!isNew) {
-      const reason = 'a recorded crash explains it';
-      logger.log('crash_not_counted', {target, reason, ranMs});
-      return;
-    }
-    metrics.addToCounter('crash_records_total', {event: 'recorded'});
-    const deaths = quarantine.countDeaths(fingerprint);
-    logger.log('crash_recorded', {fingerprint, target, deaths, ranMs});
-    if (quarantine.isQuarantined(fingerprint)) {
-      logger.log('request_quarantined', {fingerprint, deaths});
-    }
-    onChanged(fingerprint);
+    this.countCrash(fingerprint, target, run, call.logger);
+  }
+
+  /**
+   * Records that a run ended without a response: the target may have crashed.
+   * @param request - Request that was sent to the target.
+   * @param target - Target that has not responded.
+   * @param run - Start and end of the run, on the daemon's clock.
+   */
+  recordSilence(
+    {call, fingerprint}: TrackedRequest,
+    target: TargetEntry,
+    run: TargetRun,
+  ): void {
+    // The callback must not keep the request and its body in memory.
+    const {logger} = call;
+    this.unconfirmed.add(target, run.runStartedAtMs, () =>
+      this.countCrash(fingerprint, target, run, logger),
+    );
+  }
+
+  /**
+   * Records that a target is gone, or restarted, without having drained.
+   * @param target - Last registration of the lost instance.
+   */
+  recordLostTarget(target: TargetEntry): void {
+    this.unconfirmed.recordLoss(target);
   }
 
   /**
@@ -130,4 +144,34 @@
     request.call.logger.log('suspicion_cleared', {fingerprint, target, status});
     onChanged(fingerprint);
   }
+
+  private countCrash(
+    fingerprint: Fingerprint | undefined,
+    {id: target, startedAtMs}: TargetEntry,
+    {runStartedAtMs, runEndedAtMs}: TargetRun,
+    logger: EventLogger,
+  ): void {
+    const {quarantine, metrics, onChanged} = this.options;
+    const ranMs = Math.round(runEndedAtMs - runStartedAtMs);
+    if (fingerprint === undefined) {
+      const reason = 'the request has no fingerprint';
+      logger.log('crash_not_counted', {target, reason, ranMs});
+      return;
+    }
+    const details = {startedAtMs, runStartedAtMs, runEndedAtMs};
+    const isNew =
+      quarantine.recordDeath(target, [fingerprint], details).length > 0;
+    if (!isNew) {
+      const reason = 'a recorded crash explains it';
+      logger.log('crash_not_counted', {target, reason, ranMs});
+      return;
+    }
+    metrics.addToCounter('crash_records_total', {event: 'recorded'});
+    const deaths = quarantine.countDeaths(fingerprint);
+    logger.log('crash_recorded', {fingerprint, target, deaths, ranMs});
+    if (quarantine.isQuarantined(fingerprint)) {
+      logger.log('request_quarantined', {fingerprint, deaths});
+    }
+    onChanged(fingerprint);
+  }
 }
--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -41,7 +41,10 @@
     const problem = findResponseProblem(started, received);
     if (problem !== undefined) {
       attempts.recordBrokenResponse(started.lease, problem);
-      if (!received.isComplete) attempts.recordCrash(started.lease);
+      if (!received.isComplete) {
+        if (call.signal.aborted) attempts.recordSilence(started.lease);
+        else attempts.recordCrash(started.lease);
+      }
       if (attempts.canRetry) continue;
       throw attempts.createFailure(problem);
     }
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -74,9 +74,11 @@
     attempts.complete(started.lease, status, result.gapMs);
   } else if (call.signal.aborted) {
     attempts.release(started.lease, {result: 'cancelled'});
+    attempts.recordSilence(started.lease);
   } else {
     attempts.recordBrokenResponse(started.lease, result.message);
-    if (!result.isStalled) attempts.recordCrash(started.lease);
+    if (result.isStalled) attempts.recordSilence(started.lease);
+    else attempts.recordCrash(started.lease);
   }
   return {...result, target: started.lease.target.id};
 }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -21,6 +21,7 @@
   TargetExchange,
 } from '../targets/target_exchange.js';
 import type {CallServices} from './call_services.js';
+import type {TargetRun} from './crash_tracker.js';
 import type {IncomingCall} from './incoming_call.js';
 import {TrackedRequest} from './tracked_request.js';
 
@@ -142,7 +143,16 @@
    */
   recordCrash({target}: TargetLease): void {
     const {crashTracker} = this.services;
-    crashTracker.recordCrash(this.trackedRequest, target, this.sentAtMs);
+    crashTracker.recordCrash(this.trackedRequest, target, this.getRun());
+  }
+
+  /**
+   * Records that a target was running the request and has not responded.
+   * @param lease - Lease of the attempt.
+   */
+  recordSilence({target}: TargetLease): void {
+    const {crashTracker} = this.services;
+    crashTracker.recordSilence(this.trackedRequest, target, this.getRun());
   }
 
   /**
@@ -183,6 +193,11 @@
     });
   }
 
+  private getRun(): TargetRun {
+    const runEndedAtMs = this.services.clock.nowMs();
+    return {runStartedAtMs: this.sentAtMs, runEndedAtMs};
+  }
+
   private rejectIfQuarantined(): void {
     const outcome = this.mayHaveRun ? 'unknown' : 'not_run';
     this.services.crashTracker.check(this.trackedRequest, outcome);
@@ -281,6 +296,7 @@
     this.release(lease, {result: targetResults[reason]});
     this.logFailure(lease, reason, isSent, message);
     if (reason === 'broken') this.recordCrash(lease);
+    else if (isSent) this.recordSilence(lease);
     if (reason === 'silent') this.services.agents.get(lease.target).closeIdle();
     if (isSent) this.recordSent();
     const mayContinue = isSent ? this.canRetry : !this.call.signal.aborted;
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -46,6 +46,7 @@
   private readonly quarantineReceiver: QuarantineReceiver;
   private readonly quarantineReplicator: QuarantineReplicator;
   private readonly quarantineExchange: QuarantineExchange;
+  private readonly crashTracker: CrashTracker;
   private readonly server: GatewayServer;
   private readonly readyPage: PageServer;
   private isDraining = false;
@@ -67,7 +68,16 @@
     });
     this.quarantineReplicator = this.createQuarantineReplicator();
     this.quarantineExchange = this.createQuarantineExchange();
-    const {site, agents, turns, quarantine} = this;
+    this.crashTracker = CrashTracker.create({
+      clock,
+      quarantine: this.quarantine,
+      metrics,
+      onChanged: (fingerprint) => {
+        this.quarantineReplicator.publish();
+        this.quarantineExchange.publish(fingerprint);
+      },
+    });
+    const {site, agents, turns} = this;
     const handler = CallHandler.create({
       clock,
       random,
@@ -76,15 +86,7 @@
       site,
       agents,
       turns,
-      crashTracker: CrashTracker.create({
-        clock,
-        quarantine,
-        metrics,
-        onChanged: (fingerprint) => {
-          this.quarantineReplicator.publish();
-          this.quarantineExchange.publish(fingerprint);
-        },
-      }),
+      crashTracker: this.crashTracker,
       logger,
       metrics,
     });
@@ -181,6 +183,7 @@
         this.site.setTargets(targets);
         this.agents.retireUnlisted(targets);
       },
+      onLost: (target) => this.crashTracker.recordLostTarget(target),
     });
   }
 
--- a/packages/nodes/src/targets/target_directory.ts
+++ b/packages/nodes/src/targets/target_directory.ts
@@ -27,6 +27,8 @@
   readonly decode: (object: StoredObject) => TargetEntry | undefined;
   /** Called after each change with all targets that may receive requests. */
   readonly onChanged: (targets: readonly TargetEntry[]) => void;
+  /** Called when a target is gone, or restarted, without having drained. */
+  readonly onLost?: (target: TargetEntry) => void;
 }
 
 interface ListedTarget {
@@ -103,6 +105,9 @@
     const existing = this.targets.get(object.key);
     this.targets.set(object.key, {entry, isMissing: false});
     if (existing !== undefined && isSameEntry(existing.entry, entry)) return;
+    if (existing?.entry.startedAtMs !== entry.startedAtMs) {
+      this.notifyLost(existing?.entry);
+    }
     this.options.logger.log('target_listed', {
       target: entry.id,
       service: entry.service,
@@ -119,7 +124,7 @@
       !existing.entry.isDraining &&
       this.options.clock.nowMs() < this.graceUntilMs;
     if (isHeld) this.targets.set(key, {entry: existing.entry, isMissing: true});
-    else this.targets.delete(key);
+    else this.deleteTarget(key, existing.entry);
     const target = existing.entry.id;
     this.options.logger.log('target_unlisted', {target, isHeld, version});
   }
@@ -127,13 +132,23 @@
   private endGrace(): void {
     for (const [key, {entry, isMissing}] of this.targets) {
       if (!isMissing) continue;
-      this.targets.delete(key);
+      this.deleteTarget(key, entry);
       const fields = {target: entry.id, isHeld: false, version: 0};
       this.options.logger.log('target_unlisted', fields);
     }
     this.notifyChanged();
   }
 
+  private deleteTarget(key: string, entry: TargetEntry): void {
+    this.targets.delete(key);
+    this.notifyLost(entry);
+  }
+
+  private notifyLost(entry: TargetEntry | undefined): void {
+    if (entry === undefined || entry.isDraining) return;
+    this.options.onLost?.(entry);
+  }
+
   private notifyChanged(): void {
     const entries = [...this.targets.values()].map(({entry}) => entry);
     this.options.onChanged(entries.filter(({isDraining}) => !isDraining));
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -37,6 +37,8 @@
   readonly startedAtMs?: number;
   /** Start of the run, on the quarantine's clock, if known. */
   readonly runStartedAtMs?: number;
+  /** End of the run; now by default. */
+  readonly runEndedAtMs?: number;
 }
 
 /** Clock and bounds of a quarantine. */
@@ -56,8 +58,8 @@
   readonly revision: number;
   /** When this daemon learned of each death, by key. */
   readonly learnedAtMs: ReadonlyMap<string, number>;
-  /** When this daemon last detected a death itself. */
-  readonly detectedAtMs: number;
+  /** When the last run ended of which this daemon detected a death itself. */
+  readonly lastRunEndedAtMs: number;
 }
 
 const defaultMaxEntries = 10_000;
@@ -131,8 +133,7 @@
     fingerprints: readonly Fingerprint[],
     details: DeathDetails = {},
   ): Fingerprint[] {
-    const {startedAtMs = 0} = details;
-    const detectedAtMs = this.clock.nowMs();
+    const {startedAtMs = 0, runEndedAtMs = this.clock.nowMs()} = details;
     const atMs = this.clock.wallTimeMs();
     return [...new Set(fingerprints)].filter((fingerprint) => {
       const entry = this.getEntryOrEmpty(fingerprint);
@@ -141,7 +142,7 @@
       const isCleared = false;
       const death = {target, startedAtMs, ordinal, atMs, isCleared};
       const deaths = mergeDeaths(entry.deaths, [death]);
-      this.putEntry(this.markQuarantined({...entry, deaths}), detectedAtMs);
+      this.putEntry(this.markQuarantined({...entry, deaths}), runEndedAtMs);
       return true;
     });
   }
@@ -278,8 +279,9 @@
   ): number | undefined {
     const known = this.entries.get(fingerprint);
     // One fault of this daemon or its network may break all of its runs.
-    const detectedAtMs = known?.detectedAtMs ?? Number.NEGATIVE_INFINITY;
-    if (runStartedAtMs !== undefined && runStartedAtMs < detectedAtMs) {
+    const lastRunEndedAtMs =
+      known?.lastRunEndedAtMs ?? Number.NEGATIVE_INFINITY;
+    if (runStartedAtMs !== undefined && runStartedAtMs < lastRunEndedAtMs) {
       return undefined;
     }
     const last = deaths
@@ -309,7 +311,7 @@
 
   private putEntry(
     changed: QuarantineEntry,
-    detectedAtMs = Number.NEGATIVE_INFINITY,
+    runEndedAtMs = Number.NEGATIVE_INFINITY,
   ): void {
     const {fingerprint, deaths} = changed;
     const known = this.entries.get(fingerprint);
@@ -327,9 +329,9 @@
           return [key, known?.learnedAtMs.get(key) ?? changedAtMs];
         }),
       ),
-      detectedAtMs: Math.max(
-        detectedAtMs,
-        known?.detectedAtMs ?? Number.NEGATIVE_INFINITY,
+      lastRunEndedAtMs: Math.max(
+        runEndedAtMs,
+        known?.lastRunEndedAtMs ?? Number.NEGATIVE_INFINITY,
       ),
     });
     this.removeExpiredSuspicions();
