Reject a waiting request as soon as its crashes are reported

Callers: a request that waited for a slot was sent to a target although reports that it had crashed three had arrived during the wait.

Cause: the quarantine was checked before the wait only.

Before: 'A crashing request that waits for a target is rejected when the crashes are reported' failed, the booking was served (200).

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -32,12 +32,19 @@
   readonly runEndedAtMs: number;
 }
 
+/** A request that waits for a target. */
+interface WaitingRequest {
+  readonly request: TrackedRequest;
+  readonly onQuarantined: () => void;
+}
+
 /**
  * Records crashes that one daemon observes in the fleet-wide quarantine. Has no
  * cost while no target crashes: requests are not hashed then.
  */
 export class CrashTracker {
   private readonly unconfirmed: UnconfirmedCrashes;
+  private readonly waiting = new Set<WaitingRequest>();
 
   private constructor(private readonly options: CrashTrackerOptions) {
     this.unconfirmed = UnconfirmedCrashes.create(options.clock);
@@ -67,6 +74,28 @@
     throw MarigoldpostError.create('quarantined', message, {outcome});
   }
 
+  /**
+   * Notifies a request that waits for a target if it is quarantined meanwhile.
+   * Returns a function that ends the notification.
+   * @param request - Request that has passed `check`.
+   * @param onQuarantined - Called when the request is quarantined.
+   */
+  watch(request: TrackedRequest, onQuarantined: () => void): () => void {
+    const waiting = {request, onQuarantined};
+    this.waiting.add(waiting);
+    return () => this.waiting.delete(waiting);
+  }
+
+  /** Notifies waiting requests; called when records of others were merged. */
+  checkWaiting(): void {
+    const {quarantine} = this.options;
+    for (const {request, onQuarantined} of this.waiting) {
+      const {fingerprint} = request;
+      if (fingerprint === undefined) continue;
+      if (quarantine.isQuarantined(fingerprint)) onQuarantined();
+    }
+  }
+
   /**
    * Logs that a request is sent although a target has crashed on it.
    * @param request - Request about to be sent.
@@ -172,6 +201,7 @@
     if (quarantine.isQuarantined(fingerprint)) {
       logger.log('request_quarantined', {fingerprint, deaths});
     }
+    this.checkWaiting();
     onChanged(fingerprint);
   }
 }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -110,7 +110,7 @@
   async nextResponse(): Promise<LeasedResponse> {
     for (;;) {
       this.rejectIfQuarantined();
-      const lease = await this.acquire();
+      const lease = await this.acquireUnlessQuarantined();
       this.services.crashTracker.recordSend(
         this.trackedRequest,
         lease.target.id,
@@ -203,14 +203,31 @@
     this.services.crashTracker.check(this.trackedRequest, outcome);
   }
 
-  private async acquire(): Promise<TargetLease> {
+  private async acquireUnlessQuarantined(): Promise<TargetLease> {
+    const {crashTracker} = this.services;
+    const controller = new AbortController();
+    const stopWatching = crashTracker.watch(this.trackedRequest, () =>
+      controller.abort(),
+    );
+    const signal = AbortSignal.any([this.call.signal, controller.signal]);
+    try {
+      const lease = await this.acquire(signal);
+      if (!controller.signal.aborted) return lease;
+      lease.release({result: 'cancelled'});
+    } catch (error) {
+      if (!controller.signal.aborted) throw error;
+    } finally {
+      stopWatching();
+    }
+    this.rejectIfQuarantined();
+    return this.acquireUnlessQuarantined();
+  }
+
+  private async acquire(signal: AbortSignal): Promise<TargetLease> {
     const dispatcher = this.getDispatcher();
     const startMs = this.services.clock.nowMs();
     try {
-      const lease = await dispatcher.acquire(
-        this.createRequest(),
-        this.call.signal,
-      );
+      const lease = await dispatcher.acquire(this.createRequest(), signal);
       const waitedMs = this.services.clock.nowMs() - startMs;
       this.logPlacement(lease, dispatcher, waitedMs);
       return lease;
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -65,6 +65,7 @@
       quarantine: this.quarantine,
       logger,
       metrics,
+      onMerged: () => this.crashTracker.checkWaiting(),
     });
     this.quarantineReplicator = this.createQuarantineReplicator();
     this.quarantineExchange = this.createQuarantineExchange();
--- a/packages/nodes/src/entry/quarantine_receiver.ts
+++ b/packages/nodes/src/entry/quarantine_receiver.ts
@@ -9,6 +9,8 @@
   readonly quarantine: Quarantine;
   readonly logger: EventLogger;
   readonly metrics: Metrics;
+  /** Called when received entries have changed the quarantine. */
+  readonly onMerged: () => void;
 }
 
 /** Merges received entries into the quarantine of this entry VM. */
@@ -29,8 +31,9 @@
    * @param entries - Received entries.
    */
   receive(source: string, entries: readonly QuarantineEntry[]): void {
-    const {clock, quarantine, logger, metrics} = this.options;
-    for (const {fingerprint, deaths} of quarantine.mergeEntries(entries)) {
+    const {clock, quarantine, logger, metrics, onMerged} = this.options;
+    const merged = quarantine.mergeEntries(entries);
+    for (const {fingerprint, deaths} of merged) {
       metrics.addToCounter('crash_records_total', {event: 'merged'});
       logger.log('crash_records_merged', {
         source,
@@ -40,5 +43,6 @@
         isQuarantined: quarantine.isQuarantined(fingerprint),
       });
     }
+    if (merged.length > 0) onMerged();
   }
 }
