Read quarantines that are older than ten minutes

Callers: an entry VM that started more than ten minutes after the crashes of a request let it through, while the others rejected it.

Cause: an entry was ignored as a whole if any of its crashes was older than ten minutes, the time that suspicions are kept; quarantines are kept without limit by the entry VMs that run. An object holds the newest 2,000 entries, since the object API limits its size.

Before: four of the eight examples of packages/nodes/tests/entry failed (11 1; 11 11 1; 60 60 60; 1500 1500 60). After: all pass.

--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -19,6 +19,7 @@
 import type {Quarantine, QuarantineEntry} from '@marigoldpost/targets';
 import type {EventLogger} from '@marigoldpost/telemetry';
 import * as z from 'zod';
+import {deathsToQuarantine} from '../quarantine_settings.js';
 import type {ObjectSink} from '../utils/object_sink.js';
 import type {QuarantineReceiver} from './quarantine_receiver.js';
 
@@ -29,8 +30,12 @@
 const batchDelayMs = 300;
 /** Pause before a failed write is retried. */
 const retryDelayMs = 500;
-/** Older entries, of earlier runs of a daemon, are ignored. */
-const maxEntryAgeMs = 600_000;
+/** Suspicions of earlier runs of a daemon are ignored after this time. */
+const maxSuspicionAgeMs = 600_000;
+/** Quarantines of earlier runs are ignored after a day. */
+const maxQuarantineAgeMs = 86_400_000;
+/** Limit of the entries in one object, far below the size limit of objects. */
+const maxWrittenEntries = 2000;
 
 const entriesSchema = z.array(
   z.object({
@@ -117,10 +122,9 @@
   }
 
   private mergeObject({key, value}: StoredObject): void {
-    const {clock} = this.options;
-    const oldestMs = clock.wallTimeMs() - maxEntryAgeMs;
-    const entries = parseEntries(value).filter(({deaths}) =>
-      deaths.every(({atMs}) => atMs >= oldestMs),
+    const nowMs = this.options.clock.wallTimeMs();
+    const entries = parseEntries(value).filter(
+      (entry) => getLastDeathMs(entry) >= nowMs - getMaxAgeMs(entry),
     );
     this.options.receiver.receive(key, entries);
   }
@@ -147,7 +151,7 @@
     this.changedAtMs = undefined;
     try {
       await this.readOwnObject(key);
-      const entries = quarantine.getEntries();
+      const entries = quarantine.getEntries().slice(-maxWrittenEntries);
       await putOwnObject(store, key, JSON.stringify(entries));
       this.options.logger.log('crash_records_sent', {
         destination: key,
@@ -162,6 +166,17 @@
   }
 }
 
+function getLastDeathMs({deaths}: QuarantineEntry): number {
+  return Math.max(0, ...deaths.map(({atMs}) => atMs));
+}
+
+function getMaxAgeMs({deaths, quarantinedDeaths}: QuarantineEntry): number {
+  const current = deaths.filter(({isCleared}) => !isCleared).length;
+  const isQuarantined =
+    Math.max(quarantinedDeaths, current) >= deathsToQuarantine;
+  return isQuarantined ? maxQuarantineAgeMs : maxSuspicionAgeMs;
+}
+
 function parseEntries(value: string): QuarantineEntry[] {
   const parsed = entriesSchema.safeParse(JSON.parse(value));
   if (!parsed.success) return [];
