Check a budget again after a reservation that only merged ledgers admit

Callers: three concurrent turns of a program with 40 tokens left got 120 (280 of 200 tokens, over the budget by more than one turn).

Cause: when each archive's own ledger refuses but the merged ledgers leave room, an entry VM records its reservation by force. Entry VMs that do so at the same time read the merged ledgers before any of them has recorded.

The merged ledgers are read once more after the reservation stands at a majority: of two such attempts at least one sees the other, is settled with 0 tokens and answered 429 with a retry delay of 0.6 to 1.2 s, since tokens may be left.

Before: 'Concurrent attempts that only the merged ledgers admit do not exceed a budget' failed, 3 attempts were admitted.

--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -2,6 +2,7 @@
 import {
   type Clock,
   type DataCentreId,
+  getHashNumber,
   MarigoldpostError,
   type ProgramId,
 } from '@marigoldpost/common';
@@ -13,6 +14,10 @@
 import {ReservationBallot} from './reservation_ballot.js';
 import type {SettlementSender} from './settlement_sender.js';
 
+/** Time in which the archives learn that an attempt has been settled. */
+const minContentionRetryMs = 600;
+const contentionRetrySpreadMs = 600;
+
 /** Request of an attempt at a turn for tokens of its program's budget. */
 export interface TokenRequest {
   readonly program: ProgramId;
@@ -45,8 +50,9 @@
   }
 
   /**
-   * Reserves tokens. Throws `tokens_spent` when they exceed the budget and
-   * `archive_unavailable` when too few archives reply to decide. In both cases
+   * Reserves tokens. Throws `tokens_spent` when they exceed the budget,
+   * `limit_reached` when concurrent attempts compete for the rest of it, and
+   * `archive_unavailable` when too few archives reply to decide. In all cases
    * the attempt is settled with 0 tokens.
    * @param request - Attempt, tokens and budget.
    */
@@ -54,7 +60,13 @@
     const decision = await this.requestReservation(request, false);
     if (decision === 'granted') return;
     if (decision === 'refused' && (await this.isWithinBudget(request))) {
-      if ((await this.requestReservation(request, true)) === 'granted') return;
+      if ((await this.requestReservation(request, true)) === 'granted') {
+        // Concurrent attempts may have been forced as well. Of two, at least one
+        // sees the other now, since both are recorded at a majority.
+        if (await this.isWithinBudget(request)) return;
+        this.options.settlements.add(request.program, request.attempt, 0);
+        throw createContentionError(request);
+      }
     }
     this.options.settlements.add(request.program, request.attempt, 0);
     if (decision === 'refused') throw createTokensSpentError(request);
@@ -102,6 +114,20 @@
   }
 }
 
+/** Spreads the retries of the attempts that saw each other. */
+function createContentionError({
+  program,
+  attempt,
+  tokens,
+}: TokenRequest): MarigoldpostError {
+  const spreadMs = getHashNumber(attempt) % contentionRetrySpreadMs;
+  return MarigoldpostError.create(
+    'limit_reached',
+    `concurrent attempts of program "${program}" leave no room for ${tokens} tokens`,
+    {retryAfterMs: minContentionRetryMs + spreadMs},
+  );
+}
+
 function createTokensSpentError({
   program,
   budgetTokens,
--- a/packages/turns/tests/client/turn_store.feature
+++ b/packages/turns/tests/client/turn_store.feature
@@ -67,6 +67,15 @@
     When 10 attempts of 40 tokens reserve from a budget of 200 concurrently, alternating over "a, b, c, d"
     Then at most 5 attempts hold a reservation
 
+  Scenario: Concurrent attempts that only the merged ledgers admit do not exceed a budget
+    When every archive knows of attempts "p0, p1, p2, p3" of 50 tokens
+    And archive "a" alone learns that attempt "p0" used 40 tokens
+    And archive "b" alone learns that attempt "p1" used 40 tokens
+    And archive "c" alone learns that attempt "p2" used 40 tokens
+    And archive "d" alone learns that attempt "p3" used 40 tokens
+    And 3 further attempts of 40 tokens reserve from a budget of 200 concurrently, alternating over "a, b, c"
+    Then at most 1 attempts hold a reservation
+
   Scenario: A reservation asks only a majority of the archives
     When attempts that reserve 50 tokens and use 50 run sequentially in "a" on a budget of 50
     Then 3 archives were asked for the reservation of the first attempt
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -131,21 +131,23 @@
 });
 
 When(
-  '{int} attempts of {int} tokens reserve from a budget of {int} concurrently, alternating over {string}',
+  /^(\d+) (further )?attempts of (\d+) tokens reserve from a budget of (\d+) concurrently, alternating over "(.*)"$/,
   async function (
     this: StoreWorld,
-    count: number,
-    tokens: number,
-    budget: number,
+    count: string,
+    further: string | null,
+    tokens: string,
+    budget: string,
     names: string,
   ) {
     const places = split(names);
-    const tries = Array.from({length: count}, (_none, index) =>
+    const prefix = further === null ? 'p' : 'f';
+    const tries = Array.from({length: Number(count)}, (_none, index) =>
       reserve(
         this,
-        `p${index}`,
-        tokens,
-        budget,
+        `${prefix}${index}`,
+        Number(tokens),
+        Number(budget),
         places[index % places.length] ?? '',
       ),
     );
@@ -154,6 +156,34 @@
   },
 );
 
+When(
+  'every archive knows of attempts {string} of {int} tokens',
+  async function (this: StoreWorld, attempts: string, tokens: number) {
+    for (const name of ['a', 'b', 'c', 'd']) {
+      for (const attempt of split(attempts)) {
+        const id = toId<TurnId>(attempt);
+        const entry = {attempt: id, tokens, isSettled: false};
+        const merged = this.archives.mergeLedger(name, program, entry);
+        await this.archives.run(merged);
+      }
+    }
+  },
+);
+
+When(
+  'archive {string} alone learns that attempt {string} used {int} tokens',
+  async function (
+    this: StoreWorld,
+    name: string,
+    attempt: string,
+    tokens: number,
+  ) {
+    const entry = {attempt: toId<TurnId>(attempt), tokens, isSettled: true};
+    const merged = this.archives.mergeLedger(name, program, entry);
+    await this.archives.run(merged);
+  },
+);
+
 When(
   'attempts that reserve {int} tokens and use {int} run sequentially in {string} on a budget of {int}',
   async function (
