Recognise a crashing request without its program

Callers: a request with neither program nor body crashed one target after the other without end, and so did one that came back under another program with the same path and body.

Cause: the first had no fingerprint, since other requests share its path; the fingerprint of the second contains the program. Each request now also has a fingerprint without its program, but for a program's request without a body (the status calls of all programs share their path). Deaths of such a shared fingerprint count only one after the other, and any completion of a request that has it clears them, so that one fault which breaks several requests at a time does not quarantine them.

Before: 'A crashing request without program and body is rejected after three crashes' and '... although each retry belongs to another program' failed with 502 in place of 422.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -12,7 +12,7 @@
 import type {TargetEntry} from '@marigoldpost/sites';
 import type {Quarantine} from '@marigoldpost/targets';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
-import type {TrackedRequest} from './tracked_request.js';
+import type {RequestFingerprint, TrackedRequest} from './tracked_request.js';
 import {UnconfirmedCrashes} from './unconfirmed_crashes.js';
 
 const minServerErrorStatus = 500;
@@ -66,9 +66,8 @@
   check(request: TrackedRequest, outcome: 'not_run' | 'unknown'): void {
     const {quarantine} = this.options;
     if (quarantine.isEmpty) return;
-    const {fingerprint} = request;
+    const fingerprint = this.findQuarantined(request);
     if (fingerprint === undefined) return;
-    if (!quarantine.isQuarantined(fingerprint)) return;
     const targets = quarantine.getDeadTargets(fingerprint).join(', ');
     const message = `request "${fingerprint}" is quarantined: it crashed targets ${targets}`;
     throw MarigoldpostError.create('quarantined', message, {outcome});
@@ -88,11 +87,8 @@
 
   /** Notifies waiting requests; called when records of others were merged. */
   checkWaiting(): void {
-    const {quarantine} = this.options;
     for (const {request, onQuarantined} of this.waiting) {
-      const {fingerprint} = request;
-      if (fingerprint === undefined) continue;
-      if (quarantine.isQuarantined(fingerprint)) onQuarantined();
+      if (this.findQuarantined(request) !== undefined) onQuarantined();
     }
   }
 
@@ -104,8 +100,8 @@
   recordSend(request: TrackedRequest, target: TargetId): void {
     const {quarantine, metrics} = this.options;
     if (quarantine.isEmpty) return;
-    const {fingerprint} = request;
-    if (fingerprint === undefined || !quarantine.isSuspect(fingerprint)) return;
+    const fingerprint = this.findSuspects(request)[0];
+    if (fingerprint === undefined) return;
     const deaths = quarantine.countDeaths(fingerprint);
     metrics.addToCounter('crash_records_total', {event: 'suspect_sent'});
     request.call.logger.log('suspect_sent', {fingerprint, target, deaths});
@@ -118,11 +114,11 @@
    * @param run - Start and end of the run, on the daemon's clock.
    */
   recordCrash(
-    {call, fingerprint}: TrackedRequest,
+    {call, fingerprints}: TrackedRequest,
     target: TargetEntry,
     run: TargetRun,
   ): void {
-    this.countCrash(fingerprint, target, run, call.logger);
+    this.countCrash(fingerprints, target, run, call.logger);
   }
 
   /**
@@ -132,14 +128,14 @@
    * @param run - Start and end of the run, on the daemon's clock.
    */
   recordSilence(
-    {call, fingerprint}: TrackedRequest,
+    {call, fingerprints}: TrackedRequest,
     target: TargetEntry,
     run: TargetRun,
   ): void {
     // The callback must not keep the request and its body in memory.
     const {logger} = call;
     this.unconfirmed.add(target, run.runStartedAtMs, () =>
-      this.countCrash(fingerprint, target, run, logger),
+      this.countCrash(fingerprints, target, run, logger),
     );
   }
 
@@ -166,42 +162,64 @@
   ): void {
     const {quarantine, metrics, onChanged} = this.options;
     if (quarantine.isEmpty || status >= minServerErrorStatus) return;
-    const {fingerprint} = request;
-    if (fingerprint === undefined || !quarantine.isSuspect(fingerprint)) return;
-    quarantine.recordSurvival(fingerprint);
-    metrics.addToCounter('crash_records_total', {event: 'cleared'});
-    request.call.logger.log('suspicion_cleared', {fingerprint, target, status});
-    onChanged(fingerprint);
+    for (const fingerprint of this.findSuspects(request)) {
+      quarantine.recordSurvival(fingerprint);
+      metrics.addToCounter('crash_records_total', {event: 'cleared'});
+      const fields = {fingerprint, target, status};
+      request.call.logger.log('suspicion_cleared', fields);
+      onChanged(fingerprint);
+    }
+  }
+
+  private findQuarantined({
+    fingerprints,
+  }: TrackedRequest): Fingerprint | undefined {
+    const {quarantine} = this.options;
+    return fingerprints.find(({fingerprint}) =>
+      quarantine.isQuarantined(fingerprint),
+    )?.fingerprint;
+  }
+
+  private findSuspects({fingerprints}: TrackedRequest): Fingerprint[] {
+    const {quarantine} = this.options;
+    return fingerprints
+      .map(({fingerprint}) => fingerprint)
+      .filter((fingerprint) => quarantine.isSuspect(fingerprint));
   }
 
   private countCrash(
-    fingerprint: Fingerprint | undefined,
+    fingerprints: readonly RequestFingerprint[],
     {id: target, startedAtMs}: TargetEntry,
-    {runStartedAtMs, runEndedAtMs}: TargetRun,
+    run: TargetRun,
     logger: EventLogger,
   ): void {
     const {quarantine, metrics, onChanged} = this.options;
-    const ranMs = Math.round(runEndedAtMs - runStartedAtMs);
-    if (fingerprint === undefined) {
-      const reason = 'the request has no fingerprint';
-      logger.log('crash_not_counted', {target, reason, ranMs});
-      return;
-    }
-    const details = {startedAtMs, runStartedAtMs, runEndedAtMs};
-    const isNew =
-      quarantine.recordDeath(target, [fingerprint], details).length > 0;
-    if (!isNew) {
+    const ranMs = Math.round(run.runEndedAtMs - run.runStartedAtMs);
+    const counted = fingerprints
+      .filter(({fingerprint, isShared}) => {
+        const details = {startedAtMs, isShared, ...run};
+        const [recorded] = quarantine.recordDeath(
+          target,
+          [fingerprint],
+          details,
+        );
+        return recorded !== undefined;
+      })
+      .map(({fingerprint}) => fingerprint);
+    if (counted.length === 0) {
       const reason = 'a recorded crash explains it';
       logger.log('crash_not_counted', {target, reason, ranMs});
       return;
     }
     metrics.addToCounter('crash_records_total', {event: 'recorded'});
-    const deaths = quarantine.countDeaths(fingerprint);
-    logger.log('crash_recorded', {fingerprint, target, deaths, ranMs});
-    if (quarantine.isQuarantined(fingerprint)) {
-      logger.log('request_quarantined', {fingerprint, deaths});
+    for (const fingerprint of counted) {
+      const deaths = quarantine.countDeaths(fingerprint);
+      logger.log('crash_recorded', {fingerprint, target, deaths, ranMs});
+      if (quarantine.isQuarantined(fingerprint)) {
+        logger.log('request_quarantined', {fingerprint, deaths});
+      }
+      onChanged(fingerprint);
     }
     this.checkWaiting();
-    onChanged(fingerprint);
   }
 }
--- a/packages/gateway/src/calls/tracked_request.ts
+++ b/packages/gateway/src/calls/tracked_request.ts
@@ -3,9 +3,16 @@
 import {getFingerprintOfParts} from '@marigoldpost/targets';
 import type {IncomingCall} from './incoming_call.js';
 
+/** Identity of a request, which its retries share. */
+export interface RequestFingerprint {
+  readonly fingerprint: Fingerprint;
+  /** Whether requests of other programs may have the same fingerprint. */
+  readonly isShared: boolean;
+}
+
 /** A call with the body that targets receive. */
 export class TrackedRequest {
-  private cached: {readonly fingerprint: Fingerprint | undefined} | undefined;
+  private cached: readonly RequestFingerprint[] | undefined;
 
   private constructor(
     readonly call: IncomingCall,
@@ -22,21 +29,26 @@
   }
 
   /**
-   * Fingerprint that is the same for each retry of the request. It is
-   * `undefined` for a request with neither program nor body: only its path would
-   * identify it, and other requests share that.
+   * Fingerprints that are the same for each retry of the request: one with its
+   * program, and one without it, since a restarted program sends the request
+   * under a new name. A request of a program without a body has only the first:
+   * the status calls of all programs share their path.
    */
-  get fingerprint(): Fingerprint | undefined {
-    this.cached ??= {fingerprint: this.createFingerprint()};
-    return this.cached.fingerprint;
+  get fingerprints(): readonly RequestFingerprint[] {
+    this.cached ??= this.createFingerprints();
+    return this.cached;
   }
 
-  private createFingerprint(): Fingerprint | undefined {
+  private createFingerprints(): RequestFingerprint[] {
     const {method = '', url = '', headers} = this.call.request;
     const {program} = this.call.attributes;
-    if (program === undefined && this.body.byteLength === 0) return undefined;
     const {host = ''} = headers;
-    const parts = [method, host, url, program ?? '', getDigest(this.body)];
-    return getFingerprintOfParts(parts);
+    const digest = getDigest(this.body);
+    const create = (name: string) =>
+      getFingerprintOfParts([method, host, url, name, digest]);
+    const shared = {fingerprint: create(''), isShared: true};
+    if (program === undefined) return [shared];
+    const own = {fingerprint: create(program), isShared: false};
+    return this.body.byteLength === 0 ? [own] : [own, shared];
   }
 }
--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -124,7 +124,9 @@
   private mergeObject({key, value}: StoredObject): void {
     const nowMs = this.options.clock.wallTimeMs();
     const entries = parseEntries(value).filter(
-      (entry) => getLastDeathMs(entry) >= nowMs - getMaxAgeMs(entry),
+      (entry) =>
+        entry.deaths.length === 0 ||
+        getLastDeathMs(entry) >= nowMs - getMaxAgeMs(entry),
     );
     this.options.receiver.receive(key, entries);
   }
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -39,6 +39,11 @@
   readonly runStartedAtMs?: number;
   /** End of the run; now by default. */
   readonly runEndedAtMs?: number;
+  /**
+   * Whether different requests may have the same fingerprint. Their deaths count
+   * only one after the other, since one fault may break several of them.
+   */
+  readonly isShared?: boolean;
 }
 
 /** Clock and bounds of a quarantine. */
@@ -275,13 +280,15 @@
   private findNextOrdinal(
     {fingerprint, deaths}: QuarantineEntry,
     target: TargetId,
-    {startedAtMs = 0, runStartedAtMs}: DeathDetails,
+    {startedAtMs = 0, runStartedAtMs, isShared = false}: DeathDetails,
   ): number | undefined {
     const known = this.entries.get(fingerprint);
     // One fault of this daemon or its network may break all of its runs.
-    const lastRunEndedAtMs =
-      known?.lastRunEndedAtMs ?? Number.NEGATIVE_INFINITY;
-    if (runStartedAtMs !== undefined && runStartedAtMs < lastRunEndedAtMs) {
+    const explainedUntilMs = Math.max(
+      known?.lastRunEndedAtMs ?? Number.NEGATIVE_INFINITY,
+      ...(isShared ? (known?.learnedAtMs.values() ?? []) : []),
+    );
+    if (runStartedAtMs !== undefined && runStartedAtMs < explainedUntilMs) {
       return undefined;
     }
     const last = deaths
