Count the tokens of turns that are not stored

Cause: only routes that store turns reserved and settled tokens. X-Token-Budget of a streaming route without RetentionS was ignored. TokenReservation now serves both. Nothing tells where a program without stored turns started, so its home, which alone counts it while data centres are cut off, is chosen by rendezvous hashing over the data centres of the archives.

Before: 'A token budget holds over entry VMs on a route whose turns are not stored' failed, every turn was answered 200.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -15,6 +15,8 @@
 import {IncomingCall} from './incoming_call.js';
 import {servePlainCall} from './plain_call.js';
 import {finishStream, relayStreamCall} from './stream_call.js';
+import type {CallBody} from './target_attempts.js';
+import {TokenReservation} from './token_reservation.js';
 import {TurnCall} from './turn_call.js';
 
 /** A daemon receives its first configuration shortly after it starts. */
@@ -123,8 +125,31 @@
       await servePlainCall(call, this.services, service, body);
       return;
     }
-    const result = await relayStreamCall(call, this.services, service, body);
-    if (result !== undefined) finishStream(call, result);
+    await this.serveStream(call, service, body);
+  }
+
+  private async serveStream(
+    call: IncomingCall,
+    service: ServiceId,
+    body: CallBody,
+  ): Promise<void> {
+    const {services} = this;
+    const home = services.turns.chooseHome(TokenReservation.getProgram(call));
+    const reservation = await TokenReservation.create(
+      call,
+      services,
+      service,
+      home,
+    );
+    let events = 0;
+    try {
+      const result = await relayStreamCall(call, services, service, body);
+      if (result === undefined) return;
+      ({events} = result);
+      finishStream(call, result);
+    } finally {
+      reservation.settle(events);
+    }
   }
 
   private rejectCall(call: IncomingCall, error: MarigoldpostError): void {
--- /dev/null
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -0,0 +1,109 @@
+/** Reserves the tokens of one attempt at a turn from its program's budget. */
+import {
+  type DataCentreId,
+  isErrorOfKind,
+  MarigoldpostError,
+  type ProgramId,
+  type ServiceId,
+  toId,
+} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
+import type {CallServices} from './call_services.js';
+import type {IncomingCall} from './incoming_call.js';
+
+/** Tokens of an attempt; holds none if the call has no budget. */
+export class TokenReservation {
+  private constructor(
+    private readonly call: IncomingCall,
+    private readonly services: CallServices,
+    private readonly service: ServiceId,
+  ) {}
+
+  /**
+   * Reserves the tokens that a call may generate. Throws the error to send to
+   * the client if the budget does not hold them.
+   * @param call - Call of a turn.
+   * @param services - Components that all calls share.
+   * @param service - Service that generates the tokens.
+   * @param home - Data centre that counts the program while it is isolated.
+   */
+  static async create(
+    call: IncomingCall,
+    services: CallServices,
+    service: ServiceId,
+    home: DataCentreId,
+  ): Promise<TokenReservation> {
+    const reservation = new TokenReservation(call, services, service);
+    await reservation.reserve(home);
+    return reservation;
+  }
+
+  /**
+   * Gets the program of a call. A turn without one starts a program with the
+   * turn's id.
+   * @param call - Call of a turn.
+   */
+  static getProgram({attributes, requestId}: IncomingCall): ProgramId {
+    return attributes.program ?? toId<ProgramId>(requestId);
+  }
+
+  /**
+   * Gets the tokens of a number of events.
+   * @param events - Complete events of a stream.
+   */
+  getTokens(events: number): number {
+    const {tokensPerEvent} = this;
+    if (tokensPerEvent !== undefined) return events * tokensPerEvent;
+    throw MarigoldpostError.create(
+      'internal',
+      `service "${this.service}" serves turns but has no engine configured`,
+    );
+  }
+
+  /**
+   * Replaces the reservation by the tokens that the client may have received.
+   * It stays as it is if the size of events is not configured.
+   * @param events - Complete events that were sent to the client.
+   */
+  settle(events: number): void {
+    if (this.call.attributes.budgetTokens === undefined) return;
+    const program = TokenReservation.getProgram(this.call);
+    if (events > 0 && this.tokensPerEvent === undefined) return;
+    const tokens = events * (this.tokensPerEvent ?? 0);
+    this.services.turns.settle(program, this.attempt, tokens);
+  }
+
+  private get tokensPerEvent(): number | undefined {
+    const service = this.call.config.services.get(this.service);
+    return service?.engine?.tokensPerEvent;
+  }
+
+  private get attempt(): TurnId {
+    return toId<TurnId>(this.call.requestId);
+  }
+
+  private async reserve(home: DataCentreId): Promise<void> {
+    const {budgetTokens, maxOutputTokens} = this.call.attributes;
+    if (budgetTokens === undefined || maxOutputTokens === undefined) return;
+    const {clock, metrics, turns} = this.services;
+    const program = TokenReservation.getProgram(this.call);
+    const startMs = clock.nowMs();
+    try {
+      await turns.reserve({
+        program,
+        attempt: this.attempt,
+        tokens: maxOutputTokens,
+        budgetTokens,
+        home,
+      });
+    } catch (error) {
+      if (isErrorOfKind(error, 'tokens_spent')) {
+        const wantedTokens = maxOutputTokens;
+        const fields = {program, budgetTokens, wantedTokens};
+        this.call.logger.log('budget_refused', fields);
+      }
+      throw error;
+    }
+    metrics.recordValue('reservation_ms', {}, clock.nowMs() - startMs);
+  }
+}
--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -1,11 +1,5 @@
 /** Serves turns of programs: streaming calls whose history is stored. */
-import {
-  isErrorOfKind,
-  MarigoldpostError,
-  type ProgramId,
-  type ServiceId,
-  toId,
-} from '@marigoldpost/common';
+import {type ProgramId, type ServiceId, toId} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import {buildPrompt, type TurnChain} from '@marigoldpost/turns';
 import type {CallServices} from './call_services.js';
@@ -16,6 +10,7 @@
   relayStreamCall,
   type ServedStream,
 } from './stream_call.js';
+import {TokenReservation} from './token_reservation.js';
 
 /** A turn that is being served. */
 export class TurnCall {
@@ -29,9 +24,7 @@
     private readonly input: Buffer,
   ) {
     this.turn = toId<TurnId>(call.requestId);
-    // A turn without a program starts a program with the turn's id.
-    const {program} = call.attributes;
-    this.program = program ?? toId<ProgramId>(call.requestId);
+    this.program = TokenReservation.getProgram(call);
   }
 
   /**
@@ -54,20 +47,26 @@
 
   private async serve(): Promise<void> {
     const chain = await this.readChain();
-    await this.reserve(chain);
+    const {call, services, service} = this;
+    const home = this.getHomeDataCentre(chain);
+    const reservation = await TokenReservation.create(
+      call,
+      services,
+      service,
+      home,
+    );
     const prompt = buildPrompt(chain, this.input);
     let result: ServedStream | undefined;
     try {
       const previousPrompt = chain.at(-1);
       const body = {bytes: prompt, isPresent: true, previousPrompt};
-      const {call, services, service} = this;
       result = await relayStreamCall(call, services, service, body);
     } catch (error) {
-      this.settleTokens(0);
+      reservation.settle(0);
       throw error;
     }
-    if (result === undefined) this.settleTokens(0);
-    else await this.finish(chain, result);
+    if (result === undefined) reservation.settle(0);
+    else await this.finish(chain, result, reservation);
   }
 
   private async readChain(): Promise<TurnChain> {
@@ -88,42 +87,21 @@
     return chain;
   }
 
-  private async reserve(chain: TurnChain): Promise<void> {
-    const {budgetTokens, maxOutputTokens} = this.call.attributes;
-    if (budgetTokens === undefined || maxOutputTokens === undefined) return;
-    const {clock, metrics, turns} = this.services;
-    const {program} = this;
-    const startMs = clock.nowMs();
-    try {
-      await turns.reserve({
-        program,
-        attempt: this.turn,
-        tokens: maxOutputTokens,
-        budgetTokens,
-        home: this.getHomeDataCentre(chain),
-      });
-    } catch (error) {
-      if (isErrorOfKind(error, 'tokens_spent')) {
-        const wantedTokens = maxOutputTokens;
-        const fields = {program, budgetTokens, wantedTokens};
-        this.call.logger.log('budget_refused', fields);
-      }
-      throw error;
-    }
-    metrics.recordValue('reservation_ms', {}, clock.nowMs() - startMs);
-  }
-
-  private async finish(chain: TurnChain, result: ServedStream): Promise<void> {
-    const tokens = result.events * this.getTokensPerEvent();
+  private async finish(
+    chain: TurnChain,
+    result: ServedStream,
+    reservation: TokenReservation,
+  ): Promise<void> {
+    const tokens = reservation.getTokens(result.events);
     if (!result.isComplete || this.call.signal.aborted) {
-      this.settleTokens(tokens);
+      reservation.settle(result.events);
       finishStream(this.call, {...result, isComplete: false});
       return;
     }
     try {
       await this.store(chain, result, tokens);
     } catch (error) {
-      this.settleTokens(tokens);
+      reservation.settle(result.events);
       const message = error instanceof Error ? error.message : String(error);
       abortStream(this.call, {...result, message});
       return;
@@ -160,22 +138,7 @@
     });
   }
 
-  private settleTokens(tokens: number): void {
-    if (this.call.attributes.budgetTokens === undefined) return;
-    this.services.turns.settle(this.program, this.turn, tokens);
-  }
-
   private getHomeDataCentre(chain: TurnChain) {
     return chain[0]?.home ?? this.services.dataCentre;
   }
-
-  private getTokensPerEvent(): number {
-    const service = this.call.config.services.get(this.service);
-    const tokens = service?.engine?.tokensPerEvent;
-    if (tokens !== undefined) return tokens;
-    throw MarigoldpostError.create(
-      'internal',
-      `service "${this.service}" serves turns but has no engine configured`,
-    );
-  }
 }
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -1,5 +1,10 @@
 /** Interface of an entry VM to the archives: chains, budgets and turns. */
-import type {Clock, DataCentreId, ProgramId} from '@marigoldpost/common';
+import {
+  type Clock,
+  type DataCentreId,
+  getHashNumber,
+  type ProgramId,
+} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import type {DiskId} from '../log/disk_identity.js';
 import type {TurnChain} from '../records/turn_record.js';
@@ -75,6 +80,25 @@
     return this.chains.readChain(turn);
   }
 
+  /**
+   * Chooses the home of a program whose turns are not stored, so that nothing
+   * tells where it started. Every entry VM that lists the same archives chooses
+   * the same one.
+   * @param program - Program of a turn.
+   */
+  chooseHome(program: ProgramId): DataCentreId {
+    const {pool, ownDataCentre} = this.options;
+    let home = ownDataCentre;
+    let highest = -1;
+    for (const {dataCentre} of pool.getClients()) {
+      const rank = getHashNumber(`${program} ${dataCentre}`);
+      if (rank <= highest) continue;
+      highest = rank;
+      home = dataCentre;
+    }
+    return home;
+  }
+
   /**
    * Reserves tokens; see `BudgetClient.reserve`.
    * @param request - Attempt, tokens and budget.
