--- a/packages/gateway/src/calls/tracked_request.ts
+++ b/packages/gateway/src/calls/tracked_request.ts
@@ -31,7 +31,7 @@
   /**
    * Fingerprints that are the same for each retry of the request: one with its
    * program, and one without it, since a restarted program sends the request
-   * under a new name. A request of a program without a body has only the first:
+   * under a new id. A request of a program without a body has only the first:
    * the status calls of all programs share their path.
    */
   get fingerprints(): readonly RequestFingerprint[] {
--- a/packages/nodes/src/entry/quarantine_exchange.ts
+++ b/packages/nodes/src/entry/quarantine_exchange.ts
@@ -36,7 +36,7 @@
   readonly logger: EventLogger;
 }
 
-/** What this entry VM and one archive have told each other. */
+/** Progress of the exchange with one archive. */
 interface ExchangeState {
   /** Last change of this entry VM that the archive has. */
   sentChange: number;
--- a/packages/nodes/tests/entry/quarantine_replicator.feature
+++ b/packages/nodes/tests/entry/quarantine_replicator.feature
@@ -14,3 +14,8 @@
       | 1500         | free        |
       | 1500 1500 60 | quarantined |
       | 1500 1500 1500 | free      |
+
+  Scenario: A batch of crash records takes few log lines, those of quarantined requests first
+    When an entry VM reads crash records of 100 suspect requests and then of a quarantined one
+    Then it logs at most 8 merged records, with 93 omitted
+    And the first of them is of the quarantined request
--- a/packages/nodes/tests/entry/quarantine_replicator_steps.ts
+++ b/packages/nodes/tests/entry/quarantine_replicator_steps.ts
@@ -14,6 +14,13 @@
 
 interface ReplicatorWorld extends World {
   quarantine: Quarantine;
+  lines: LogLine[];
+}
+
+interface LogLine {
+  readonly name: string;
+  readonly fingerprint: string;
+  readonly omitted: number;
 }
 
 const request = toId<Fingerprint>('request');
@@ -36,6 +43,48 @@
   },
 );
 
+When(
+  'an entry VM reads crash records of {int} suspect requests and then of a quarantined one',
+  function (this: ReplicatorWorld, suspects: number) {
+    const clock = VirtualClock.create();
+    this.lines = [];
+    this.quarantine = Quarantine.create({clock, deathsToQuarantine: 3});
+    const logger = EventLogger.create({
+      level: 'info',
+      daemon: toId<DaemonId>('entry-0'),
+      destination: {
+        write: (line) => this.lines.push(JSON.parse(line) as LogLine),
+      },
+    });
+    const entries = Array.from({length: suspects}, (_none, index) =>
+      createEntry(`suspect-${index}`, 1),
+    );
+    entries.push(createEntry(request, 3));
+    const value = JSON.stringify(entries);
+    createReplicator(clock, this.quarantine, logger).replaceObjects([
+      {key: 'crashes/other', value, version: 1},
+    ]);
+  },
+);
+
+Then(
+  'it logs at most {int} merged records, with {int} omitted',
+  function (this: ReplicatorWorld, maxCount: number, omitted: number) {
+    const merged = this.lines.filter(
+      ({name}) => name === 'crash_records_merged',
+    );
+    assert.ok(merged.length <= maxCount, `${merged.length} lines`);
+    assert.equal(merged.at(-1)?.omitted, omitted);
+  },
+);
+
+Then(
+  'the first of them is of the quarantined request',
+  function (this: ReplicatorWorld) {
+    assert.equal(this.lines[0]?.fingerprint, request);
+  },
+);
+
 Then(
   /^it holds the request as (free|suspect|quarantined)$/,
   function (this: ReplicatorWorld, state: string) {
@@ -45,11 +94,19 @@
   },
 );
 
+function createEntry(fingerprint: string, deathCount: number) {
+  const deaths = Array.from({length: deathCount}, (_none, index) => ({
+    target: `target-${index}`,
+    atMs: 0,
+  }));
+  return {fingerprint, version: 0, deaths};
+}
+
 function createReplicator(
   clock: VirtualClock,
   quarantine: Quarantine,
+  logger = EventLogger.createSilent(),
 ): QuarantineReplicator {
-  const logger = EventLogger.createSilent();
   const metrics = Metrics.create();
   return QuarantineReplicator.create({
     daemon: toId<DaemonId>('entry-0'),
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -31,7 +31,7 @@
   readonly quarantinedDeaths: number;
 }
 
-/** What is known of a death besides its target. */
+/** Instance and run of a death. */
 export interface DeathDetails {
   /** Registered start of the target instance; 0 if unknown. */
   readonly startedAtMs?: number;
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -239,6 +239,7 @@
     deaths: 'number',
     ageMs: 'number',
     isQuarantined: 'boolean',
+    omitted: 'number',
   }),
   crash_records_sent: define(5008, 'info', 'Crash records were sent', {
     destination: 'string',
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -81,8 +81,8 @@
   }
 
   /**
-   * Chooses the home of a program whose turns are not stored, so that nothing
-   * tells where it started. Every entry VM that lists the same archives chooses
+   * Chooses the home of a program whose turns are not stored: there is no
+   * record of where it started. Every entry VM that lists the same archives chooses
    * the same one.
    * @param program - Program of a turn.
    */
