Log how targets delimit and end their responses, and what clients are told

From a request's id the log did not tell a reset from a close, nor a response with a length from one without. TargetBody reads the bodies of streams and plain responses in one place and reports the framing, the cause of the end (length met, last chunk, closed, reset, malformed, aborted) and the bytes; attempt_failed and call_ended carry them, with the number of events, whether the end lies inside an event, and what the client was told.

No decision is changed yet.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -199,6 +199,8 @@
       route: name,
       status: call.status,
       durationMs: Math.round(durationMs),
+      ...call.servedResponse,
+      clientEnd: call.clientEnd,
     });
   }
 }
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -1,8 +1,14 @@
 /** A client's request with its deadline and its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Clock, MarigoldpostError, Timer} from '@marigoldpost/common';
+import type {
+  Clock,
+  MarigoldpostError,
+  TargetId,
+  Timer,
+} from '@marigoldpost/common';
 import type {CallAttributes, Route, SiteConfig} from '@marigoldpost/sites';
 import type {EventLogger} from '@marigoldpost/telemetry';
+import type {BodyFields} from '../responses/body_end.js';
 import {createErrorResponse} from '../responses/error_response.js';
 import {
   getConnectionHeaders,
@@ -13,6 +19,17 @@
 /** Why a call was aborted before its response was complete. */
 export type CallEndReason = 'client_gone' | 'timeout';
 
+/**
+ * What the client can tell from the end of its response: `complete`, from a
+ * length or a last chunk, or `aborted`, from a connection that ends before.
+ */
+export type ClientEnd = 'complete' | 'aborted';
+
+/** The target's response that is sent to the client, for the log. */
+export interface ServedResponse extends BodyFields {
+  readonly target: TargetId;
+}
+
 /** Request, response and context of a call. */
 export interface IncomingCallOptions {
   readonly request: IncomingMessage;
@@ -36,6 +53,8 @@
   private readonly controller = new AbortController();
   private readonly timer: Timer;
   private reason: CallEndReason | undefined;
+  private response: ServedResponse | undefined;
+  private told: ClientEnd | undefined;
   /** Status of the response; 0 before it starts. */
   status = 0;
 
@@ -88,6 +107,16 @@
     return this.reason;
   }
 
+  /** The target's response that is sent to the client, if any. */
+  get servedResponse(): ServedResponse | undefined {
+    return this.response;
+  }
+
+  /** What the client was told at the end; `undefined` before it. */
+  get clientEnd(): ClientEnd | undefined {
+    return this.told;
+  }
+
   /** Time since the request arrived. */
   get elapsedMs(): number {
     return this.options.clock.nowMs() - this.options.arrivedAtMs;
@@ -106,6 +135,14 @@
     return this.options.response.headersSent;
   }
 
+  /**
+   * Records the target's response that is sent to the client.
+   * @param response - Its target and how its body ended.
+   */
+  recordTargetResponse(response: ServedResponse): void {
+    this.response = response;
+  }
+
   /**
    * Sends a complete response; does nothing if a response has started.
    * @param answer - Status, headers and body.
@@ -114,6 +151,7 @@
     const {response, isClosing} = this.options;
     if (this.isHeadSent || response.destroyed) return;
     this.status = answer.status;
+    this.told = 'complete';
     writeResponse(response, answer, isClosing());
   }
 
@@ -156,6 +194,7 @@
 
   /** Ends a started response normally. */
   complete(): void {
+    this.told = 'complete';
     this.options.response.end();
   }
 
@@ -169,6 +208,7 @@
    * Destroys the connection, so that a partial response does not look complete.
    */
   abortResponse(): void {
+    this.told = 'aborted';
     this.options.response.destroy();
   }
 
--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {ServiceId} from '@marigoldpost/common';
 import {isRepeatable} from '@marigoldpost/sites';
+import {getBodyFields} from '../responses/body_end.js';
 import {
   type ReceivedBody,
   readResponseBody,
@@ -37,11 +38,12 @@
     const startMs = services.clock.nowMs();
     const started = await attempts.nextResponse();
     const {response} = started.answer;
-    const received = await readResponseBody(response);
+    const received = await readResponseBody(started.answer.body);
+    const fields = getBodyFields(received.end);
     const problem = findResponseProblem(started, received);
     if (problem !== undefined) {
-      attempts.recordBrokenResponse(started.lease, problem);
-      if (!received.isComplete) {
+      attempts.recordBrokenResponse(started.lease, problem, fields);
+      if (!received.end.isComplete) {
         if (call.signal.aborted) attempts.recordSilence(started.lease);
         else attempts.recordCrash(started.lease);
       }
@@ -51,7 +53,8 @@
     const status = response.statusCode ?? 0;
     const latencySampleMs = services.clock.nowMs() - startMs;
     if (status >= minServerErrorStatus && attempts.canRetry) {
-      attempts.recordBrokenResponse(started.lease, `status ${status}`);
+      const message = `status ${status}`;
+      attempts.recordBrokenResponse(started.lease, message, fields);
       continue;
     }
     attempts.complete(started.lease, status, latencySampleMs);
@@ -60,6 +63,7 @@
         `the target responded with status ${status}`,
       );
     }
+    call.recordTargetResponse({target: started.lease.target.id, ...fields});
     const headers = getClientHeaders(services, response);
     call.answer({status, headers, body: received.bytes});
     return;
@@ -81,7 +85,7 @@
 /** Finds why a response must not be forwarded; `undefined` if it may be. */
 function findResponseProblem(
   {answer}: LeasedResponse,
-  {isComplete, message}: ReceivedBody,
+  {end: {isComplete, message}}: ReceivedBody,
 ): string | undefined {
   if (!isComplete) return message;
   const status = answer.response.statusCode ?? 0;
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -4,6 +4,7 @@
   type ServiceId,
   type TargetId,
 } from '@marigoldpost/common';
+import {getBodyFields} from '../responses/body_end.js';
 import {readResponseBody} from '../responses/response_body.js';
 import {StreamRelay, type StreamResult} from '../responses/stream_relay.js';
 import {isNotRunStatus} from '../responses/not_run_statuses.js';
@@ -62,21 +63,24 @@
     );
     throw attempts.createFailure('the response has no signature');
   }
-  const {response} = started.answer;
+  const {response, body: targetBody} = started.answer;
   const result = await StreamRelay.run({
     call,
-    response,
+    body: targetBody,
     headers: getClientHeaders(services, response),
     clock: services.clock,
     stallMs: getStallMs(call),
   });
+  const {events, isInEvent} = result;
+  const fields = getBodyFields(result.end, {events, isInEvent});
+  call.recordTargetResponse({target: started.lease.target.id, ...fields});
   if (result.isComplete) {
     attempts.complete(started.lease, status, result.gapMs);
   } else if (call.signal.aborted) {
     attempts.release(started.lease, {result: 'cancelled'});
     attempts.recordSilence(started.lease);
   } else {
-    attempts.recordBrokenResponse(started.lease, result.message);
+    attempts.recordBrokenResponse(started.lease, result.message, fields);
     if (result.isStalled) attempts.recordSilence(started.lease);
     else attempts.recordCrash(started.lease);
   }
@@ -129,15 +133,17 @@
 ): Promise<void> {
   const {response} = answer;
   const status = response.statusCode ?? 0;
-  const body = await readResponseBody(response);
-  if (!body.isComplete) {
-    attempts.recordBrokenResponse(lease, body.message);
-    throw attempts.createFailure(body.message);
+  const {bytes, end} = await readResponseBody(answer.body);
+  const fields = getBodyFields(end);
+  if (!end.isComplete) {
+    attempts.recordBrokenResponse(lease, end.message, fields);
+    throw attempts.createFailure(end.message);
   }
+  call.recordTargetResponse({target: lease.target.id, ...fields});
   attempts.complete(lease, status);
   if (isNotRunStatus(status)) {
     throw attempts.createFailure(`the target responded with status ${status}`);
   }
   const headers = getClientHeaders(services, response);
-  call.answer({status, headers, body: body.bytes});
+  call.answer({status, headers, body: bytes});
 }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -14,6 +14,7 @@
   TargetResult,
 } from '@marigoldpost/dispatch';
 import {isRepeatable} from '@marigoldpost/sites';
+import type {BodyFields} from '../responses/body_end.js';
 import type {StartedResponse} from '../targets/target_exchange.js';
 import {
   type ExchangeOutcome,
@@ -130,11 +131,16 @@
    * from further attempts.
    * @param lease - Lease of the attempt.
    * @param message - Why the response is unusable.
+   * @param body - How the body ended, if it has been read.
    */
-  recordBrokenResponse(lease: TargetLease, message: string): void {
+  recordBrokenResponse(
+    lease: TargetLease,
+    message: string,
+    body?: BodyFields,
+  ): void {
     this.excluded.add(lease.target.id);
     this.release(lease, {result: 'broken'});
-    this.logFailure(lease, 'broken', true, message);
+    this.logFailure(lease, 'broken', true, message, body);
   }
 
   /**
@@ -349,6 +355,7 @@
     result: string,
     isSent: boolean,
     reason: string,
+    body?: BodyFields,
   ): void {
     this.call.logger.log('attempt_failed', {
       target: lease.target.id,
@@ -356,6 +363,7 @@
       isSent,
       reason,
       elapsedMs: Math.round(this.call.elapsedMs),
+      ...body,
     });
   }
 }
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -1,13 +1,14 @@
 /** Forwards a stream of server-sent events chunk by chunk. */
-import type {IncomingMessage} from 'node:http';
 import type {Clock, Timer} from '@marigoldpost/common';
 import type {IncomingCall} from '../calls/incoming_call.js';
 import {EventCollector} from '../responses/event_collector.js';
+import type {BodyEnd, StreamPosition} from './body_end.js';
+import type {TargetBody} from './target_body.js';
 
 /** Source and destination of one relayed stream. */
 export interface StreamRelayOptions {
   readonly call: IncomingCall;
-  readonly response: IncomingMessage;
+  readonly body: TargetBody;
   /** Response headers for the client, alternating names and values. */
   readonly headers: readonly string[];
   readonly clock: Clock;
@@ -16,15 +17,14 @@
 }
 
 /** How a relayed stream ended. */
-export interface StreamResult {
+export interface StreamResult extends StreamPosition {
+  readonly end: BodyEnd;
   /** Whether the target sent the stream to its end, after a whole event. */
   readonly isComplete: boolean;
   /** Error that truncated the stream; empty for a complete one. */
   readonly message: string;
   /** Whether the relay aborted it because no chunk arrived for `stallMs`. */
   readonly isStalled: boolean;
-  /** Number of complete events. */
-  readonly events: number;
   /** Mean time between two events; `undefined` for fewer than three events. */
   readonly gapMs: number | undefined;
   /** Data of all complete events, each followed by a line feed. */
@@ -52,25 +52,16 @@
     return new StreamRelay(options).run();
   }
 
-  private run(): Promise<StreamResult> {
-    const {response} = this.options;
-    return new Promise((resolve) => {
-      let message = 'the event stream was truncated';
-      response.on('data', (chunk: Buffer) => this.forwardChunk(chunk));
-      response.once('error', (error) => {
-        ({message} = error);
-      });
-      response.once('close', () => {
-        this.stallTimer?.cancel();
-        const isBodyComplete = response.complete && response.errored === null;
-        const isComplete = isBodyComplete && this.collector.isAtEventBoundary;
-        resolve(this.createResult(isComplete, message));
-      });
-    });
+  private async run(): Promise<StreamResult> {
+    const {body} = this.options;
+    const end = await body.read((chunk) => this.forwardChunk(chunk));
+    this.stallTimer?.cancel();
+    return this.createResult(end);
   }
 
   private forwardChunk(chunk: Buffer): void {
-    const {call, response, headers, clock} = this.options;
+    const {call, body, headers, clock} = this.options;
+    const {response} = body;
     const eventsBefore = this.collector.eventCount;
     this.collector.add(chunk);
     if (this.collector.eventCount > eventsBefore) {
@@ -86,29 +77,32 @@
   }
 
   private restartStallTimer(): void {
-    const {response, clock, stallMs} = this.options;
+    const {body, clock, stallMs} = this.options;
     this.stallTimer?.cancel();
     this.stallTimer = clock.setTimer(stallMs, () => {
       // Paused by backpressure from a slow client: the target is not at fault.
-      if (response.isPaused()) {
+      if (body.response.isPaused()) {
         this.restartStallTimer();
         return;
       }
       this.isStalled = true;
-      response.destroy(
-        new Error(`event stream stalled: no data for ${stallMs} ms`),
-      );
+      body.abort(`event stream stalled: no data for ${stallMs} ms`);
     });
   }
 
-  private createResult(isComplete: boolean, message: string): StreamResult {
+  private createResult(end: BodyEnd): StreamResult {
     const events = this.collector.eventCount;
+    const isInEvent = !this.collector.isAtEventBoundary;
+    const isComplete = end.isComplete && !isInEvent;
+    const {message} = end;
     const spanMs = this.lastEventMs - (this.firstEventMs ?? 0);
     return {
+      end,
       isComplete,
-      message: isComplete ? '' : message,
+      message: isComplete ? '' : message || 'the event stream was truncated',
       isStalled: this.isStalled,
       events,
+      isInEvent,
       gapMs: events < minEventsForGap ? undefined : spanMs / (events - 1),
       data: this.collector.getData(),
     };
--- /dev/null
+++ b/packages/gateway/src/responses/target_body.ts
@@ -0,0 +1,131 @@
+/** Reads the body of a target's response and determines how it ended. */
+import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import type {BodyEnd, BodyEndCause, BodyFraming} from './body_end.js';
+
+const parserErrorPrefix = 'HPE_';
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Body of one response; it must be read once. */
+export class TargetBody {
+  private bytes = 0;
+  private isReset = false;
+  private abortMessage: string | undefined;
+  private error: NodeJS.ErrnoException | undefined;
+  private readonly framing: BodyFraming;
+  private readonly socket: Socket;
+  private readonly onSocketEnd: () => void;
+
+  private constructor(
+    readonly response: IncomingMessage,
+    method: string,
+  ) {
+    this.framing = getBodyFraming(response, method);
+    const {socket} = response;
+    this.socket = socket;
+    // libuv reports a reset that arrives together with the last bytes as a
+    // normal end. The connection has no peer address any more in that case.
+    this.onSocketEnd = () => {
+      if (socket.remoteAddress === undefined) this.isReset = true;
+    };
+    socket.prependListener('end', this.onSocketEnd);
+    response.on('error', (error) => {
+      this.error ??= error;
+    });
+  }
+
+  /**
+   * Creates the body of a response whose head has just arrived.
+   * @param response - Response whose body has not been read.
+   * @param method - Method of the request.
+   */
+  static create(response: IncomingMessage, method: string): TargetBody {
+    return new TargetBody(response, method);
+  }
+
+  /**
+   * Reads the body until the response closes; never rejects.
+   * @param onChunk - Called with each chunk of the body.
+   */
+  read(onChunk: (chunk: Buffer) => void): Promise<BodyEnd> {
+    const {response, socket, onSocketEnd} = this;
+    return new Promise((resolve) => {
+      response.on('data', (chunk: Buffer) => {
+        this.bytes += chunk.byteLength;
+        onChunk(chunk);
+      });
+      response.once('close', () => {
+        socket.removeListener('end', onSocketEnd);
+        resolve(this.createEnd());
+      });
+    });
+  }
+
+  /**
+   * Closes the connection before the body has ended.
+   * @param message - Why the rest of the body is not read.
+   */
+  abort(message: string): void {
+    this.abortMessage ??= message;
+    this.response.destroy(new Error(message));
+  }
+
+  /**
+   * Ends the body because its connection failed. Node.js reports a body that
+   * only the end of the connection delimits as complete even then.
+   * @param error - Error of the connection.
+   */
+  fail(error: NodeJS.ErrnoException): void {
+    this.error ??= error;
+    if (!isParserError(error)) this.isReset = true;
+    this.response.destroy(error);
+  }
+
+  private createEnd(): BodyEnd {
+    const {response, framing, bytes} = this;
+    const isComplete = response.complete && response.errored === null;
+    const cause = isComplete ? this.getNormalCause() : this.getFailureCause();
+    const message = isComplete ? '' : this.getMessage();
+    return {framing, cause, bytes, isComplete, message};
+  }
+
+  private getNormalCause(): BodyEndCause {
+    switch (this.framing) {
+      case 'none':
+        return 'no_body';
+      case 'length':
+        return 'length_met';
+      case 'chunked':
+        return 'last_chunk';
+      case 'close':
+        return this.isReset ? 'reset' : 'closed';
+    }
+  }
+
+  private getFailureCause(): BodyEndCause {
+    if (this.abortMessage !== undefined) return 'aborted';
+    if (this.isReset) return 'reset';
+    return isParserError(this.error) ? 'malformed' : 'closed';
+  }
+
+  private getMessage(): string {
+    const {abortMessage, error} = this;
+    return abortMessage ?? error?.message ?? 'the response was truncated';
+  }
+}
+
+function isParserError(error: NodeJS.ErrnoException | undefined): boolean {
+  return error?.code?.startsWith(parserErrorPrefix) === true;
+}
+
+function getBodyFraming(
+  {statusCode = 0, headers}: IncomingMessage,
+  method: string,
+): BodyFraming {
+  if (method === 'HEAD' || bodilessStatuses.has(statusCode)) return 'none';
+  const coding = headers['transfer-encoding'];
+  if (coding !== undefined) {
+    return /(?:^|,)\s*chunked\s*$/i.test(coding) ? 'chunked' : 'close';
+  }
+  return headers['content-length'] === undefined ? 'close' : 'length';
+}
--- a/packages/gateway/src/targets/target_exchange.ts
+++ b/packages/gateway/src/targets/target_exchange.ts
@@ -6,6 +6,7 @@
   CallCodec,
   TargetEntry,
 } from '@marigoldpost/sites';
+import {TargetBody} from '../responses/target_body.js';
 import type {TargetAgent} from './target_agent.js';
 
 /** Connect timeout; far above the round trip between data centres. */
@@ -26,6 +27,7 @@
 export interface StartedResponse {
   readonly kind: 'answer';
   readonly response: http.IncomingMessage;
+  readonly body: TargetBody;
   readonly attributes: ResponseAttributes;
 }
 
@@ -62,7 +64,7 @@
 /** One request to one target; never retries. */
 export class TargetExchange {
   private isSent = false;
-  private response: http.IncomingMessage | undefined;
+  private body: TargetBody | undefined;
   private settle!: (outcome: ExchangeOutcome) => void;
 
   private constructor(private readonly options: TargetExchangeOptions) {}
@@ -86,6 +88,7 @@
       const request = this.createRequest();
       const fail = (reason: FailedExchange['reason'], message: string) => {
         this.settle(this.createFailure(reason, message));
+        this.body?.abort(message);
         request.destroy();
       };
       const timer = setTimeout(
@@ -128,9 +131,7 @@
       this.handleResponseHead(response, fail),
     );
     request.on('error', (error) => {
-      // Node reports a response without a length as complete even if its
-      // connection is reset, so destroy it with the error.
-      this.response?.destroy(error);
+      this.body?.fail(error);
       // A target resets connections beyond its limit before it reads them, but
       // a reset may also follow a request that was read. Only a failed connect
       // proves that the request was not sent.
@@ -162,10 +163,9 @@
     response: http.IncomingMessage,
     fail: (reason: FailedExchange['reason'], message: string) => void,
   ): void {
-    this.response = response;
-    // The reader of the body detects a truncated response by `complete`.
-    response.on('error', () => undefined);
     const {codec, request} = this.options;
+    const body = TargetBody.create(response, request.method);
+    this.body = body;
     const status = response.statusCode ?? 0;
     const attributes = codec.decodeResponse(status, response.headers);
     const {requestId, isNotRun} = attributes;
@@ -178,7 +178,7 @@
       this.settle({kind: 'not_run', status});
       return;
     }
-    this.settle({kind: 'answer', response, attributes});
+    this.settle({kind: 'answer', response, body, attributes});
   }
 
   private createFailure(
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -116,6 +116,11 @@
     isSent: 'boolean',
     reason: 'string',
     elapsedMs: 'number',
+    framing: 'string?',
+    end: 'string?',
+    bytes: 'number?',
+    events: 'number?',
+    isInEvent: 'boolean?',
   }),
   call_ended: define(2103, 'info', 'A response to a call has ended', {
     route: 'string',
@@ -123,6 +128,11 @@
     durationMs: 'number',
     events: 'number?',
     target: 'string?',
+    framing: 'string?',
+    end: 'string?',
+    bytes: 'number?',
+    isInEvent: 'boolean?',
+    clientEnd: 'string?',
   }),
   call_turned_away: define(2104, 'info', 'A call was rejected', {
     route: 'string',
