--- a/packages/gateway/tests/responses/event_collector.feature
+++ b/packages/gateway/tests/responses/event_collector.feature
@@ -18,3 +18,6 @@
       | a comment                  | : ping\n\ndata: a\n\n                   | 1      | a\n      | ends        |
       | an incomplete event        | data: a\n\ndata: b\n                    | 1      | a\n      | does not end |
       | an incomplete line         | data: a\n\nda                           | 1      | a\n      | does not end |
+      | only the id of an event    | data: a\n\nid: 2\n                      | 1      | a\n      | does not end |
+      | a comment without its end  | data: a\n\n: ping\n                     | 1      | a\n      | does not end |
+      | a field without its end    | x-weight: 2\n                           | 0      |          | does not end |
