Tell clients no more than the end of a response proves

Turns that had been cut were stored, suspicions of crashing cleared.

Cause: several readers judged 'complete' from what Node.js reports. For a response with neither a length nor chunks that is any end: a reset that arrives with the last bytes is even reported as a normal end by libuv. The event parser counted a stream that ended after 'id: 1' or a comment as ended between two events. Whatever counted as complete was then framed with a Content-Length or a last chunk.

Now TargetBody determines what ended a body, and body_end.ts alone what that proves: complete, truncated, or neither. Resets, ends inside an event and streams without any event are truncated. A normal close of a response that only its connection delimits proves nothing: the client gets it without a length or chunks too, on a connection that closes, and a reset if it turns out to be truncated. Such a response is no latency sample and clears no suspicion by itself: it counts as a crash if the target is lost, and as a completion once the target responds to a later request. Complete streams without a chunk are sent; they were answered 502. A framed response that has arrived completely is no longer dropped if its connection fails while a slow client reads it. At shutdown connections in use are reset, since a normal end would complete responses of this kind. HTTP/1.0 clients, who get no chunks either, are reset too when their response breaks.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -100,7 +100,7 @@
   recordSend(request: TrackedRequest, target: TargetId): void {
     const {quarantine, metrics} = this.options;
     if (quarantine.isEmpty) return;
-    const fingerprint = this.findSuspects(request)[0];
+    const fingerprint = this.findSuspects(request.fingerprints)[0];
     if (fingerprint === undefined) return;
     const deaths = quarantine.countDeaths(fingerprint);
     metrics.addToCounter('crash_records_total', {event: 'suspect_sent'});
@@ -139,6 +139,41 @@
     );
   }
 
+  /**
+   * Records that a target closed its connection after a response that may be
+   * truncated. This counts as a crash if the target is lost, and as a
+   * completion if it responds to a later request.
+   * @param request - Request that the target was running.
+   * @param target - Target that closed the connection.
+   * @param run - Start and end of the run, on the daemon's clock.
+   * @param status - Status of the response.
+   */
+  recordUnprovenEnd(
+    request: TrackedRequest,
+    target: TargetEntry,
+    run: TargetRun,
+    status: number,
+  ): void {
+    const {fingerprints, call} = request;
+    const {logger} = call;
+    this.unconfirmed.add(
+      target,
+      run.runStartedAtMs,
+      () => this.countCrash(fingerprints, target, run, logger),
+      () => this.clearSuspicion(fingerprints, target.id, status, logger),
+    );
+  }
+
+  /**
+   * Records that a target has responded, so that it outlived the runs that
+   * ended before.
+   * @param target - Target that responded.
+   * @param sentAtMs - When the request was sent, on the daemon's clock.
+   */
+  recordResponse(target: TargetEntry, sentAtMs: number): void {
+    this.unconfirmed.recordResponse(target, sentAtMs);
+  }
+
   /**
    * Records that a target is gone, or restarted, without having drained.
    * @param target - Last registration of the lost instance.
@@ -159,14 +194,25 @@
     request: TrackedRequest,
     target: TargetId,
     status: number,
+  ): void {
+    // Reading the fingerprints hashes the body.
+    if (this.options.quarantine.isEmpty) return;
+    const {fingerprints, call} = request;
+    this.clearSuspicion(fingerprints, target, status, call.logger);
+  }
+
+  private clearSuspicion(
+    fingerprints: readonly RequestFingerprint[],
+    target: TargetId,
+    status: number,
+    logger: EventLogger,
   ): void {
     const {quarantine, metrics, onChanged} = this.options;
-    if (quarantine.isEmpty || status >= minServerErrorStatus) return;
-    for (const fingerprint of this.findSuspects(request)) {
+    if (status >= minServerErrorStatus) return;
+    for (const fingerprint of this.findSuspects(fingerprints)) {
       quarantine.recordSurvival(fingerprint);
       metrics.addToCounter('crash_records_total', {event: 'cleared'});
-      const fields = {fingerprint, target, status};
-      request.call.logger.log('suspicion_cleared', fields);
+      logger.log('suspicion_cleared', {fingerprint, target, status});
       onChanged(fingerprint);
     }
   }
@@ -180,7 +226,9 @@
     )?.fingerprint;
   }
 
-  private findSuspects({fingerprints}: TrackedRequest): Fingerprint[] {
+  private findSuspects(
+    fingerprints: readonly RequestFingerprint[],
+  ): Fingerprint[] {
     const {quarantine} = this.options;
     return fingerprints
       .map(({fingerprint}) => fingerprint)
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -16,14 +16,21 @@
   writeResponse,
 } from '../responses/write_response.js';
 
+/**
+ * A reset that arrives together with the last bytes looks like a normal end to
+ * clients that are built on libuv.
+ */
+const resetDelayMs = 20;
+
 /** Why a call was aborted before its response was complete. */
 export type CallEndReason = 'client_gone' | 'timeout';
 
 /**
- * What the client can tell from the end of its response: `complete`, from a
- * length or a last chunk, or `aborted`, from a connection that ends before.
+ * What the end of its response tells the client: `complete`, by a length or a
+ * last chunk, `closed`, by the normal end of a connection that delimits the
+ * response, or `aborted`, by a connection that breaks.
  */
-export type ClientEnd = 'complete' | 'aborted';
+export type ClientEnd = 'complete' | 'closed' | 'aborted';
 
 /** The target's response that is sent to the client, for the log. */
 export interface ServedResponse extends BodyFields {
@@ -151,7 +158,7 @@
     const {response, isClosing} = this.options;
     if (this.isHeadSent || response.destroyed) return;
     this.status = answer.status;
-    this.told = 'complete';
+    this.told = answer.isUndelimited === true ? 'closed' : 'complete';
     writeResponse(response, answer, isClosing());
   }
 
@@ -167,11 +174,18 @@
    * Starts a response of unknown length.
    * @param status - HTTP status code.
    * @param headers - Alternating names and values.
+   * @param isDelimited - Whether the response ends with a last chunk; if not,
+   *   only the end of the connection delimits it.
    */
-  writeHead(status: number, headers: readonly string[]): void {
+  writeHead(
+    status: number,
+    headers: readonly string[],
+    isDelimited: boolean,
+  ): void {
     this.status = status;
     const {response, isClosing} = this.options;
-    const closing = getConnectionHeaders(isClosing());
+    if (!isDelimited) response.useChunkedEncodingByDefault = false;
+    const closing = getConnectionHeaders(!isDelimited || isClosing());
     response.writeHead(status, [...headers, ...closing]);
   }
 
@@ -194,8 +208,9 @@
 
   /** Ends a started response normally. */
   complete(): void {
-    this.told = 'complete';
-    this.options.response.end();
+    const {response} = this.options;
+    this.told = response.chunkedEncoding ? 'complete' : 'closed';
+    response.end();
   }
 
   /** Closes the connection after the response has been sent. */
@@ -205,11 +220,18 @@
   }
 
   /**
-   * Destroys the connection, so that a partial response does not look complete.
+   * Breaks the connection, so that a partial response does not look complete.
    */
   abortResponse(): void {
     this.told = 'aborted';
-    this.options.response.destroy();
+    const {request, response, clock} = this.options;
+    if (!this.isHeadSent || response.chunkedEncoding) {
+      response.destroy();
+      return;
+    }
+    // Without chunks, a normal end of the connection would complete the
+    // response.
+    clock.setTimer(resetDelayMs, () => request.socket.resetAndDestroy());
   }
 
   private end(reason: CallEndReason): void {
--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -43,7 +43,7 @@
     const problem = findResponseProblem(started, received);
     if (problem !== undefined) {
       attempts.recordBrokenResponse(started.lease, problem, fields);
-      if (!received.end.isComplete) {
+      if (received.end.proof === 'truncated') {
         if (call.signal.aborted) attempts.recordSilence(started.lease);
         else attempts.recordCrash(started.lease);
       }
@@ -51,13 +51,14 @@
       throw attempts.createFailure(problem);
     }
     const status = response.statusCode ?? 0;
+    const {proof} = received.end;
     const latencySampleMs = services.clock.nowMs() - startMs;
     if (status >= minServerErrorStatus && attempts.canRetry) {
       const message = `status ${status}`;
       attempts.recordBrokenResponse(started.lease, message, fields);
       continue;
     }
-    attempts.complete(started.lease, status, latencySampleMs);
+    attempts.complete(started.lease, {status, proof, latencySampleMs});
     if (isNotRunStatus(status) && !isRepeatable(call.route)) {
       throw attempts.createFailure(
         `the target responded with status ${status}`,
@@ -65,7 +66,8 @@
     }
     call.recordTargetResponse({target: started.lease.target.id, ...fields});
     const headers = getClientHeaders(services, response);
-    call.answer({status, headers, body: received.bytes});
+    const isUndelimited = proof === 'unknown';
+    call.answer({status, headers, body: received.bytes, isUndelimited});
     return;
   }
 }
@@ -85,9 +87,9 @@
 /** Finds why a response must not be forwarded; `undefined` if it may be. */
 function findResponseProblem(
   {answer}: LeasedResponse,
-  {end: {isComplete, message}}: ReceivedBody,
+  {end: {proof, message}}: ReceivedBody,
 ): string | undefined {
-  if (!isComplete) return message;
+  if (proof === 'truncated') return message;
   const status = answer.response.statusCode ?? 0;
   const {isSigned, requestId} = answer.attributes;
   if (status >= minNonSuccessStatus) return undefined;
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -74,8 +74,10 @@
   const {events, isInEvent} = result;
   const fields = getBodyFields(result.end, {events, isInEvent});
   call.recordTargetResponse({target: started.lease.target.id, ...fields});
-  if (result.isComplete) {
-    attempts.complete(started.lease, status, result.gapMs);
+  const {proof} = result;
+  if (proof !== 'truncated') {
+    const latencySampleMs = result.gapMs;
+    attempts.complete(started.lease, {status, proof, latencySampleMs});
   } else if (call.signal.aborted) {
     attempts.release(started.lease, {result: 'cancelled'});
     attempts.recordSilence(started.lease);
@@ -88,13 +90,13 @@
 }
 
 /**
- * Ends a relayed response, or aborts it if the stream is incomplete. Throws
+ * Ends a relayed response, or aborts it if the stream is truncated. Throws
  * `target_failed` if the client has not received anything yet.
  * @param call - Call whose stream was relayed.
  * @param result - How the stream ended.
  */
 export function finishStream(call: IncomingCall, result: StreamResult): void {
-  if (result.isComplete && call.isHeadSent) {
+  if (result.proof !== 'truncated' && call.isHeadSent) {
     call.complete();
     return;
   }
@@ -135,15 +137,17 @@
   const status = response.statusCode ?? 0;
   const {bytes, end} = await readResponseBody(answer.body);
   const fields = getBodyFields(end);
-  if (!end.isComplete) {
+  const {proof} = end;
+  if (proof === 'truncated') {
     attempts.recordBrokenResponse(lease, end.message, fields);
     throw attempts.createFailure(end.message);
   }
   call.recordTargetResponse({target: lease.target.id, ...fields});
-  attempts.complete(lease, status);
+  attempts.complete(lease, {status, proof});
   if (isNotRunStatus(status)) {
     throw attempts.createFailure(`the target responded with status ${status}`);
   }
   const headers = getClientHeaders(services, response);
-  call.answer({status, headers, body: bytes});
+  const isUndelimited = proof === 'unknown';
+  call.answer({status, headers, body: bytes, isUndelimited});
 }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -14,7 +14,7 @@
   TargetResult,
 } from '@marigoldpost/dispatch';
 import {isRepeatable} from '@marigoldpost/sites';
-import type {BodyFields} from '../responses/body_end.js';
+import type {BodyFields, BodyProof} from '../responses/body_end.js';
 import type {StartedResponse} from '../targets/target_exchange.js';
 import {
   type ExchangeOutcome,
@@ -51,6 +51,14 @@
   readonly lease: TargetLease;
 }
 
+/** End of a response that is not truncated. */
+export interface EndedResponse {
+  readonly status: number;
+  readonly proof: BodyProof;
+  /** Latency to compare with other targets. */
+  readonly latencySampleMs?: number;
+}
+
 const targetResults: Record<FailedExchange['reason'], TargetResult> = {
   unreachable: 'unreachable',
   broken: 'broken',
@@ -118,6 +126,9 @@
       );
       this.sentAtMs = this.services.clock.nowMs();
       const outcome = await this.send(lease);
+      if (outcome.kind !== 'failed') {
+        this.services.crashTracker.recordResponse(lease.target, this.sentAtMs);
+      }
       if (outcome.kind === 'answer') {
         this.recordSent();
         return {answer: outcome, lease};
@@ -176,15 +187,29 @@
   }
 
   /**
-   * Releases the lease of an attempt whose response is complete.
+   * Releases the lease of an attempt whose response is not truncated.
    * @param lease - Lease of the attempt.
-   * @param status - Status of the response.
-   * @param latencySampleMs - Latency to compare with other targets.
+   * @param response - What is known of the response.
    */
-  complete(lease: TargetLease, status: number, latencySampleMs?: number): void {
-    this.release(lease, {result: 'answered', latencySampleMs});
+  complete(
+    lease: TargetLease,
+    {status, proof, latencySampleMs}: EndedResponse,
+  ): void {
     const {crashTracker} = this.services;
-    crashTracker.recordCompletion(this.trackedRequest, lease.target.id, status);
+    const {trackedRequest} = this;
+    const {target} = lease;
+    if (proof === 'complete') {
+      this.release(lease, {result: 'answered', latencySampleMs});
+      crashTracker.recordCompletion(trackedRequest, target.id, status);
+      return;
+    }
+    this.release(lease, {result: 'answered'});
+    crashTracker.recordUnprovenEnd(
+      trackedRequest,
+      target,
+      this.getRun(),
+      status,
+    );
   }
 
   /** Creates the error for the client when no further attempt is allowed. */
--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -93,9 +93,9 @@
     reservation: TokenReservation,
   ): Promise<void> {
     const tokens = reservation.getTokens(result.events);
-    if (!result.isComplete || this.call.signal.aborted) {
+    if (result.proof === 'truncated' || this.call.signal.aborted) {
       reservation.settle(result.events);
-      finishStream(this.call, {...result, isComplete: false});
+      finishStream(this.call, {...result, proof: 'truncated'});
       return;
     }
     try {
--- a/packages/gateway/src/calls/unconfirmed_crashes.ts
+++ b/packages/gateway/src/calls/unconfirmed_crashes.ts
@@ -1,5 +1,5 @@
 /**
- * Runs that ended without a response. Whether their target has crashed becomes
+ * Runs whose end does not tell whether the target has crashed. Whether their target has crashed becomes
  * known when it leaves the registry or is registered as restarted.
  */
 import type {Clock} from '@marigoldpost/common';
@@ -12,6 +12,7 @@
   readonly target: string;
   readonly endedAtMs: number;
   readonly onConfirmed: () => void;
+  readonly onSurvived: (() => void) | undefined;
 }
 
 /** Matches silent runs with targets that are lost before or after their end. */
@@ -31,12 +32,19 @@
   }
 
   /**
-   * Adds a run that has just ended without a response.
+   * Adds a run that has just ended.
    * @param target - Target of the run.
    * @param startedAtMs - Start of the run, on the daemon's clock.
    * @param onConfirmed - Called once if the target has crashed.
+   * @param onSurvived - Called once if the target responds to a later request;
+   *   without it, such a response has no effect on the run.
    */
-  add(target: TargetEntry, startedAtMs: number, onConfirmed: () => void): void {
+  add(
+    target: TargetEntry,
+    startedAtMs: number,
+    onConfirmed: () => void,
+    onSurvived?: () => void,
+  ): void {
     this.removeExpired();
     const key = getInstanceKey(target);
     if ((this.lostAtMs.get(key) ?? Number.NEGATIVE_INFINITY) >= startedAtMs) {
@@ -44,7 +52,26 @@
       return;
     }
     const endedAtMs = this.clock.nowMs();
-    this.runs.push({target: key, endedAtMs, onConfirmed});
+    this.runs.push({target: key, endedAtMs, onConfirmed, onSurvived});
+  }
+
+  /**
+   * Records that a target has responded to a request.
+   * @param target - Registration of the instance that responded.
+   * @param sentAtMs - When the request was sent.
+   */
+  recordResponse(target: TargetEntry, sentAtMs: number): void {
+    if (this.runs.length === 0) return;
+    const key = getInstanceKey(target);
+    const survived = this.runs.filter(
+      (run) =>
+        run.target === key &&
+        run.onSurvived !== undefined &&
+        run.endedAtMs <= sentAtMs,
+    );
+    if (survived.length === 0) return;
+    this.runs = this.runs.filter((run) => !survived.includes(run));
+    for (const {onSurvived} of survived) onSurvived?.();
   }
 
   /**
--- a/packages/gateway/src/responses/body_end.ts
+++ b/packages/gateway/src/responses/body_end.ts
@@ -16,15 +16,20 @@
   | 'malformed'
   | 'aborted';
 
+/**
+ * What the end of a body proves: that no bytes are missing, that some are, or
+ * neither.
+ */
+export type BodyProof = 'complete' | 'unknown' | 'truncated';
+
 /** How a body ended. */
 export interface BodyEnd {
   readonly framing: BodyFraming;
   readonly cause: BodyEndCause;
   /** Number of bytes that arrived. */
   readonly bytes: number;
-  /** Whether no bytes are missing. */
-  readonly isComplete: boolean;
-  /** Why bytes are missing; empty for a complete body. */
+  readonly proof: BodyProof;
+  /** Why bytes are missing; empty unless the body is truncated. */
   readonly message: string;
 }
 
@@ -43,6 +48,45 @@
   readonly bytes: number;
 }
 
+/**
+ * Determines what the end of a body proves. A closed connection proves nothing
+ * if only it delimits the body, and a truncation otherwise.
+ * @param framing - How the response delimits its body.
+ * @param cause - What ended the body.
+ */
+export function getBodyProof(
+  framing: BodyFraming,
+  cause: BodyEndCause,
+): BodyProof {
+  switch (cause) {
+    case 'no_body':
+    case 'length_met':
+    case 'last_chunk':
+      return 'complete';
+    case 'closed':
+      return framing === 'close' ? 'unknown' : 'truncated';
+    case 'reset':
+    case 'malformed':
+    case 'aborted':
+      return 'truncated';
+  }
+}
+
+/**
+ * Determines what the end of an event stream proves. A stream that ends inside
+ * an event is truncated, and so is one without an event unless its body is
+ * known to be complete.
+ * @param end - How the body ended.
+ * @param position - Position of the end among the events.
+ */
+export function getStreamProof(
+  {proof}: BodyEnd,
+  {events, isInEvent}: StreamPosition,
+): BodyProof {
+  if (isInEvent) return 'truncated';
+  return proof === 'unknown' && events === 0 ? 'truncated' : proof;
+}
+
 /**
  * Gets the log fields about a body.
  * @param end - How the body ended.
--- a/packages/gateway/src/responses/event_collector.ts
+++ b/packages/gateway/src/responses/event_collector.ts
@@ -11,6 +11,8 @@
 export class EventCollector {
   private partialLine: Buffer[] = [];
   private dataLines: string[] = [];
+  /** Whether a line has been read since the last blank line. */
+  private hasOpenLines = false;
   private readonly data: Buffer[] = [];
   private events = 0;
 
@@ -26,9 +28,9 @@
     return this.events;
   }
 
-  /** Whether the stream has no unfinished line or event at this point. */
+  /** Whether a blank line has ended all that the stream has begun. */
   get isAtEventBoundary(): boolean {
-    return this.partialLine.length === 0 && this.dataLines.length === 0;
+    return this.partialLine.length === 0 && !this.hasOpenLines;
   }
 
   /** Gets the data of all complete events, each followed by a line feed. */
@@ -58,6 +60,7 @@
         : Buffer.concat([...this.partialLine, lineEnd]);
     this.partialLine = [];
     const line = withoutCarriageReturn(bytes).toString('latin1');
+    this.hasOpenLines = line !== '';
     if (line === '') this.endEvent();
     else if (line.startsWith(dataPrefix)) {
       this.dataLines.push(line.slice(dataPrefix.length).replace(/^ /, ''));
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -2,7 +2,12 @@
 import type {Clock, Timer} from '@marigoldpost/common';
 import type {IncomingCall} from '../calls/incoming_call.js';
 import {EventCollector} from '../responses/event_collector.js';
-import type {BodyEnd, StreamPosition} from './body_end.js';
+import {
+  type BodyEnd,
+  type BodyProof,
+  getStreamProof,
+  type StreamPosition,
+} from './body_end.js';
 import type {TargetBody} from './target_body.js';
 
 /** Source and destination of one relayed stream. */
@@ -19,9 +24,9 @@
 /** How a relayed stream ended. */
 export interface StreamResult extends StreamPosition {
   readonly end: BodyEnd;
-  /** Whether the target sent the stream to its end, after a whole event. */
-  readonly isComplete: boolean;
-  /** Error that truncated the stream; empty for a complete one. */
+  /** What the end of the stream proves. */
+  readonly proof: BodyProof;
+  /** Error that truncated the stream; empty unless it is truncated. */
   readonly message: string;
   /** Whether the relay aborted it because no chunk arrived for `stallMs`. */
   readonly isStalled: boolean;
@@ -56,11 +61,21 @@
     const {body} = this.options;
     const end = await body.read((chunk) => this.forwardChunk(chunk));
     this.stallTimer?.cancel();
-    return this.createResult(end);
+    const result = this.createResult(end);
+    // A complete stream may have no chunk.
+    if (result.proof === 'complete') this.ensureHeadSent();
+    return result;
+  }
+
+  private ensureHeadSent(): void {
+    const {call, body, headers} = this.options;
+    const {response, framing} = body;
+    if (call.isHeadSent || call.signal.aborted) return;
+    call.writeHead(response.statusCode ?? 0, headers, framing !== 'close');
   }
 
   private forwardChunk(chunk: Buffer): void {
-    const {call, body, headers, clock} = this.options;
+    const {call, body, clock} = this.options;
     const {response} = body;
     const eventsBefore = this.collector.eventCount;
     this.collector.add(chunk);
@@ -70,7 +85,7 @@
     }
     if (call.signal.aborted) return;
     this.restartStallTimer();
-    if (!call.isHeadSent) call.writeHead(response.statusCode ?? 0, headers);
+    this.ensureHeadSent();
     if (call.write(chunk)) return;
     response.pause();
     call.onceDrained(() => response.resume());
@@ -93,13 +108,13 @@
   private createResult(end: BodyEnd): StreamResult {
     const events = this.collector.eventCount;
     const isInEvent = !this.collector.isAtEventBoundary;
-    const isComplete = end.isComplete && !isInEvent;
-    const {message} = end;
+    const proof = getStreamProof(end, {events, isInEvent});
+    const message = end.message || 'the event stream was truncated';
     const spanMs = this.lastEventMs - (this.firstEventMs ?? 0);
     return {
       end,
-      isComplete,
-      message: isComplete ? '' : message || 'the event stream was truncated',
+      proof,
+      message: proof === 'truncated' ? message : '',
       isStalled: this.isStalled,
       events,
       isInEvent,
--- a/packages/gateway/src/responses/target_body.ts
+++ b/packages/gateway/src/responses/target_body.ts
@@ -1,9 +1,19 @@
 /** Reads the body of a target's response and determines how it ended. */
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
-import type {BodyEnd, BodyEndCause, BodyFraming} from './body_end.js';
+import {
+  type BodyEnd,
+  type BodyEndCause,
+  type BodyFraming,
+  getBodyProof,
+} from './body_end.js';
 
 const parserErrorPrefix = 'HPE_';
+const normalCauses = {
+  none: 'no_body',
+  length: 'length_met',
+  chunked: 'last_chunk',
+} as const satisfies Partial<Record<BodyFraming, BodyEndCause>>;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Body of one response; it must be read once. */
@@ -12,7 +22,8 @@
   private isReset = false;
   private abortMessage: string | undefined;
   private error: NodeJS.ErrnoException | undefined;
-  private readonly framing: BodyFraming;
+  /** How the response delimits its body. */
+  readonly framing: BodyFraming;
   private readonly socket: Socket;
   private readonly onSocketEnd: () => void;
 
@@ -76,36 +87,28 @@
    * @param error - Error of the connection.
    */
   fail(error: NodeJS.ErrnoException): void {
+    // A slow client may still be reading a body that has arrived completely.
+    if (this.response.complete && this.framing !== 'close') return;
     this.error ??= error;
     if (!isParserError(error)) this.isReset = true;
     this.response.destroy(error);
   }
 
   private createEnd(): BodyEnd {
-    const {response, framing, bytes} = this;
-    const isComplete = response.complete && response.errored === null;
-    const cause = isComplete ? this.getNormalCause() : this.getFailureCause();
-    const message = isComplete ? '' : this.getMessage();
-    return {framing, cause, bytes, isComplete, message};
+    const {framing, bytes} = this;
+    const cause = this.getCause();
+    const proof = getBodyProof(framing, cause);
+    const message = proof === 'truncated' ? this.getMessage() : '';
+    return {framing, cause, bytes, proof, message};
   }
 
-  private getNormalCause(): BodyEndCause {
-    switch (this.framing) {
-      case 'none':
-        return 'no_body';
-      case 'length':
-        return 'length_met';
-      case 'chunked':
-        return 'last_chunk';
-      case 'close':
-        return this.isReset ? 'reset' : 'closed';
-    }
-  }
-
-  private getFailureCause(): BodyEndCause {
-    if (this.abortMessage !== undefined) return 'aborted';
+  private getCause(): BodyEndCause {
+    const {response, framing, abortMessage, error} = this;
+    if (abortMessage !== undefined) return 'aborted';
+    const isEnded = response.complete && response.errored === null;
+    if (isEnded && framing !== 'close') return normalCauses[framing];
     if (this.isReset) return 'reset';
-    return isParserError(this.error) ? 'malformed' : 'closed';
+    return isParserError(error) ? 'malformed' : 'closed';
   }
 
   private getMessage(): string {
--- a/packages/gateway/src/responses/write_response.ts
+++ b/packages/gateway/src/responses/write_response.ts
@@ -9,6 +9,11 @@
   /** Alternating names and values, without `Content-Length`. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /**
+   * Whether only the end of the connection delimits the body, because it is not
+   * known to be complete. False by default.
+   */
+  readonly isUndelimited?: boolean;
 }
 
 /** What is logged about a rejected request. */
@@ -28,14 +33,17 @@
  */
 export function writeResponse(
   response: ServerResponse,
-  {status, headers, body}: BufferedResponse,
+  {status, headers, body, isUndelimited = false}: BufferedResponse,
   isClosing: boolean,
 ): void {
-  const length = ['Content-Length', String(body.byteLength)];
+  if (isUndelimited) response.useChunkedEncodingByDefault = false;
+  const length = isUndelimited
+    ? []
+    : ['Content-Length', String(body.byteLength)];
   const allHeaders = [
     ...headers,
     ...length,
-    ...getConnectionHeaders(isClosing),
+    ...getConnectionHeaders(isClosing || isUndelimited),
   ];
   response.writeHead(status, allHeaders);
   response.end(body);
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -86,10 +86,14 @@
     this.server.closeIdleConnections();
   }
 
-  /** Stops listening and destroys every connection. */
+  /**
+   * Stops listening and closes idle connections. Resets the others: a normal
+   * end would complete a response that only its connection delimits.
+   */
   close(): void {
     this.server.close();
-    for (const socket of this.sockets) socket.destroy();
+    this.closeIdle();
+    for (const socket of this.sockets) socket.resetAndDestroy();
   }
 
   private addSocket(socket: Socket): void {
