Report a reset of a response without a length as cut in HTTP channels

undici ends a response that only its connection delimits as complete, also after ECONNRESET ('we treat all incoming data as a valid response'), and libuv reports a reset that arrives with the last bytes as an end. Store, engines and plain services of the daemons read through HttpChannel, so a plain service's response that was reset reached its caller as complete.

ConnectionEnds observes the sockets of a channel before undici does; the exchange fails with 'cut' if the connection that ended such a response was reset. Two of four new rows of http_channel.feature failed before (reset after 0 and after 20 ms: answer in place of cut); all pass now, and 269 scenarios of platform, targets, entry and the site's store.

--- a/packages/platform/src/http/http_channel.ts
+++ b/packages/platform/src/http/http_channel.ts
@@ -1,6 +1,7 @@
 /** HTTP client of one address that reports the outcome of each request. */
 import {type Clock, SystemClock} from '@marigoldpost/common';
 import {Pool} from 'undici';
+import {ConnectionEnds} from './connection_ends.js';
 import {ChunkBuffer} from './chunk_buffer.js';
 import {HttpExchange} from './http_exchange.js';
 import type {
@@ -26,16 +27,18 @@
 /** Connection pool for one address; sends each request once, never retries. */
 export class HttpChannel {
   private readonly pool: Pool;
+  private readonly ends: ConnectionEnds;
   private readonly clock: Clock;
   private readonly maxResponseBytes: number;
 
   private constructor(private readonly options: HttpChannelOptions) {
     this.clock = options.clock ?? SystemClock.create();
     this.maxResponseBytes = options.maxResponseBytes ?? defaultMaxResponseBytes;
+    this.ends = ConnectionEnds.create(options.timeoutMs);
     this.pool = new Pool(options.address, {
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: {timeout: options.timeoutMs},
+      connect: this.ends.connect,
     });
   }
 
@@ -56,7 +59,7 @@
   async send(request: HttpRequest, signal?: AbortSignal): Promise<HttpOutcome> {
     const timeoutMs = request.timeoutMs ?? this.options.timeoutMs;
     const body = ChunkBuffer.create(this.maxResponseBytes);
-    const exchange = HttpExchange.create(body, signal);
+    const exchange = HttpExchange.create(body, this.ends, signal);
     const timer = this.clock.setTimer(timeoutMs, () => exchange.timeOut());
     exchange.dispatch(this.pool, request);
     const failure = await exchange.waitForEnd();
@@ -77,7 +80,7 @@
   ): Promise<HttpStreamOutcome> {
     const timeoutMs = request.timeoutMs ?? this.options.timeoutMs;
     const body = ChunkBuffer.create(this.maxResponseBytes);
-    const exchange = HttpExchange.create(body, signal);
+    const exchange = HttpExchange.create(body, this.ends, signal);
     exchange.startIdleTimeout(this.clock, timeoutMs);
     exchange.dispatch(this.pool, request);
     const failure = await exchange.waitForStart();
--- a/packages/platform/src/http/http_exchange.ts
+++ b/packages/platform/src/http/http_exchange.ts
@@ -2,11 +2,13 @@
 import {type Clock, Deferred, type Timer} from '@marigoldpost/common';
 import type {Dispatcher} from 'undici';
 import type {ChunkBuffer} from './chunk_buffer.js';
+import type {ConnectionEnds} from './connection_ends.js';
 import type {HttpChunks, HttpFailure, HttpRequest} from './http_types.js';
 
 /** Unread bytes of a streamed response above which reading is paused. */
 const highWaterBytes = 64 * 1024;
 const firstFinalStatus = 200;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Tracks one request from connecting to the end of its response. */
 export class HttpExchange implements HttpChunks, Dispatcher.DispatchHandler {
@@ -14,6 +16,8 @@
   headers: Record<string, string> = {};
   private controller: Dispatcher.DispatchController | undefined;
   private isPaused = false;
+  /** Whether the response has no body, or one with a length or in chunks. */
+  private isDelimited = true;
   private isEnded = false;
   private failure: HttpFailure | undefined;
   private idleTimer: Timer | undefined;
@@ -27,19 +31,22 @@
 
   private constructor(
     private readonly body: ChunkBuffer,
+    private readonly ends: ConnectionEnds,
     private readonly signal: AbortSignal | undefined,
   ) {}
 
   /**
    * Creates an exchange whose request is not sent yet.
    * @param body - Buffers the body of the response.
+   * @param ends - Ends of the dispatcher's connections.
    * @param signal - Aborts the exchange.
    */
   static create(
     body: ChunkBuffer,
+    ends: ConnectionEnds,
     signal: AbortSignal | undefined,
   ): HttpExchange {
-    return new HttpExchange(body, signal);
+    return new HttpExchange(body, ends, signal);
   }
 
   /**
@@ -127,6 +134,10 @@
     this.recordActivity();
     this.status = status;
     this.headers = joinHeaders(headers);
+    this.isDelimited =
+      bodilessStatuses.has(status) ||
+      'content-length' in headers ||
+      'transfer-encoding' in headers;
     this.started.resolve();
   }
 
@@ -147,7 +158,8 @@
   }
 
   onResponseEnd(): void {
-    this.end();
+    if (this.isDelimited || !this.ends.wasReset) this.end();
+    else this.fail('cut', new Error('the connection was reset'));
   }
 
   onResponseError(
--- a/packages/platform/tests/http/http_channel.feature
+++ b/packages/platform/tests/http/http_channel.feature
@@ -19,3 +19,15 @@
     Given an HTTP server that streams 40 megabytes
     When a request on the HTTP channel is aborted before it starts
     Then the HTTP channel reports that the request was aborted and never sent
+
+  Scenario Outline: A response without a length that a <end> ends after <delay> ms is <outcome>
+    Given an HTTP server whose responses without a length end with a <end> after <delay> ms
+    When the HTTP channel reads the complete response
+    Then the outcome of the HTTP channel is "<outcome>"
+
+    Examples:
+      | end   | delay | outcome |
+      | close | 0     | answer  |
+      | close | 20    | answer  |
+      | reset | 0     | cut     |
+      | reset | 20    | cut     |
--- a/packages/platform/tests/http/http_channel_steps.ts
+++ b/packages/platform/tests/http/http_channel_steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {createServer as createTcpServer, type AddressInfo} from 'node:net';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {VirtualClock} from '@marigoldpost/common';
 import {
@@ -54,6 +54,44 @@
   },
 );
 
+Given(
+  /^an HTTP server whose responses without a length end with a (close|reset) after (\d+) ms$/,
+  async function (this: ChannelWorld, end: string, delay: string) {
+    const server = createTcpServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        const finish = () => {
+          if (end === 'reset') socket.resetAndDestroy();
+          else socket.end();
+        };
+        socket.write('HTTP/1.1 200 OK\r\n\r\nbody', () => {
+          if (delay === '0') finish();
+          else setTimeout(finish, Number(delay));
+        });
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const address = `http://127.0.0.1:${port}`;
+    this.channel = HttpChannel.create({address, timeoutMs: 1000});
+    addCleanup(this, async () => {
+      server.close();
+      await this.channel.destroy();
+    });
+  },
+);
+
+Then(
+  'the outcome of the HTTP channel is {string}',
+  function (this: ChannelWorld, expected: string) {
+    const {outcome} = this;
+    const actual = outcome.kind === 'failure' ? outcome.reason : outcome.kind;
+    assert.equal(actual, expected);
+  },
+);
+
 When(
   "the HTTP channel's reader begins once the server can send no more",
   async function (this: ChannelWorld) {
--- a/tools/bundle_nodes.js
+++ b/tools/bundle_nodes.js
@@ -11,7 +11,9 @@
  * project's own code.
  */
 const usedParts = {
-  undici: "export {default as Pool} from 'undici/lib/dispatcher/pool.js';",
+  undici:
+    "export {default as Pool} from 'undici/lib/dispatcher/pool.js';" +
+    "export {default as buildConnector} from 'undici/lib/core/connect.js';",
   'hdr-histogram-js':
     "export {build} from 'hdr-histogram-js/dist/HistogramBuilder.js';",
 };
