--- a/packages/entry/src/plain/plain_route.ts
+++ b/packages/entry/src/plain/plain_route.ts
@@ -127,5 +127,10 @@
   }
   answer.setHeader(outcomeHeader, 'ran');
   answer.statusCode = response.status;
+  if (response.isUndelimited === true) {
+    // The body may be truncated, so that no length may claim otherwise.
+    answer.useChunkedEncodingByDefault = false;
+    answer.setHeader('Connection', 'close');
+  }
   answer.end(response.body);
 }
--- a/packages/entry/tests/server/caller_answers_steps.ts
+++ b/packages/entry/tests/server/caller_answers_steps.ts
@@ -290,3 +290,15 @@
     await fc.assert(property, {seed, numRuns: 150});
   },
 );
+
+Then(
+  "the caller's response ends with its connection only",
+  function (this: EntryWorld) {
+    const {status, headers, text} = this.answer;
+    assert.equal(status, 201);
+    assert.equal(text, 'did crane 4');
+    assert.equal(headers['content-length'], undefined);
+    assert.equal(headers['transfer-encoding'], undefined);
+    assert.equal(headers.connection, 'close');
+  },
+);
--- a/packages/entry/tests/server/caller_server.feature
+++ b/packages/entry/tests/server/caller_server.feature
@@ -107,6 +107,11 @@
     Then the gateway received "POST" "/book?crane=4" for service "quay-ops" without the caller's API key
     And the caller receives the service's own response
 
+  Scenario: A service's response without a length is sent without a length
+    Given a caller server whose services respond without a length
+    When team "planners" books a crane with key "berth-7"
+    Then the caller's response ends with its connection only
+
   Scenario: Programs can be opened, read and ended
     Given a caller server
     Then programs are opened with budgets, shown, read and ended over HTTP
--- a/packages/entry/tests/server/caller_server_steps.ts
+++ b/packages/entry/tests/server/caller_server_steps.ts
@@ -70,6 +70,22 @@
   },
 );
 
+Given(
+  'a caller server whose services respond without a length',
+  async function (this: EntryWorld) {
+    this.fixture = await EntryFixture.start();
+    this.fixture.gateway.script = async function* (call) {
+      yield createAcceptedEvent(call);
+      const headers = {'content-type': 'text/plain'};
+      const body = 'did crane 4';
+      const isUndelimited = true as const;
+      const response = {status: 201, headers, body, isUndelimited};
+      const answer = {kind: 'plain', response} as const;
+      yield {kind: 'finished', answer, isDurable: true};
+    };
+  },
+);
+
 Given(
   'a caller server whose gateway never finishes the stream',
   async function (this: EntryWorld) {
--- a/packages/platform/src/http/http_channel.ts
+++ b/packages/platform/src/http/http_channel.ts
@@ -65,8 +65,9 @@
     const failure = await exchange.waitForEnd();
     timer.cancel();
     if (failure !== undefined) return failure;
-    const {status, headers} = exchange;
-    return {kind: 'answer', status, headers, body: body.takeText()};
+    const {status, headers, isDelimited} = exchange;
+    const text = body.takeText();
+    return {kind: 'answer', status, headers, body: text, isDelimited};
   }
 
   /**
--- a/packages/platform/src/http/http_exchange.ts
+++ b/packages/platform/src/http/http_exchange.ts
@@ -15,9 +15,9 @@
   status = 0;
   headers: Record<string, string> = {};
   private controller: Dispatcher.DispatchController | undefined;
-  private isPaused = false;
   /** Whether the response has no body, or one with a length or in chunks. */
-  private isDelimited = true;
+  isDelimited = true;
+  private isPaused = false;
   private isEnded = false;
   private failure: HttpFailure | undefined;
   private idleTimer: Timer | undefined;
--- a/packages/platform/src/http/http_types.ts
+++ b/packages/platform/src/http/http_types.ts
@@ -11,12 +11,17 @@
   readonly timeoutMs?: number;
 }
 
-/** A complete response with any status. */
+/** A response with any status that is not known to be truncated. */
 export interface HttpResponse {
   readonly kind: 'answer';
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: string;
+  /**
+   * Whether a length or a last chunk proves that the body is complete. If not,
+   * it ended with its connection.
+   */
+  readonly isDelimited: boolean;
 }
 
 /**
--- a/packages/platform/tests/http/http_channel_steps.ts
+++ b/packages/platform/tests/http/http_channel_steps.ts
@@ -89,6 +89,7 @@
     const {outcome} = this;
     const actual = outcome.kind === 'failure' ? outcome.reason : outcome.kind;
     assert.equal(actual, expected);
+    if (outcome.kind === 'answer') assert.equal(outcome.isDelimited, false);
   },
 );
 
--- a/packages/targets/src/plain/http_plain_service_client.ts
+++ b/packages/targets/src/plain/http_plain_service_client.ts
@@ -50,8 +50,9 @@
       const subject = `${request.method} ${request.path}`;
       throw toTargetError(outcome, {target: this.target, subject});
     }
-    const {status, headers, body} = outcome;
-    return {status, headers: getEndToEndHeaders(headers), body};
+    const {status, headers, body, isDelimited} = outcome;
+    const response = {status, headers: getEndToEndHeaders(headers), body};
+    return isDelimited ? response : {...response, isUndelimited: true};
   }
 
   /** Closes the connections after the requests in flight have completed. */
--- a/packages/targets/src/plain/plain_service_client.ts
+++ b/packages/targets/src/plain/plain_service_client.ts
@@ -9,11 +9,13 @@
   readonly body: string;
 }
 
-/** A complete answer of a plain service, with any status. */
+/** An answer of a plain service, with any status. */
 export interface PlainResponse {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: string;
+  /** Set if only the end of the connection delimited the body. */
+  readonly isUndelimited?: true;
 }
 
 /**
