Recognise reset connections in one place

At shutdown and when a response breaks, a connection that has been ended is destroyed in place of a reset, which would fail and keep its handle open.

--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -10,6 +10,7 @@
 import type {EventLogger} from '@marigoldpost/telemetry';
 import type {BodyFields} from '../responses/body_end.js';
 import {createErrorResponse} from '../responses/error_response.js';
+import {resetSocket} from '../server/reset_socket.js';
 import {
   getConnectionHeaders,
   type BufferedResponse,
@@ -231,7 +232,7 @@
     }
     // Without chunks, a normal end of the connection would complete the
     // response.
-    clock.setTimer(resetDelayMs, () => request.socket.resetAndDestroy());
+    clock.setTimer(resetDelayMs, () => resetSocket(request.socket));
   }
 
   private end(reason: CallEndReason): void {
--- a/packages/gateway/src/calls/unconfirmed_crashes.ts
+++ b/packages/gateway/src/calls/unconfirmed_crashes.ts
@@ -1,6 +1,7 @@
 /**
- * Runs whose end does not tell whether the target has crashed. Whether their target has crashed becomes
- * known when it leaves the registry or is registered as restarted.
+ * Runs whose end does not tell whether their target has crashed. It has if it
+ * leaves the registry or is registered as restarted, and has not if it responds
+ * to a later request.
  */
 import type {Clock} from '@marigoldpost/common';
 import type {TargetEntry} from '@marigoldpost/sites';
--- a/packages/gateway/src/responses/target_body.ts
+++ b/packages/gateway/src/responses/target_body.ts
@@ -1,6 +1,7 @@
 /** Reads the body of a target's response and determines how it ended. */
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import {isConnectionReset} from '@marigoldpost/common';
 import {
   type BodyEnd,
   type BodyEndCause,
@@ -34,10 +35,8 @@
     this.framing = getBodyFraming(response, method);
     const {socket} = response;
     this.socket = socket;
-    // libuv reports a reset that arrives together with the last bytes as a
-    // normal end. The connection has no peer address any more in that case.
     this.onSocketEnd = () => {
-      if (socket.remoteAddress === undefined) this.isReset = true;
+      if (isConnectionReset(socket)) this.isReset = true;
     };
     socket.prependListener('end', this.onSocketEnd);
     response.on('error', (error) => {
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import type {CallerLimits, NetworkAddress} from '@marigoldpost/sites';
 import type {CallHandler} from '../calls/call_handler.js';
+import {resetSocket} from './reset_socket.js';
 
 /**
  * Limit of the HTTP parser, in force also before a configuration is known. The
@@ -93,7 +94,7 @@
   close(): void {
     this.server.close();
     this.closeIdle();
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) resetSocket(socket);
   }
 
   private addSocket(socket: Socket): void {
--- a/packages/platform/src/http/connection_ends.ts
+++ b/packages/platform/src/http/connection_ends.ts
@@ -1,5 +1,6 @@
 /** Tells whether the connections of an HTTP channel end normally. */
 import type {Socket} from 'node:net';
+import {isConnectionReset} from '@marigoldpost/common';
 import {buildConnector} from 'undici';
 
 /**
@@ -38,10 +39,8 @@
   }
 
   private observe(socket: Socket): void {
-    // libuv reports a reset that arrives together with the last bytes as a
-    // normal end. The connection has no peer address any more in that case.
     socket.on('end', () => {
-      this.isReset = socket.remoteAddress === undefined;
+      this.isReset = isConnectionReset(socket);
     });
     socket.on('error', () => {
       this.isReset = true;
