Log the rate limits that targets state in their responses

Nothing read the header, so the logs could not tell whether an entry VM knew of a limit. Each response, including one that says "not run", is now read; `target_limit_changed` says which limit, since when and from whom, `call_placed` the limit that was known when a request was sent. No decision depends on it yet.

--- a/packages/gateway/src/calls/call_services.ts
+++ b/packages/gateway/src/calls/call_services.ts
@@ -1,5 +1,6 @@
 /** Components that the handling of calls depends on. */
 import type {Clock, DataCentreId, Random} from '@marigoldpost/common';
+import type {TargetLimits} from '@marigoldpost/dispatch';
 import type {CallCodec} from '@marigoldpost/sites';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import type {TurnStore} from '@marigoldpost/turns';
@@ -16,6 +17,7 @@
   readonly site: SiteState;
   readonly agents: TargetAgents;
   readonly turns: TurnStore;
+  readonly targetLimits: TargetLimits;
   readonly crashTracker: CrashTracker;
   readonly logger: EventLogger;
   readonly metrics: Metrics;
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -19,6 +19,7 @@
 import {
   type ExchangeOutcome,
   type FailedExchange,
+  type NotRunResponse,
   TargetExchange,
 } from '../targets/target_exchange.js';
 import type {CallServices} from './call_services.js';
@@ -127,7 +128,7 @@
       this.sentAtMs = this.services.clock.nowMs();
       const outcome = await this.send(lease);
       if (outcome.kind !== 'failed') {
-        this.services.crashTracker.recordResponse(lease.target, this.sentAtMs);
+        this.recordResponse(lease, outcome);
       }
       if (outcome.kind === 'answer') {
         this.recordSent();
@@ -224,6 +225,20 @@
     });
   }
 
+  private recordResponse(
+    {target}: TargetLease,
+    {attributes}: StartedResponse | NotRunResponse,
+  ): void {
+    const {crashTracker, targetLimits} = this.services;
+    const {sentAtMs} = this;
+    crashTracker.recordResponse(target, sentAtMs);
+    targetLimits.recordResponse(target, {
+      limitPerS: attributes.rateLimitPerS,
+      sentAtMs,
+      isSigned: attributes.isSigned,
+    });
+  }
+
   private getRun(): TargetRun {
     const runEndedAtMs = this.services.clock.nowMs();
     return {runStartedAtMs: this.sentAtMs, runEndedAtMs};
@@ -356,6 +371,12 @@
     this.mayHaveRun = true;
   }
 
+  private getLimitPerS({target}: TargetLease): number | undefined {
+    const {id, startedAtMs} = target;
+    const {targetLimits} = this.services;
+    return targetLimits.get({target: id, startedAtMs})?.limitPerS;
+  }
+
   private logPlacement(
     lease: TargetLease,
     dispatcher: ServiceDispatcher,
@@ -370,6 +391,7 @@
       attempt: this.attempts + this.rejections + 1,
       waitedMs: Math.round(waitedMs),
       load: dispatcher.getLoad(lease.target.id),
+      limitPerS: this.getLimitPerS(lease),
       leftMs: Math.round(call.leftMs),
       configVersion: call.config.version,
     });
--- a/packages/gateway/src/targets/target_exchange.ts
+++ b/packages/gateway/src/targets/target_exchange.ts
@@ -35,6 +35,7 @@
 export interface NotRunResponse {
   readonly kind: 'not_run';
   readonly status: number;
+  readonly attributes: ResponseAttributes;
 }
 
 /** An exchange without a usable response. */
@@ -175,7 +176,7 @@
     }
     if (isNotRun) {
       response.resume();
-      this.settle({kind: 'not_run', status});
+      this.settle({kind: 'not_run', status, attributes});
       return;
     }
     this.settle({kind: 'answer', response, body, attributes});
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -7,6 +7,7 @@
   SiteState,
   TargetAgents,
 } from '@marigoldpost/gateway';
+import {type LimitChange, TargetLimits} from '@marigoldpost/dispatch';
 import type {SiteConfig} from '@marigoldpost/sites';
 import {type ArchivePool, archivePrefix, TurnStore} from '@marigoldpost/turns';
 import {Quarantine} from '@marigoldpost/targets';
@@ -38,6 +39,7 @@
 /** Accepts calls, dispatches them to targets and drains connections at stop. */
 export class EntryNode extends SiteNode {
   private readonly agents = TargetAgents.create();
+  private readonly targetLimits: TargetLimits;
   private readonly site: SiteState;
   private readonly targetDirectory: TargetDirectory;
   private readonly turns: TurnStore;
@@ -54,6 +56,10 @@
 
   private constructor(options: NodeOptions) {
     super(options);
+    this.targetLimits = TargetLimits.create({
+      clock: options.clock,
+      onChanged: (change) => this.logLimitChange(change),
+    });
     this.site = this.createSite();
     this.targetDirectory = this.createTargetDirectory();
     this.archivePool = this.createArchivePool();
@@ -78,7 +84,7 @@
         this.quarantineExchange.publish(fingerprint);
       },
     });
-    const {site, agents, turns} = this;
+    const {site, agents, turns, targetLimits} = this;
     const handler = CallHandler.create({
       clock,
       random,
@@ -87,6 +93,7 @@
       site,
       agents,
       turns,
+      targetLimits,
       crashTracker: this.crashTracker,
       logger,
       metrics,
@@ -183,6 +190,7 @@
       onChanged: (targets) => {
         this.site.setTargets(targets);
         this.agents.retireUnlisted(targets);
+        this.targetLimits.retain(targets);
       },
       onLost: (target) => this.crashTracker.recordLostTarget(target),
     });
@@ -264,6 +272,18 @@
     return true;
   }
 
+  private logLimitChange({limit, previousPerS, source}: LimitChange): void {
+    const {target, startedAtMs, limitPerS, statedAtMs} = limit;
+    this.options.logger.log('target_limit_changed', {
+      target,
+      startedAtMs,
+      limitPerS,
+      previousPerS,
+      source: source ?? 'response',
+      ageMs: Math.round(this.clock.nowMs() - statedAtMs),
+    });
+  }
+
   private async listen(): Promise<void> {
     const {callerAddress, readyAddress} = this.settings;
     if (readyAddress !== undefined) await this.readyPage.listen(readyAddress);
@@ -304,6 +324,7 @@
       waiting += dispatcher.waitingCount;
     }
     metrics.setGauge('queue_length', {}, waiting);
+    metrics.setGauge('limited_targets', {}, this.targetLimits.limitedCount);
     const quarantined = this.quarantine.getQuarantined().length;
     metrics.setGauge('quarantined_requests', {}, quarantined);
   }
--- a/packages/sites/src/calls/call_attributes.ts
+++ b/packages/sites/src/calls/call_attributes.ts
@@ -49,4 +49,9 @@
   readonly isSigned: boolean;
   /** Whether the target reports that it did not run the request. */
   readonly isNotRun: boolean;
+  /**
+   * Requests per second that the target takes from all entry VMs together;
+   * `undefined` if it states no limit.
+   */
+  readonly rateLimitPerS: number | undefined;
 }
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -107,6 +107,7 @@
     attempt: 'number',
     waitedMs: 'number',
     load: 'number',
+    limitPerS: 'number?',
     leftMs: 'number',
     configVersion: 'number',
   }),
@@ -283,6 +284,19 @@
     service: 'string',
     result: 'string',
   }),
+  target_limit_changed: define(
+    5104,
+    'info',
+    'The rate limit of a target changed',
+    {
+      target: 'string',
+      startedAtMs: 'number',
+      limitPerS: 'number?',
+      previousPerS: 'number?',
+      source: 'string',
+      ageMs: 'number',
+    },
+  ),
 
   // 6000: configuration and operators.
   config_in_force: define(6001, 'info', 'A configuration is active', {
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -44,6 +44,7 @@
   target_wait_ms: define('histogram', 'Wait for a free slot at a target', [
     'service',
   ]),
+  limited_targets: define('gauge', 'Targets with a rate limit', []),
   turn_store_ms: define('histogram', 'Time to make a turn durable', []),
   reservation_ms: define('histogram', 'Time to reserve tokens', []),
   archive_turns: define('gauge', 'Turns held by the archive', []),
