Keep the limits that targets state over all entry VMs together

Cause: nobody read the limit, and an entry VM could not have kept it alone, since it sees only its own requests. Class of fault: a shared limit without a shared count.

Change: a request to a limited target needs a permit. A hash that all entry VMs compute alike names the entry VM that schedules a target's permits; while it does not reply, the next one does with half of the limit, so that two sides of a split network stay within one and a half times the limit. Schedules start without a burst, so a restart adds none. Limits spread through the archives, and with each permit. The placement adds the wait for a permit to a target's estimated finish; what cannot get one before its deadline is rejected at once, with a retry delay that follows the rate. Entry VMs register in the object API (`entries/`), mirrored by the archives.

--- a/packages/dispatch/src/queue/request_queue.ts
+++ b/packages/dispatch/src/queue/request_queue.ts
@@ -32,6 +32,11 @@
     return this.items.size;
   }
 
+  /** Gets the requests in any order. */
+  [Symbol.iterator](): IterableIterator<Item> {
+    return this.items.values();
+  }
+
   /**
    * Adds a request.
    * @param item - Request to enqueue.
--- a/packages/dispatch/src/rate_limits/target_limits.ts
+++ b/packages/dispatch/src/rate_limits/target_limits.ts
@@ -48,12 +48,15 @@
 interface KnownLimit extends TargetLimit {
   /** Revision of the last change of `limitPerS`. */
   readonly revision: number;
+  /** Whether a response to this daemon made the last change. */
+  readonly isOwn: boolean;
 }
 
 /** Limits of targets by instance; the latest statement is in force. */
 export class TargetLimits {
   private readonly limits = new Map<string, KnownLimit>();
   private lastRevision = 0;
+  private lastOwnRevision = 0;
 
   private constructor(private readonly options: TargetLimitsOptions) {}
 
@@ -70,6 +73,11 @@
     return this.lastRevision;
   }
 
+  /** Revision of the last change that a response to this daemon made. */
+  get ownRevision(): number {
+    return this.lastOwnRevision;
+  }
+
   /** Number of targets that have a limit. */
   get limitedCount(): number {
     let count = 0;
@@ -97,6 +105,16 @@
     );
   }
 
+  /**
+   * Gets the limits that responses to this daemon have changed.
+   * @param sinceRevision - Revision that the reader has.
+   */
+  getOwnChanges(sinceRevision: number): TargetLimit[] {
+    return [...this.limits.values()].filter(
+      ({revision, isOwn}) => isOwn && revision > sinceRevision,
+    );
+  }
+
   /**
    * Records a response of a target.
    * @param entry - Target that responded.
@@ -145,14 +163,33 @@
     }
   }
 
+  /**
+   * Keeps the limits that were stated last, where no list of targets is known.
+   * @param count - Number of limits to keep.
+   */
+  retainLatest(count: number): void {
+    const excess = this.limits.size - count;
+    if (excess <= 0) return;
+    const oldest = [...this.limits].toSorted(
+      ([, left], [, right]) => left.statedAtMs - right.statedAtMs,
+    );
+    for (const [key] of oldest.slice(0, excess)) this.limits.delete(key);
+  }
+
   private set(limit: TargetLimit, source: string | undefined): void {
     const key = toKey(limit);
     const known = this.limits.get(key);
-    const isChanged = known?.limitPerS !== limit.limitPerS;
-    if (isChanged) this.lastRevision += 1;
-    const revision = isChanged ? this.lastRevision : (known?.revision ?? 0);
-    this.limits.set(key, {...limit, revision});
-    if (!isChanged) return;
+    const {target, startedAtMs, limitPerS, statedAtMs} = limit;
+    const stated = {target, startedAtMs, limitPerS, statedAtMs};
+    if (known !== undefined && known.limitPerS === limitPerS) {
+      const {revision, isOwn} = known;
+      this.limits.set(key, {...stated, revision, isOwn});
+      return;
+    }
+    this.lastRevision += 1;
+    const isOwn = source === undefined;
+    if (isOwn) this.lastOwnRevision = this.lastRevision;
+    this.limits.set(key, {...stated, revision: this.lastRevision, isOwn});
     const previousPerS = known?.limitPerS;
     this.options.onChanged({limit, previousPerS, source});
   }
--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -16,6 +16,7 @@
 } from './placement/placement_cost.js';
 import {type QueueItem, RequestQueue} from './queue/request_queue.js';
 import {MeanDuration} from './targets/relative_latency.js';
+import type {RateLimiter} from './rate_limits/rate_limiter.js';
 import type {TargetResult} from './targets/target_health.js';
 import {TargetState} from './targets/target_state.js';
 
@@ -54,6 +55,8 @@
   readonly dataCentre: DataCentreId;
   readonly clock: Clock;
   readonly random: Random;
+  /** Limits the requests to targets that state a rate limit. */
+  readonly rateLimiter?: RateLimiter;
   /** Called when failures eject a target. */
   readonly onEjected?: (target: TargetEntry, result: TargetResult) => void;
 }
@@ -77,6 +80,17 @@
 interface QueuedRequest extends QueueItem {
   readonly request: DispatchRequest;
   readonly leased: Deferred<TargetLease>;
+  /** Limited target whose permit the request waits for. */
+  awaited: TargetId | undefined;
+}
+
+/** Target that a request should use, and when. */
+interface TargetChoice {
+  readonly target: TargetState;
+  /** Time until the target takes the request; 0 if it does now. */
+  readonly delayMs: number;
+  /** Time that waiting for the target is worth. */
+  readonly horizonMs: number;
 }
 
 /** Slot in a target's window, held until the request ends. */
@@ -122,6 +136,7 @@
 
   private constructor(private readonly options: ServiceDispatcherOptions) {
     this.service = options.service;
+    options.rateLimiter?.addListener(() => this.dispatchWaiting());
   }
 
   /**
@@ -198,10 +213,11 @@
     signal: AbortSignal,
   ): Promise<TargetLease> {
     this.recordPreviousPrompt(request);
-    const target = this.chooseTarget(request);
-    if (target !== undefined) return this.createLease(target, request);
-    this.checkExpectedWait(request);
-    return this.waitForLease(request, signal);
+    const choice = this.chooseTarget(request, this.countAwaiting());
+    if (choice?.delayMs === 0) return this.createLease(choice.target, request);
+    if (choice === undefined) this.checkExpectedWait(request);
+    else this.checkDelay(request, choice);
+    return this.waitForLease(request, signal, choice);
   }
 
   /** Records the previous prompt, which another daemon may have sent. */
@@ -215,16 +231,29 @@
   private async waitForLease(
     request: DispatchRequest,
     signal: AbortSignal,
+    choice: TargetChoice | undefined,
   ): Promise<TargetLease> {
     const {clock} = this.options;
     const leased = Deferred.create<TargetLease>();
     const nowMs = clock.nowMs();
     const {priority, finishByMs} = request;
-    const item = {priority, finishByMs, arrivedAtMs: nowMs, request, leased};
+    const item: QueuedRequest = {
+      priority,
+      finishByMs,
+      arrivedAtMs: nowMs,
+      request,
+      leased,
+      awaited: choice?.target.entry.id,
+    };
     const abandon = () => {
       if (this.queue.remove(item)) leased.reject(this.createOverloadedError(0));
     };
     this.queue.add(item);
+    if (choice !== undefined) {
+      const count = this.countAwaiting().get(choice.target.entry.id) ?? 1;
+      const {entry} = choice.target;
+      this.options.rateLimiter?.request(entry, count, choice.horizonMs);
+    }
     const timer = clock.setTimer(request.deadlineMs - nowMs, abandon);
     signal.addEventListener('abort', abandon, {once: true});
     try {
@@ -256,7 +285,33 @@
     }
   }
 
-  private chooseTarget(request: DispatchRequest): TargetState | undefined {
+  /** Throws `overloaded` if no target takes the request before its deadline. */
+  private checkDelay(request: DispatchRequest, {delayMs}: TargetChoice): void {
+    if (this.options.clock.nowMs() + delayMs <= request.deadlineMs) return;
+    throw this.createOverloadedError(delayMs);
+  }
+
+  /** Counts the queued requests that wait for a permit, by target. */
+  private countAwaiting(): Map<TargetId, number> {
+    const counts = new Map<TargetId, number>();
+    if (this.queue.size === 0) return counts;
+    for (const {awaited} of this.queue) {
+      if (awaited === undefined) continue;
+      counts.set(awaited, (counts.get(awaited) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /**
+   * Chooses the target that would finish the request first.
+   * @param request - Request to place.
+   * @param awaiting - Number of requests that have a claim on the next permits
+   *   of each target.
+   */
+  private chooseTarget(
+    request: DispatchRequest,
+    awaiting: ReadonlyMap<TargetId, number>,
+  ): TargetChoice | undefined {
     const nowMs = this.options.clock.nowMs();
     const {dataCentre} = this.options;
     const open = [...this.targets.values()].filter(
@@ -271,15 +326,33 @@
     const candidates = usable.length > 0 ? usable : open;
     const medianLatencyRatio = getMedianLatencyRatio(candidates, nowMs);
     const context = {dataCentre, nowMs, medianLatencyRatio};
-    let best: TargetState | undefined;
+    let best: {target: TargetState; delayMs: number} | undefined;
     let bestMs = Number.POSITIVE_INFINITY;
+    let secondMs = Number.POSITIVE_INFINITY;
     for (const target of candidates) {
       const costMs = estimateFinishMs(target, request, context);
-      if (costMs >= bestMs) continue;
-      best = target;
-      bestMs = costMs;
+      const delayMs = this.getDelayMs(target, awaiting);
+      if (costMs + delayMs >= bestMs) {
+        secondMs = Math.min(secondMs, costMs + delayMs);
+        continue;
+      }
+      secondMs = bestMs;
+      best = {target, delayMs};
+      bestMs = costMs + delayMs;
     }
-    return best;
+    if (best === undefined) return undefined;
+    const leftMs = request.deadlineMs - nowMs;
+    const gainMs = secondMs - (bestMs - best.delayMs);
+    return {...best, horizonMs: Math.min(leftMs, gainMs)};
+  }
+
+  private getDelayMs(
+    {entry}: TargetState,
+    awaiting: ReadonlyMap<TargetId, number>,
+  ): number {
+    const {rateLimiter} = this.options;
+    if (rateLimiter === undefined) return 0;
+    return rateLimiter.getDelayMs(entry, awaiting.get(entry.id) ?? 0);
   }
 
   /** Gets the maximum of this daemon's requests in flight at a target. */
@@ -297,7 +370,9 @@
     target: TargetState,
     request: DispatchRequest,
   ): TargetLease {
-    const startMs = this.options.clock.nowMs();
+    const {clock, rateLimiter} = this.options;
+    const startMs = clock.nowMs();
+    rateLimiter?.take(target.entry);
     target.inFlight += 1;
     target.promptCache.recordPrompt(request.prompt);
     return TargetLease.create(target.entry, (result) => {
@@ -339,11 +414,30 @@
 
   private dispatchWaiting(): void {
     if (this.queue.size === 0) return;
-    for (const item of this.queue.getOrdered(this.options.clock.nowMs())) {
-      const target = this.chooseTarget(item.request);
-      if (target === undefined) continue;
-      this.queue.remove(item);
-      item.leased.resolve(this.createLease(target, item.request));
+    const {clock, rateLimiter} = this.options;
+    const nowMs = clock.nowMs();
+    const awaiting = new Map<TargetId, number>();
+    const awaited = new Map<TargetState, number>();
+    for (const item of this.queue.getOrdered(nowMs)) {
+      const choice = this.chooseTarget(item.request, awaiting);
+      item.awaited = undefined;
+      if (choice === undefined) continue;
+      const {target, delayMs, horizonMs} = choice;
+      if (delayMs === 0) {
+        this.queue.remove(item);
+        item.leased.resolve(this.createLease(target, item.request));
+      } else if (nowMs + delayMs > item.request.deadlineMs) {
+        this.queue.remove(item);
+        item.leased.reject(this.createOverloadedError(delayMs));
+      } else {
+        const {id} = target.entry;
+        item.awaited = id;
+        awaiting.set(id, (awaiting.get(id) ?? 0) + 1);
+        awaited.set(target, Math.max(awaited.get(target) ?? 0, horizonMs));
+      }
+    }
+    for (const [{entry}, horizonMs] of awaited) {
+      rateLimiter?.request(entry, awaiting.get(entry.id) ?? 0, horizonMs);
     }
   }
 
--- a/packages/gateway/src/site/site_state.ts
+++ b/packages/gateway/src/site/site_state.ts
@@ -5,7 +5,11 @@
   Random,
   ServiceId,
 } from '@marigoldpost/common';
-import {ServiceDispatcher, type TargetResult} from '@marigoldpost/dispatch';
+import {
+  type RateLimiter,
+  ServiceDispatcher,
+  type TargetResult,
+} from '@marigoldpost/dispatch';
 import {
   type Route,
   RouteTable,
@@ -19,6 +23,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly dataCentre: DataCentreId;
+  /** Limits the requests to targets that state a rate limit. */
+  readonly rateLimiter?: RateLimiter;
   /** Called when a dispatcher ejects a target after failed requests. */
   readonly onEjected: (target: TargetEntry, result: TargetResult) => void;
 }
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -10,6 +10,7 @@
   registerArchive,
 } from '@marigoldpost/turns';
 import {Quarantine} from '@marigoldpost/targets';
+import {entryPrefix} from '../entry/entry_directory.js';
 import type {NodeOptions} from '../node_options.js';
 import {deathsToQuarantine} from '../quarantine_settings.js';
 import {promptWaitMs, relaxedTiming, SiteNode} from '../site_node.js';
@@ -44,12 +45,12 @@
     const service = ArchiveService.create(archive, () => repairer.isComplete);
     const mirror = SiteMirror.create();
     const relay = this.createQuarantineRelay();
-    await this.transport.start((_sender, request) => {
+    await this.transport.start((sender, request) => {
       if (request.case === 'fetchSite') {
         return Promise.resolve(mirror.createReply());
       }
       return request.case === 'exchangeQuarantines'
-        ? Promise.resolve(relay.answer(request.value))
+        ? Promise.resolve(relay.answer(sender, request.value))
         : service.answer(request);
     });
     const retirement = this.createRetirement(repairer);
@@ -80,7 +81,8 @@
     const mirrorSink = mirror.getSink(archivePrefix);
     const sink = combineSinks(this.archiveDirectory, mirrorSink);
     this.watch(archivePrefix, archiveTiming, sink);
-    for (const prefix of [getKindPrefix(keys.config), keys.targetPrefix]) {
+    const prefixes = [getKindPrefix(keys.config), keys.targetPrefix];
+    for (const prefix of [...prefixes, entryPrefix]) {
       this.watch(prefix, relaxedTiming, mirror.getSink(prefix));
     }
   }
@@ -88,7 +90,7 @@
   private createQuarantineRelay(): QuarantineRelay {
     const {clock, random} = this.options;
     const quarantine = Quarantine.create({clock, deathsToQuarantine});
-    return QuarantineRelay.create(quarantine, String(random.next()));
+    return QuarantineRelay.create(quarantine, clock, String(random.next()));
   }
 
   private async openArchive(): Promise<Archive> {
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -7,7 +7,14 @@
   SiteState,
   TargetAgents,
 } from '@marigoldpost/gateway';
-import {type LimitChange, TargetLimits} from '@marigoldpost/dispatch';
+import {type DaemonId, MarigoldpostError} from '@marigoldpost/common';
+import {
+  type LimitChange,
+  RateLimiter,
+  TargetLimits,
+} from '@marigoldpost/dispatch';
+import type {PeerReplyBody, PeerRequestBody} from '@marigoldpost/peers';
+import {putOwnObject} from '@marigoldpost/platform';
 import type {SiteConfig} from '@marigoldpost/sites';
 import {type ArchivePool, archivePrefix, TurnStore} from '@marigoldpost/turns';
 import {Quarantine} from '@marigoldpost/targets';
@@ -16,6 +23,12 @@
 import {promptWaitMs, relaxedTiming, SiteNode} from '../site_node.js';
 import {TargetDirectory} from '../targets/target_directory.js';
 import {getKindPrefix} from '../utils/object_sink.js';
+import {
+  EntryDirectory,
+  type EntryMember,
+  entryPrefix,
+} from './entry_directory.js';
+import {PermitExchange} from './permit_exchange.js';
 import {SiteConfigUpdater} from './site_config_updater.js';
 import {QuarantineExchange} from './quarantine_exchange.js';
 import {QuarantineReceiver} from './quarantine_receiver.js';
@@ -28,6 +41,8 @@
 /** Part of the grace period that is reserved for the exit of the process. */
 const exitMarginMs = 800;
 const drainPollMs = 50;
+/** Pause before a failed registration is retried. */
+const registrationRetryMs = 500;
 /** Longest wait for the last write of crash records; within `exitMarginMs`. */
 const flushTimeoutMs = 400;
 /** Share of the VM's memory that the cache of recent turns may use. */
@@ -40,6 +55,9 @@
 export class EntryNode extends SiteNode {
   private readonly agents = TargetAgents.create();
   private readonly targetLimits: TargetLimits;
+  private readonly entryDirectory: EntryDirectory;
+  private readonly permitExchange: PermitExchange;
+  private readonly rateLimiter: RateLimiter;
   private readonly site: SiteState;
   private readonly targetDirectory: TargetDirectory;
   private readonly turns: TurnStore;
@@ -58,7 +76,16 @@
     super(options);
     this.targetLimits = TargetLimits.create({
       clock: options.clock,
-      onChanged: (change) => this.logLimitChange(change),
+      onChanged: (change) => this.handleLimitChange(change),
+    });
+    this.entryDirectory = EntryDirectory.create(this.getOwnMember(), () =>
+      this.startRegistration(),
+    );
+    this.permitExchange = this.createPermitExchange();
+    this.rateLimiter = RateLimiter.create({
+      clock: options.clock,
+      limits: this.targetLimits,
+      source: this.permitExchange,
     });
     this.site = this.createSite();
     this.targetDirectory = this.createTargetDirectory();
@@ -128,12 +155,17 @@
       this.targetDirectory,
     );
     this.watch(archivePrefix, relaxedTiming, this.archiveDirectory);
+    this.watch(entryPrefix, relaxedTiming, this.entryDirectory);
     this.watch(crashPrefix, relaxedTiming, this.quarantineReplicator);
     const reader = this.createSeedReader(configPrefix, configUpdater);
     this.tasks.run('seeds', (signal) => reader.run(signal));
     this.tasks.run('crash records', (signal) =>
       this.quarantineExchange.run(signal),
     );
+    await this.transport.start((sender, request) =>
+      this.answerPeer(sender, request),
+    );
+    this.startRegistration();
     await this.listen();
     await this.startSharedServices('entry', startMs);
   }
@@ -175,6 +207,7 @@
       clock,
       random,
       dataCentre: settings.dataCentre,
+      rateLimiter: this.rateLimiter,
       onEjected: ({id, service}, result) =>
         logger.log('target_ejected', {target: id, service, result}),
     });
@@ -191,6 +224,7 @@
         this.site.setTargets(targets);
         this.agents.retireUnlisted(targets);
         this.targetLimits.retain(targets);
+        this.rateLimiter.retain(targets);
       },
       onLost: (target) => this.crashTracker.recordLostTarget(target),
     });
@@ -211,7 +245,8 @@
     configPrefix: string,
     configUpdater: SiteConfigUpdater,
   ): SeedReader {
-    const {clock, transport, site, targetDirectory, archiveDirectory} = this;
+    const {clock, transport, site, targetDirectory} = this;
+    const {archiveDirectory, entryDirectory} = this;
     const {logger, platform} = this.options;
     const {targetPrefix} = platform.keys;
     return SeedReader.create({
@@ -235,6 +270,11 @@
           sink: archiveDirectory,
           isLoaded: () => archiveDirectory.isLoaded,
         },
+        {
+          prefix: entryPrefix,
+          sink: entryDirectory,
+          isLoaded: () => entryDirectory.isLoaded,
+        },
       ],
     });
   }
@@ -260,10 +300,67 @@
       clock,
       quarantine: this.quarantine,
       receiver: this.quarantineReceiver,
+      limits: this.targetLimits,
+      logger,
+    });
+  }
+
+  private createPermitExchange(): PermitExchange {
+    const {clock, settings, logger} = this.options;
+    return PermitExchange.create({
+      daemon: settings.daemon,
+      directory: this.entryDirectory,
+      transport: this.transport,
+      limits: this.targetLimits,
+      clock,
       logger,
+      onMemberLost: ({daemon}) => this.removeMember(daemon),
     });
   }
 
+  /** Removes the registration of an entry VM; one that lives writes it again. */
+  private removeMember(daemon: DaemonId): void {
+    const {store} = this.options.platform;
+    store.removeObject(`${entryPrefix}${daemon}`).catch((error: unknown) => {
+      this.tasks.logFailure('register', error);
+    });
+  }
+
+  private getOwnMember(): EntryMember {
+    const {daemon, ip, peerPort, dataCentre} = this.options.settings;
+    return {daemon, address: `http://${ip}:${peerPort}`, dataCentre};
+  }
+
+  /** Writes the registration of this entry VM until it is stored. */
+  private startRegistration(): void {
+    const {store} = this.options.platform;
+    const member = this.getOwnMember();
+    const key = `${entryPrefix}${member.daemon}`;
+    this.tasks.run('register', async (signal) => {
+      while (!signal.aborted) {
+        try {
+          await putOwnObject(store, key, JSON.stringify(member));
+          return;
+        } catch (error) {
+          this.tasks.logFailure('register', error);
+          await this.clock.sleep(registrationRetryMs, signal);
+        }
+      }
+    });
+  }
+
+  private answerPeer(
+    sender: DaemonId,
+    request: PeerRequestBody,
+  ): Promise<PeerReplyBody> {
+    if (request.case === 'reservePermits') {
+      const reply = this.permitExchange.answer(sender, request.value);
+      return Promise.resolve(reply);
+    }
+    const message = `an entry VM does not answer "${request.case}"`;
+    return Promise.reject(MarigoldpostError.create('invalid_request', message));
+  }
+
   private applyConfig(config: SiteConfig): boolean {
     if (!this.site.applyConfig(config)) return false;
     this.server.setLimits(config.limits);
@@ -272,7 +369,7 @@
     return true;
   }
 
-  private logLimitChange({limit, previousPerS, source}: LimitChange): void {
+  private handleLimitChange({limit, previousPerS, source}: LimitChange): void {
     const {target, startedAtMs, limitPerS, statedAtMs} = limit;
     this.options.logger.log('target_limit_changed', {
       target,
@@ -282,6 +379,8 @@
       source: source ?? 'response',
       ageMs: Math.round(this.clock.nowMs() - statedAtMs),
     });
+    if (source === undefined) this.quarantineExchange.publishLimits();
+    this.rateLimiter.notify();
   }
 
   private async listen(): Promise<void> {
--- a/packages/nodes/src/entry/quarantine_exchange.ts
+++ b/packages/nodes/src/entry/quarantine_exchange.ts
@@ -1,18 +1,23 @@
 /**
- * Exchanges crash records with the archives, which relay them to the other
+ * Exchanges crash records and limits of targets with the archives, which relay them to the other
  * entry VMs while the object API is slow, down or unreachable for some of them.
  */
 import {create} from '@bufbuild/protobuf';
 import {
   type Clock,
+  type DaemonId,
   type DataCentreId,
   Deferred,
   type Fingerprint,
 } from '@marigoldpost/common';
+import type {TargetLimits} from '@marigoldpost/dispatch';
 import {
   ExchangeQuarantinesSchema,
   fromQuarantineMessage,
+  fromTargetLimitMessage,
+  type QuarantineChanges,
   toQuarantineMessage,
+  toTargetLimitMessage,
 } from '@marigoldpost/peers';
 import type {Quarantine} from '@marigoldpost/targets';
 import type {EventLogger} from '@marigoldpost/telemetry';
@@ -33,6 +38,7 @@
   readonly clock: Clock;
   readonly quarantine: Quarantine;
   readonly receiver: QuarantineReceiver;
+  readonly limits: TargetLimits;
   readonly logger: EventLogger;
 }
 
@@ -43,6 +49,10 @@
   /** Process of the archive, and its revision that this entry VM has. */
   process: string;
   revision: bigint;
+  /** Last revision of the own limits that the archive has. */
+  sentLimitRevision: number;
+  /** Revision of the archive's limits that this entry VM has. */
+  limitRevision: bigint;
 }
 
 /** Sends own records to every archive and asks one for those of others. */
@@ -79,6 +89,11 @@
     this.wake.resolve();
   }
 
+  /** Sends the limits that responses to this entry VM have changed soon. */
+  publishLimits(): void {
+    this.wake.resolve();
+  }
+
   /**
    * Exchanges records until aborted.
    * @param signal - Stops the exchange.
@@ -120,12 +135,14 @@
   }
 
   private hasUnsent(client: ArchiveClient): boolean {
-    return this.getState(client).sentChange < this.lastChange;
+    const {sentChange, sentLimitRevision} = this.getState(client);
+    const {ownRevision} = this.options.limits;
+    return sentChange < this.lastChange || sentLimitRevision < ownRevision;
   }
 
   /** Exchanges records with an archive; false if it does not reply. */
   private async exchange(client: ArchiveClient): Promise<boolean> {
-    const {quarantine, receiver, logger, clock} = this.options;
+    const {quarantine, receiver, logger, clock, limits} = this.options;
     const state = this.getState(client);
     const {lastChange} = this;
     const entries = quarantine
@@ -135,17 +152,27 @@
           (this.changes.get(fingerprint) ?? 0) > state.sentChange,
       );
     const startMs = clock.nowMs();
+    const {ownRevision} = limits;
+    const targetLimits = limits
+      .getOwnChanges(state.sentLimitRevision)
+      .map((limit) => toTargetLimitMessage(limit, startMs));
     const request = create(ExchangeQuarantinesSchema, {
       quarantines: entries.map(toQuarantineMessage),
       process: state.process,
       sinceRevision: state.revision,
+      targetLimits,
+      sinceLimitRevision: state.limitRevision,
     });
     const reply = await client.exchangeQuarantines(request);
     if (reply === undefined) return false;
     state.sentChange = lastChange;
+    // A restarted archive has lost the limits that it received before.
+    const isRestarted = state.process !== '' && state.process !== reply.process;
+    state.sentLimitRevision = isRestarted ? 0 : ownRevision;
     state.process = reply.process;
     state.revision = reply.revision;
     const {daemon} = client.member;
+    this.receiveLimits(daemon, state, reply, startMs);
     receiver.receive(daemon, reply.quarantines.map(fromQuarantineMessage));
     if (entries.length === 0) return true;
     logger.log('crash_records_sent', {
@@ -156,10 +183,29 @@
     return true;
   }
 
+  private receiveLimits(
+    source: DaemonId,
+    state: ExchangeState,
+    {limitRevision, targetLimits}: QuarantineChanges,
+    sentAtMs: number,
+  ): void {
+    state.limitRevision = limitRevision;
+    this.options.limits.merge(
+      source,
+      targetLimits.map((limit) => fromTargetLimitMessage(limit, sentAtMs)),
+    );
+  }
+
   private getState(client: ArchiveClient): ExchangeState {
     const existing = this.states.get(client);
     if (existing !== undefined) return existing;
-    const added = {sentChange: 0, process: '', revision: 0n};
+    const added = {
+      sentChange: 0,
+      process: '',
+      revision: 0n,
+      sentLimitRevision: 0,
+      limitRevision: 0n,
+    };
     this.states.set(client, added);
     return added;
   }
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -1,7 +1,9 @@
 /** Daemons of a site, for entry VMs and archive VMs. */
 export * from './archive/archive_node.js';
 export * from './entry/site_config_updater.js';
+export * from './entry/entry_directory.js';
 export * from './entry/entry_node.js';
+export * from './entry/permit_exchange.js';
 export * from './entry/quarantine_receiver.js';
 export * from './entry/quarantine_replicator.js';
 export * from './node_options.js';
--- /dev/null
+++ b/packages/nodes/tests/entry/permit_exchange_steps.ts
@@ -0,0 +1,374 @@
+/** Steps for permits in a fleet of entry VMs on a virtual clock. */
+import assert from 'node:assert/strict';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {
+  type DaemonId,
+  type DataCentreId,
+  MarigoldpostError,
+  SeededRandom,
+  type ServiceId,
+  type TargetId,
+  toId,
+  VirtualClock,
+} from '@marigoldpost/common';
+import {
+  RateLimiter,
+  ServiceDispatcher,
+  TargetLimits,
+} from '@marigoldpost/dispatch';
+import {EntryDirectory, entryPrefix, PermitExchange} from '@marigoldpost/nodes';
+import {
+  type PeerAddress,
+  type PeerReplyBody,
+  PeerRequester,
+  type PeerRequestBody,
+} from '@marigoldpost/peers';
+import type {TargetEntry} from '@marigoldpost/sites';
+import {EventLogger} from '@marigoldpost/telemetry';
+
+interface FleetEntry {
+  readonly index: number;
+  readonly exchange: PermitExchange;
+  readonly limits: TargetLimits;
+  readonly dispatcher: ServiceDispatcher;
+}
+
+interface Outcome {
+  readonly waitedMs: number;
+  /** `undefined` if the request was sent. */
+  readonly retryAfterMs: number | undefined;
+}
+
+interface FleetWorld extends World {
+  clock: VirtualClock;
+  random: SeededRandom;
+  entries: FleetEntry[];
+  targets: TargetEntry[];
+  limitedCount: number;
+  limitPerS: number;
+  received: Map<TargetId, number[]>;
+  outcomes: Outcome[];
+  isSilent: (index: number, nowMs: number) => boolean;
+  isSplit: (from: number, to: number, nowMs: number) => boolean;
+  restartsMs: Map<number, number>;
+}
+
+const windowMs = 4000;
+const latencyMs = 1;
+const serviceMs = 100;
+const deadlineMs = 3000;
+const stepMs = 2;
+/** Real time that the simulated load may take. */
+const loadTimeoutMs = 20_000;
+const service = toId<ServiceId>('service');
+const dataCentre = toId<DataCentreId>('north');
+
+/** Carries requests between the exchanges of the fleet. */
+class FleetRequester extends PeerRequester {
+  constructor(
+    private readonly world: FleetWorld,
+    private readonly index: number,
+  ) {
+    super();
+  }
+
+  override async ask(
+    peer: PeerAddress,
+    request: PeerRequestBody,
+    timeoutMs: number,
+  ): Promise<PeerReplyBody> {
+    const {world, index} = this;
+    const {clock} = world;
+    const to = Number(peer.daemon.slice('entry-'.length));
+    await clock.sleep(latencyMs);
+    const nowMs = clock.nowMs();
+    if (world.isSilent(to, nowMs) || world.isSplit(index, to, nowMs)) {
+      await clock.sleep(timeoutMs - latencyMs);
+      throw MarigoldpostError.create('peer_lost', 'no reply');
+    }
+    assert.equal(request.case, 'reservePermits');
+    const sender = toDaemon(index);
+    const reply = world.entries[to]?.exchange.answer(sender, request.value);
+    await clock.sleep(latencyMs);
+    assert.ok(reply);
+    return reply;
+  }
+}
+
+Given(
+  '{int} entry VMs of a fleet before {int} targets, {int} of them limited to {float} requests a second',
+  function (
+    this: FleetWorld,
+    count: number,
+    targets: number,
+    limited: number,
+    limitPerS: number,
+  ) {
+    this.clock = VirtualClock.create();
+    this.random = SeededRandom.create(count * 1000 + targets);
+    this.limitedCount = limited;
+    this.limitPerS = limitPerS;
+    this.received = new Map();
+    this.outcomes = [];
+    this.isSilent = () => false;
+    this.isSplit = () => false;
+    this.restartsMs = new Map();
+    this.targets = Array.from({length: targets}, (_none, index) =>
+      createTarget(index),
+    );
+    this.entries = [];
+    for (let index = 0; index < count; index++) {
+      this.entries.push(createEntry(this, index, count));
+    }
+  },
+);
+
+Given(
+  'in the fleet, the first half cannot reach the second from {int} to {int} s',
+  function (this: FleetWorld, fromS: number, toS: number) {
+    const half = this.entries.length / 2;
+    this.isSplit = (from, to, nowMs) =>
+      isWithin(nowMs, fromS, toS) && from < half !== to < half;
+  },
+);
+
+Given(
+  'in the fleet, the first three do not reply from {int} to {int} s',
+  function (this: FleetWorld, fromS: number, toS: number) {
+    this.isSilent = (index, nowMs) => isWithin(nowMs, fromS, toS) && index < 3;
+  },
+);
+
+Given(
+  'in the fleet, the first half restart in turn from {int} to {int} s',
+  function (this: FleetWorld, fromS: number, toS: number) {
+    const half = this.entries.length / 2;
+    const gapMs = ((toS - fromS) * 1000) / half;
+    for (let index = 0; index < half; index++) {
+      this.restartsMs.set(index, fromS * 1000 + index * gapMs);
+    }
+  },
+);
+
+When(
+  'the fleet receives {int} requests a second for {int} s',
+  {timeout: loadTimeoutMs},
+  async function (this: FleetWorld, ratePerS: number, durationS: number) {
+    const meanGapMs = 1000 / ratePerS;
+    const endMs = durationS * 1000;
+    let nextMs = 0;
+    while (this.clock.nowMs() < endMs) {
+      restartDue(this);
+      for (
+        ;
+        nextMs <= this.clock.nowMs();
+        nextMs += getGapMs(this, meanGapMs)
+      ) {
+        void send(this);
+      }
+      await this.clock.advance(stepMs);
+    }
+    await this.clock.advance(deadlineMs + serviceMs);
+  },
+);
+
+Then(
+  'no limited target of the fleet received more than its limit allows in any 4 s',
+  function (this: FleetWorld) {
+    const {limitPerS} = this;
+    const allowed = Math.floor((limitPerS * windowMs * 1.5) / 1000 + 5);
+    for (const {id} of this.targets.slice(0, this.limitedCount)) {
+      const times = this.received.get(id) ?? [];
+      const most = Math.max(
+        0,
+        ...times.map(
+          (startMs) =>
+            times.filter((atMs) => atMs >= startMs && atMs < startMs + windowMs)
+              .length,
+        ),
+      );
+      assert.ok(most <= allowed, `${id}: ${most} in 4 s, allowed ${allowed}`);
+    }
+  },
+);
+
+Then(
+  '{int} of 100 requests of the fleet were sent at least',
+  function (this: FleetWorld, percent: number) {
+    const sent = this.outcomes.filter(
+      ({retryAfterMs}) => retryAfterMs === undefined,
+    );
+    const counts = `${sent.length} of ${this.outcomes.length}`;
+    assert.ok(sent.length * 100 >= this.outcomes.length * percent, counts);
+  },
+);
+
+Then(
+  'the rejected requests of the fleet waited {int} ms on average at most',
+  function (this: FleetWorld, maxMs: number) {
+    const meanMs = getMean(getRejected(this).map(({waitedMs}) => waitedMs));
+    assert.ok(meanMs <= maxMs, `waited ${meanMs} ms`);
+  },
+);
+
+Then(
+  'the retry delay of the rejected requests of the fleet is {int} ms on average at least',
+  function (this: FleetWorld, minMs: number) {
+    const delays = getRejected(this).map(({retryAfterMs = 0}) => retryAfterMs);
+    const meanMs = getMean(delays);
+    assert.ok(meanMs >= minMs, `retry after ${meanMs} ms`);
+  },
+);
+
+function getRejected({outcomes}: FleetWorld): Outcome[] {
+  const rejected = outcomes.filter(
+    ({retryAfterMs}) => retryAfterMs !== undefined,
+  );
+  assert.ok(rejected.length > 0, 'nothing was rejected');
+  return rejected;
+}
+
+function getMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function isWithin(nowMs: number, fromS: number, toS: number): boolean {
+  return nowMs >= fromS * 1000 && nowMs < toS * 1000;
+}
+
+function getGapMs({random}: FleetWorld, meanMs: number): number {
+  return -Math.log(1 - random.next()) * meanMs;
+}
+
+function restartDue(world: FleetWorld): void {
+  for (const [index, dueMs] of world.restartsMs) {
+    if (dueMs > world.clock.nowMs()) continue;
+    world.restartsMs.delete(index);
+    world.entries[index] = createEntry(world, index, world.entries.length);
+  }
+}
+
+async function send(world: FleetWorld): Promise<void> {
+  const {clock, random, entries} = world;
+  const entry = entries[Math.floor(random.next() * entries.length)];
+  assert.ok(entry);
+  const startMs = clock.nowMs();
+  const request = {
+    prompt: [],
+    priority: 0,
+    finishByMs: Number.POSITIVE_INFINITY,
+    deadlineMs: startMs + deadlineMs,
+    excluded: new Set<TargetId>(),
+    previousPrompt: undefined,
+    kind: 'call',
+  };
+  try {
+    const lease = await entry.dispatcher.acquire(
+      request,
+      new AbortController().signal,
+    );
+    const sentAtMs = clock.nowMs();
+    recordReceived(world, lease.target.id, sentAtMs);
+    world.outcomes.push({
+      waitedMs: sentAtMs - startMs,
+      retryAfterMs: undefined,
+    });
+    await clock.sleep(serviceMs);
+    stateLimit(world, entry.limits, lease.target, sentAtMs);
+    lease.release({result: 'answered'});
+  } catch (error) {
+    assert.ok(error instanceof MarigoldpostError);
+    const waitedMs = clock.nowMs() - startMs;
+    world.outcomes.push({waitedMs, retryAfterMs: error.retryAfterMs ?? 0});
+  }
+}
+
+function recordReceived(
+  {received}: FleetWorld,
+  target: TargetId,
+  atMs: number,
+): void {
+  const times = received.get(target);
+  if (times === undefined) received.set(target, [atMs]);
+  else times.push(atMs);
+}
+
+function stateLimit(
+  {targets, limitedCount, limitPerS}: FleetWorld,
+  limits: TargetLimits,
+  target: TargetEntry,
+  sentAtMs: number,
+): void {
+  const index = targets.findIndex(({id}) => id === target.id);
+  limits.recordResponse(target, {
+    limitPerS: index < limitedCount ? limitPerS : undefined,
+    sentAtMs,
+    isSigned: true,
+  });
+}
+
+function createEntry(
+  world: FleetWorld,
+  index: number,
+  count: number,
+): FleetEntry {
+  const {clock, targets, random} = world;
+  const daemon = toDaemon(index);
+  const limits = TargetLimits.create({
+    clock,
+    onChanged: () => limiter.notify(),
+  });
+  const member = {daemon, address: `http://${daemon}`, dataCentre};
+  const directory = EntryDirectory.create(member, () => undefined);
+  directory.replaceObjects(
+    Array.from({length: count}, (_none, other) => createObject(other)),
+  );
+  const exchange = PermitExchange.create({
+    daemon,
+    directory,
+    transport: new FleetRequester(world, index),
+    limits,
+    clock,
+    logger: EventLogger.create({
+      level: 'info',
+      daemon,
+      destination: {write: () => undefined},
+    }),
+  });
+  const limiter = RateLimiter.create({clock, limits, source: exchange});
+  const dispatcher = ServiceDispatcher.create({
+    service: {id: service, maxConnections: 400, engine: undefined},
+    dataCentre,
+    clock,
+    random,
+    rateLimiter: limiter,
+  });
+  dispatcher.setTargets(targets);
+  for (const target of targets.slice(0, world.limitedCount)) {
+    stateLimit(world, limits, target, clock.nowMs());
+  }
+  return {index, exchange, limits, dispatcher};
+}
+
+function createObject(index: number) {
+  const daemon = toDaemon(index);
+  const value = {daemon, address: `http://${daemon}`, dataCentre};
+  const key = `${entryPrefix}${daemon}`;
+  return {key, value: JSON.stringify(value), version: 1};
+}
+
+function createTarget(index: number): TargetEntry {
+  return {
+    id: toId<TargetId>(`target-${index}`),
+    service,
+    address: {host: '127.0.0.1', port: 1000 + index},
+    dataCentre,
+    slots: 24,
+    isDraining: false,
+    startedAtMs: 1,
+  };
+}
+
+function toDaemon(index: number): DaemonId {
+  return toId<DaemonId>(`entry-${index}`);
+}
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -12,3 +12,4 @@
 export * from './transport/tls_material.js';
 export * from './messages/message_transport.js';
 export * from './messages/quarantine_codec.js';
+export * from './messages/target_limit_codec.js';
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -297,6 +297,16 @@
       ageMs: 'number',
     },
   ),
+  permit_holder_reachability: define(
+    5105,
+    'info',
+    'Reachability of an entry VM that hands out permits changed',
+    {
+      peer: 'string',
+      isReachable: 'boolean',
+      reason: 'string',
+    },
+  ),
 
   // 6000: configuration and operators.
   config_in_force: define(6001, 'info', 'A configuration is active', {
