--- a/packages/gateway/src/targets/target_agent.ts
+++ b/packages/gateway/src/targets/target_agent.ts
@@ -1,6 +1,6 @@
 /** Pools keep-alive connections to one target. */
 import http from 'node:http';
-import type {Socket} from 'node:net';
+import net, {type Socket} from 'node:net';
 
 /** Limit of idle connections; more would be used only in a burst. */
 const maxIdleConnections = 32;
@@ -10,13 +10,16 @@
 const defaultIdleMs = 4000;
 const millisecondsPerSecond = 1000;
 
+/** Opens a connection to a target; the socket may still be connecting. */
+export type TargetConnector = (options: net.NetConnectOpts) => Socket;
+
 /** HTTP agent that closes idle connections on which unexpected bytes arrive. */
 export class TargetAgent extends http.Agent {
   private readonly idleTimers = new Map<Socket, NodeJS.Timeout>();
   private isRetired = false;
   private readonly onUnexpectedData: (this: Socket) => void;
 
-  private constructor() {
+  private constructor(private readonly connector: TargetConnector) {
     super({
       keepAlive: true,
       maxFreeSockets: maxIdleConnections,
@@ -28,9 +31,12 @@
     };
   }
 
-  /** Creates an agent without connections. */
-  static create(): TargetAgent {
-    return new TargetAgent();
+  /**
+   * Creates an agent without connections.
+   * @param connector - Opens connections; plain TCP by default.
+   */
+  static create(connector: TargetConnector = net.connect): TargetAgent {
+    return new TargetAgent(connector);
   }
 
   /** Closes idle connections now, and busy ones after their request ends. */
@@ -44,6 +50,10 @@
     for (const socket of this.idleTimers.keys()) socket.destroy();
   }
 
+  override createConnection(options: net.NetConnectOpts): Socket {
+    return this.connector(options);
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     if (this.isRetired || socket.readableLength > 0) return false;
     const idleMs = this.getIdleMs(socket);
--- a/packages/gateway/src/targets/target_agents.ts
+++ b/packages/gateway/src/targets/target_agents.ts
@@ -1,16 +1,20 @@
 /** Holds one connection pool per target. */
 import type {TargetEntry} from '@marigoldpost/sites';
-import {TargetAgent} from './target_agent.js';
+import net from 'node:net';
+import {TargetAgent, type TargetConnector} from './target_agent.js';
 
 /** Agents by target; a restarted target gets a new agent. */
 export class TargetAgents {
   private readonly agents = new Map<string, TargetAgent>();
 
-  private constructor() {}
+  private constructor(private readonly connector: TargetConnector) {}
 
-  /** Creates a set without agents. */
-  static create(): TargetAgents {
-    return new TargetAgents();
+  /**
+   * Creates a set without agents.
+   * @param connector - Opens connections; plain TCP by default.
+   */
+  static create(connector: TargetConnector = net.connect): TargetAgents {
+    return new TargetAgents(connector);
   }
 
   /**
@@ -21,7 +25,7 @@
     const key = toKey(target);
     const known = this.agents.get(key);
     if (known !== undefined) return known;
-    const added = TargetAgent.create();
+    const added = TargetAgent.create(this.connector);
     this.agents.set(key, added);
     return added;
   }
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -76,6 +76,11 @@
     logger.log('node_stopped', {drainMs, cutOff: 0});
   }
 
+  override kill(): void {
+    this.stopSharedServices();
+    this.archive?.close();
+  }
+
   private watchSite(mirror: SiteMirror): void {
     const {keys} = this.options.platform;
     const mirrorSink = mirror.getSink(archivePrefix);
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -53,7 +53,7 @@
 
 /** Accepts calls, dispatches them to targets and drains connections at stop. */
 export class EntryNode extends SiteNode {
-  private readonly agents = TargetAgents.create();
+  private readonly agents: TargetAgents;
   private readonly targetLimits: TargetLimits;
   private readonly entryDirectory: EntryDirectory;
   private readonly permitExchange: PermitExchange;
@@ -74,6 +74,7 @@
 
   private constructor(options: NodeOptions) {
     super(options);
+    this.agents = TargetAgents.create(options.connectTarget);
     this.targetLimits = TargetLimits.create({
       clock: options.clock,
       onChanged: (change) => this.handleLimitChange(change),
@@ -193,6 +194,11 @@
     ]);
     const drainMs = Math.round(this.clock.nowMs() - startMs);
     logger.log('node_stopped', {drainMs, cutOff: this.server.inFlight});
+    this.kill();
+  }
+
+  override kill(): void {
+    this.isDraining = true;
     this.server.close();
     this.readyPage.close();
     this.targetDirectory.stop();
--- a/packages/nodes/src/node_options.ts
+++ b/packages/nodes/src/node_options.ts
@@ -1,5 +1,6 @@
 /** Dependencies of a daemon. */
 import type {Clock, Random} from '@marigoldpost/common';
+import type {TargetConnector} from '@marigoldpost/gateway';
 import type {NodeSettings, SitePlatform} from '@marigoldpost/sites';
 import type {
   BoundedOutput,
@@ -17,4 +18,6 @@
   readonly metrics: Metrics;
   /** Output of the logger; provides the number of dropped lines. */
   readonly output?: BoundedOutput;
+  /** Opens connections to targets; plain TCP by default. */
+  readonly connectTarget?: TargetConnector;
 }
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -76,6 +76,9 @@
    */
   abstract stop(signal: string): Promise<void>;
 
+  /** Closes every connection at once; pending work is lost. */
+  abstract kill(): void;
+
   /**
    * Applies reloaded settings. Changed addresses take effect only after a
    * restart.
