Serve calls through other entry VMs while the links to targets are lost

Cause: a target was reached from the entry VM that had accepted the call, or not at all. Class of fault: one way to a resource, and no means to tell its loss from the loss of the resource.

Change: an entry VM that opens no connection to a target hands the exchange to another one, over one hop (`PeerExchange`, `RelayServer`). The accepting entry VM keeps placement, permits, attempts, deadline, budget, history and crash records; the other one forwards a single exchange. A request goes another way only while it has surely not been sent. How the target delimits its response travels along, so the end proves what it proved before. `LinkMonitor` tells a cut link (others reach the target) from a target that is down; `LinkProber` finds connections that went silent and links that are back; `RelayPeers` spreads the load over those that are able to relay.

--- a/packages/gateway/src/calls/call_services.ts
+++ b/packages/gateway/src/calls/call_services.ts
@@ -6,6 +6,7 @@
 import type {TurnStore} from '@marigoldpost/turns';
 import type {SiteState} from '../site/site_state.js';
 import type {TargetAgents} from '../targets/target_agents.js';
+import type {TargetSender} from './target_sender.js';
 import type {CrashTracker} from './crash_tracker.js';
 
 /** Components of the daemon that all calls share. */
@@ -16,6 +17,7 @@
   readonly codec: CallCodec;
   readonly site: SiteState;
   readonly agents: TargetAgents;
+  readonly sender: TargetSender;
   readonly turns: TurnStore;
   readonly targetLimits: TargetLimits;
   readonly crashTracker: CrashTracker;
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -36,6 +36,8 @@
 /** The target's response that is sent to the client, for the log. */
 export interface ServedResponse extends BodyFields {
   readonly target: TargetId;
+  /** `direct`, or the entry VM that relayed it. */
+  readonly via: string;
 }
 
 /** Request, response and context of a call. */
--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -64,7 +64,8 @@
         `the target responded with status ${status}`,
       );
     }
-    call.recordTargetResponse({target: started.lease.target.id, ...fields});
+    const target = started.lease.target.id;
+    call.recordTargetResponse({target, via: attempts.path, ...fields});
     const headers = getClientHeaders(services, response);
     const isUndelimited = proof === 'unknown';
     call.answer({status, headers, body: received.bytes, isUndelimited});
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -73,7 +73,8 @@
   });
   const {events, isInEvent} = result;
   const fields = getBodyFields(result.end, {events, isInEvent});
-  call.recordTargetResponse({target: started.lease.target.id, ...fields});
+  const target = started.lease.target.id;
+  call.recordTargetResponse({target, via: attempts.path, ...fields});
   const {proof} = result;
   if (proof !== 'truncated') {
     const latencySampleMs = result.gapMs;
@@ -86,7 +87,7 @@
     if (result.isStalled) attempts.recordSilence(started.lease);
     else attempts.recordCrash(started.lease);
   }
-  return {...result, target: started.lease.target.id};
+  return {...result, target};
 }
 
 /**
@@ -142,7 +143,8 @@
     attempts.recordBrokenResponse(lease, end.message, fields);
     throw attempts.createFailure(end.message);
   }
-  call.recordTargetResponse({target: lease.target.id, ...fields});
+  const target = lease.target.id;
+  call.recordTargetResponse({target, via: attempts.path, ...fields});
   attempts.complete(lease, {status, proof});
   if (isNotRunStatus(status)) {
     throw attempts.createFailure(`the target responded with status ${status}`);
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -13,18 +13,19 @@
   TargetLease,
   TargetResult,
 } from '@marigoldpost/dispatch';
-import {isRepeatable} from '@marigoldpost/sites';
+import {isRepeatable, type TargetEntry} from '@marigoldpost/sites';
 import type {BodyFields, BodyProof} from '../responses/body_end.js';
-import type {StartedResponse} from '../targets/target_exchange.js';
-import {
-  type ExchangeOutcome,
-  type FailedExchange,
-  type NotRunResponse,
-  TargetExchange,
-} from '../targets/target_exchange.js';
+import type {
+  ExchangeOutcome,
+  FailedExchange,
+  NotRunResponse,
+  StartedResponse,
+  TargetRequest,
+} from '../targets/http_exchange.js';
 import type {CallServices} from './call_services.js';
 import type {TargetRun} from './crash_tracker.js';
 import type {IncomingCall} from './incoming_call.js';
+import type {AttemptRelay} from './target_sender.js';
 import {TrackedRequest} from './tracked_request.js';
 
 /** Targets that may reject one call before the client gets an error. */
@@ -38,6 +39,9 @@
 /** Retry-After for a call that no target accepted. */
 const rejectedRetryAfterMs = 150;
 
+/** Value of `via` for a request that no other entry VM relays. */
+const directPath = 'direct';
+
 /** Body that a target receives. */
 export interface CallBody {
   readonly bytes: Uint8Array;
@@ -75,6 +79,8 @@
   private rejections = 0;
   private sentAtMs = 0;
   private mayHaveRun = false;
+  /** `direct`, or the entry VM that relays the current attempt. */
+  private via = directPath;
   private readonly trackedRequest: TrackedRequest;
 
   private constructor(
@@ -159,7 +165,13 @@
    * Records that a target closed its connection while it ran the request.
    * @param lease - Lease of the attempt.
    */
-  recordCrash({target}: TargetLease): void {
+  recordCrash(lease: TargetLease): void {
+    // The connection of a relayed request may have failed at either hop.
+    if (this.via !== directPath) {
+      this.recordSilence(lease);
+      return;
+    }
+    const {target} = lease;
     const {crashTracker} = this.services;
     crashTracker.recordCrash(this.trackedRequest, target, this.getRun());
   }
@@ -213,6 +225,11 @@
     );
   }
 
+  /** `direct`, or the entry VM that relayed the last response. */
+  get path(): string {
+    return this.via;
+  }
+
   /** Creates the error for the client when no further attempt is allowed. */
   createFailure(message: string): MarigoldpostError {
     const isLate = this.call.endReason === 'timeout';
@@ -307,31 +324,47 @@
     };
   }
 
-  private send(lease: TargetLease): Promise<ExchangeOutcome> {
+  private async send({target}: TargetLease): Promise<ExchangeOutcome> {
+    const {outcome, peer} = await this.services.sender.send({
+      target,
+      createRequest: () => this.createTargetRequest(target),
+      getHeadTimeoutMs: () => this.getHeadTimeoutMs(this.wholeLeftMs),
+      signal: this.call.signal,
+      onRelay: (relay) => this.logRelay(target, relay),
+    });
+    this.via = peer ?? directPath;
+    return outcome;
+  }
+
+  private logRelay(target: TargetEntry, relay: AttemptRelay): void {
+    const {logger, elapsedMs} = this.call;
+    logger.log('call_relayed', {
+      target: target.id,
+      ...relay,
+      elapsedMs: Math.round(elapsedMs),
+    });
+  }
+
+  private get wholeLeftMs(): number {
+    return Math.max(1, Math.floor(this.call.leftMs));
+  }
+
+  private createTargetRequest(target: TargetEntry): TargetRequest {
     const {call, services, body} = this;
-    const {target} = lease;
     const {request} = call;
-    const leftMs = Math.max(1, Math.floor(call.leftMs));
     const headers = services.codec.encodeForTarget(request.rawHeaders, {
       target: target.id,
-      deadlineMs: leftMs,
+      deadlineMs: this.wholeLeftMs,
       bodyBytes: body.bytes.byteLength,
       hasBody: body.isPresent,
     });
-    return TargetExchange.send({
-      target,
-      agent: services.agents.get(target),
-      codec: services.codec,
-      request: {
-        method: request.method ?? 'GET',
-        path: request.url ?? '/',
-        headers,
-        body: body.isPresent ? body.bytes : undefined,
-        requestId: call.requestId,
-      },
-      headTimeoutMs: this.getHeadTimeoutMs(leftMs),
-      signal: call.signal,
-    });
+    return {
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers,
+      body: body.isPresent ? body.bytes : undefined,
+      requestId: call.requestId,
+    };
   }
 
   private getHeadTimeoutMs(leftMs: number): number {
@@ -355,10 +388,12 @@
       if (this.rejections < maxRejections) return;
       throw this.createFailure(`${this.rejections} targets rejected the call`);
     }
-    const {reason, isSent, message} = outcome;
-    this.release(lease, {result: targetResults[reason]});
+    const {reason, isSent, message, failedPeer} = outcome;
+    const isPeerFault = failedPeer !== undefined;
+    const result = isPeerFault ? 'cancelled' : targetResults[reason];
+    this.release(lease, {result});
     this.logFailure(lease, reason, isSent, message);
-    if (reason === 'broken') this.recordCrash(lease);
+    if (reason === 'broken' && !isPeerFault) this.recordCrash(lease);
     else if (isSent) this.recordSilence(lease);
     if (reason === 'silent') this.services.agents.get(lease.target).closeIdle();
     if (isSent) this.recordSent();
@@ -406,6 +441,7 @@
   ): void {
     this.call.logger.log('attempt_failed', {
       target: lease.target.id,
+      via: this.via,
       result,
       isSent,
       reason,
--- /dev/null
+++ b/packages/gateway/src/calls/target_sender.ts
@@ -0,0 +1,191 @@
+/** Sends one attempt to a target, directly or through another entry VM. */
+import type {Clock, DaemonId} from '@marigoldpost/common';
+import type {CallCodec, TargetEntry} from '@marigoldpost/sites';
+import type {LinkMonitor, LinkState} from '../links/link_monitor.js';
+import type {LinkProber} from '../links/link_prober.js';
+import {PeerExchange, type RelayPeer} from '../relay/peer_exchange.js';
+import type {RelayPeers} from '../relay/relay_peers.js';
+import type {
+  ExchangeOutcome,
+  FailedExchange,
+  TargetRequest,
+} from '../targets/http_exchange.js';
+import type {TargetAgents} from '../targets/target_agents.js';
+import {TargetExchange} from '../targets/target_exchange.js';
+
+/** Entry VMs that one attempt is handed to while none of them sends it. */
+const maxPeers = 3;
+/** A target that has not responded for this long is probed. */
+const responseCheckMs = 300;
+
+/** Components that send requests. */
+export interface TargetSenderOptions {
+  readonly daemon: DaemonId;
+  readonly clock: Clock;
+  readonly codec: CallCodec;
+  readonly agents: TargetAgents;
+  readonly links: LinkMonitor;
+  readonly prober: LinkProber;
+  readonly peers: RelayPeers;
+}
+
+/** Why an attempt goes through another entry VM. */
+export interface AttemptRelay {
+  readonly peer: DaemonId;
+  readonly linkState: LinkState;
+  readonly isIsolated: boolean;
+}
+
+/** One attempt of a call. */
+export interface Attempt {
+  readonly target: TargetEntry;
+  /** Creates the request with the time that is left. */
+  readonly createRequest: () => TargetRequest;
+  /** Gets the timeout for the head of the response, from now. */
+  readonly getHeadTimeoutMs: () => number;
+  readonly signal: AbortSignal;
+  /** Called before the request is handed to another entry VM. */
+  readonly onRelay: (relay: AttemptRelay) => void;
+}
+
+/** How an attempt went. */
+export interface SentAttempt {
+  readonly outcome: ExchangeOutcome;
+  /** Entry VM that relayed it; `undefined` if it went directly. */
+  readonly peer: DaemonId | undefined;
+}
+
+/** Decides by which way a request goes; sends it on one way only. */
+export class TargetSender {
+  private constructor(private readonly options: TargetSenderOptions) {}
+
+  /**
+   * Creates a sender.
+   * @param options - Links, agents and other entry VMs.
+   */
+  static create(options: TargetSenderOptions): TargetSender {
+    return new TargetSender(options);
+  }
+
+  /**
+   * Sends an attempt. Another way is tried only while the request has surely
+   * not been sent.
+   * @param attempt - Target and request.
+   */
+  async send(attempt: Attempt): Promise<SentAttempt> {
+    const {links} = this.options;
+    const {target} = attempt;
+    let failure: FailedExchange | undefined;
+    if (!links.isCut(target)) {
+      const outcome = await this.sendDirectly(attempt);
+      if (!isUnreachable(outcome)) {
+        if (outcome.kind !== 'failed') links.recordReached(target);
+        return {outcome, peer: undefined};
+      }
+      links.recordConnectFailure(target, outcome.message);
+      failure = outcome;
+    }
+    return this.sendThroughPeers(attempt, failure);
+  }
+
+  private async sendDirectly({
+    target,
+    createRequest,
+    getHeadTimeoutMs,
+    signal,
+  }: Attempt): Promise<ExchangeOutcome> {
+    const {clock, codec, agents, links, prober} = this.options;
+    const sentAtMs = clock.nowMs();
+    const timer = clock.setTimer(responseCheckMs, () => {
+      if (links.hasRespondedSince(target, sentAtMs)) return;
+      void prober.check(target);
+    });
+    const outcome = await TargetExchange.send({
+      target,
+      agent: agents.get(target),
+      codec,
+      request: createRequest(),
+      headTimeoutMs: getHeadTimeoutMs(),
+      signal,
+    });
+    timer.cancel();
+    return outcome;
+  }
+
+  private async sendThroughPeers(
+    attempt: Attempt,
+    failure: FailedExchange | undefined,
+  ): Promise<SentAttempt> {
+    const {links, peers} = this.options;
+    const {target, signal} = attempt;
+    const excluded = new Set<DaemonId>();
+    let last: FailedExchange =
+      failure ?? createFailure('no entry VM reaches the target');
+    while (excluded.size < maxPeers && !signal.aborted) {
+      if (!links.mayAskPeers(target)) break;
+      const peer = peers.choose(excluded);
+      if (peer === undefined) break;
+      excluded.add(peer.daemon);
+      const outcome = await this.sendThroughPeer(attempt, peer);
+      if (isUnreachable(outcome)) {
+        if (outcome.failedPeer === undefined) {
+          links.recordUnreachedByPeer(target, peer.daemon);
+        }
+        peers.recordFailure(peer.daemon);
+        last = outcome;
+        continue;
+      }
+      if (outcome.kind === 'failed') {
+        if (outcome.failedPeer !== undefined) peers.recordFailure(peer.daemon);
+      } else {
+        peers.recordSuccess(peer.daemon);
+        links.recordReachedByPeer(target, peer.daemon);
+      }
+      return {outcome, peer: peer.daemon};
+    }
+    return {outcome: last, peer: undefined};
+  }
+
+  private async sendThroughPeer(
+    {target, createRequest, getHeadTimeoutMs, signal, onRelay}: Attempt,
+    peer: RelayPeer,
+  ): Promise<ExchangeOutcome> {
+    const {daemon, codec, links, peers} = this.options;
+    const linkState = links.getState(target);
+    onRelay({peer: peer.daemon, linkState, isIsolated: links.isIsolated});
+    peers.recordSend(peer.daemon);
+    const outcome = await PeerExchange.send({
+      sender: daemon,
+      peer,
+      target: target.id,
+      codec,
+      request: createRequest(),
+      headTimeoutMs: getHeadTimeoutMs(),
+      signal,
+    });
+    if (outcome.kind !== 'answer') {
+      peers.recordEnd(peer.daemon);
+      return outcome;
+    }
+    outcome.response.once('close', () => peers.recordEnd(peer.daemon));
+    return outcome;
+  }
+}
+
+/** An exchange that has surely not sent its request. */
+type UnsentExchange = FailedExchange & {
+  readonly reason: 'unreachable';
+  readonly isSent: false;
+};
+
+function isUnreachable(outcome: ExchangeOutcome): outcome is UnsentExchange {
+  return (
+    outcome.kind === 'failed' &&
+    outcome.reason === 'unreachable' &&
+    !outcome.isSent
+  );
+}
+
+function createFailure(message: string): FailedExchange {
+  return {kind: 'failed', reason: 'unreachable', isSent: false, message};
+}
--- /dev/null
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -0,0 +1,274 @@
+/**
+ * Relays requests of entry VMs that have lost their links to targets. The entry
+ * VM that accepted a call keeps everything that concerns the call; this one
+ * forwards a single exchange with a target and never relays it any further.
+ */
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock, TargetId} from '@marigoldpost/common';
+import type {TargetLimits} from '@marigoldpost/dispatch';
+import type {CallCodec, NetworkAddress, TargetEntry} from '@marigoldpost/sites';
+import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {readBody} from '../calls/body_reader.js';
+import type {LinkMonitor} from '../links/link_monitor.js';
+import {resetSocket} from '../server/reset_socket.js';
+import type {
+  ExchangeOutcome,
+  StartedResponse,
+} from '../targets/http_exchange.js';
+import type {TargetAgents} from '../targets/target_agents.js';
+import {TargetExchange} from '../targets/target_exchange.js';
+import {
+  decodeRelayParameters,
+  encodeRelayFailure,
+  encodeRelayFraming,
+  omitRelayHeaders,
+  type RelayFailure,
+  type RelayParameters,
+} from './relay_codec.js';
+
+/** Limit of the headers, which the sender has already checked. */
+const maxHeaderBytes = 128 * 1024;
+/** Limit of a body: a prompt with its history, as in messages of peers. */
+const maxBodyBytes = 32 * 2 ** 20;
+/** Requests that are relayed at a time; more are left to other entry VMs. */
+const maxInFlight = 400;
+const failureStatus = 502;
+
+/** Components that the relay shares with the calls of this entry VM. */
+export interface RelayServerOptions {
+  readonly clock: Clock;
+  readonly codec: CallCodec;
+  readonly agents: TargetAgents;
+  readonly links: LinkMonitor;
+  readonly targetLimits: TargetLimits;
+  readonly logger: EventLogger;
+  readonly metrics: Metrics;
+  /** Finds a target that is listed; `undefined` if it is not. */
+  readonly findTarget: (id: TargetId) => TargetEntry | undefined;
+}
+
+/** HTTP server for requests of other entry VMs. */
+export class RelayServer {
+  private readonly server: http.Server;
+  private readonly sockets = new Set<Socket>();
+  private relayed = 0;
+  private isDraining = false;
+
+  private constructor(private readonly options: RelayServerOptions) {
+    this.server = http.createServer(
+      {maxHeaderSize: maxHeaderBytes, noDelay: true},
+      (request, response) => void this.handle(request, response),
+    );
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  /**
+   * Creates a server that does not listen yet.
+   * @param options - Shared components.
+   */
+  static create(options: RelayServerOptions): RelayServer {
+    return new RelayServer(options);
+  }
+
+  /** Number of requests that are being relayed. */
+  get inFlight(): number {
+    return this.relayed;
+  }
+
+  /**
+   * Starts to listen; rejects if the address cannot be bound.
+   * @param address - Host and port.
+   */
+  listen({host, port}: NetworkAddress): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  /** Leaves new requests to other entry VMs. */
+  drain(): void {
+    this.isDraining = true;
+  }
+
+  /** Stops listening and breaks the relays that are still open. */
+  close(): void {
+    this.server.close();
+    for (const socket of this.sockets) resetSocket(socket);
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.relayed += 1;
+    const controller = new AbortController();
+    response.once('close', () => controller.abort());
+    try {
+      await this.relay(request, response, controller.signal);
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      this.logOutcome(request, undefined, message);
+      resetSocket(request.socket);
+    } finally {
+      this.relayed -= 1;
+    }
+  }
+
+  private async relay(
+    request: IncomingMessage,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {links, findTarget} = this.options;
+    const parameters = decodeRelayParameters(request.headers);
+    const body = await readBody(request, {maxBytes: maxBodyBytes, signal});
+    const target =
+      parameters === undefined ? undefined : findTarget(parameters.target);
+    const refusal = this.findRefusal(target);
+    if (parameters === undefined || target === undefined || refusal !== '') {
+      const message = refusal === '' ? 'the target is not listed' : refusal;
+      const fault = {isSent: false, isPeerFault: true} as const;
+      this.sendFailure(response, {reason: 'unreachable', ...fault});
+      this.logOutcome(request, parameters, message);
+      return;
+    }
+    const outcome = await this.send(request, body, target, parameters, signal);
+    if (outcome.kind === 'failed') {
+      const {reason, isSent, message} = outcome;
+      if (reason === 'unreachable') links.recordConnectFailure(target, message);
+      const failure = {reason, isSent, isPeerFault: false};
+      this.sendFailure(response, failure);
+      this.logOutcome(request, parameters, message);
+      return;
+    }
+    this.logOutcome(request, parameters, outcome.kind);
+    if (outcome.kind === 'answer') {
+      await this.forward(outcome, response);
+      return;
+    }
+    const headers = [...encodeRelayFraming('none'), 'Content-Length', '0'];
+    response.writeHead(outcome.status, [
+      ...this.getHeaders(outcome.rawHeaders),
+      ...headers,
+    ]);
+    response.end();
+  }
+
+  /** Finds why this entry VM does not relay; empty if it does. */
+  private findRefusal(target: TargetEntry | undefined): string {
+    if (this.isDraining) return 'the entry VM is draining';
+    if (this.relayed > maxInFlight) return 'too many requests are relayed';
+    if (target !== undefined && this.options.links.isCut(target)) {
+      return 'the entry VM does not reach the target itself';
+    }
+    return '';
+  }
+
+  private async send(
+    request: IncomingMessage,
+    body: Buffer,
+    target: TargetEntry,
+    {headTimeoutMs}: RelayParameters,
+    signal: AbortSignal,
+  ): Promise<ExchangeOutcome> {
+    const {agents, codec, links, targetLimits, clock} = this.options;
+    const sentAtMs = clock.nowMs();
+    const headers = omitRelayHeaders(request.rawHeaders);
+    const outcome = await TargetExchange.send({
+      target,
+      agent: agents.get(target),
+      codec,
+      request: {
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        headers: omitConnection(headers),
+        body: hasBody(request) ? body : undefined,
+        requestId: codec.decodeCall(request.headers).requestId ?? '',
+      },
+      headTimeoutMs,
+      signal,
+    });
+    if (outcome.kind === 'failed') return outcome;
+    const {rateLimitPerS, isSigned} = outcome.attributes;
+    links.recordReached(target);
+    targetLimits.recordResponse(target, {
+      limitPerS: rateLimitPerS,
+      sentAtMs,
+      isSigned,
+    });
+    return outcome;
+  }
+
+  private async forward(
+    {response: source, body}: StartedResponse,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {framing} = body;
+    const headers = this.getHeaders(source.rawHeaders);
+    const length = source.headers['content-length'];
+    if (framing === 'length' && length !== undefined) {
+      headers.push('Content-Length', length);
+    }
+    headers.push(...encodeRelayFraming(framing));
+    response.writeHead(source.statusCode ?? failureStatus, headers);
+    response.flushHeaders();
+    const end = await body.read((chunk) => {
+      if (response.write(chunk)) return;
+      source.pause();
+      response.once('drain', () => source.resume());
+    });
+    // The last chunk stands for the normal end of the target's connection.
+    if (end.proof === 'truncated') resetSocket(response.req.socket);
+    else response.end();
+  }
+
+  private getHeaders(rawHeaders: readonly string[]): string[] {
+    return this.options.codec.encodeForClient(rawHeaders);
+  }
+
+  private sendFailure(response: ServerResponse, failure: RelayFailure): void {
+    const headers = [...encodeRelayFailure(failure), 'Content-Length', '0'];
+    response.writeHead(failureStatus, headers);
+    response.end();
+    const {metrics} = this.options;
+    metrics.addToCounter('relayed_requests_total', {result: failure.reason});
+  }
+
+  private logOutcome(
+    {headers}: IncomingMessage,
+    parameters: RelayParameters | undefined,
+    outcome: string,
+  ): void {
+    const {logger, codec, metrics} = this.options;
+    const {requestId} = codec.decodeCall(headers);
+    if (outcome === 'answer' || outcome === 'not_run') {
+      metrics.addToCounter('relayed_requests_total', {result: outcome});
+    }
+    logger.withContext({requestId}).log('request_relayed', {
+      sender: parameters?.sender ?? '',
+      target: parameters?.target ?? '',
+      outcome,
+    });
+  }
+}
+
+function hasBody({headers}: IncomingMessage): boolean {
+  const length = headers['content-length'];
+  return length !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+/** Omits the header of the hop; a target's connection is kept. */
+function omitConnection(rawHeaders: readonly string[]): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] ?? '';
+    if (name.toLowerCase() === 'connection') continue;
+    kept.push(name, rawHeaders[index + 1] ?? '');
+  }
+  return kept;
+}
--- a/packages/gateway/src/responses/target_body.ts
+++ b/packages/gateway/src/responses/target_body.ts
@@ -23,16 +23,20 @@
   private isReset = false;
   private abortMessage: string | undefined;
   private error: NodeJS.ErrnoException | undefined;
-  /** How the response delimits its body. */
+  /** How the target's response delimits its body. */
   readonly framing: BodyFraming;
+  /** How the response on this connection does; differs if it was relayed. */
+  private readonly ownFraming: BodyFraming;
   private readonly socket: Socket;
   private readonly onSocketEnd: () => void;
 
   private constructor(
     readonly response: IncomingMessage,
     method: string,
+    relayedFraming: BodyFraming | undefined,
   ) {
-    this.framing = getBodyFraming(response, method);
+    this.ownFraming = getBodyFraming(response, method);
+    this.framing = relayedFraming ?? this.ownFraming;
     const {socket} = response;
     this.socket = socket;
     this.onSocketEnd = () => {
@@ -48,9 +52,15 @@
    * Creates the body of a response whose head has just arrived.
    * @param response - Response whose body has not been read.
    * @param method - Method of the request.
+   * @param relayedFraming - How the target's response delimits its body, if
+   *   another entry VM relayed it.
    */
-  static create(response: IncomingMessage, method: string): TargetBody {
-    return new TargetBody(response, method);
+  static create(
+    response: IncomingMessage,
+    method: string,
+    relayedFraming?: BodyFraming,
+  ): TargetBody {
+    return new TargetBody(response, method, relayedFraming);
   }
 
   /**
@@ -87,7 +97,7 @@
    */
   fail(error: NodeJS.ErrnoException): void {
     // A slow client may still be reading a body that has arrived completely.
-    if (this.response.complete && this.framing !== 'close') return;
+    if (this.response.complete && this.ownFraming !== 'close') return;
     this.error ??= error;
     if (!isParserError(error)) this.isReset = true;
     this.response.destroy(error);
@@ -102,10 +112,12 @@
   }
 
   private getCause(): BodyEndCause {
-    const {response, framing, abortMessage, error} = this;
+    const {response, framing, ownFraming, abortMessage, error} = this;
     if (abortMessage !== undefined) return 'aborted';
     const isEnded = response.complete && response.errored === null;
-    if (isEnded && framing !== 'close') return normalCauses[framing];
+    if (isEnded && ownFraming !== 'close') {
+      return framing === 'close' ? 'closed' : normalCauses[framing];
+    }
     if (this.isReset) return 'reset';
     return isParserError(error) ? 'malformed' : 'closed';
   }
--- /dev/null
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -0,0 +1,171 @@
+/** Sends one request on the way to a target and awaits the response's head. */
+import http from 'node:http';
+import type {Socket} from 'node:net';
+import type {DaemonId} from '@marigoldpost/common';
+import type {CallCodec, ResponseAttributes} from '@marigoldpost/sites';
+import type {TargetBody} from '../responses/target_body.js';
+
+/** Connect timeout; far above the round trip between data centres. */
+const connectTimeoutMs = 120;
+
+/** Request that a target receives. */
+export interface TargetRequest {
+  readonly method: string;
+  /** Path and query as the client sent them. */
+  readonly path: string;
+  /** Alternating names and values. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array | undefined;
+  readonly requestId: string;
+}
+
+/** A response whose head has arrived. */
+export interface StartedResponse {
+  readonly kind: 'answer';
+  readonly response: http.IncomingMessage;
+  readonly body: TargetBody;
+  readonly attributes: ResponseAttributes;
+}
+
+/** A response which guarantees that the target did not run the request. */
+export interface NotRunResponse {
+  readonly kind: 'not_run';
+  readonly status: number;
+  /** Alternating names and values. */
+  readonly rawHeaders: readonly string[];
+  readonly attributes: ResponseAttributes;
+}
+
+/** Why an exchange has no usable response. */
+export type FailureReason = 'unreachable' | 'broken' | 'silent' | 'cancelled';
+
+/** An exchange without a usable response. */
+export interface FailedExchange {
+  readonly kind: 'failed';
+  readonly reason: FailureReason;
+  /** Whether the target may have received the request. */
+  readonly isSent: boolean;
+  readonly message: string;
+  /** Relaying entry VM that failed itself, so that the target is not at fault. */
+  readonly failedPeer?: DaemonId;
+}
+
+/** Result of an exchange. */
+export type ExchangeOutcome = StartedResponse | NotRunResponse | FailedExchange;
+
+/** Request and limits of an exchange. */
+export interface HttpExchangeOptions {
+  readonly codec: CallCodec;
+  readonly request: TargetRequest;
+  /** Timeout for the head of the response. */
+  readonly headTimeoutMs: number;
+  /** Aborts the exchange and closes the connection, also during the body. */
+  readonly signal: AbortSignal;
+}
+
+/** Ends an exchange that has failed. */
+export type FailExchange = (reason: FailureReason, message: string) => void;
+
+/** One request on one connection; never retries. */
+export abstract class HttpExchange {
+  private isConnected = false;
+  private settle!: (outcome: ExchangeOutcome) => void;
+
+  protected constructor(private readonly exchange: HttpExchangeOptions) {}
+
+  /** Creates the request and sends it. */
+  protected abstract createRequest(): http.ClientRequest;
+
+  /**
+   * Handles the head of the response: settles the exchange or fails it.
+   * @param response - Response whose body has not been read.
+   * @param settle - Ends the exchange with an outcome.
+   * @param fail - Ends the exchange and closes the connection.
+   */
+  protected abstract handleHead(
+    response: http.IncomingMessage,
+    settle: (outcome: ExchangeOutcome) => void,
+    fail: FailExchange,
+  ): void;
+
+  /** Body of the response, once its head has arrived. */
+  protected abstract get body(): TargetBody | undefined;
+
+  /**
+   * Creates the outcome of a failed exchange.
+   * @param reason - Why it failed.
+   * @param isSent - Whether the request may have left this daemon.
+   * @param message - Text for the log.
+   */
+  protected createFailure(
+    reason: FailureReason,
+    isSent: boolean,
+    message: string,
+  ): FailedExchange {
+    return {kind: 'failed', reason, isSent, message};
+  }
+
+  /** Sends the request and waits for the head; never rejects. */
+  protected run(): Promise<ExchangeOutcome> {
+    const {signal, headTimeoutMs} = this.exchange;
+    if (signal.aborted) {
+      const message = 'the call was aborted';
+      return Promise.resolve(this.createFailure('cancelled', false, message));
+    }
+    return new Promise((resolve) => {
+      const request = this.createRequest();
+      const fail: FailExchange = (reason, message) => {
+        this.settle(this.createFailure(reason, this.isConnected, message));
+        this.body?.abort(message);
+        request.destroy();
+      };
+      const timer = setTimeout(
+        () => fail('silent', `no response within ${headTimeoutMs} ms`),
+        headTimeoutMs,
+      );
+      const onAbort = () => fail('cancelled', 'the call was aborted');
+      signal.addEventListener('abort', onAbort, {once: true});
+      request.once('close', () => signal.removeEventListener('abort', onAbort));
+      this.settle = (outcome) => {
+        clearTimeout(timer);
+        resolve(outcome);
+      };
+      this.addRequestListeners(request, fail);
+    });
+  }
+
+  private addRequestListeners(
+    request: http.ClientRequest,
+    fail: FailExchange,
+  ): void {
+    request.once('socket', (socket) => this.watchConnect(socket, fail));
+    request.once('response', (response) =>
+      this.handleHead(response, this.settle, fail),
+    );
+    request.on('error', (error) => {
+      this.body?.fail(error);
+      // A target resets connections beyond its limit before it reads them, but
+      // a reset may also follow a request that was read. Only a failed connect
+      // proves that the request was not sent.
+      const isSent = this.isConnected;
+      const reason = isSent ? 'broken' : 'unreachable';
+      this.settle(this.createFailure(reason, isSent, error.message));
+    });
+  }
+
+  private watchConnect(socket: Socket, fail: FailExchange): void {
+    if (!socket.connecting) {
+      this.isConnected = true;
+      return;
+    }
+    const timer = setTimeout(
+      () => fail('unreachable', `no connection within ${connectTimeoutMs} ms`),
+      connectTimeoutMs,
+    );
+    socket.once('connect', () => {
+      this.isConnected = true;
+      clearTimeout(timer);
+    });
+    socket.once('close', () => clearTimeout(timer));
+  }
+}
--- a/packages/gateway/src/targets/target_exchange.ts
+++ b/packages/gateway/src/targets/target_exchange.ts
@@ -1,74 +1,28 @@
 /** Sends one request to a target and awaits the head of the response. */
 import http from 'node:http';
-import type {Socket} from 'node:net';
-import type {
-  ResponseAttributes,
-  CallCodec,
-  TargetEntry,
-} from '@marigoldpost/sites';
+import type {TargetEntry} from '@marigoldpost/sites';
 import {TargetBody} from '../responses/target_body.js';
+import {
+  type ExchangeOutcome,
+  type FailExchange,
+  HttpExchange,
+  type HttpExchangeOptions,
+} from './http_exchange.js';
 import type {TargetAgent} from './target_agent.js';
 
-/** Connect timeout; far above the round trip between data centres. */
-const connectTimeoutMs = 120;
-
-/** Request that a target receives. */
-export interface TargetRequest {
-  readonly method: string;
-  /** Path and query as the client sent them. */
-  readonly path: string;
-  /** Alternating names and values. */
-  readonly headers: readonly string[];
-  readonly body: Uint8Array | undefined;
-  readonly requestId: string;
-}
-
-/** A response whose head has arrived. */
-export interface StartedResponse {
-  readonly kind: 'answer';
-  readonly response: http.IncomingMessage;
-  readonly body: TargetBody;
-  readonly attributes: ResponseAttributes;
-}
-
-/** A response which guarantees that the target did not run the request. */
-export interface NotRunResponse {
-  readonly kind: 'not_run';
-  readonly status: number;
-  readonly attributes: ResponseAttributes;
-}
-
-/** An exchange without a usable response. */
-export interface FailedExchange {
-  readonly kind: 'failed';
-  readonly reason: 'unreachable' | 'broken' | 'silent' | 'cancelled';
-  /** Whether the target may have received the request. */
-  readonly isSent: boolean;
-  readonly message: string;
-}
-
-/** Result of an exchange. */
-export type ExchangeOutcome = StartedResponse | NotRunResponse | FailedExchange;
-
 /** Target, request and limits of an exchange. */
-export interface TargetExchangeOptions {
+export interface TargetExchangeOptions extends HttpExchangeOptions {
   readonly target: TargetEntry;
   readonly agent: TargetAgent;
-  readonly codec: CallCodec;
-  readonly request: TargetRequest;
-  /** Timeout for the head of the response. */
-  readonly headTimeoutMs: number;
-  /** Aborts the exchange and closes the connection, also during the body. */
-  readonly signal: AbortSignal;
 }
 
 /** One request to one target; never retries. */
-export class TargetExchange {
-  private isSent = false;
-  private body: TargetBody | undefined;
-  private settle!: (outcome: ExchangeOutcome) => void;
+export class TargetExchange extends HttpExchange {
+  private targetBody: TargetBody | undefined;
 
-  private constructor(private readonly options: TargetExchangeOptions) {}
+  private constructor(private readonly options: TargetExchangeOptions) {
+    super(options);
+  }
 
   /**
    * Sends a request and waits for the head of the response; never rejects.
@@ -78,36 +32,11 @@
     return new TargetExchange(options).run();
   }
 
-  private run(): Promise<ExchangeOutcome> {
-    const {signal, headTimeoutMs} = this.options;
-    if (signal.aborted) {
-      return Promise.resolve(
-        this.createFailure('cancelled', 'the call was aborted'),
-      );
-    }
-    return new Promise((resolve) => {
-      const request = this.createRequest();
-      const fail = (reason: FailedExchange['reason'], message: string) => {
-        this.settle(this.createFailure(reason, message));
-        this.body?.abort(message);
-        request.destroy();
-      };
-      const timer = setTimeout(
-        () => fail('silent', `no response within ${headTimeoutMs} ms`),
-        headTimeoutMs,
-      );
-      const onAbort = () => fail('cancelled', 'the call was aborted');
-      signal.addEventListener('abort', onAbort, {once: true});
-      request.once('close', () => signal.removeEventListener('abort', onAbort));
-      this.settle = (outcome) => {
-        clearTimeout(timer);
-        resolve(outcome);
-      };
-      this.addRequestListeners(request, fail);
-    });
+  protected override get body(): TargetBody | undefined {
+    return this.targetBody;
   }
 
-  private createRequest(): http.ClientRequest {
+  protected override createRequest(): http.ClientRequest {
     const {target, agent, request} = this.options;
     const {host, port} = target.address;
     const {method, path, headers, body} = request;
@@ -123,51 +52,16 @@
     return sent;
   }
 
-  private addRequestListeners(
-    request: http.ClientRequest,
-    fail: (reason: FailedExchange['reason'], message: string) => void,
-  ): void {
-    request.once('socket', (socket) => this.watchConnect(socket, fail));
-    request.once('response', (response) =>
-      this.handleResponseHead(response, fail),
-    );
-    request.on('error', (error) => {
-      this.body?.fail(error);
-      // A target resets connections beyond its limit before it reads them, but
-      // a reset may also follow a request that was read. Only a failed connect
-      // proves that the request was not sent.
-      const reason = this.isSent ? 'broken' : 'unreachable';
-      this.settle(this.createFailure(reason, error.message));
-    });
-  }
-
-  private watchConnect(
-    socket: Socket,
-    fail: (reason: FailedExchange['reason'], message: string) => void,
-  ): void {
-    if (!socket.connecting) {
-      this.isSent = true;
-      return;
-    }
-    const timer = setTimeout(
-      () => fail('unreachable', `no connection within ${connectTimeoutMs} ms`),
-      connectTimeoutMs,
-    );
-    socket.once('connect', () => {
-      this.isSent = true;
-      clearTimeout(timer);
-    });
-    socket.once('close', () => clearTimeout(timer));
-  }
-
-  private handleResponseHead(
+  protected override handleHead(
     response: http.IncomingMessage,
-    fail: (reason: FailedExchange['reason'], message: string) => void,
+    settle: (outcome: ExchangeOutcome) => void,
+    fail: FailExchange,
   ): void {
     const {codec, request} = this.options;
     const body = TargetBody.create(response, request.method);
-    this.body = body;
+    this.targetBody = body;
     const status = response.statusCode ?? 0;
+    const {rawHeaders} = response;
     const attributes = codec.decodeResponse(status, response.headers);
     const {requestId, isNotRun} = attributes;
     if (requestId !== undefined && requestId !== request.requestId) {
@@ -176,16 +70,9 @@
     }
     if (isNotRun) {
       response.resume();
-      this.settle({kind: 'not_run', status, attributes});
+      settle({kind: 'not_run', status, rawHeaders, attributes});
       return;
     }
-    this.settle({kind: 'answer', response, body, attributes});
-  }
-
-  private createFailure(
-    reason: FailedExchange['reason'],
-    message: string,
-  ): FailedExchange {
-    return {kind: 'failed', reason, isSent: this.isSent, message};
+    settle({kind: 'answer', response, body, attributes});
   }
 }
--- a/packages/nodes/src/entry/entry_directory.ts
+++ b/packages/nodes/src/entry/entry_directory.ts
@@ -5,6 +5,7 @@
   parseJson,
   toId,
 } from '@marigoldpost/common';
+import type {RelayMember} from '@marigoldpost/gateway';
 import type {PeerAddress} from '@marigoldpost/peers';
 import type {ObjectChange, StoredObject} from '@marigoldpost/platform';
 import * as z from 'zod';
@@ -16,11 +17,12 @@
 const memberSchema = z.object({
   daemon: z.string(),
   address: z.string(),
+  relayAddress: z.string(),
   dataCentre: z.string(),
 });
 
 /** Registration of one entry VM; stored as JSON. */
-export interface EntryMember extends PeerAddress {
+export interface EntryMember extends PeerAddress, RelayMember {
   readonly dataCentre: DataCentreId;
 }
 
@@ -96,10 +98,11 @@
       this.members.delete(key);
       return;
     }
-    const {daemon, address, dataCentre} = parsed.data;
+    const {daemon, address, relayAddress, dataCentre} = parsed.data;
     this.members.set(key, {
       daemon: toId<DaemonId>(daemon),
       address,
+      relayAddress,
       dataCentre: toId<DataCentreId>(dataCentre),
     });
   }
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -3,9 +3,14 @@
   CallHandler,
   CrashTracker,
   GatewayServer,
+  LinkMonitor,
+  LinkProber,
   PageServer,
+  RelayPeers,
+  RelayServer,
   SiteState,
   TargetAgents,
+  TargetSender,
 } from '@marigoldpost/gateway';
 import {type DaemonId, MarigoldpostError} from '@marigoldpost/common';
 import {
@@ -55,6 +60,9 @@
 export class EntryNode extends SiteNode {
   private readonly agents: TargetAgents;
   private readonly targetLimits: TargetLimits;
+  private readonly links: LinkMonitor;
+  private readonly linkProber: LinkProber;
+  private readonly relayServer: RelayServer;
   private readonly entryDirectory: EntryDirectory;
   private readonly permitExchange: PermitExchange;
   private readonly rateLimiter: RateLimiter;
@@ -74,11 +82,25 @@
 
   private constructor(options: NodeOptions) {
     super(options);
-    this.agents = TargetAgents.create(options.connectTarget);
     this.targetLimits = TargetLimits.create({
       clock: options.clock,
       onChanged: (change) => this.handleLimitChange(change),
     });
+    const {clock, random, logger, metrics, platform, settings} = options;
+    this.agents = TargetAgents.create(options.connectTarget);
+    this.links = LinkMonitor.create({clock, logger});
+    const {links, agents, targetLimits} = this;
+    this.linkProber = LinkProber.create({clock, links, agents});
+    this.relayServer = RelayServer.create({
+      clock,
+      codec: platform.codec,
+      agents,
+      links,
+      targetLimits,
+      logger,
+      metrics,
+      findTarget: (id) => this.targetDirectory.find(id),
+    });
     this.entryDirectory = EntryDirectory.create(this.getOwnMember(), () =>
       this.startRegistration(),
     );
@@ -92,7 +114,6 @@
     this.targetDirectory = this.createTargetDirectory();
     this.archivePool = this.createArchivePool();
     this.turns = this.createTurnStore();
-    const {clock, random, logger, metrics, platform, settings} = options;
     this.quarantine = Quarantine.create({clock, deathsToQuarantine});
     this.quarantineReceiver = QuarantineReceiver.create({
       clock,
@@ -112,7 +133,7 @@
         this.quarantineExchange.publish(fingerprint);
       },
     });
-    const {site, agents, turns, targetLimits} = this;
+    const {site, turns} = this;
     const handler = CallHandler.create({
       clock,
       random,
@@ -120,6 +141,7 @@
       codec: platform.codec,
       site,
       agents,
+      sender: this.createSender(),
       turns,
       targetLimits,
       crashTracker: this.crashTracker,
@@ -166,6 +188,9 @@
     await this.transport.start((sender, request) =>
       this.answerPeer(sender, request),
     );
+    this.tasks.run('probe links', (signal) => this.linkProber.run(signal));
+    const {ip: host, relayPort: port} = this.settings;
+    await this.relayServer.listen({host, port});
     this.startRegistration();
     await this.listen();
     await this.startSharedServices('entry', startMs);
@@ -178,11 +203,12 @@
     const {logger} = this.options;
     this.isDraining = true;
     this.server.drain();
+    this.relayServer.drain();
     logger.log('node_stopping', {signal, inFlight: this.server.inFlight});
     const drainDeadlineMs = startMs + settings.bounds.graceMs - exitMarginMs;
     await this.clock.sleep(settings.bounds.balancerNoticeMs);
     while (
-      this.server.connectionCount > 0 &&
+      this.server.connectionCount + this.relayServer.inFlight > 0 &&
       this.clock.nowMs() < drainDeadlineMs
     ) {
       this.server.closeIdle();
@@ -200,6 +226,7 @@
   override kill(): void {
     this.isDraining = true;
     this.server.close();
+    this.relayServer.close();
     this.readyPage.close();
     this.targetDirectory.stop();
     this.quarantineReplicator.stop();
@@ -231,6 +258,8 @@
         this.agents.retireUnlisted(targets);
         this.targetLimits.retain(targets);
         this.rateLimiter.retain(targets);
+        this.links.retain(targets);
+        this.linkProber.setTargets(targets);
       },
       onLost: (target) => this.crashTracker.recordLostTarget(target),
     });
@@ -311,6 +340,27 @@
     });
   }
 
+  private createSender(): TargetSender {
+    const {clock, random, platform, settings} = this.options;
+    const {daemon, dataCentre} = settings;
+    const peers = RelayPeers.create({
+      daemon,
+      dataCentre,
+      clock,
+      random,
+      getMembers: () => this.entryDirectory.getMembers(),
+    });
+    return TargetSender.create({
+      daemon,
+      clock,
+      codec: platform.codec,
+      agents: this.agents,
+      links: this.links,
+      prober: this.linkProber,
+      peers,
+    });
+  }
+
   private createPermitExchange(): PermitExchange {
     const {clock, settings, logger} = this.options;
     return PermitExchange.create({
@@ -333,8 +383,13 @@
   }
 
   private getOwnMember(): EntryMember {
-    const {daemon, ip, peerPort, dataCentre} = this.options.settings;
-    return {daemon, address: `http://${ip}:${peerPort}`, dataCentre};
+    const {daemon, ip, peerPort, relayPort, dataCentre} = this.options.settings;
+    return {
+      daemon,
+      address: `http://${ip}:${peerPort}`,
+      relayAddress: `http://${ip}:${relayPort}`,
+      dataCentre,
+    };
   }
 
   /** Writes the registration of this entry VM until it is stored. */
@@ -429,6 +484,7 @@
       waiting += dispatcher.waitingCount;
     }
     metrics.setGauge('queue_length', {}, waiting);
+    metrics.setGauge('cut_links', {}, this.links.cutCount);
     metrics.setGauge('limited_targets', {}, this.targetLimits.limitedCount);
     const quarantined = this.quarantine.getQuarantined().length;
     metrics.setGauge('quarantined_requests', {}, quarantined);
--- a/packages/nodes/src/targets/target_directory.ts
+++ b/packages/nodes/src/targets/target_directory.ts
@@ -4,7 +4,7 @@
  * register again within about 2 s of its recovery. The directory keeps missing
  * entries for that time.
  */
-import type {Clock, Timer} from '@marigoldpost/common';
+import type {Clock, TargetId, Timer} from '@marigoldpost/common';
 import type {
   ObjectChange,
   ObjectListener,
@@ -59,6 +59,15 @@
     return this.hasLoaded;
   }
 
+  /**
+   * Finds a target that may receive requests; `undefined` if none is listed.
+   * @param id - Id of the target.
+   */
+  find(id: TargetId): TargetEntry | undefined {
+    const entry = this.targets.get(`${this.options.prefix}${id}`)?.entry;
+    return entry?.isDraining === true ? undefined : entry;
+  }
+
   replaceObjects(objects: readonly StoredObject[]): void {
     this.hasLoaded = true;
     const keys = new Set(objects.map(({key}) => key));
--- a/packages/nodes/tests/entry/permit_exchange_steps.ts
+++ b/packages/nodes/tests/entry/permit_exchange_steps.ts
@@ -318,7 +318,8 @@
     clock,
     onChanged: () => limiter.notify(),
   });
-  const member = {daemon, address: `http://${daemon}`, dataCentre};
+  const address = `http://${daemon}`;
+  const member = {daemon, address, relayAddress: address, dataCentre};
   const directory = EntryDirectory.create(member, () => undefined);
   directory.replaceObjects(
     Array.from({length: count}, (_none, other) => createObject(other)),
@@ -352,7 +353,8 @@
 
 function createObject(index: number) {
   const daemon = toDaemon(index);
-  const value = {daemon, address: `http://${daemon}`, dataCentre};
+  const address = `http://${daemon}`;
+  const value = {daemon, address, relayAddress: address, dataCentre};
   const key = `${entryPrefix}${daemon}`;
   return {key, value: JSON.stringify(value), version: 1};
 }
--- a/packages/sites/src/node/node_settings.ts
+++ b/packages/sites/src/node/node_settings.ts
@@ -21,6 +21,8 @@
   readonly readyAddress: NetworkAddress | undefined;
   /** Listening port for peer daemons. */
   readonly peerPort: number;
+  /** Listening port for requests that this daemon relays; entry VMs only. */
+  readonly relayPort: number;
   /** Archives to read the site from at start; some may be down. */
   readonly seeds: readonly NetworkAddress[];
   /** Listening port of the metrics page. */
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -113,6 +113,7 @@
   }),
   attempt_failed: define(2102, 'warn', 'An attempt of a call failed', {
     target: 'string',
+    via: 'string',
     result: 'string',
     isSent: 'boolean',
     reason: 'string',
@@ -133,6 +134,7 @@
     end: 'string?',
     bytes: 'number?',
     isInEvent: 'boolean?',
+    via: 'string?',
     clientEnd: 'string?',
   }),
   call_turned_away: define(2104, 'info', 'A call was rejected', {
@@ -153,6 +155,13 @@
     route: 'string',
     elapsedMs: 'number',
   }),
+  call_relayed: define(2107, 'info', 'A call goes through another entry VM', {
+    target: 'string',
+    peer: 'string',
+    linkState: 'string',
+    isIsolated: 'boolean',
+    elapsedMs: 'number',
+  }),
 
   // 3000: partitions, journal and programs.
   partition_taken: define(3001, 'info', 'A partition is held here', {
@@ -307,6 +316,39 @@
       reason: 'string',
     },
   ),
+  target_link_changed: define(
+    5106,
+    'info',
+    'The link to a target changed its state',
+    {
+      target: 'string',
+      state: 'string',
+      previous: 'string',
+      previousMs: 'number',
+      reason: 'string',
+    },
+  ),
+  isolation_changed: define(
+    5107,
+    'warn',
+    'The belief in being cut off from the targets changed',
+    {
+      isIsolated: 'boolean',
+      cutLinks: 'number',
+      durationMs: 'number',
+      reason: 'string',
+    },
+  ),
+  request_relayed: define(
+    5108,
+    'info',
+    'A request of another entry VM was relayed to a target',
+    {
+      sender: 'string',
+      target: 'string',
+      outcome: 'string',
+    },
+  ),
 
   // 6000: configuration and operators.
   config_in_force: define(6001, 'info', 'A configuration is active', {
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -45,6 +45,10 @@
     'service',
   ]),
   limited_targets: define('gauge', 'Targets with a rate limit', []),
+  relayed_requests_total: define('counter', 'Requests relayed for others', [
+    'result',
+  ]),
+  cut_links: define('gauge', 'Links to targets that are cut', []),
   turn_store_ms: define('histogram', 'Time to make a turn durable', []),
   reservation_ms: define('histogram', 'Time to reserve tokens', []),
   archive_turns: define('gauge', 'Turns held by the archive', []),
