Bound the memory for responses of targets that do not end

Before, ten such responses at a time made targets send 44 to 57 MB each until the call's time was over, all of it kept in memory; the body of a response that says "not run", and of a stream without a signature, was read or held forever; interim heads were read until the time-out.

Cause: only the call's deadline bounded what is read of a target.

Change: a response may keep as much as a caller's body (`MaxBodyBytes`), and all of them together a share of the VM's memory (`ResponseMemory`). Beyond it the connection is closed and the call fails, or goes to another target where that is allowed. A body that nobody needs is read for 64 KB or 1 s at most. Eight interim responses may precede a response. What is no response to the request no longer counts as a crash of the target. An event of the daemons' engine streams is bounded in all its lines, as each line was.

--- a/packages/gateway/src/calls/call_services.ts
+++ b/packages/gateway/src/calls/call_services.ts
@@ -4,6 +4,7 @@
 import type {CallCodec} from '@marigoldpost/sites';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import type {TurnStore} from '@marigoldpost/turns';
+import type {ResponseMemory} from '../responses/response_memory.js';
 import type {SiteState} from '../site/site_state.js';
 import type {TargetAgents} from '../targets/target_agents.js';
 import type {TargetSender} from './target_sender.js';
@@ -18,6 +19,7 @@
   readonly site: SiteState;
   readonly agents: TargetAgents;
   readonly sender: TargetSender;
+  readonly responseMemory: ResponseMemory;
   readonly turns: TurnStore;
   readonly targetLimits: TargetLimits;
   readonly crashTracker: CrashTracker;
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -145,6 +145,16 @@
     return this.options.response.headersSent;
   }
 
+  /**
+   * Calls a function when the response has been sent, or its connection is lost.
+   * @param onClosed - Called once.
+   */
+  onceClosed(onClosed: () => void): void {
+    const {response} = this.options;
+    if (response.closed) onClosed();
+    else response.once('close', onClosed);
+  }
+
   /**
    * Records the target's response that is sent to the client.
    * @param response - Its target and how its body ended.
--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -3,6 +3,7 @@
 import type {ServiceId} from '@marigoldpost/common';
 import {isRepeatable} from '@marigoldpost/sites';
 import {getBodyFields} from '../responses/body_end.js';
+import type {ResponseAllowance} from '../responses/response_memory.js';
 import {
   type ReceivedBody,
   readResponseBody,
@@ -38,12 +39,15 @@
     const startMs = services.clock.nowMs();
     const started = await attempts.nextResponse();
     const {response} = started.answer;
-    const received = await readResponseBody(started.answer.body);
+    const allowance = createAllowance(call, services);
+    const received = await readResponseBody(started.answer.body, allowance);
     const fields = getBodyFields(received.end);
     const problem = findResponseProblem(started, received);
     if (problem !== undefined) {
       attempts.recordBrokenResponse(started.lease, problem, fields);
-      if (received.end.proof === 'truncated') {
+      allowance.release();
+      const {isOversized} = started.answer.body;
+      if (received.end.proof === 'truncated' && !isOversized) {
         if (call.signal.aborted) attempts.recordSilence(started.lease);
         else attempts.recordCrash(started.lease);
       }
@@ -56,9 +60,11 @@
     if (status >= minServerErrorStatus && attempts.canRetry) {
       const message = `status ${status}`;
       attempts.recordBrokenResponse(started.lease, message, fields);
+      allowance.release();
       continue;
     }
     attempts.complete(started.lease, {status, proof, latencySampleMs});
+    call.onceClosed(() => allowance.release());
     if (isNotRunStatus(status) && !isRepeatable(call.route)) {
       throw attempts.createFailure(
         `the target responded with status ${status}`,
@@ -73,6 +79,18 @@
   }
 }
 
+/**
+ * Creates the allowance of a response: a body may be as large as a caller's.
+ * @param call - Call that the response is for.
+ * @param services - Components that all calls share.
+ */
+export function createAllowance(
+  {config}: IncomingCall,
+  {responseMemory}: CallServices,
+): ResponseAllowance {
+  return responseMemory.createAllowance(config.limits.maxBodyBytes);
+}
+
 /**
  * Gets the headers to send to the client with a target's response.
  * @param services - Components that all calls share.
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -10,7 +10,7 @@
 import {isNotRunStatus} from '../responses/not_run_statuses.js';
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
-import {getClientHeaders} from './plain_call.js';
+import {createAllowance, getClientHeaders} from './plain_call.js';
 import {
   type CallBody,
   type LeasedResponse,
@@ -57,6 +57,7 @@
   }
   const {isSigned} = started.answer.attributes;
   if (!isSigned) {
+    started.answer.body.abort('the response has no signature');
     attempts.recordBrokenResponse(
       started.lease,
       'the response has no signature',
@@ -64,11 +65,14 @@
     throw attempts.createFailure('the response has no signature');
   }
   const {response, body: targetBody} = started.answer;
+  const allowance = createAllowance(call, services);
+  call.onceClosed(() => allowance.release());
   const result = await StreamRelay.run({
     call,
     body: targetBody,
     headers: getClientHeaders(services, response),
     clock: services.clock,
+    allowance,
     stallMs: getStallMs(call),
   });
   const {events, isInEvent} = result;
@@ -85,7 +89,7 @@
   } else {
     attempts.recordBrokenResponse(started.lease, result.message, fields);
     if (result.isStalled) attempts.recordSilence(started.lease);
-    else attempts.recordCrash(started.lease);
+    else if (!targetBody.isOversized) attempts.recordCrash(started.lease);
   }
   return {...result, target};
 }
@@ -136,7 +140,9 @@
 ): Promise<void> {
   const {response} = answer;
   const status = response.statusCode ?? 0;
-  const {bytes, end} = await readResponseBody(answer.body);
+  const allowance = createAllowance(call, services);
+  call.onceClosed(() => allowance.release());
+  const {bytes, end} = await readResponseBody(answer.body, allowance);
   const fields = getBodyFields(end);
   const {proof} = end;
   if (proof === 'truncated') {
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -388,13 +388,15 @@
       if (this.rejections < maxRejections) return;
       throw this.createFailure(`${this.rejections} targets rejected the call`);
     }
-    const {reason, isSent, message, failedPeer} = outcome;
+    const {reason, isSent, message, failedPeer, isMalformed} = outcome;
     const isPeerFault = failedPeer !== undefined;
     const result = isPeerFault ? 'cancelled' : targetResults[reason];
     this.release(lease, {result});
     this.logFailure(lease, reason, isSent, message);
-    if (reason === 'broken' && !isPeerFault) this.recordCrash(lease);
-    else if (isSent) this.recordSilence(lease);
+    if (isMalformed !== true) {
+      if (reason === 'broken' && !isPeerFault) this.recordCrash(lease);
+      else if (isSent) this.recordSilence(lease);
+    }
     if (reason === 'silent') this.services.agents.get(lease.target).closeIdle();
     if (isSent) this.recordSent();
     const mayContinue = isSent ? this.canRetry : !this.call.signal.aborted;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** Serves client requests on an entry VM: HTTP server, routing, relaying. */
 export * from './responses/event_collector.js';
 export * from './responses/error_response.js';
+export * from './responses/response_memory.js';
 export * from './calls/call_handler.js';
 export * from './calls/call_services.js';
 export * from './calls/crash_tracker.js';
--- a/packages/gateway/src/relay/peer_exchange.ts
+++ b/packages/gateway/src/relay/peer_exchange.ts
@@ -103,7 +103,7 @@
     }
     const attributes = codec.decodeResponse(status, headers);
     if (attributes.isNotRun) {
-      response.resume();
+      body.discard();
       const {rawHeaders} = response;
       settle({kind: 'not_run', status, rawHeaders, attributes});
       return;
--- a/packages/gateway/src/responses/event_collector.ts
+++ b/packages/gateway/src/responses/event_collector.ts
@@ -15,6 +15,7 @@
   private hasOpenLines = false;
   private readonly data: Buffer[] = [];
   private events = 0;
+  private bytes = 0;
 
   private constructor() {}
 
@@ -28,6 +29,11 @@
     return this.events;
   }
 
+  /** Bytes that the collector keeps in memory. */
+  get heldBytes(): number {
+    return this.bytes;
+  }
+
   /** Whether a blank line has ended all that the stream has begun. */
   get isAtEventBoundary(): boolean {
     return this.partialLine.length === 0 && !this.hasOpenLines;
@@ -50,7 +56,10 @@
       this.addLine(chunk.subarray(start, end));
       start = end + 1;
     }
-    if (start < chunk.byteLength) this.partialLine.push(chunk.subarray(start));
+    if (start === chunk.byteLength) return;
+    const rest = chunk.subarray(start);
+    this.bytes += rest.byteLength;
+    this.partialLine.push(rest);
   }
 
   private addLine(lineEnd: Buffer): void {
@@ -58,12 +67,15 @@
       this.partialLine.length === 0
         ? lineEnd
         : Buffer.concat([...this.partialLine, lineEnd]);
+    for (const part of this.partialLine) this.bytes -= part.byteLength;
     this.partialLine = [];
     const line = withoutCarriageReturn(bytes).toString('latin1');
     this.hasOpenLines = line !== '';
     if (line === '') this.endEvent();
     else if (line.startsWith(dataPrefix)) {
-      this.dataLines.push(line.slice(dataPrefix.length).replace(/^ /, ''));
+      const data = line.slice(dataPrefix.length).replace(/^ /, '');
+      this.bytes += data.length;
+      this.dataLines.push(data);
     }
   }
 
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -8,6 +8,7 @@
   getStreamProof,
   type StreamPosition,
 } from './body_end.js';
+import type {ResponseAllowance} from './response_memory.js';
 import type {TargetBody} from './target_body.js';
 
 /** Source and destination of one relayed stream. */
@@ -17,6 +18,8 @@
   /** Response headers for the client, alternating names and values. */
   readonly headers: readonly string[];
   readonly clock: Clock;
+  /** Memory for what is kept of the stream. */
+  readonly allowance: ResponseAllowance;
   /** Time without a chunk after which the stream counts as stalled. */
   readonly stallMs: number;
 }
@@ -75,7 +78,7 @@
   }
 
   private forwardChunk(chunk: Buffer): void {
-    const {call, body, clock} = this.options;
+    const {call, body, clock, allowance} = this.options;
     const {response} = body;
     const eventsBefore = this.collector.eventCount;
     this.collector.add(chunk);
@@ -84,6 +87,10 @@
       this.firstEventMs ??= this.lastEventMs;
     }
     if (call.signal.aborted) return;
+    if (!allowance.hold(this.collector.heldBytes)) {
+      body.abortOversized(allowance.maxBytes);
+      return;
+    }
     this.restartStallTimer();
     this.ensureHeadSent();
     if (call.write(chunk)) return;
--- a/packages/gateway/src/responses/target_body.ts
+++ b/packages/gateway/src/responses/target_body.ts
@@ -15,12 +15,16 @@
   length: 'length_met',
   chunked: 'last_chunk',
 } as const satisfies Partial<Record<BodyFraming, BodyEndCause>>;
+/** Bytes and time that reading the rest of an unneeded body may take. */
+const maxDiscardedBytes = 64 * 1024;
+const maxDiscardMs = 1000;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Body of one response; it must be read once. */
 export class TargetBody {
   private bytes = 0;
   private isReset = false;
+  private hasExceeded = false;
   private abortMessage: string | undefined;
   private error: NodeJS.ErrnoException | undefined;
   /** How the target's response delimits its body. */
@@ -81,6 +85,35 @@
     });
   }
 
+  /** Whether the body was aborted because there is no room for it. */
+  get isOversized(): boolean {
+    return this.hasExceeded;
+  }
+
+  /**
+   * Closes the connection because there is no room for the body.
+   * @param maxBytes - Most bytes that the body may occupy.
+   */
+  abortOversized(maxBytes: number): void {
+    this.hasExceeded = true;
+    this.abort(`the response exceeds ${maxBytes} bytes, or the memory for all`);
+  }
+
+  /**
+   * Closes the connection unless a body that nobody needs ends shortly; then
+   * the connection can be reused.
+   */
+  discard(): void {
+    const {response} = this;
+    let size = 0;
+    const timer = setTimeout(() => response.destroy(), maxDiscardMs);
+    response.on('data', (chunk: Buffer) => {
+      size += chunk.byteLength;
+      if (size > maxDiscardedBytes) response.destroy();
+    });
+    response.once('close', () => clearTimeout(timer));
+  }
+
   /**
    * Closes the connection before the body has ended.
    * @param message - Why the rest of the body is not read.
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -8,6 +8,11 @@
 /** Connect timeout; far above the round trip between data centres. */
 const connectTimeoutMs = 120;
 
+/** Prefix of the error codes of Node's HTTP parser. */
+const parserErrorPrefix = 'HPE_';
+/** Interim (1xx) responses that may precede a response. */
+const maxInterimResponses = 8;
+
 /** Request that a target receives. */
 export interface TargetRequest {
   readonly method: string;
@@ -46,6 +51,8 @@
   /** Whether the target may have received the request. */
   readonly isSent: boolean;
   readonly message: string;
+  /** Whether the target sent bytes that are no response to the request. */
+  readonly isMalformed?: boolean;
   /** Relaying entry VM that failed itself, so that the target is not at fault. */
   readonly failedPeer?: DaemonId;
 }
@@ -115,7 +122,10 @@
     return new Promise((resolve) => {
       const request = this.createRequest();
       const fail: FailExchange = (reason, message) => {
-        this.settle(this.createFailure(reason, this.isConnected, message));
+        const failure = this.createFailure(reason, this.isConnected, message);
+        // The connection is still open, so the target has not closed it.
+        const isMalformed = reason === 'broken';
+        this.settle({...failure, isMalformed});
         this.body?.abort(message);
         request.destroy();
       };
@@ -142,14 +152,22 @@
     request.once('response', (response) =>
       this.handleHead(response, this.settle, fail),
     );
-    request.on('error', (error) => {
+    let interim = 0;
+    request.on('information', () => {
+      interim += 1;
+      if (interim !== maxInterimResponses + 1) return;
+      fail('broken', `more than ${maxInterimResponses} interim responses`);
+    });
+    request.on('error', (error: NodeJS.ErrnoException) => {
       this.body?.fail(error);
       // A target resets connections beyond its limit before it reads them, but
       // a reset may also follow a request that was read. Only a failed connect
       // proves that the request was not sent.
       const isSent = this.isConnected;
       const reason = isSent ? 'broken' : 'unreachable';
-      this.settle(this.createFailure(reason, isSent, error.message));
+      const failure = this.createFailure(reason, isSent, error.message);
+      const isMalformed = error.code?.startsWith(parserErrorPrefix) === true;
+      this.settle({...failure, isMalformed});
     });
   }
 
--- a/packages/gateway/src/targets/target_exchange.ts
+++ b/packages/gateway/src/targets/target_exchange.ts
@@ -69,7 +69,7 @@
       return;
     }
     if (isNotRun) {
-      response.resume();
+      body.discard();
       settle({kind: 'not_run', status, rawHeaders, attributes});
       return;
     }
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -8,6 +8,7 @@
   PageServer,
   RelayPeers,
   RelayServer,
+  ResponseMemory,
   SiteState,
   TargetAgents,
   TargetSender,
@@ -52,6 +53,8 @@
 const flushTimeoutMs = 400;
 /** Share of the VM's memory that the cache of recent turns may use. */
 const cacheShare = 0.15;
+/** Share of the VM's memory that responses of targets may use. */
+const responseShare = 0.15;
 const bytesPerMb = 2 ** 20;
 const okStatus = 200;
 const unavailableStatus = 503;
@@ -142,6 +145,9 @@
       site,
       agents,
       sender: this.createSender(),
+      responseMemory: ResponseMemory.create(
+        settings.memoryMb * responseShare * bytesPerMb,
+      ),
       turns,
       targetLimits,
       crashTracker: this.crashTracker,
--- a/packages/targets/src/sse/sse_reader.ts
+++ b/packages/targets/src/sse/sse_reader.ts
@@ -23,6 +23,7 @@
   private endedOnCr = false;
   private type = '';
   private data: string[] = [];
+  private dataLength = 0;
 
   private constructor() {}
 
@@ -31,9 +32,9 @@
     return new SseReader();
   }
 
-  /** Number of characters of the incomplete last line. */
+  /** Number of characters of the incomplete last line and event. */
   get pendingLength(): number {
-    return this.incompleteLine.length;
+    return this.incompleteLine.length + this.dataLength;
   }
 
   /**
@@ -78,7 +79,10 @@
 
   private setField(field: string, value: string): void {
     if (field === 'event') this.type = value;
-    else if (field === 'data') this.data.push(value);
+    else if (field === 'data') {
+      this.data.push(value);
+      this.dataLength += value.length + 1;
+    }
   }
 
   private dispatchEvent(events: SseEvent[]): void {
@@ -88,5 +92,6 @@
     }
     this.type = '';
     this.data = [];
+    this.dataLength = 0;
   }
 }
