--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -1,5 +1,5 @@
 /** Sends one request on the way to a target and awaits the response's head. */
-import http from 'node:http';
+import type http from 'node:http';
 import type {Socket} from 'node:net';
 import type {DaemonId} from '@marigoldpost/common';
 import type {CallCodec, ResponseAttributes} from '@marigoldpost/sites';
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -3,24 +3,10 @@
   CallHandler,
   CrashTracker,
   GatewayServer,
-  LinkMonitor,
-  LinkProber,
   PageServer,
-  RelayPeers,
-  RelayServer,
   ResponseMemory,
   SiteState,
-  TargetAgents,
-  TargetSender,
 } from '@marigoldpost/gateway';
-import {type DaemonId, MarigoldpostError} from '@marigoldpost/common';
-import {
-  type LimitChange,
-  RateLimiter,
-  TargetLimits,
-} from '@marigoldpost/dispatch';
-import type {PeerReplyBody, PeerRequestBody} from '@marigoldpost/peers';
-import {putOwnObject} from '@marigoldpost/platform';
 import type {SiteConfig} from '@marigoldpost/sites';
 import {type ArchivePool, archivePrefix, TurnStore} from '@marigoldpost/turns';
 import {Quarantine} from '@marigoldpost/targets';
@@ -29,12 +15,8 @@
 import {promptWaitMs, relaxedTiming, SiteNode} from '../site_node.js';
 import {TargetDirectory} from '../targets/target_directory.js';
 import {getKindPrefix} from '../utils/object_sink.js';
-import {
-  EntryDirectory,
-  type EntryMember,
-  entryPrefix,
-} from './entry_directory.js';
-import {PermitExchange} from './permit_exchange.js';
+import {entryPrefix} from './entry_directory.js';
+import {EntryFleet} from './entry_fleet.js';
 import {SiteConfigUpdater} from './site_config_updater.js';
 import {QuarantineExchange} from './quarantine_exchange.js';
 import {QuarantineReceiver} from './quarantine_receiver.js';
@@ -47,8 +29,6 @@
 /** Part of the grace period that is reserved for the exit of the process. */
 const exitMarginMs = 800;
 const drainPollMs = 50;
-/** Pause before a failed registration is retried. */
-const registrationRetryMs = 500;
 /** Longest wait for the last write of crash records; within `exitMarginMs`. */
 const flushTimeoutMs = 400;
 /** Share of the VM's memory that the cache of recent turns may use. */
@@ -61,14 +41,7 @@
 
 /** Accepts calls, dispatches them to targets and drains connections at stop. */
 export class EntryNode extends SiteNode {
-  private readonly agents: TargetAgents;
-  private readonly targetLimits: TargetLimits;
-  private readonly links: LinkMonitor;
-  private readonly linkProber: LinkProber;
-  private readonly relayServer: RelayServer;
-  private readonly entryDirectory: EntryDirectory;
-  private readonly permitExchange: PermitExchange;
-  private readonly rateLimiter: RateLimiter;
+  private readonly fleet: EntryFleet;
   private readonly site: SiteState;
   private readonly targetDirectory: TargetDirectory;
   private readonly turns: TurnStore;
@@ -85,33 +58,13 @@
 
   private constructor(options: NodeOptions) {
     super(options);
-    this.targetLimits = TargetLimits.create({
-      clock: options.clock,
-      onChanged: (change) => this.handleLimitChange(change),
-    });
     const {clock, random, logger, metrics, platform, settings} = options;
-    this.agents = TargetAgents.create(options.connectTarget);
-    this.links = LinkMonitor.create({clock, logger});
-    const {links, agents, targetLimits} = this;
-    this.linkProber = LinkProber.create({clock, links, agents});
-    this.relayServer = RelayServer.create({
-      clock,
-      codec: platform.codec,
-      agents,
-      links,
-      targetLimits,
-      logger,
-      metrics,
+    this.fleet = EntryFleet.create({
+      node: options,
+      transport: this.transport,
+      tasks: this.tasks,
       findTarget: (id) => this.targetDirectory.find(id),
-    });
-    this.entryDirectory = EntryDirectory.create(this.getOwnMember(), () =>
-      this.startRegistration(),
-    );
-    this.permitExchange = this.createPermitExchange();
-    this.rateLimiter = RateLimiter.create({
-      clock: options.clock,
-      limits: this.targetLimits,
-      source: this.permitExchange,
+      onLimitStated: () => this.quarantineExchange.publishLimits(),
     });
     this.site = this.createSite();
     this.targetDirectory = this.createTargetDirectory();
@@ -136,20 +89,20 @@
         this.quarantineExchange.publish(fingerprint);
       },
     });
-    const {site, turns} = this;
+    const {site, turns, fleet} = this;
     const handler = CallHandler.create({
       clock,
       random,
       dataCentre: settings.dataCentre,
       codec: platform.codec,
       site,
-      agents,
-      sender: this.createSender(),
+      sender: fleet.sender,
+      agents: fleet.agents,
       responseMemory: ResponseMemory.create(
         settings.memoryMb * responseShare * bytesPerMb,
       ),
       turns,
-      targetLimits,
+      targetLimits: fleet.limits,
       crashTracker: this.crashTracker,
       logger,
       metrics,
@@ -184,20 +137,14 @@
       this.targetDirectory,
     );
     this.watch(archivePrefix, relaxedTiming, this.archiveDirectory);
-    this.watch(entryPrefix, relaxedTiming, this.entryDirectory);
+    this.watch(entryPrefix, relaxedTiming, this.fleet.directory);
     this.watch(crashPrefix, relaxedTiming, this.quarantineReplicator);
     const reader = this.createSeedReader(configPrefix, configUpdater);
     this.tasks.run('seeds', (signal) => reader.run(signal));
     this.tasks.run('crash records', (signal) =>
       this.quarantineExchange.run(signal),
     );
-    await this.transport.start((sender, request) =>
-      this.answerPeer(sender, request),
-    );
-    this.tasks.run('probe links', (signal) => this.linkProber.run(signal));
-    const {ip: host, relayPort: port} = this.settings;
-    await this.relayServer.listen({host, port});
-    this.startRegistration();
+    await this.fleet.start();
     await this.listen();
     await this.startSharedServices('entry', startMs);
   }
@@ -209,12 +156,12 @@
     const {logger} = this.options;
     this.isDraining = true;
     this.server.drain();
-    this.relayServer.drain();
+    this.fleet.drain();
     logger.log('node_stopping', {signal, inFlight: this.server.inFlight});
     const drainDeadlineMs = startMs + settings.bounds.graceMs - exitMarginMs;
     await this.clock.sleep(settings.bounds.balancerNoticeMs);
     while (
-      this.server.connectionCount + this.relayServer.inFlight > 0 &&
+      this.server.connectionCount + this.fleet.relayedInFlight > 0 &&
       this.clock.nowMs() < drainDeadlineMs
     ) {
       this.server.closeIdle();
@@ -232,7 +179,7 @@
   override kill(): void {
     this.isDraining = true;
     this.server.close();
-    this.relayServer.close();
+    this.fleet.close();
     this.readyPage.close();
     this.targetDirectory.stop();
     this.quarantineReplicator.stop();
@@ -246,7 +193,7 @@
       clock,
       random,
       dataCentre: settings.dataCentre,
-      rateLimiter: this.rateLimiter,
+      rateLimiter: this.fleet.limiter,
       onEjected: ({id, service}, result) =>
         logger.log('target_ejected', {target: id, service, result}),
     });
@@ -261,11 +208,7 @@
       decode: (object) => platform.decodeTarget(object),
       onChanged: (targets) => {
         this.site.setTargets(targets);
-        this.agents.retireUnlisted(targets);
-        this.targetLimits.retain(targets);
-        this.rateLimiter.retain(targets);
-        this.links.retain(targets);
-        this.linkProber.setTargets(targets);
+        this.fleet.setTargets(targets);
       },
       onLost: (target) => this.crashTracker.recordLostTarget(target),
     });
@@ -287,7 +230,8 @@
     configUpdater: SiteConfigUpdater,
   ): SeedReader {
     const {clock, transport, site, targetDirectory} = this;
-    const {archiveDirectory, entryDirectory} = this;
+    const {archiveDirectory} = this;
+    const {directory: entryDirectory} = this.fleet;
     const {logger, platform} = this.options;
     const {targetPrefix} = platform.keys;
     return SeedReader.create({
@@ -341,93 +285,11 @@
       clock,
       quarantine: this.quarantine,
       receiver: this.quarantineReceiver,
-      limits: this.targetLimits,
+      limits: this.fleet.limits,
       logger,
     });
   }
 
-  private createSender(): TargetSender {
-    const {clock, random, platform, settings} = this.options;
-    const {daemon, dataCentre} = settings;
-    const peers = RelayPeers.create({
-      daemon,
-      dataCentre,
-      clock,
-      random,
-      getMembers: () => this.entryDirectory.getMembers(),
-    });
-    return TargetSender.create({
-      daemon,
-      clock,
-      codec: platform.codec,
-      agents: this.agents,
-      links: this.links,
-      prober: this.linkProber,
-      peers,
-    });
-  }
-
-  private createPermitExchange(): PermitExchange {
-    const {clock, settings, logger} = this.options;
-    return PermitExchange.create({
-      daemon: settings.daemon,
-      directory: this.entryDirectory,
-      transport: this.transport,
-      limits: this.targetLimits,
-      clock,
-      logger,
-      onMemberLost: ({daemon}) => this.removeMember(daemon),
-    });
-  }
-
-  /** Removes the registration of an entry VM; one that lives writes it again. */
-  private removeMember(daemon: DaemonId): void {
-    const {store} = this.options.platform;
-    store.removeObject(`${entryPrefix}${daemon}`).catch((error: unknown) => {
-      this.tasks.logFailure('register', error);
-    });
-  }
-
-  private getOwnMember(): EntryMember {
-    const {daemon, ip, peerPort, relayPort, dataCentre} = this.options.settings;
-    return {
-      daemon,
-      address: `http://${ip}:${peerPort}`,
-      relayAddress: `http://${ip}:${relayPort}`,
-      dataCentre,
-    };
-  }
-
-  /** Writes the registration of this entry VM until it is stored. */
-  private startRegistration(): void {
-    const {store} = this.options.platform;
-    const member = this.getOwnMember();
-    const key = `${entryPrefix}${member.daemon}`;
-    this.tasks.run('register', async (signal) => {
-      while (!signal.aborted) {
-        try {
-          await putOwnObject(store, key, JSON.stringify(member));
-          return;
-        } catch (error) {
-          this.tasks.logFailure('register', error);
-          await this.clock.sleep(registrationRetryMs, signal);
-        }
-      }
-    });
-  }
-
-  private answerPeer(
-    sender: DaemonId,
-    request: PeerRequestBody,
-  ): Promise<PeerReplyBody> {
-    if (request.case === 'reservePermits') {
-      const reply = this.permitExchange.answer(sender, request.value);
-      return Promise.resolve(reply);
-    }
-    const message = `an entry VM does not answer "${request.case}"`;
-    return Promise.reject(MarigoldpostError.create('invalid_request', message));
-  }
-
   private applyConfig(config: SiteConfig): boolean {
     if (!this.site.applyConfig(config)) return false;
     this.server.setLimits(config.limits);
@@ -436,20 +298,6 @@
     return true;
   }
 
-  private handleLimitChange({limit, previousPerS, source}: LimitChange): void {
-    const {target, startedAtMs, limitPerS, statedAtMs} = limit;
-    this.options.logger.log('target_limit_changed', {
-      target,
-      startedAtMs,
-      limitPerS,
-      previousPerS,
-      source: source ?? 'response',
-      ageMs: Math.round(this.clock.nowMs() - statedAtMs),
-    });
-    if (source === undefined) this.quarantineExchange.publishLimits();
-    this.rateLimiter.notify();
-  }
-
   private async listen(): Promise<void> {
     const {callerAddress, readyAddress} = this.settings;
     if (readyAddress !== undefined) await this.readyPage.listen(readyAddress);
@@ -490,8 +338,8 @@
       waiting += dispatcher.waitingCount;
     }
     metrics.setGauge('queue_length', {}, waiting);
-    metrics.setGauge('cut_links', {}, this.links.cutCount);
-    metrics.setGauge('limited_targets', {}, this.targetLimits.limitedCount);
+    metrics.setGauge('cut_links', {}, this.fleet.links.cutCount);
+    metrics.setGauge('limited_targets', {}, this.fleet.limits.limitedCount);
     const quarantined = this.quarantine.getQuarantined().length;
     metrics.setGauge('quarantined_requests', {}, quarantined);
   }
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -3,21 +3,12 @@
  * of a removed event is not reused. `docs/EVENTS.md` lists the events.
  */
 
-/** Severity of an event, least severe first. */
-export type EventLevel = 'debug' | 'info' | 'warn' | 'error';
-
-/** Type of one field; a question mark makes the field optional. */
-export type FieldType =
-  'string' | 'number' | 'boolean' | 'string?' | 'number?' | 'boolean?';
-
-/** Number, severity, message and fields of one event. */
-export interface EventDefinition {
-  readonly number: number;
-  readonly level: EventLevel;
-  /** Text of the log line, in the field `msg`; unique in the catalogue. */
-  readonly message: string;
-  readonly fields: Readonly<Record<string, FieldType>>;
-}
+import {
+  defineEvent as define,
+  type EventDefinition,
+  type FieldType,
+} from './event_definition.js';
+import {targetEvents} from './target_events.js';
 
 /** All events by name. */
 export const eventCatalogue = {
@@ -276,79 +267,7 @@
     target: 'string',
     status: 'number',
   }),
-  target_listed: define(5101, 'info', 'A target was listed or changed', {
-    target: 'string',
-    service: 'string',
-    address: 'string',
-    isDraining: 'boolean',
-    version: 'number',
-  }),
-  target_unlisted: define(5102, 'info', 'A target was removed from the list', {
-    target: 'string',
-    isHeld: 'boolean',
-    version: 'number',
-  }),
-  target_ejected: define(5103, 'warn', 'A target was ejected', {
-    target: 'string',
-    service: 'string',
-    result: 'string',
-  }),
-  target_limit_changed: define(
-    5104,
-    'info',
-    'The rate limit of a target changed',
-    {
-      target: 'string',
-      startedAtMs: 'number',
-      limitPerS: 'number?',
-      previousPerS: 'number?',
-      source: 'string',
-      ageMs: 'number',
-    },
-  ),
-  permit_holder_reachability: define(
-    5105,
-    'info',
-    'Reachability of an entry VM that hands out permits changed',
-    {
-      peer: 'string',
-      isReachable: 'boolean',
-      reason: 'string',
-    },
-  ),
-  target_link_changed: define(
-    5106,
-    'info',
-    'The link to a target changed its state',
-    {
-      target: 'string',
-      state: 'string',
-      previous: 'string',
-      previousMs: 'number',
-      reason: 'string',
-    },
-  ),
-  isolation_changed: define(
-    5107,
-    'warn',
-    'The belief in being cut off from the targets changed',
-    {
-      isIsolated: 'boolean',
-      cutLinks: 'number',
-      durationMs: 'number',
-      reason: 'string',
-    },
-  ),
-  request_relayed: define(
-    5108,
-    'info',
-    'A request of another entry VM was relayed to a target',
-    {
-      sender: 'string',
-      target: 'string',
-      outcome: 'string',
-    },
-  ),
+  ...targetEvents,
 
   // 6000: configuration and operators.
   config_in_force: define(6001, 'info', 'A configuration is active', {
@@ -438,12 +357,3 @@
 export type EventFields<Name extends EventName> = FieldsOf<
   (typeof eventCatalogue)[Name]['fields']
 >;
-
-function define<const Fields extends Record<string, FieldType>>(
-  number: number,
-  level: EventLevel,
-  message: string,
-  fields: Fields,
-) {
-  return {number, level, message, fields};
-}
--- a/packages/telemetry/src/events/event_logger.ts
+++ b/packages/telemetry/src/events/event_logger.ts
@@ -4,9 +4,9 @@
 import {
   eventCatalogue,
   type EventFields,
-  type EventLevel,
   type EventName,
 } from './event_catalogue.js';
+import type {EventLevel} from './event_definition.js';
 
 /** Level, destination and origin of the log lines. */
 export interface EventLoggerOptions {
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,6 @@
 /** Log events, metrics and bounded log output. */
 export * from './events/event_catalogue.js';
+export * from './events/event_definition.js';
 export * from './events/event_logger.js';
 export * from './metrics/metric_catalogue.js';
 export * from './metrics/metrics.js';
