Let entry VMs read the list of entry VMs less often while it changes

Each call to the object API has a price; 171 entry VMs that start together made each of them read the list several times a second. New entry VMs are now known after about 1 s.

--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -25,6 +25,8 @@
 
 /** Configuration and target changes must take effect within 2 s. */
 const configTiming = {pauseMs: 100, waitMs: promptWaitMs};
+/** Many entry VMs may register at the same time; each call has a cost. */
+const entryTiming = {...relaxedTiming, pauseMs: 1000};
 const targetTiming = {pauseMs: 400, waitMs: promptWaitMs};
 /** Part of the grace period that is reserved for the exit of the process. */
 const exitMarginMs = 800;
@@ -137,7 +139,7 @@
       this.targetDirectory,
     );
     this.watch(archivePrefix, relaxedTiming, this.archiveDirectory);
-    this.watch(entryPrefix, relaxedTiming, this.fleet.directory);
+    this.watch(entryPrefix, entryTiming, this.fleet.directory);
     this.watch(crashPrefix, relaxedTiming, this.quarantineReplicator);
     const reader = this.createSeedReader(configPrefix, configUpdater);
     this.tasks.run('seeds', (signal) => reader.run(signal));
