Keep the limit of a target whose registration is missing for a moment

An entry VM forgot a target's limit when its registration lapsed, for example in an outage of the store, and sent without permits until the next response. The limit is now kept for a minute after the last response. The scenario of target_limits.feature failed before.

--- a/packages/dispatch/src/rate_limits/target_limits.ts
+++ b/packages/dispatch/src/rate_limits/target_limits.ts
@@ -7,6 +7,9 @@
 import type {Clock, TargetId} from '@marigoldpost/common';
 import type {TargetEntry} from '@marigoldpost/sites';
 
+/** Time for which the limit of a target that is not listed is kept. */
+const unlistedRetentionMs = 60_000;
+
 /** Instance of a target; a restarted target is another instance. */
 export interface TargetInstance {
   readonly target: TargetId;
@@ -151,15 +154,17 @@
   }
 
   /**
-   * Removes the limits of targets that are not listed.
+   * Removes the limits of targets that are not listed, some time after their
+   * last response: a registration may be missing for seconds.
    * @param targets - Listed targets.
    */
   retain(targets: readonly TargetEntry[]): void {
     const listed = new Set(
       targets.map(({id: target, startedAtMs}) => toKey({target, startedAtMs})),
     );
-    for (const key of this.limits.keys()) {
-      if (!listed.has(key)) this.limits.delete(key);
+    const oldestMs = this.options.clock.nowMs() - unlistedRetentionMs;
+    for (const [key, {statedAtMs}] of this.limits) {
+      if (!listed.has(key) && statedAtMs < oldestMs) this.limits.delete(key);
     }
   }
 
