--- a/packages/gateway/src/relay/peer_exchange.ts
+++ b/packages/gateway/src/relay/peer_exchange.ts
@@ -34,8 +34,6 @@
 
 /** One request over one hop; the target's response proves what it says. */
 export class PeerExchange extends HttpExchange {
-  private targetBody: TargetBody | undefined;
-
   private constructor(private readonly options: PeerExchangeOptions) {
     super(options);
   }
@@ -49,10 +47,6 @@
     return new PeerExchange(options).run();
   }
 
-  protected override get body(): TargetBody | undefined {
-    return this.targetBody;
-  }
-
   protected override createRequest(): http.ClientRequest {
     const {peer, request, sender, target, headTimeoutMs} = this.options;
     const {hostname, port} = new URL(peer.relayAddress);
@@ -80,7 +74,6 @@
 
   protected override handleHead(
     response: http.IncomingMessage,
-    settle: (outcome: ExchangeOutcome) => void,
     fail: FailExchange,
   ): void {
     const {codec, request, peer} = this.options;
@@ -91,24 +84,17 @@
       const {reason, isSent, isPeerFault} = failure;
       const message = `${peer.daemon} could not relay the request: ${reason}`;
       const failedPeer = isPeerFault ? peer.daemon : undefined;
-      settle({kind: 'failed', reason, isSent, message, failedPeer});
+      this.settle({kind: 'failed', reason, isSent, message, failedPeer});
       return;
     }
     const framing = decodeRelayFraming(headers);
     const body = TargetBody.create(response, request.method, framing);
-    this.targetBody = body;
+    this.setBody(body);
     if (framing === undefined) {
       fail('broken', `${peer.daemon} sent a response of another protocol`);
       return;
     }
-    const attributes = codec.decodeResponse(status, headers);
-    if (attributes.isNotRun) {
-      body.discard();
-      const {rawHeaders} = response;
-      settle({kind: 'not_run', status, rawHeaders, attributes});
-      return;
-    }
-    settle({kind: 'answer', response, body, attributes});
+    this.settleResponse(body, codec.decodeResponse(status, headers));
   }
 
   protected override createFailure(
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -76,7 +76,8 @@
 /** One request on one connection; never retries. */
 export abstract class HttpExchange {
   private isConnected = false;
-  private settle!: (outcome: ExchangeOutcome) => void;
+  private onSettled!: (outcome: ExchangeOutcome) => void;
+  private body: TargetBody | undefined;
 
   protected constructor(private readonly exchange: HttpExchangeOptions) {}
 
@@ -86,17 +87,48 @@
   /**
    * Handles the head of the response: settles the exchange or fails it.
    * @param response - Response whose body has not been read.
-   * @param settle - Ends the exchange with an outcome.
    * @param fail - Ends the exchange and closes the connection.
    */
   protected abstract handleHead(
     response: http.IncomingMessage,
-    settle: (outcome: ExchangeOutcome) => void,
     fail: FailExchange,
   ): void;
 
-  /** Body of the response, once its head has arrived. */
-  protected abstract get body(): TargetBody | undefined;
+  /**
+   * Sets the body as soon as the head has arrived, since it observes how the
+   * connection ends.
+   * @param body - Body of the response, which has not been read.
+   */
+  protected setBody(body: TargetBody): void {
+    this.body = body;
+  }
+
+  /**
+   * Ends the exchange with an outcome.
+   * @param outcome - Outcome of the exchange.
+   */
+  protected settle(outcome: ExchangeOutcome): void {
+    this.onSettled(outcome);
+  }
+
+  /**
+   * Ends the exchange with a target's response.
+   * @param body - Body of the response.
+   * @param attributes - Decoded headers of the response.
+   */
+  protected settleResponse(
+    body: TargetBody,
+    attributes: ResponseAttributes,
+  ): void {
+    const {response} = body;
+    if (!attributes.isNotRun) {
+      this.settle({kind: 'answer', response, body, attributes});
+      return;
+    }
+    body.discard();
+    const {statusCode: status = 0, rawHeaders} = response;
+    this.settle({kind: 'not_run', status, rawHeaders, attributes});
+  }
 
   /**
    * Creates the outcome of a failed exchange.
@@ -136,7 +168,7 @@
       const onAbort = () => fail('cancelled', 'the call was aborted');
       signal.addEventListener('abort', onAbort, {once: true});
       request.once('close', () => signal.removeEventListener('abort', onAbort));
-      this.settle = (outcome) => {
+      this.onSettled = (outcome) => {
         clearTimeout(timer);
         resolve(outcome);
       };
@@ -149,9 +181,7 @@
     fail: FailExchange,
   ): void {
     request.once('socket', (socket) => this.watchConnect(socket, fail));
-    request.once('response', (response) =>
-      this.handleHead(response, this.settle, fail),
-    );
+    request.once('response', (response) => this.handleHead(response, fail));
     let interim = 0;
     request.on('information', () => {
       interim += 1;
--- a/packages/gateway/src/targets/target_exchange.ts
+++ b/packages/gateway/src/targets/target_exchange.ts
@@ -18,8 +18,6 @@
 
 /** One request to one target; never retries. */
 export class TargetExchange extends HttpExchange {
-  private targetBody: TargetBody | undefined;
-
   private constructor(private readonly options: TargetExchangeOptions) {
     super(options);
   }
@@ -32,10 +30,6 @@
     return new TargetExchange(options).run();
   }
 
-  protected override get body(): TargetBody | undefined {
-    return this.targetBody;
-  }
-
   protected override createRequest(): http.ClientRequest {
     const {target, agent, request} = this.options;
     const {host, port} = target.address;
@@ -54,25 +48,18 @@
 
   protected override handleHead(
     response: http.IncomingMessage,
-    settle: (outcome: ExchangeOutcome) => void,
     fail: FailExchange,
   ): void {
     const {codec, request} = this.options;
     const body = TargetBody.create(response, request.method);
-    this.targetBody = body;
+    this.setBody(body);
     const status = response.statusCode ?? 0;
-    const {rawHeaders} = response;
     const attributes = codec.decodeResponse(status, response.headers);
-    const {requestId, isNotRun} = attributes;
+    const {requestId} = attributes;
     if (requestId !== undefined && requestId !== request.requestId) {
       fail('broken', `the response belongs to request "${requestId}"`);
       return;
     }
-    if (isNotRun) {
-      body.discard();
-      settle({kind: 'not_run', status, rawHeaders, attributes});
-      return;
-    }
-    settle({kind: 'answer', response, body, attributes});
+    this.settleResponse(body, attributes);
   }
 }
