Share relayed requests among all entry VMs that are able to relay

A cut entry VM preferred its own data centre: the only one left there got all of its requests (1,991 of 2,000 in relay_peers.feature, which failed before). It now takes the less loaded of two, where another data centre counts as two requests. An entry VM that has relayed lately is no longer passed over because a target is down, and a target that nobody reaches counts as unreachable, not as cancelled, so that it is ejected.

--- a/packages/gateway/src/calls/target_sender.ts
+++ b/packages/gateway/src/calls/target_sender.ts
@@ -119,8 +119,6 @@
     const {links, peers} = this.options;
     const {target, signal} = attempt;
     const excluded = new Set<DaemonId>();
-    let last: FailedExchange =
-      failure ?? createFailure('no entry VM reaches the target');
     while (excluded.size < maxPeers && !signal.aborted) {
       if (!links.mayAskPeers(target)) break;
       const peer = peers.choose(excluded);
@@ -128,11 +126,12 @@
       excluded.add(peer.daemon);
       const outcome = await this.sendThroughPeer(attempt, peer);
       if (isUnreachable(outcome)) {
-        if (outcome.failedPeer === undefined) {
+        if (outcome.failedPeer !== undefined) {
+          peers.recordFailure(peer.daemon);
+        } else {
+          peers.recordUnreached(peer.daemon);
           links.recordUnreachedByPeer(target, peer.daemon);
         }
-        peers.recordFailure(peer.daemon);
-        last = outcome;
         continue;
       }
       if (outcome.kind === 'failed') {
@@ -143,7 +142,8 @@
       }
       return {outcome, peer: peer.daemon};
     }
-    return {outcome: last, peer: undefined};
+    const message = `no entry VM of ${excluded.size} reaches the target`;
+    return {outcome: failure ?? createFailure(message), peer: undefined};
   }
 
   private async sendThroughPeer(
--- a/packages/gateway/src/links/link_monitor.ts
+++ b/packages/gateway/src/links/link_monitor.ts
@@ -166,7 +166,7 @@
    */
   recordUnreachedByPeer(target: TargetEntry, peer: DaemonId): void {
     const state = this.getState(target);
-    if (state === 'cut' || state === 'works') return;
+    if (state === 'cut' || (state === 'works' && !this.isIsolated)) return;
     this.links.delete(toKey(target));
     this.setState(target, 'target_down', `${peer} does not reach it`);
   }
--- a/packages/gateway/src/relay/relay_peers.ts
+++ b/packages/gateway/src/relay/relay_peers.ts
@@ -14,6 +14,9 @@
 /** Share of the requests that try an entry VM that is not proven. */
 const explorationShare = 0.2;
 
+/** Load for which another data centre, with its delay and price, counts. */
+const remoteLoad = 2;
+
 /** Relaying entry VM with its data centre. */
 export interface RelayMember extends RelayPeer {
   readonly dataCentre: DataCentreId;
@@ -54,7 +57,7 @@
    * @param excluded - Entry VMs that have already failed the request.
    */
   choose(excluded: ReadonlySet<DaemonId>): RelayMember | undefined {
-    const {clock, random, daemon, dataCentre, getMembers} = this.options;
+    const {clock, random, daemon, getMembers} = this.options;
     const nowMs = clock.nowMs();
     const members = getMembers().filter(
       (member) =>
@@ -68,8 +71,7 @@
     const unproven = members.filter((member) => !proven.includes(member));
     const explores = proven.length === 0 || random.next() < explorationShare;
     const preferred = explores && unproven.length > 0 ? unproven : proven;
-    const near = preferred.filter((member) => member.dataCentre === dataCentre);
-    return this.chooseLessLoaded(near.length > 0 ? near : preferred);
+    return this.chooseLessLoaded(preferred);
   }
 
   /**
@@ -98,6 +100,16 @@
     state.provenUntilMs = this.options.clock.nowMs() + provenMs;
   }
 
+  /**
+   * Records that an entry VM did not reach a target. One that has reached
+   * others lately is not at fault; the target may be down.
+   * @param daemon - The entry VM.
+   */
+  recordUnreached(daemon: DaemonId): void {
+    const {provenUntilMs} = this.getState(daemon);
+    if (provenUntilMs <= this.options.clock.nowMs()) this.recordFailure(daemon);
+  }
+
   /**
    * Records that an entry VM could not relay a request.
    * @param daemon - The entry VM.
@@ -111,7 +123,10 @@
     state.provenUntilMs = nowMs;
   }
 
-  /** Takes the less loaded of two random members. */
+  /**
+   * Takes the less loaded of two random members, so that the only one that is
+   * left in a data centre does not get all requests of the others there.
+   */
   private chooseLessLoaded(
     members: readonly RelayMember[],
   ): RelayMember | undefined {
@@ -120,10 +135,13 @@
     const first = pick();
     const second = pick();
     if (first === undefined || second === undefined) return first;
-    const isSecondLess =
-      this.getState(second.daemon).inFlight <
-      this.getState(first.daemon).inFlight;
-    return isSecondLess ? second : first;
+    return this.getLoad(second) < this.getLoad(first) ? second : first;
+  }
+
+  private getLoad({daemon, dataCentre}: RelayMember): number {
+    const isRemote = dataCentre !== this.options.dataCentre;
+    const {inFlight} = this.getState(daemon);
+    return isRemote ? inFlight + remoteLoad : inFlight;
   }
 
   private getState(daemon: DaemonId): PeerState {
