--- a/packages/nodes/tests/entry/permit_exchange_steps.ts
+++ b/packages/nodes/tests/entry/permit_exchange_steps.ts
@@ -2,12 +2,14 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
+  Clock,
   type DaemonId,
   type DataCentreId,
   MarigoldpostError,
   SeededRandom,
   type ServiceId,
   type TargetId,
+  type Timer,
   toId,
   VirtualClock,
 } from '@marigoldpost/common';
@@ -34,6 +36,7 @@
 }
 
 interface Outcome {
+  readonly arrivedAtMs: number;
   readonly waitedMs: number;
   /** `undefined` if the request was sent. */
   readonly retryAfterMs: number | undefined;
@@ -51,18 +54,52 @@
   isSilent: (index: number, nowMs: number) => boolean;
   isSplit: (from: number, to: number, nowMs: number) => boolean;
   restartsMs: Map<number, number>;
+  isFrozen: (index: number, nowMs: number) => boolean;
+  /** Limit that targets state at a time; `undefined` without one. */
+  getLimit: (nowMs: number) => number | undefined;
+  targetRestartMs: number;
+  wallStepMs: (index: number, nowMs: number) => number;
 }
 
 const windowMs = 4000;
 const latencyMs = 1;
 const serviceMs = 100;
 const deadlineMs = 3000;
-const stepMs = 2;
+/** Wait that an exchange with another entry VM explains. */
+const maxUndelayedMs = 20;
+/** Step of a wall clock. */
+const stepMs = 5000;
+/** Resolution of the simulated load. */
+const tickMs = 2;
 /** Real time that the simulated load may take. */
 const loadTimeoutMs = 20_000;
 const service = toId<ServiceId>('service');
 const dataCentre = toId<DataCentreId>('north');
 
+/** Clock of one entry VM, whose wall time may step. */
+class SteppedClock extends Clock {
+  constructor(
+    private readonly world: FleetWorld,
+    private readonly index: number,
+  ) {
+    super();
+  }
+
+  override nowMs(): number {
+    return this.world.clock.nowMs();
+  }
+
+  override wallTimeMs(): number {
+    const {world, index} = this;
+    const nowMs = this.nowMs();
+    return nowMs + world.wallStepMs(index, nowMs);
+  }
+
+  override setTimer(delayMs: number, callback: () => void): Timer {
+    return this.world.clock.setTimer(delayMs, callback);
+  }
+}
+
 /** Carries requests between the exchanges of the fleet. */
 class FleetRequester extends PeerRequester {
   constructor(
@@ -82,7 +119,11 @@
     const to = Number(peer.daemon.slice('entry-'.length));
     await clock.sleep(latencyMs);
     const nowMs = clock.nowMs();
-    if (world.isSilent(to, nowMs) || world.isSplit(index, to, nowMs)) {
+    const isLost =
+      world.isSilent(to, nowMs) ||
+      world.isSplit(index, to, nowMs) ||
+      world.isFrozen(to, nowMs);
+    if (isLost) {
       await clock.sleep(timeoutMs - latencyMs);
       throw MarigoldpostError.create('peer_lost', 'no reply');
     }
@@ -113,6 +154,10 @@
     this.isSilent = () => false;
     this.isSplit = () => false;
     this.restartsMs = new Map();
+    this.isFrozen = () => false;
+    this.getLimit = () => limitPerS;
+    this.targetRestartMs = Number.POSITIVE_INFINITY;
+    this.wallStepMs = () => 0;
     this.targets = Array.from({length: targets}, (_none, index) =>
       createTarget(index),
     );
@@ -150,6 +195,51 @@
   },
 );
 
+Given(
+  'in the fleet, the first half freeze from {int} to {int} s',
+  function (this: FleetWorld, fromS: number, toS: number) {
+    const half = this.entries.length / 2;
+    this.isFrozen = (index, nowMs) =>
+      isWithin(nowMs, fromS, toS) && index < half;
+  },
+);
+
+Given(
+  'in the fleet, the wall clocks of the first half step from {int} to {int} s',
+  function (this: FleetWorld, fromS: number, toS: number) {
+    const half = this.entries.length / 2;
+    this.wallStepMs = (index, nowMs) => {
+      const sign = index % 2 === 0 ? 1 : -1;
+      return isWithin(nowMs, fromS, toS) && index < half ? sign * stepMs : 0;
+    };
+  },
+);
+
+Given(
+  'in the fleet, the limits change to {float} requests a second after {int} s',
+  function (this: FleetWorld, limitPerS: number, afterS: number) {
+    const before = this.limitPerS;
+    this.getLimit = (nowMs) => (nowMs < afterS * 1000 ? before : limitPerS);
+  },
+);
+
+Given(
+  'in the fleet, the limits end after {int} s',
+  function (this: FleetWorld, afterS: number) {
+    const before = this.limitPerS;
+    this.getLimit = (nowMs) => (nowMs < afterS * 1000 ? before : undefined);
+  },
+);
+
+Given(
+  'in the fleet, the targets restart without a limit after {int} s',
+  function (this: FleetWorld, afterS: number) {
+    const before = this.limitPerS;
+    this.targetRestartMs = afterS * 1000;
+    this.getLimit = (nowMs) => (nowMs < afterS * 1000 ? before : undefined);
+  },
+);
+
 When(
   'the fleet receives {int} requests a second for {int} s',
   {timeout: loadTimeoutMs},
@@ -159,6 +249,7 @@
     let nextMs = 0;
     while (this.clock.nowMs() < endMs) {
       restartDue(this);
+      restartTargetsIfDue(this);
       for (
         ;
         nextMs <= this.clock.nowMs();
@@ -166,7 +257,7 @@
       ) {
         void send(this);
       }
-      await this.clock.advance(stepMs);
+      await this.clock.advance(tickMs);
     }
     await this.clock.advance(deadlineMs + serviceMs);
   },
@@ -175,19 +266,27 @@
 Then(
   'no limited target of the fleet received more than its limit allows in any 4 s',
   function (this: FleetWorld) {
-    const {limitPerS} = this;
-    const allowed = Math.floor((limitPerS * windowMs * 1.5) / 1000 + 5);
-    for (const {id} of this.targets.slice(0, this.limitedCount)) {
-      const times = this.received.get(id) ?? [];
-      const most = Math.max(
-        0,
-        ...times.map(
-          (startMs) =>
-            times.filter((atMs) => atMs >= startMs && atMs < startMs + windowMs)
-              .length,
-        ),
-      );
-      assert.ok(most <= allowed, `${id}: ${most} in 4 s, allowed ${allowed}`);
+    checkWindows(this, this.limitPerS, 0);
+  },
+);
+
+Then(
+  'no limited target of the fleet received more than {float} a second allow in any 4 s from {int} s on',
+  function (this: FleetWorld, limitPerS: number, fromS: number) {
+    checkWindows(this, limitPerS, fromS * 1000);
+  },
+);
+
+Then(
+  'every request of the fleet after {float} s was sent without delay',
+  function (this: FleetWorld, afterS: number) {
+    const later = this.outcomes.filter(
+      ({arrivedAtMs}) => arrivedAtMs > afterS * 1000,
+    );
+    assert.ok(later.length > 0);
+    for (const {arrivedAtMs, waitedMs, retryAfterMs} of later) {
+      assert.equal(retryAfterMs, undefined, `rejected at ${arrivedAtMs} ms`);
+      assert.ok(waitedMs <= maxUndelayedMs, `waited ${waitedMs} ms`);
     }
   },
 );
@@ -248,11 +347,43 @@
   }
 }
 
+function checkWindows(
+  {targets, limitedCount, received}: FleetWorld,
+  limitPerS: number,
+  fromMs: number,
+): void {
+  const allowed = Math.floor((limitPerS * windowMs * 1.5) / 1000 + 5);
+  for (const {id} of targets.slice(0, limitedCount)) {
+    const times = (received.get(id) ?? []).filter((atMs) => atMs >= fromMs);
+    const most = Math.max(
+      0,
+      ...times.map(
+        (startMs) =>
+          times.filter((atMs) => atMs >= startMs && atMs < startMs + windowMs)
+            .length,
+      ),
+    );
+    assert.ok(most <= allowed, `${id}: ${most} in 4 s, allowed ${allowed}`);
+  }
+}
+
+function restartTargetsIfDue(world: FleetWorld): void {
+  if (world.clock.nowMs() < world.targetRestartMs) return;
+  world.targetRestartMs = Number.POSITIVE_INFINITY;
+  world.targets = world.targets.map((target) => ({...target, startedAtMs: 2}));
+  for (const {dispatcher, limits} of world.entries) {
+    limits.retain(world.targets);
+    dispatcher.setTargets(world.targets);
+  }
+}
+
 async function send(world: FleetWorld): Promise<void> {
   const {clock, random, entries} = world;
   const entry = entries[Math.floor(random.next() * entries.length)];
   assert.ok(entry);
   const startMs = clock.nowMs();
+  if (world.isFrozen(entry.index, startMs)) return;
+  const arrivedAtMs = startMs;
   const request = {
     prompt: [],
     priority: 0,
@@ -267,9 +398,13 @@
       request,
       new AbortController().signal,
     );
+    while (world.isFrozen(entry.index, clock.nowMs())) {
+      await clock.sleep(tickMs);
+    }
     const sentAtMs = clock.nowMs();
     recordReceived(world, lease.target.id, sentAtMs);
     world.outcomes.push({
+      arrivedAtMs,
       waitedMs: sentAtMs - startMs,
       retryAfterMs: undefined,
     });
@@ -279,7 +414,8 @@
   } catch (error) {
     assert.ok(error instanceof MarigoldpostError);
     const waitedMs = clock.nowMs() - startMs;
-    world.outcomes.push({waitedMs, retryAfterMs: error.retryAfterMs ?? 0});
+    const retryAfterMs = error.retryAfterMs ?? 0;
+    world.outcomes.push({arrivedAtMs, waitedMs, retryAfterMs});
   }
 }
 
@@ -294,14 +430,14 @@
 }
 
 function stateLimit(
-  {targets, limitedCount, limitPerS}: FleetWorld,
+  {targets, limitedCount, getLimit, clock}: FleetWorld,
   limits: TargetLimits,
   target: TargetEntry,
   sentAtMs: number,
 ): void {
   const index = targets.findIndex(({id}) => id === target.id);
   limits.recordResponse(target, {
-    limitPerS: index < limitedCount ? limitPerS : undefined,
+    limitPerS: index < limitedCount ? getLimit(clock.nowMs()) : undefined,
     sentAtMs,
     isSigned: true,
   });
@@ -312,7 +448,8 @@
   index: number,
   count: number,
 ): FleetEntry {
-  const {clock, targets, random} = world;
+  const {targets, random} = world;
+  const clock = new SteppedClock(world, index);
   const daemon = toDaemon(index);
   const limits = TargetLimits.create({
     clock,
