--- a/packages/nodes/tests/entry/permit_exchange_steps.ts
+++ b/packages/nodes/tests/entry/permit_exchange_steps.ts
@@ -1,68 +1,21 @@
 /** Steps for permits in a fleet of entry VMs on a virtual clock. */
 import assert from 'node:assert/strict';
-import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {
-  Clock,
-  type DaemonId,
-  type DataCentreId,
   MarigoldpostError,
   SeededRandom,
-  type ServiceId,
   type TargetId,
-  type Timer,
-  toId,
   VirtualClock,
 } from '@marigoldpost/common';
 import {
-  RateLimiter,
-  ServiceDispatcher,
-  TargetLimits,
-} from '@marigoldpost/dispatch';
-import {EntryDirectory, entryPrefix, PermitExchange} from '@marigoldpost/nodes';
-import {
-  type PeerAddress,
-  type PeerReplyBody,
-  PeerRequester,
-  type PeerRequestBody,
-} from '@marigoldpost/peers';
-import type {TargetEntry} from '@marigoldpost/sites';
-import {EventLogger} from '@marigoldpost/telemetry';
-
-interface FleetEntry {
-  readonly index: number;
-  readonly exchange: PermitExchange;
-  readonly limits: TargetLimits;
-  readonly dispatcher: ServiceDispatcher;
-}
-
-interface Outcome {
-  readonly arrivedAtMs: number;
-  readonly waitedMs: number;
-  /** `undefined` if the request was sent. */
-  readonly retryAfterMs: number | undefined;
-}
-
-interface FleetWorld extends World {
-  clock: VirtualClock;
-  random: SeededRandom;
-  entries: FleetEntry[];
-  targets: TargetEntry[];
-  limitedCount: number;
-  limitPerS: number;
-  received: Map<TargetId, number[]>;
-  outcomes: Outcome[];
-  isSilent: (index: number, nowMs: number) => boolean;
-  isSplit: (from: number, to: number, nowMs: number) => boolean;
-  restartsMs: Map<number, number>;
-  isFrozen: (index: number, nowMs: number) => boolean;
-  /** Limit that targets state at a time; `undefined` without one. */
-  getLimit: (nowMs: number) => number | undefined;
-  targetRestartMs: number;
-  wallStepMs: (index: number, nowMs: number) => number;
-}
+  createEntry,
+  createTarget,
+  type FleetWorld,
+  type Outcome,
+  stateLimit,
+} from '../fixtures/fleet_fixture.js';
 
 const windowMs = 4000;
-const latencyMs = 1;
 const serviceMs = 100;
 const deadlineMs = 3000;
 /** Wait that an exchange with another entry VM explains. */
@@ -73,68 +26,6 @@
 const tickMs = 2;
 /** Real time that the simulated load may take. */
 const loadTimeoutMs = 20_000;
-const service = toId<ServiceId>('service');
-const dataCentre = toId<DataCentreId>('north');
-
-/** Clock of one entry VM, whose wall time may step. */
-class SteppedClock extends Clock {
-  constructor(
-    private readonly world: FleetWorld,
-    private readonly index: number,
-  ) {
-    super();
-  }
-
-  override nowMs(): number {
-    return this.world.clock.nowMs();
-  }
-
-  override wallTimeMs(): number {
-    const {world, index} = this;
-    const nowMs = this.nowMs();
-    return nowMs + world.wallStepMs(index, nowMs);
-  }
-
-  override setTimer(delayMs: number, callback: () => void): Timer {
-    return this.world.clock.setTimer(delayMs, callback);
-  }
-}
-
-/** Carries requests between the exchanges of the fleet. */
-class FleetRequester extends PeerRequester {
-  constructor(
-    private readonly world: FleetWorld,
-    private readonly index: number,
-  ) {
-    super();
-  }
-
-  override async ask(
-    peer: PeerAddress,
-    request: PeerRequestBody,
-    timeoutMs: number,
-  ): Promise<PeerReplyBody> {
-    const {world, index} = this;
-    const {clock} = world;
-    const to = Number(peer.daemon.slice('entry-'.length));
-    await clock.sleep(latencyMs);
-    const nowMs = clock.nowMs();
-    const isLost =
-      world.isSilent(to, nowMs) ||
-      world.isSplit(index, to, nowMs) ||
-      world.isFrozen(to, nowMs);
-    if (isLost) {
-      await clock.sleep(timeoutMs - latencyMs);
-      throw MarigoldpostError.create('peer_lost', 'no reply');
-    }
-    assert.equal(request.case, 'reservePermits');
-    const sender = toDaemon(index);
-    const reply = world.entries[to]?.exchange.answer(sender, request.value);
-    await clock.sleep(latencyMs);
-    assert.ok(reply);
-    return reply;
-  }
-}
 
 Given(
   '{int} entry VMs of a fleet before {int} targets, {int} of them limited to {float} requests a second',
@@ -428,86 +319,3 @@
   if (times === undefined) received.set(target, [atMs]);
   else times.push(atMs);
 }
-
-function stateLimit(
-  {targets, limitedCount, getLimit, clock}: FleetWorld,
-  limits: TargetLimits,
-  target: TargetEntry,
-  sentAtMs: number,
-): void {
-  const index = targets.findIndex(({id}) => id === target.id);
-  limits.recordResponse(target, {
-    limitPerS: index < limitedCount ? getLimit(clock.nowMs()) : undefined,
-    sentAtMs,
-    isSigned: true,
-  });
-}
-
-function createEntry(
-  world: FleetWorld,
-  index: number,
-  count: number,
-): FleetEntry {
-  const {targets, random} = world;
-  const clock = new SteppedClock(world, index);
-  const daemon = toDaemon(index);
-  const limits = TargetLimits.create({
-    clock,
-    onChanged: () => limiter.notify(),
-  });
-  const address = `http://${daemon}`;
-  const member = {daemon, address, relayAddress: address, dataCentre};
-  const directory = EntryDirectory.create(member, () => undefined);
-  directory.replaceObjects(
-    Array.from({length: count}, (_none, other) => createObject(other)),
-  );
-  const exchange = PermitExchange.create({
-    daemon,
-    directory,
-    transport: new FleetRequester(world, index),
-    limits,
-    clock,
-    logger: EventLogger.create({
-      level: 'info',
-      daemon,
-      destination: {write: () => undefined},
-    }),
-  });
-  const limiter = RateLimiter.create({clock, limits, source: exchange});
-  const dispatcher = ServiceDispatcher.create({
-    service: {id: service, maxConnections: 400, engine: undefined},
-    dataCentre,
-    clock,
-    random,
-    rateLimiter: limiter,
-  });
-  dispatcher.setTargets(targets);
-  for (const target of targets.slice(0, world.limitedCount)) {
-    stateLimit(world, limits, target, clock.nowMs());
-  }
-  return {index, exchange, limits, dispatcher};
-}
-
-function createObject(index: number) {
-  const daemon = toDaemon(index);
-  const address = `http://${daemon}`;
-  const value = {daemon, address, relayAddress: address, dataCentre};
-  const key = `${entryPrefix}${daemon}`;
-  return {key, value: JSON.stringify(value), version: 1};
-}
-
-function createTarget(index: number): TargetEntry {
-  return {
-    id: toId<TargetId>(`target-${index}`),
-    service,
-    address: {host: '127.0.0.1', port: 1000 + index},
-    dataCentre,
-    slots: 24,
-    isDraining: false,
-    startedAtMs: 1,
-  };
-}
-
-function toDaemon(index: number): DaemonId {
-  return toId<DaemonId>(`entry-${index}`);
-}
