Count crashes of targets under relayed requests

What callers saw: a request that crashes its targets reached further targets when its entry VM relayed it, until the registry lost the crashed ones (502 in place of 422).

Cause: a failed relayed exchange was never taken as the target's, since the relaying entry VM may have ended as well. It says itself when the target closed the connection before a response, and while it still accepts connections it has not ended, so a response that was truncated on the way counts as the target's.

--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -1,5 +1,6 @@
 /** Sends a call to targets, retrying where that is safe. */
 import {
+  type DaemonId,
   isErrorOfKind,
   MarigoldpostError,
   type ServiceId,
@@ -79,8 +80,8 @@
   private rejections = 0;
   private sentAtMs = 0;
   private mayHaveRun = false;
-  /** `direct`, or the entry VM that relays the current attempt. */
-  private via = directPath;
+  /** Entry VM that relayed the last attempt; `undefined` if none did. */
+  private peer: DaemonId | undefined;
   private readonly trackedRequest: TrackedRequest;
 
   private constructor(
@@ -165,15 +166,14 @@
    * Records that a target closed its connection while it ran the request.
    * @param lease - Lease of the attempt.
    */
-  recordCrash(lease: TargetLease): void {
-    // The connection of a relayed request may have failed at either hop.
-    if (this.via !== directPath) {
-      this.recordSilence(lease);
-      return;
-    }
-    const {target} = lease;
+  recordCrash({target}: TargetLease): void {
     const {crashTracker} = this.services;
-    crashTracker.recordCrash(this.trackedRequest, target, this.getRun());
+    const run = this.getRun();
+    if (this.peer === undefined) {
+      crashTracker.recordCrash(this.trackedRequest, target, run);
+    } else {
+      void this.recordRelayedCrash(target, this.peer, run);
+    }
   }
 
   /**
@@ -227,7 +227,7 @@
 
   /** `direct`, or the entry VM that relayed the last response. */
   get path(): string {
-    return this.via;
+    return this.peer ?? directPath;
   }
 
   /** Creates the error for the client when no further attempt is allowed. */
@@ -256,6 +256,21 @@
     });
   }
 
+  /** Either hop may have lost its connection; a peer that runs has not. */
+  private async recordRelayedCrash(
+    target: TargetEntry,
+    peer: DaemonId,
+    run: TargetRun,
+  ): Promise<void> {
+    const {crashTracker, sender} = this.services;
+    const isPeerRunning = await sender.isPeerRunning(peer);
+    if (isPeerRunning) {
+      crashTracker.recordCrash(this.trackedRequest, target, run);
+    } else {
+      crashTracker.recordSilence(this.trackedRequest, target, run);
+    }
+  }
+
   private getRun(): TargetRun {
     const runEndedAtMs = this.services.clock.nowMs();
     return {runStartedAtMs: this.sentAtMs, runEndedAtMs};
@@ -332,7 +347,7 @@
       signal: this.call.signal,
       onRelay: (relay) => this.logRelay(target, relay),
     });
-    this.via = peer ?? directPath;
+    this.peer = peer;
     return outcome;
   }
 
@@ -394,8 +409,11 @@
     this.release(lease, {result});
     this.logFailure(lease, reason, isSent, message);
     if (isMalformed !== true) {
-      if (reason === 'broken' && !isPeerFault) this.recordCrash(lease);
-      else if (isSent) this.recordSilence(lease);
+      const {crashTracker} = this.services;
+      if (reason === 'broken' && !isPeerFault) {
+        const run = this.getRun();
+        crashTracker.recordCrash(this.trackedRequest, lease.target, run);
+      } else if (isSent) this.recordSilence(lease);
     }
     if (reason === 'silent') this.services.agents.get(lease.target).closeIdle();
     if (isSent) this.recordSent();
@@ -443,7 +461,7 @@
   ): void {
     this.call.logger.log('attempt_failed', {
       target: lease.target.id,
-      via: this.via,
+      via: this.path,
       result,
       isSent,
       reason,
--- a/packages/gateway/src/calls/target_sender.ts
+++ b/packages/gateway/src/calls/target_sender.ts
@@ -1,4 +1,5 @@
 /** Sends one attempt to a target, directly or through another entry VM. */
+import {connect} from 'node:net';
 import type {Clock, DaemonId} from '@marigoldpost/common';
 import type {CallCodec, TargetEntry} from '@marigoldpost/sites';
 import type {LinkMonitor, LinkState} from '../links/link_monitor.js';
@@ -12,6 +13,7 @@
 } from '../targets/http_exchange.js';
 import type {TargetAgents} from '../targets/target_agents.js';
 import {TargetExchange} from '../targets/target_exchange.js';
+import {waitForConnect} from '../targets/wait_for_connect.js';
 
 /** Entry VMs that one attempt is handed to while none of them sends it. */
 const maxPeers = 3;
@@ -88,6 +90,18 @@
     return this.sendThroughPeers(attempt, failure);
   }
 
+  /**
+   * Whether an entry VM accepts requests to relay, so that it has not ended.
+   * @param daemon - Entry VM that relayed a request.
+   */
+  async isPeerRunning(daemon: DaemonId): Promise<boolean> {
+    const peer = this.options.peers.find(daemon);
+    if (peer === undefined) return false;
+    const {hostname, port} = new URL(peer.relayAddress);
+    const socket = connect({host: hostname, port: Number(port)});
+    return waitForConnect(socket, this.options.clock);
+  }
+
   private async sendDirectly({
     target,
     createRequest,
--- a/packages/gateway/src/links/link_prober.ts
+++ b/packages/gateway/src/links/link_prober.ts
@@ -6,14 +6,13 @@
 import type {Clock} from '@marigoldpost/common';
 import type {TargetEntry} from '@marigoldpost/sites';
 import type {TargetAgents} from '../targets/target_agents.js';
+import {waitForConnect} from '../targets/wait_for_connect.js';
 import type {LinkMonitor} from './link_monitor.js';
 
 /** Pause between two rounds of probes of cut links. */
 const probeIntervalMs = 250;
 /** Cut links that one round probes; one that works again has all probed. */
 const probesPerRound = 2;
-/** Connect timeout; far above the round trip between data centres. */
-const connectTimeoutMs = 120;
 /** Pause between two probes of a target that does not respond. */
 const minCheckIntervalMs = 1000;
 /** Time without any response after which one target is probed. */
@@ -122,15 +121,7 @@
     const {clock, links, agents} = this.options;
     const {host, port} = target.address;
     const socket = agents.get(target).createConnection({host, port});
-    const isConnected = await new Promise<boolean>((resolve) => {
-      const timer = clock.setTimer(connectTimeoutMs, () => resolve(false));
-      socket.once('error', () => resolve(false));
-      socket.once('connect', () => {
-        timer.cancel();
-        resolve(true);
-      });
-    });
-    socket.destroy();
+    const isConnected = await waitForConnect(socket, clock);
     if (isConnected) links.recordConnected(target, 'a probe connected');
     return isConnected;
   }
--- a/packages/gateway/src/relay/relay_peers.ts
+++ b/packages/gateway/src/relay/relay_peers.ts
@@ -74,6 +74,14 @@
     return this.chooseLessLoaded(preferred);
   }
 
+  /**
+   * Finds an entry VM; `undefined` if it is not listed.
+   * @param daemon - The entry VM.
+   */
+  find(daemon: DaemonId): RelayMember | undefined {
+    return this.options.getMembers().find((member) => member.daemon === daemon);
+  }
+
   /**
    * Records that a request was sent to an entry VM.
    * @param daemon - The entry VM.
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -4,9 +4,7 @@
 import type {DaemonId} from '@marigoldpost/common';
 import type {CallCodec, ResponseAttributes} from '@marigoldpost/sites';
 import type {TargetBody} from '../responses/target_body.js';
-
-/** Connect timeout; far above the round trip between data centres. */
-const connectTimeoutMs = 120;
+import {connectTimeoutMs} from './wait_for_connect.js';
 
 /** Prefix of the error codes of Node's HTTP parser. */
 const parserErrorPrefix = 'HPE_';
--- /dev/null
+++ b/packages/gateway/src/targets/wait_for_connect.ts
@@ -0,0 +1,28 @@
+/** Finds out whether a connection can be opened. */
+import type {Socket} from 'node:net';
+import type {Clock} from '@marigoldpost/common';
+
+/** Connect timeout; far above the round trip between data centres. */
+export const connectTimeoutMs = 120;
+
+/**
+ * Waits until a socket is connected, then closes it; false if it does not
+ * connect in time.
+ * @param socket - Socket that is connecting.
+ * @param clock - Clock of the time-out.
+ */
+export async function waitForConnect(
+  socket: Socket,
+  clock: Clock,
+): Promise<boolean> {
+  const isConnected = await new Promise<boolean>((resolve) => {
+    const timer = clock.setTimer(connectTimeoutMs, () => resolve(false));
+    socket.once('error', () => resolve(false));
+    socket.once('connect', () => {
+      timer.cancel();
+      resolve(true);
+    });
+  });
+  socket.destroy();
+  return isConnected;
+}
