Bound the memory for responses without end in the daemons' channels

Each response of an HTTP channel was bounded at 16 MiB, all of them together were not; interim responses were read until the time-out, and an engine's tokens beyond the limit of their request were passed on without end.

The scenarios of http_channel.feature need the budget that did not exist.

--- a/packages/platform/src/http/chunk_buffer.ts
+++ b/packages/platform/src/http/chunk_buffer.ts
@@ -1,18 +1,23 @@
 /** Buffer for the unread chunks of a response body. */
+import type {BufferBudget} from './buffer_budget.js';
 
 /** Unread part of a response body, limited in bytes. */
 export class ChunkBuffer {
   private chunks: Buffer[] = [];
   private byteLength = 0;
 
-  private constructor(private readonly maxBytes: number) {}
+  private constructor(
+    private readonly maxBytes: number,
+    private readonly budget: BufferBudget,
+  ) {}
 
   /**
    * Creates an empty buffer.
    * @param maxBytes - Most unread bytes.
+   * @param budget - Bytes that this and other buffers may hold together.
    */
-  static create(maxBytes: number): ChunkBuffer {
-    return new ChunkBuffer(maxBytes);
+  static create(maxBytes: number, budget: BufferBudget): ChunkBuffer {
+    return new ChunkBuffer(maxBytes, budget);
   }
 
   /** Number of unread bytes. */
@@ -25,8 +30,12 @@
    * @param chunk - Not copied.
    */
   add(chunk: Buffer): boolean {
-    this.byteLength += chunk.byteLength;
-    if (this.byteLength > this.maxBytes) return false;
+    const {byteLength} = chunk;
+    const hasRoom =
+      this.byteLength + byteLength <= this.maxBytes &&
+      this.budget.take(byteLength);
+    if (!hasRoom) return false;
+    this.byteLength += byteLength;
     this.chunks.push(chunk);
     return true;
   }
@@ -36,9 +45,15 @@
     if (this.chunks.length === 0) return undefined;
     const [first, ...others] = this.chunks;
     const all = others.length === 0 ? first : Buffer.concat(this.chunks);
+    this.clear();
+    return all;
+  }
+
+  /** Drops all unread bytes. */
+  clear(): void {
+    this.budget.give(this.byteLength);
     this.chunks = [];
     this.byteLength = 0;
-    return all;
   }
 
   /** Removes all unread bytes and returns them as UTF-8 text. */
--- a/packages/platform/src/http/http_channel.ts
+++ b/packages/platform/src/http/http_channel.ts
@@ -1,6 +1,7 @@
 /** HTTP client of one address that reports the outcome of each request. */
 import {type Clock, SystemClock} from '@marigoldpost/common';
 import {Pool} from 'undici';
+import {BufferBudget} from './buffer_budget.js';
 import {ConnectionEnds} from './connection_ends.js';
 import {ChunkBuffer} from './chunk_buffer.js';
 import {HttpExchange} from './http_exchange.js';
@@ -18,6 +19,8 @@
   readonly timeoutMs: number;
   /** Most unread bytes of a response, 16 MiB by default. */
   readonly maxResponseBytes?: number;
+  /** Bytes of all unread responses; those of the process by default. */
+  readonly budget?: BufferBudget;
   /** Clock for the timeouts; the system clock by default. */
   readonly clock?: Clock;
 }
@@ -30,10 +33,12 @@
   private readonly ends: ConnectionEnds;
   private readonly clock: Clock;
   private readonly maxResponseBytes: number;
+  private readonly budget: BufferBudget;
 
   private constructor(private readonly options: HttpChannelOptions) {
     this.clock = options.clock ?? SystemClock.create();
     this.maxResponseBytes = options.maxResponseBytes ?? defaultMaxResponseBytes;
+    this.budget = options.budget ?? BufferBudget.ofProcess;
     this.ends = ConnectionEnds.create(options.timeoutMs);
     this.pool = new Pool(options.address, {
       headersTimeout: 0,
@@ -58,7 +63,7 @@
    */
   async send(request: HttpRequest, signal?: AbortSignal): Promise<HttpOutcome> {
     const timeoutMs = request.timeoutMs ?? this.options.timeoutMs;
-    const body = ChunkBuffer.create(this.maxResponseBytes);
+    const body = ChunkBuffer.create(this.maxResponseBytes, this.budget);
     const exchange = HttpExchange.create(body, this.ends, signal);
     const timer = this.clock.setTimer(timeoutMs, () => exchange.timeOut());
     exchange.dispatch(this.pool, request);
@@ -80,7 +85,7 @@
     signal?: AbortSignal,
   ): Promise<HttpStreamOutcome> {
     const timeoutMs = request.timeoutMs ?? this.options.timeoutMs;
-    const body = ChunkBuffer.create(this.maxResponseBytes);
+    const body = ChunkBuffer.create(this.maxResponseBytes, this.budget);
     const exchange = HttpExchange.create(body, this.ends, signal);
     exchange.startIdleTimeout(this.clock, timeoutMs);
     exchange.dispatch(this.pool, request);
--- a/packages/platform/src/http/http_exchange.ts
+++ b/packages/platform/src/http/http_exchange.ts
@@ -8,6 +8,8 @@
 /** Unread bytes of a streamed response above which reading is paused. */
 const highWaterBytes = 64 * 1024;
 const firstFinalStatus = 200;
+/** Interim (1xx) responses that may precede a response. */
+const maxInterimResponses = 8;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Tracks one request from connecting to the end of its response. */
@@ -17,6 +19,7 @@
   private controller: Dispatcher.DispatchController | undefined;
   /** Whether the response has no body, or one with a length or in chunks. */
   isDelimited = true;
+  private interimCount = 0;
   private isPaused = false;
   private isEnded = false;
   private failure: HttpFailure | undefined;
@@ -116,6 +119,7 @@
   }
 
   cancel(): void {
+    this.body.clear();
     if (!this.isEnded) this.onAbort();
   }
 
@@ -130,7 +134,10 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
-    if (status < firstFinalStatus) return;
+    if (status < firstFinalStatus) {
+      this.countInterimResponse();
+      return;
+    }
     this.recordActivity();
     this.status = status;
     this.headers = joinHeaders(headers);
@@ -145,6 +152,7 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.isEnded) return;
     this.recordActivity();
     if (!this.body.add(chunk)) {
       this.fail('cut', new Error('the response body is too large'));
@@ -169,8 +177,17 @@
     this.fail('cut', error);
   }
 
+  private countInterimResponse(): void {
+    this.interimCount += 1;
+    if (this.interimCount <= maxInterimResponses) return;
+    const message = `more than ${maxInterimResponses} interim responses`;
+    this.fail('cut', new Error(message));
+  }
+
   private fail(reason: HttpFailure['reason'], cause: Error): void {
     if (this.isEnded) return;
+    // A reader that is gone leaves its bytes behind.
+    if (reason === 'aborted' || !this.isStreamed()) this.body.clear();
     const isSent = this.controller !== undefined;
     this.failure = {kind: 'failure', reason, isSent, cause};
     this.end();
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,5 @@
 /** Clients of the platform's object API and VM list, and leases on it. */
+export * from './http/buffer_budget.js';
 export * from './http/http_channel.js';
 export * from './http/http_types.js';
 export * from './store/object_store.js';
--- a/packages/platform/tests/http/http_channel.feature
+++ b/packages/platform/tests/http/http_channel.feature
@@ -31,3 +31,18 @@
       | close | 20    | answer  |
       | reset | 0     | cut     |
       | reset | 20    | cut     |
+
+  Scenario Outline: Responses whose <part> does not end stay within the memory of all channels
+    Given 4 HTTP channels with a common budget of 4 megabytes to a server whose <part> does not end
+    When 40 requests of these channels are <how>
+    Then each of them fails within <within> ms
+    And the channels have held 4 megabytes at most and the server answers on no connection any more
+
+    Examples:
+      | part          | how    | within |
+      | body          | sent   | 2000   |
+      | chunked body  | sent   | 2000   |
+      | interim heads | sent   | 2000   |
+      | slow body     | sent   | 3000   |
+      | chunked body  | opened | 2000   |
+      | interim heads | opened | 2000   |
--- a/packages/targets/src/engine/engine_stream_reader.ts
+++ b/packages/targets/src/engine/engine_stream_reader.ts
@@ -3,7 +3,12 @@
 import type {HttpFailure} from '@marigoldpost/platform';
 import {SseReader, type SseEvent} from '../sse/sse_reader.js';
 import {toTargetError, type CallDescription} from '../utils/target_errors.js';
-import type {EngineEnd, EngineEvent, EngineToken} from './engine_client.js';
+import type {
+  EngineEnd,
+  EngineEvent,
+  EngineRequest,
+  EngineToken,
+} from './engine_client.js';
 import {endSchema} from './engine_schemas.js';
 
 /** Maximum length of a line in a stream, in characters. */
@@ -17,18 +22,19 @@
   private constructor(
     private readonly call: CallDescription,
     private nextIndex: number,
+    private readonly maxTokens: number,
   ) {}
 
   /**
    * Creates a reader at the start of a stream.
    * @param call - Target and subject, for error messages.
-   * @param offsetTokens - Index of the first expected token.
+   * @param request - Index of the first expected token, and their limit.
    */
   static create(
     call: CallDescription,
-    offsetTokens: number,
+    {offsetTokens, maxTokens}: EngineRequest,
   ): EngineStreamReader {
-    return new EngineStreamReader(call, offsetTokens);
+    return new EngineStreamReader(call, offsetTokens, maxTokens);
   }
 
   /** Whether the `end` event has been read. */
@@ -70,6 +76,9 @@
     if (index > this.nextIndex) {
       throw this.createError(`omitted token ${this.nextIndex}`);
     }
+    if (index >= this.maxTokens) {
+      throw this.createError(`sent more than ${this.maxTokens} tokens`);
+    }
     this.nextIndex += 1;
     return {kind: 'token', index, text};
   }
--- a/packages/targets/src/engine/http_engine_client.ts
+++ b/packages/targets/src/engine/http_engine_client.ts
@@ -76,7 +76,7 @@
     const call = this.describeCall(`stream "${streamId}"`);
     const opening = toJsonRequest('POST', path, body);
     const stream = await this.openStream(opening, call, signal);
-    const reader = EngineStreamReader.create(call, request.offsetTokens);
+    const reader = EngineStreamReader.create(call, request);
     try {
       for (;;) {
         const chunk = await stream.chunks.next();
