Log the silence of targets and why each call ended

A call that was closed without a byte looked like a broken response (clientEnd aborted), and no line told how long a target had sent nothing. call_ended and attempt_failed now have silentMs, the longest time without a byte of the body; call_ended has endReason (the call's time, the client), and clientEnd says none for a connection that closed before any response.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -201,6 +201,7 @@
       durationMs: Math.round(durationMs),
       ...call.servedResponse,
       clientEnd: call.clientEnd,
+      endReason: call.endReason,
     });
   }
 }
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -29,9 +29,10 @@
 /**
  * What the end of its response tells the client: `complete`, by a length or a
  * last chunk, `closed`, by the normal end of a connection that delimits the
- * response, or `aborted`, by a connection that breaks.
+ * response, `aborted`, by a connection that breaks, or `none`, by a connection
+ * that closes before the head of a response.
  */
-export type ClientEnd = 'complete' | 'closed' | 'aborted';
+export type ClientEnd = 'complete' | 'closed' | 'aborted' | 'none';
 
 /** The target's response that is sent to the client, for the log. */
 export interface ServedResponse extends BodyFields {
@@ -236,7 +237,7 @@
    * Breaks the connection, so that a partial response does not look complete.
    */
   abortResponse(): void {
-    this.told = 'aborted';
+    this.told = this.isHeadSent ? 'aborted' : 'none';
     const {request, response, clock} = this.options;
     if (!this.isHeadSent || response.chunkedEncoding) {
       response.destroy();
--- a/packages/gateway/src/responses/body_end.ts
+++ b/packages/gateway/src/responses/body_end.ts
@@ -28,6 +28,8 @@
   readonly cause: BodyEndCause;
   /** Number of bytes that arrived. */
   readonly bytes: number;
+  /** Longest time in which no byte of the body arrived. */
+  readonly silentMs: number;
   readonly proof: BodyProof;
   /** Why bytes are missing; empty unless the body is truncated. */
   readonly message: string;
@@ -46,6 +48,7 @@
   readonly framing: BodyFraming;
   readonly end: BodyEndCause;
   readonly bytes: number;
+  readonly silentMs: number;
 }
 
 /**
@@ -93,8 +96,8 @@
  * @param position - Set for a stream.
  */
 export function getBodyFields(
-  {framing, cause, bytes}: BodyEnd,
+  {framing, cause, bytes, silentMs}: BodyEnd,
   position?: StreamPosition,
 ): BodyFields {
-  return {framing, end: cause, bytes, ...position};
+  return {framing, end: cause, bytes, silentMs, ...position};
 }
--- a/packages/gateway/src/responses/target_body.ts
+++ b/packages/gateway/src/responses/target_body.ts
@@ -23,6 +23,8 @@
 /** Body of one response; it must be read once. */
 export class TargetBody {
   private bytes = 0;
+  private lastByteMs = 0;
+  private silentMs = 0;
   private isReset = false;
   private hasExceeded = false;
   private abortMessage: string | undefined;
@@ -74,12 +76,15 @@
   read(onChunk: (chunk: Buffer) => void): Promise<BodyEnd> {
     const {response, socket, onSocketEnd} = this;
     return new Promise((resolve) => {
+      this.lastByteMs = performance.now();
       response.on('data', (chunk: Buffer) => {
+        this.recordSilence();
         this.bytes += chunk.byteLength;
         onChunk(chunk);
       });
       response.once('close', () => {
         socket.removeListener('end', onSocketEnd);
+        this.recordSilence();
         resolve(this.createEnd());
       });
     });
@@ -136,12 +141,19 @@
     this.response.destroy(error);
   }
 
+  private recordSilence(): void {
+    const nowMs = performance.now();
+    this.silentMs = Math.max(this.silentMs, nowMs - this.lastByteMs);
+    this.lastByteMs = nowMs;
+  }
+
   private createEnd(): BodyEnd {
     const {framing, bytes} = this;
     const cause = this.getCause();
     const proof = getBodyProof(framing, cause);
     const message = proof === 'truncated' ? this.getMessage() : '';
-    return {framing, cause, bytes, proof, message};
+    const silentMs = Math.round(this.silentMs);
+    return {framing, cause, bytes, silentMs, proof, message};
   }
 
   private getCause(): BodyEndCause {
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -114,6 +114,7 @@
     bytes: 'number?',
     events: 'number?',
     isInEvent: 'boolean?',
+    silentMs: 'number?',
   }),
   call_ended: define(2103, 'info', 'A response to a call has ended', {
     route: 'string',
@@ -126,7 +127,9 @@
     bytes: 'number?',
     isInEvent: 'boolean?',
     via: 'string?',
+    silentMs: 'number?',
     clientEnd: 'string?',
+    endReason: 'string?',
   }),
   call_turned_away: define(2104, 'info', 'A call was rejected', {
     route: 'string',
