End calls with an error where nothing has been sent

What callers saw: a connection that closed without a byte. It happened when the time of a streaming call ended between the head and the first event of its target's response, and when a turn whose stream had no event could not be stored.

Cause: four places decided how a call ends, and two of them closed the connection once the call had ended or the store had failed, whether or not a response had begun.

Change: end_call.ts decides it for all calls: a whole response, an error response, or, if a response has begun, a broken connection. The head of a stream without chunks is sent with its end, so a failed store can still be reported. A stream that is whole when the time of its call ends is delivered.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -1,7 +1,6 @@
 /** Validates, routes and serves client requests. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-  isErrorOfKind,
   MarigoldpostError,
   type Random,
   type ServiceId,
@@ -14,7 +13,8 @@
 import type {CallServices} from './call_services.js';
 import {IncomingCall} from './incoming_call.js';
 import {servePlainCall} from './plain_call.js';
-import {finishStream, relayStreamCall} from './stream_call.js';
+import {failCall, finishStream} from './end_call.js';
+import {relayStreamCall} from './stream_call.js';
 import type {CallBody} from './target_attempts.js';
 import {TokenReservation} from './token_reservation.js';
 import {TurnCall} from './turn_call.js';
@@ -105,8 +105,7 @@
     try {
       await this.serve(call);
     } catch (error) {
-      const converted = toMarigoldpostError(error);
-      if (call.endReason !== 'client_gone') this.rejectCall(call, converted);
+      failCall(call, toMarigoldpostError(error));
     }
   }
 
@@ -152,25 +151,6 @@
     }
   }
 
-  private rejectCall(call: IncomingCall, error: MarigoldpostError): void {
-    if (call.isHeadSent) {
-      call.logger.log('answer_broken_off', {
-        route: call.route.name,
-        reason: error.message,
-        events: 0,
-        durationMs: Math.round(call.elapsedMs),
-      });
-      call.abortResponse();
-      return;
-    }
-    call.reject(error);
-    const {route, status, logger} = call;
-    const elapsedMs = Math.round(call.elapsedMs);
-    logRejection(logger, {route: route.name, status, error, elapsedMs});
-    // Keeping the connection would require reading the rest of the body.
-    if (isErrorOfKind(error, 'too_large', 'body_timeout')) call.closeOnFinish();
-  }
-
   private rejectUnrouted(
     response: ServerResponse,
     {requestId}: CallAttributes,
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -26,6 +26,18 @@
 /** Why a call was aborted before its response was complete. */
 export type CallEndReason = 'client_gone' | 'timeout';
 
+/** Head of a response whose body follows in parts. */
+export interface ResponseHead {
+  readonly status: number;
+  /** Alternating names and values. */
+  readonly headers: readonly string[];
+  /**
+   * Whether the response ends with a last chunk; if not, only the end of the
+   * connection delimits it.
+   */
+  readonly isDelimited: boolean;
+}
+
 /**
  * What the end of its response tells the client: `complete`, by a length or a
  * last chunk, `closed`, by the normal end of a connection that delimits the
@@ -123,9 +135,9 @@
     return this.response;
   }
 
-  /** What the client was told at the end; `undefined` before it. */
-  get clientEnd(): ClientEnd | undefined {
-    return this.told;
+  /** What the client was told at the end. */
+  get clientEnd(): ClientEnd {
+    return this.told ?? 'none';
   }
 
   /** Time since the request arrived. */
@@ -186,16 +198,9 @@
 
   /**
    * Starts a response of unknown length.
-   * @param status - HTTP status code.
-   * @param headers - Alternating names and values.
-   * @param isDelimited - Whether the response ends with a last chunk; if not,
-   *   only the end of the connection delimits it.
+   * @param head - Status, headers and framing.
    */
-  writeHead(
-    status: number,
-    headers: readonly string[],
-    isDelimited: boolean,
-  ): void {
+  writeHead({status, headers, isDelimited}: ResponseHead): void {
     this.status = status;
     const {response, isClosing} = this.options;
     if (!isDelimited) response.useChunkedEncodingByDefault = false;
@@ -234,12 +239,13 @@
   }
 
   /**
-   * Breaks the connection, so that a partial response does not look complete.
+   * Breaks the connection of a started response, so that it does not look
+   * complete.
    */
   abortResponse(): void {
-    this.told = this.isHeadSent ? 'aborted' : 'none';
+    this.told = 'aborted';
     const {request, response, clock} = this.options;
-    if (!this.isHeadSent || response.chunkedEncoding) {
+    if (response.chunkedEncoding) {
       response.destroy();
       return;
     }
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -1,9 +1,5 @@
 /** Serves calls whose response is a stream of server-sent events. */
-import {
-  MarigoldpostError,
-  type ServiceId,
-  type TargetId,
-} from '@marigoldpost/common';
+import type {ServiceId, TargetId} from '@marigoldpost/common';
 import {getBodyFields} from '../responses/body_end.js';
 import {readResponseBody} from '../responses/response_body.js';
 import {StreamRelay, type StreamResult} from '../responses/stream_relay.js';
@@ -33,7 +29,7 @@
 
 /**
  * Relays a target's event stream to the client. Leaves the client's response
- * open; `finishStream` ends or aborts it according to the result.
+ * open; `finishStream` ends the call according to the result.
  * Returns `undefined` if the target responded with a status other than 200,
  * which has then been forwarded completely. Throws the error to send to the
  * client if there is no response to forward.
@@ -94,38 +90,6 @@
   return {...result, target};
 }
 
-/**
- * Ends a relayed response, or aborts it if the stream is truncated. Throws
- * `target_failed` if the client has not received anything yet.
- * @param call - Call whose stream was relayed.
- * @param result - How the stream ended.
- */
-export function finishStream(call: IncomingCall, result: StreamResult): void {
-  if (result.proof !== 'truncated' && call.isHeadSent) {
-    call.complete();
-    return;
-  }
-  if (!call.isHeadSent && !call.signal.aborted) {
-    throw MarigoldpostError.create('target_failed', result.message);
-  }
-  abortStream(call, result);
-}
-
-/**
- * Aborts a relayed response, so that the client does not take it as complete.
- * @param call - Call whose stream was relayed.
- * @param result - How the stream ended.
- */
-export function abortStream(call: IncomingCall, result: StreamResult): void {
-  call.logger.log('answer_broken_off', {
-    route: call.route.name,
-    reason: call.endReason ?? result.message,
-    events: result.events,
-    durationMs: Math.round(call.elapsedMs),
-  });
-  call.abortResponse();
-}
-
 function getStallMs({route, leftMs}: IncomingCall): number {
   const {gapObjectiveMs} = route;
   if (gapObjectiveMs === undefined) return leftMs;
--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -1,15 +1,16 @@
 /** Serves turns of programs: streaming calls whose history is stored. */
-import {type ProgramId, type ServiceId, toId} from '@marigoldpost/common';
+import {
+  MarigoldpostError,
+  type ProgramId,
+  type ServiceId,
+  toId,
+} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import {buildPrompt, type TurnChain} from '@marigoldpost/turns';
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
-import {
-  abortStream,
-  finishStream,
-  relayStreamCall,
-  type ServedStream,
-} from './stream_call.js';
+import {failCall, finishStream} from './end_call.js';
+import {relayStreamCall, type ServedStream} from './stream_call.js';
 import {TokenReservation} from './token_reservation.js';
 
 /** A turn that is being served. */
@@ -93,9 +94,10 @@
     reservation: TokenReservation,
   ): Promise<void> {
     const tokens = reservation.getTokens(result.events);
-    if (result.proof === 'truncated' || this.call.signal.aborted) {
+    const isClientGone = this.call.endReason === 'client_gone';
+    if (result.proof === 'truncated' || isClientGone) {
       reservation.settle(result.events);
-      finishStream(this.call, {...result, proof: 'truncated'});
+      finishStream(this.call, result);
       return;
     }
     try {
@@ -103,7 +105,8 @@
     } catch (error) {
       reservation.settle(result.events);
       const message = error instanceof Error ? error.message : String(error);
-      abortStream(this.call, {...result, message});
+      const failure = MarigoldpostError.create('target_failed', message);
+      failCall(this.call, failure, result.events);
       return;
     }
     finishStream(this.call, result);
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -1,6 +1,6 @@
 /** Forwards a stream of server-sent events chunk by chunk. */
 import type {Clock, Timer} from '@marigoldpost/common';
-import type {IncomingCall} from '../calls/incoming_call.js';
+import type {IncomingCall, ResponseHead} from '../calls/incoming_call.js';
 import {EventCollector} from '../responses/event_collector.js';
 import {
   type BodyEnd,
@@ -26,6 +26,8 @@
 
 /** How a relayed stream ended. */
 export interface StreamResult extends StreamPosition {
+  /** Head of the client's response, which may not have been sent. */
+  readonly head: ResponseHead;
   readonly end: BodyEnd;
   /** What the end of the stream proves. */
   readonly proof: BodyProof;
@@ -64,17 +66,14 @@
     const {body} = this.options;
     const end = await body.read((chunk) => this.forwardChunk(chunk));
     this.stallTimer?.cancel();
-    const result = this.createResult(end);
-    // A complete stream may have no chunk.
-    if (result.proof === 'complete') this.ensureHeadSent();
-    return result;
+    return this.createResult(end);
   }
 
-  private ensureHeadSent(): void {
-    const {call, body, headers} = this.options;
+  private get head(): ResponseHead {
+    const {body, headers} = this.options;
     const {response, framing} = body;
-    if (call.isHeadSent || call.signal.aborted) return;
-    call.writeHead(response.statusCode ?? 0, headers, framing !== 'close');
+    const isDelimited = framing !== 'close';
+    return {status: response.statusCode ?? 0, headers, isDelimited};
   }
 
   private forwardChunk(chunk: Buffer): void {
@@ -92,7 +91,7 @@
       return;
     }
     this.restartStallTimer();
-    this.ensureHeadSent();
+    if (!call.isHeadSent) call.writeHead(this.head);
     if (call.write(chunk)) return;
     response.pause();
     call.onceDrained(() => response.resume());
@@ -119,6 +118,7 @@
     const message = end.message || 'the event stream was truncated';
     const spanMs = this.lastEventMs - (this.firstEventMs ?? 0);
     return {
+      head: this.head,
       end,
       proof,
       message: proof === 'truncated' ? message : '',
