Answer the calls that are left when the grace period of a stop ends

What callers saw: a reset connection, without any response, for calls that were still in progress when an entry VM reached the end of its grace period.

Cause: the server reset all connections that were left.

Change: the calls that are left are aborted like those whose time is over, so they end with an error that says whether they may have run; the connections are closed 0.2 s later.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -24,7 +24,8 @@
 
 /** Handles all client requests of one daemon. */
 export class CallHandler {
-  private calls = 0;
+  private requests = 0;
+  private readonly calls = new Set<IncomingCall>();
   private isDraining = false;
 
   private constructor(private readonly services: CallServices) {}
@@ -39,7 +40,7 @@
 
   /** Number of calls in flight. */
   get inFlight(): number {
-    return this.calls;
+    return this.requests;
   }
 
   /** Makes each connection close after its current response. */
@@ -47,6 +48,18 @@
     this.isDraining = true;
   }
 
+  /** Aborts all calls; each ends with an error shortly after. */
+  stopCalls(): void {
+    for (const call of this.calls) call.stop();
+  }
+
+  /** Ends the calls that have not ended since `stopCalls`. */
+  failStoppedCalls(): void {
+    const message = 'the entry VM stopped before the call ended';
+    const error = MarigoldpostError.create('target_failed', message);
+    for (const call of this.calls) failCall(call, error);
+  }
+
   /**
    * Handles one request until its response ends; never throws.
    * @param request - Request whose head has been read.
@@ -56,11 +69,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.calls += 1;
+    this.requests += 1;
     try {
       await this.processRequest(request, response);
     } finally {
-      this.calls -= 1;
+      this.requests -= 1;
     }
   }
 
@@ -97,7 +110,9 @@
       // may go to a daemon that can reach one.
       isClosing: () => this.isDraining || !this.services.turns.isReachable,
     });
+    this.calls.add(call);
     await this.serveOrReject(call);
+    this.calls.delete(call);
     this.recordEnd(call);
   }
 
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -24,7 +24,7 @@
 const resetDelayMs = 20;
 
 /** Why a call was aborted before its response was complete. */
-export type CallEndReason = 'client_gone' | 'timeout';
+export type CallEndReason = 'client_gone' | 'timeout' | 'stopping';
 
 /** Head of a response whose body follows in parts. */
 export interface ResponseHead {
@@ -71,7 +71,7 @@
 /** A client's request that is being served. */
 export class IncomingCall {
   readonly requestId: string;
-  /** Aborted when the client disconnects or the deadline expires. */
+  /** Aborted when the client disconnects, the time is over or the daemon stops. */
   readonly signal: AbortSignal;
   private readonly controller = new AbortController();
   private readonly timer: Timer;
@@ -238,6 +238,11 @@
     response.once('finish', () => request.socket.destroySoon());
   }
 
+  /** Aborts the call because this daemon stops. */
+  stop(): void {
+    this.end('stopping');
+  }
+
   /**
    * Breaks the connection of a started response, so that it does not look
    * complete.
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -82,6 +82,16 @@
     this.handler.drain();
   }
 
+  /** Aborts all calls; each ends with an error shortly after. */
+  stopCalls(): void {
+    this.handler.stopCalls();
+  }
+
+  /** Ends the calls that have not ended since `stopCalls`. */
+  failStoppedCalls(): void {
+    this.handler.failStoppedCalls();
+  }
+
   /** Closes connections without a request in flight. */
   closeIdle(): void {
     this.server.closeIdleConnections();
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -31,6 +31,10 @@
 /** Part of the grace period that is reserved for the exit of the process. */
 const exitMarginMs = 800;
 const drainPollMs = 50;
+/** Time for calls to end once they have been aborted; within `exitMarginMs`. */
+const abortTimeoutMs = 150;
+/** Time to send the last errors; within `exitMarginMs`. */
+const lastErrorsMs = 50;
 /** Longest wait for the last write of crash records; within `exitMarginMs`. */
 const flushTimeoutMs = 400;
 /** Share of the VM's memory that the cache of recent turns may use. */
@@ -169,12 +173,14 @@
       this.server.closeIdle();
       await this.clock.sleep(drainPollMs);
     }
+    const cutOff = this.server.inFlight;
+    if (cutOff > 0) await this.abortCalls();
     await Promise.race([
       this.quarantineReplicator.flush(),
       this.clock.sleep(flushTimeoutMs),
     ]);
     const drainMs = Math.round(this.clock.nowMs() - startMs);
-    logger.log('node_stopped', {drainMs, cutOff: this.server.inFlight});
+    logger.log('node_stopped', {drainMs, cutOff});
     this.kill();
   }
 
@@ -189,6 +195,17 @@
     this.stopSharedServices();
   }
 
+  /** Ends the calls that the grace period leaves no time for. */
+  private async abortCalls(): Promise<void> {
+    const deadlineMs = this.clock.nowMs() + abortTimeoutMs;
+    this.server.stopCalls();
+    while (this.server.inFlight > 0 && this.clock.nowMs() < deadlineMs) {
+      await this.clock.sleep(drainPollMs);
+    }
+    this.server.failStoppedCalls();
+    await this.clock.sleep(lastErrorsMs);
+  }
+
   private createSite(): SiteState {
     const {clock, random, logger, settings} = this.options;
     return SiteState.create({
