Do not take a silent second of a target as the end of its stream

What callers saw: streams that broke off in the middle although their target was sound and went on 1.3 s later, beside changes of the configuration as at any other time.

Cause: a stream counted as stalled after 1 s, or three times the route's gap objective, without a chunk. The timer protected from targets that die without closing their connections, but silence alone does not tell these from sound ones.

Change: a silent stream goes on until the time of its call ends, or until its target is known to be lost: it is registered as started again, its link is cut (another entry VM reaches the target) and it has been silent for 1 s, or it accepts no connection and has been silent for 2 s. A silent target is probed by a connection once a second. A relayed stream ends in the same way if the relaying entry VM accepts no connection.

--- a/packages/gateway/src/calls/call_services.ts
+++ b/packages/gateway/src/calls/call_services.ts
@@ -4,6 +4,7 @@
 import type {CallCodec} from '@marigoldpost/sites';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import type {TurnStore} from '@marigoldpost/turns';
+import type {LossDetector} from '../links/loss_detector.js';
 import type {ResponseMemory} from '../responses/response_memory.js';
 import type {SiteState} from '../site/site_state.js';
 import type {TargetAgents} from '../targets/target_agents.js';
@@ -19,6 +20,7 @@
   readonly site: SiteState;
   readonly agents: TargetAgents;
   readonly sender: TargetSender;
+  readonly lossDetector: LossDetector;
   readonly responseMemory: ResponseMemory;
   readonly turns: TurnStore;
   readonly targetLimits: TargetLimits;
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -14,14 +14,6 @@
 } from './target_attempts.js';
 
 const okStatus = 200;
-/** A stream stalls after this many times the route's gap objective. */
-const stallGapMultiplier = 3;
-/**
- * Minimum stall time. An engine that preempts a request recomputes its prompt,
- * which interrupts the stream for well below 1 s.
- */
-const minStallMs = 1000;
-
 /** How a relayed stream ended, and the target that sent it. */
 export interface ServedStream extends StreamResult {
   readonly target: TargetId;
@@ -69,7 +61,7 @@
     headers: getClientHeaders(services, response),
     clock: services.clock,
     allowance,
-    stallMs: getStallMs(call),
+    findLoss: (silentMs) => attempts.findLoss(started.lease, silentMs),
   });
   const {events, isInEvent} = result;
   const fields = getBodyFields(result.end, {events, isInEvent});
@@ -84,18 +76,12 @@
     attempts.recordSilence(started.lease);
   } else {
     attempts.recordBrokenResponse(started.lease, result.message, fields);
-    if (result.isStalled) attempts.recordSilence(started.lease);
+    if (result.isLost) attempts.recordSilence(started.lease);
     else if (!targetBody.isOversized) attempts.recordCrash(started.lease);
   }
   return {...result, target};
 }
 
-function getStallMs({route, leftMs}: IncomingCall): number {
-  const {gapObjectiveMs} = route;
-  if (gapObjectiveMs === undefined) return leftMs;
-  return Math.max(minStallMs, gapObjectiveMs * stallGapMultiplier);
-}
-
 async function forwardErrorResponse(
   call: IncomingCall,
   services: CallServices,
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -185,6 +185,16 @@
     crashTracker.recordSilence(this.trackedRequest, target, this.getRun());
   }
 
+  /**
+   * Finds why the target of a response is lost; `undefined` while it may go on.
+   * @param lease - Lease of the attempt.
+   * @param silentMs - Time since the last bytes of the response.
+   */
+  findLoss({target}: TargetLease, silentMs: number): string | undefined {
+    const {lossDetector} = this.services;
+    return lossDetector.findLoss({target, peer: this.peer, silentMs});
+  }
+
   /**
    * Releases a lease and counts the attempt.
    * @param lease - Lease of the attempt.
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -1,5 +1,5 @@
 /** Forwards a stream of server-sent events chunk by chunk. */
-import type {Clock, Timer} from '@marigoldpost/common';
+import type {Clock} from '@marigoldpost/common';
 import type {IncomingCall, ResponseHead} from '../calls/incoming_call.js';
 import {EventCollector} from '../responses/event_collector.js';
 import {
@@ -9,6 +9,7 @@
   type StreamPosition,
 } from './body_end.js';
 import type {ResponseAllowance} from './response_memory.js';
+import {SilenceWatch} from './silence_watch.js';
 import type {TargetBody} from './target_body.js';
 
 /** Source and destination of one relayed stream. */
@@ -20,8 +21,8 @@
   readonly clock: Clock;
   /** Memory for what is kept of the stream. */
   readonly allowance: ResponseAllowance;
-  /** Time without a chunk after which the stream counts as stalled. */
-  readonly stallMs: number;
+  /** Finds why a silent target is lost; `undefined` while it may go on. */
+  readonly findLoss: (silentMs: number) => string | undefined;
 }
 
 /** How a relayed stream ended. */
@@ -33,8 +34,8 @@
   readonly proof: BodyProof;
   /** Error that truncated the stream; empty unless it is truncated. */
   readonly message: string;
-  /** Whether the relay aborted it because no chunk arrived for `stallMs`. */
-  readonly isStalled: boolean;
+  /** Whether the relay aborted it because its target is lost. */
+  readonly isLost: boolean;
   /** Mean time between two events; `undefined` for fewer than three events. */
   readonly gapMs: number | undefined;
   /** Data of all complete events, each followed by a line feed. */
@@ -48,10 +49,12 @@
   private readonly collector = EventCollector.create();
   private firstEventMs: number | undefined;
   private lastEventMs = 0;
-  private isStalled = false;
-  private stallTimer: Timer | undefined;
+  private readonly watch: SilenceWatch;
 
-  private constructor(private readonly options: StreamRelayOptions) {}
+  private constructor(private readonly options: StreamRelayOptions) {
+    const {clock, body, findLoss} = options;
+    this.watch = SilenceWatch.start({clock, body, findLoss});
+  }
 
   /**
    * Relays a stream until the target's response closes. Does not end the
@@ -65,7 +68,7 @@
   private async run(): Promise<StreamResult> {
     const {body} = this.options;
     const end = await body.read((chunk) => this.forwardChunk(chunk));
-    this.stallTimer?.cancel();
+    this.watch.stop();
     return this.createResult(end);
   }
 
@@ -80,6 +83,7 @@
     const {call, body, clock, allowance} = this.options;
     const {response} = body;
     const eventsBefore = this.collector.eventCount;
+    this.watch.recordChunk();
     this.collector.add(chunk);
     if (this.collector.eventCount > eventsBefore) {
       this.lastEventMs = clock.nowMs();
@@ -90,27 +94,12 @@
       body.abortOversized(allowance.maxBytes);
       return;
     }
-    this.restartStallTimer();
     if (!call.isHeadSent) call.writeHead(this.head);
     if (call.write(chunk)) return;
     response.pause();
     call.onceDrained(() => response.resume());
   }
 
-  private restartStallTimer(): void {
-    const {body, clock, stallMs} = this.options;
-    this.stallTimer?.cancel();
-    this.stallTimer = clock.setTimer(stallMs, () => {
-      // Paused by backpressure from a slow client: the target is not at fault.
-      if (body.response.isPaused()) {
-        this.restartStallTimer();
-        return;
-      }
-      this.isStalled = true;
-      body.abort(`event stream stalled: no data for ${stallMs} ms`);
-    });
-  }
-
   private createResult(end: BodyEnd): StreamResult {
     const events = this.collector.eventCount;
     const isInEvent = !this.collector.isAtEventBoundary;
@@ -122,7 +111,7 @@
       end,
       proof,
       message: proof === 'truncated' ? message : '',
-      isStalled: this.isStalled,
+      isLost: this.watch.isLost,
       events,
       isInEvent,
       gapMs: events < minEventsForGap ? undefined : spanMs / (events - 1),
--- a/packages/nodes/src/entry/entry_fleet.ts
+++ b/packages/nodes/src/entry/entry_fleet.ts
@@ -15,6 +15,7 @@
 import {
   LinkMonitor,
   LinkProber,
+  LossDetector,
   RelayPeers,
   RelayServer,
   TargetAgents,
@@ -57,6 +58,7 @@
   readonly limiter: RateLimiter;
   readonly links: LinkMonitor;
   readonly sender: TargetSender;
+  readonly lossDetector: LossDetector;
   readonly directory: EntryDirectory;
   private readonly permits: PermitExchange;
   private readonly prober: LinkProber;
@@ -78,6 +80,12 @@
     this.permits = this.createPermitExchange();
     this.limiter = RateLimiter.create({clock, limits, source: this.permits});
     this.sender = this.createSender();
+    this.lossDetector = LossDetector.create({
+      clock,
+      links,
+      prober: this.prober,
+      isPeerRunning: (daemon) => this.sender.isPeerRunning(daemon),
+    });
     this.relay = this.createRelay();
   }
 
@@ -124,6 +132,7 @@
     this.limiter.retain(targets);
     this.links.retain(targets);
     this.prober.setTargets(targets);
+    this.lossDetector.setTargets(targets);
   }
 
   private answer(
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -103,6 +103,7 @@
       codec: platform.codec,
       site,
       sender: fleet.sender,
+      lossDetector: fleet.lossDetector,
       agents: fleet.agents,
       responseMemory: ResponseMemory.create(
         settings.memoryMb * responseShare * bytesPerMb,
