Do not bound responses by the limit of request bodies

What callers saw: 502 for sound responses that were larger than MaxBodyBytes of the configuration, as soon as an operator lowered it.

Cause: the memory for a response was bounded by what a client may send.

Change: one response may use an eighth of the memory for all responses of a process.

--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -3,7 +3,6 @@
 import type {ServiceId} from '@marigoldpost/common';
 import {isRepeatable} from '@marigoldpost/sites';
 import {getBodyFields} from '../responses/body_end.js';
-import type {ResponseAllowance} from '../responses/response_memory.js';
 import {
   type ReceivedBody,
   readResponseBody,
@@ -39,7 +38,7 @@
     const startMs = services.clock.nowMs();
     const started = await attempts.nextResponse();
     const {response} = started.answer;
-    const allowance = createAllowance(call, services);
+    const allowance = services.responseMemory.createAllowance();
     const received = await readResponseBody(started.answer.body, allowance);
     const fields = getBodyFields(received.end);
     const problem = findResponseProblem(started, received);
@@ -79,18 +78,6 @@
   }
 }
 
-/**
- * Creates the allowance of a response: a body may be as large as a caller's.
- * @param call - Call that the response is for.
- * @param services - Components that all calls share.
- */
-export function createAllowance(
-  {config}: IncomingCall,
-  {responseMemory}: CallServices,
-): ResponseAllowance {
-  return responseMemory.createAllowance(config.limits.maxBodyBytes);
-}
-
 /**
  * Gets the headers to send to the client with a target's response.
  * @param services - Components that all calls share.
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -6,7 +6,7 @@
 import {isNotRunStatus} from '../responses/not_run_statuses.js';
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
-import {createAllowance, getClientHeaders} from './plain_call.js';
+import {getClientHeaders} from './plain_call.js';
 import {
   type CallBody,
   type LeasedResponse,
@@ -53,7 +53,7 @@
     throw attempts.createFailure('the response has no signature');
   }
   const {response, body: targetBody} = started.answer;
-  const allowance = createAllowance(call, services);
+  const allowance = services.responseMemory.createAllowance();
   call.onceClosed(() => allowance.release());
   const result = await StreamRelay.run({
     call,
@@ -90,7 +90,7 @@
 ): Promise<void> {
   const {response} = answer;
   const status = response.statusCode ?? 0;
-  const allowance = createAllowance(call, services);
+  const allowance = services.responseMemory.createAllowance();
   call.onceClosed(() => allowance.release());
   const {bytes, end} = await readResponseBody(answer.body, allowance);
   const fields = getBodyFields(end);
--- a/packages/gateway/src/responses/response_memory.ts
+++ b/packages/gateway/src/responses/response_memory.ts
@@ -3,6 +3,12 @@
  * targets send bytes without end, in many responses at a time.
  */
 
+/**
+ * Share of the memory that one response may use. The limit of request bodies
+ * does not bound responses: a change of it must not truncate them.
+ */
+const maxResponseShare = 1 / 8;
+
 /** Memory of all responses of a process. */
 export class ResponseMemory {
   private held = 0;
@@ -22,11 +28,9 @@
     return this.held;
   }
 
-  /**
-   * Creates the allowance of one response.
-   * @param maxBytes - Most bytes of this response.
-   */
-  createAllowance(maxBytes: number): ResponseAllowance {
+  /** Creates the allowance of one response. */
+  createAllowance(): ResponseAllowance {
+    const maxBytes = this.maxBytes * maxResponseShare;
     return new ResponseAllowance(maxBytes, (change) => this.change(change));
   }
 
