Tell a timeout from a failure whichever timer runs out first

What callers saw: 502 in place of 504, now and then, for a call that may not be repeated and whose target does not answer.

Cause: two timers end at about the same moment, that of the attempt and that of the call; only the second one counted as a timeout.

Change: an attempt that waited for the whole time of its call has timed out.

--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -80,6 +80,8 @@
   private rejections = 0;
   private sentAtMs = 0;
   private mayHaveRun = false;
+  /** Whether the last attempt waited until the time of the call ended. */
+  private hasTimedOut = false;
   /** Entry VM that relayed the last attempt; `undefined` if none did. */
   private peer: DaemonId | undefined;
   private readonly trackedRequest: TrackedRequest;
@@ -242,7 +244,7 @@
 
   /** Creates the error for the client when no further attempt is allowed. */
   createFailure(message: string): MarigoldpostError {
-    const isLate = this.call.endReason === 'timeout';
+    const isLate = this.hasTimedOut || this.call.endReason === 'timeout';
     if (this.mayHaveRun) {
       const kind = isLate ? 'target_timeout' : 'target_failed';
       return MarigoldpostError.create(kind, message);
@@ -393,14 +395,19 @@
   }
 
   private getHeadTimeoutMs(leftMs: number): number {
-    const isLast = this.attempts + 1 >= this.call.route.attempts;
-    if (!isRepeatable(this.call.route) || isLast) return leftMs;
+    if (this.isLastAttempt) return leftMs;
     return Math.min(
       leftMs,
       Math.max(minAttemptTimeoutMs, leftMs * attemptTimeShare),
     );
   }
 
+  /** Whether no attempt may follow one that may have run. */
+  private get isLastAttempt(): boolean {
+    const {route} = this.call;
+    return !isRepeatable(route) || this.attempts + 1 >= route.attempts;
+  }
+
   private handleFailure(
     lease: TargetLease,
     outcome: Exclude<ExchangeOutcome, StartedResponse>,
@@ -414,6 +421,8 @@
       throw this.createFailure(`${this.rejections} targets rejected the call`);
     }
     const {reason, isSent, message, failedPeer, isMalformed} = outcome;
+    // The timer of the attempt may run out just before that of the call.
+    this.hasTimedOut = reason === 'silent' && this.isLastAttempt;
     const isPeerFault = failedPeer !== undefined;
     const result = isPeerFault ? 'cancelled' : targetResults[reason];
     this.release(lease, {result});
