Mend what the review of the ends of calls found

- A stream whose last bytes waited for a slow client lost its abort listener: when its time was over, the rest was dropped and the end was told as complete; when the client left, its lease was never released.
StreamRelay now aborts the body itself.
- Calls that arrived after the grace period's abort ended without a byte: now 503.
- A silent stream was taken for lost after a single failed probe, and at once when its target was listed with a later start, which the request may have reached already.
- A call that had ended could be ended once more, which reset its connection and logged it as broken off.
- A repeatable call whose attempt was given all the time that is left got 502, not 504.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -27,6 +27,7 @@
   private requests = 0;
   private readonly calls = new Set<IncomingCall>();
   private isDraining = false;
+  private isStopping = false;
 
   private constructor(private readonly services: CallServices) {}
 
@@ -48,8 +49,9 @@
     this.isDraining = true;
   }
 
-  /** Aborts all calls; each ends with an error shortly after. */
+  /** Aborts all calls and rejects new ones. Each ends shortly after. */
   stopCalls(): void {
+    this.isStopping = true;
     for (const call of this.calls) call.stop();
   }
 
@@ -85,7 +87,9 @@
     const arrivedAtMs = clock.nowMs();
     const attributes = codec.decodeCall(request.headers);
     const config = site.currentConfig;
-    const requestError = findRequestError(request, attributes, config);
+    const requestError = this.isStopping
+      ? MarigoldpostError.create('draining', 'the entry VM is stopping')
+      : findRequestError(request, attributes, config);
     const route = site.getRoute(request.headers.host ?? '', request.url ?? '');
     if (
       requestError !== undefined ||
--- a/packages/gateway/src/calls/end_call.ts
+++ b/packages/gateway/src/calls/end_call.ts
@@ -19,7 +19,7 @@
     failCall(call, createTruncationError(call, result), result.events);
     return;
   }
-  if (call.endReason === 'client_gone') return;
+  if (call.endReason === 'client_gone' || call.hasEnded) return;
   // A complete stream may have no chunk.
   if (!call.isHeadSent) call.writeHead(result.head);
   call.complete();
@@ -27,7 +27,8 @@
 
 /**
  * Ends a call with an error response, or breaks its response off if that has
- * begun. Does nothing if the client is gone.
+ * begun. Does nothing if the client is gone
+ * or the call has ended.
  * @param call - Call that has not ended.
  * @param error - Error that ended it.
  * @param events - Complete events that were sent to the client.
@@ -37,7 +38,7 @@
   error: MarigoldpostError,
   events = 0,
 ): void {
-  if (call.endReason === 'client_gone') return;
+  if (call.endReason === 'client_gone' || call.hasEnded) return;
   const {logger} = call;
   const route = call.route.name;
   const elapsedMs = Math.round(call.elapsedMs);
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -153,6 +153,11 @@
     return limitMs - this.elapsedMs;
   }
 
+  /** Whether the client has been told how the response ends. */
+  get hasEnded(): boolean {
+    return this.told !== undefined;
+  }
+
   /** Whether the head of the response has been sent. */
   get isHeadSent(): boolean {
     return this.options.response.headersSent;
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -80,6 +80,8 @@
   private rejections = 0;
   private sentAtMs = 0;
   private mayHaveRun = false;
+  /** Whether the current attempt may take the whole time of the call. */
+  private mayTakeAllTime = false;
   /** Whether the last attempt waited until the time of the call ended. */
   private hasTimedOut = false;
   /** Entry VM that relayed the last attempt; `undefined` if none did. */
@@ -395,11 +397,10 @@
   }
 
   private getHeadTimeoutMs(leftMs: number): number {
-    if (this.isLastAttempt) return leftMs;
-    return Math.min(
-      leftMs,
-      Math.max(minAttemptTimeoutMs, leftMs * attemptTimeShare),
-    );
+    const shareMs = Math.max(minAttemptTimeoutMs, leftMs * attemptTimeShare);
+    const timeoutMs = this.isLastAttempt ? leftMs : Math.min(leftMs, shareMs);
+    this.mayTakeAllTime = timeoutMs === leftMs;
+    return timeoutMs;
   }
 
   /** Whether no attempt may follow one that may have run. */
@@ -422,7 +423,7 @@
     }
     const {reason, isSent, message, failedPeer, isMalformed} = outcome;
     // The timer of the attempt may run out just before that of the call.
-    this.hasTimedOut = reason === 'silent' && this.isLastAttempt;
+    this.hasTimedOut = reason === 'silent' && this.mayTakeAllTime;
     const isPeerFault = failedPeer !== undefined;
     const result = isPeerFault ? 'cancelled' : targetResults[reason];
     this.release(lease, {result});
--- a/packages/gateway/src/links/link_monitor.ts
+++ b/packages/gateway/src/links/link_monitor.ts
@@ -33,6 +33,8 @@
   readonly target: TargetEntry;
   readonly state: LinkState;
   readonly sinceMs: number;
+  /** Since when the link has not worked, in any state. */
+  readonly downSinceMs: number;
 }
 
 /** What this daemon believes of its links to targets. */
@@ -79,6 +81,15 @@
     return this.links.get(toKey(target))?.state ?? 'works';
   }
 
+  /**
+   * Gets the time since a link worked last; 0 if it works.
+   * @param target - Target at its other end.
+   */
+  getDownMs(target: TargetEntry): number {
+    const sinceMs = this.links.get(toKey(target))?.downSinceMs;
+    return sinceMs === undefined ? 0 : this.options.clock.nowMs() - sinceMs;
+  }
+
   /**
    * Whether a request to a target should go through another entry VM.
    * @param target - Target of the request.
@@ -201,7 +212,10 @@
     if (previous === state) return;
     const nowMs = clock.nowMs();
     if (state === 'works') this.links.delete(key);
-    else this.links.set(key, {target, state, sinceMs: nowMs});
+    else {
+      const downSinceMs = known?.downSinceMs ?? nowMs;
+      this.links.set(key, {target, state, sinceMs: nowMs, downSinceMs});
+    }
     logger.log('target_link_changed', {
       target: target.id,
       state,
--- a/packages/gateway/src/links/loss_detector.ts
+++ b/packages/gateway/src/links/loss_detector.ts
@@ -19,6 +19,8 @@
  * connection is lost. A sound one that is suspended goes on earlier.
  */
 const maxUnreachableSilenceMs = 2000;
+/** Time without a link that covers two probes; one may fail by chance. */
+const minDownMs = 1000;
 /** Pause between two checks of a relaying entry VM. */
 const peerCheckIntervalMs = 1000;
 
@@ -77,8 +79,10 @@
    */
   findLoss(response: SilentResponse): string | undefined {
     const {target, peer, silentMs} = response;
-    const startedAtMs = this.startTimes.get(target.id);
-    if (startedAtMs !== undefined && startedAtMs > target.startedAtMs) {
+    const startedAtMs = this.startTimes.get(target.id) ?? 0;
+    // The request may have reached the new process before it was listed.
+    const isRestarted = startedAtMs > target.startedAtMs;
+    if (isRestarted && silentMs >= maxUnreachableSilenceMs) {
       return 'the target has started again';
     }
     return peer === undefined
@@ -95,7 +99,8 @@
     if (state === 'cut' && silentMs >= maxCutLinkSilenceMs) {
       return 'the link to the target is cut';
     }
-    if (state !== 'works' && silentMs >= maxUnreachableSilenceMs) {
+    const isUnreachable = links.getDownMs(target) >= minDownMs;
+    if (isUnreachable && silentMs >= maxUnreachableSilenceMs) {
       return 'the target accepts no connection';
     }
     if (silentMs >= probeSilenceMs) void prober.check(target);
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -66,8 +66,14 @@
   }
 
   private async run(): Promise<StreamResult> {
-    const {body} = this.options;
+    const {body, call} = this.options;
+    // A paused response is not aborted with its exchange once all its bytes
+    // have arrived.
+    const onAbort = () => body.abort('the call was aborted');
+    call.signal.addEventListener('abort', onAbort, {once: true});
+    if (call.signal.aborted) onAbort();
     const end = await body.read((chunk) => this.forwardChunk(chunk));
+    call.signal.removeEventListener('abort', onAbort);
     this.watch.stop();
     return this.createResult(end);
   }
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -82,7 +82,7 @@
     this.handler.drain();
   }
 
-  /** Aborts all calls; each ends with an error shortly after. */
+  /** Aborts all calls and rejects new ones. Each ends shortly after. */
   stopCalls(): void {
     this.handler.stopCalls();
   }
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -175,7 +175,7 @@
       await this.clock.sleep(drainPollMs);
     }
     const cutOff = this.server.inFlight;
-    if (cutOff > 0) await this.abortCalls();
+    await this.abortCalls();
     await Promise.race([
       this.quarantineReplicator.flush(),
       this.clock.sleep(flushTimeoutMs),
@@ -203,6 +203,7 @@
     while (this.server.inFlight > 0 && this.clock.nowMs() < deadlineMs) {
       await this.clock.sleep(drainPollMs);
     }
+    if (this.server.inFlight === 0) return;
     this.server.failStoppedCalls();
     await this.clock.sleep(lastErrorsMs);
   }
