Keep headers that a later build adds to the relay from targets

An entry VM omitted only the relay headers that its own build knows. One that relays for a later build passed the others on to the target. All headers with the prefix are omitted now.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export * from './calls/target_sender.js';
 export * from './links/link_monitor.js';
 export * from './links/link_prober.js';
+export * from './relay/relay_codec.js';
 export * from './relay/relay_peers.js';
 export * from './relay/relay_server.js';
 export * from './server/gateway_server.js';
--- a/packages/gateway/src/relay/relay_codec.ts
+++ b/packages/gateway/src/relay/relay_codec.ts
@@ -13,7 +13,8 @@
   sent: 'marigoldpost-relay-sent',
   fault: 'marigoldpost-relay-fault',
 } as const;
-const allNames: ReadonlySet<string> = new Set(Object.values(names));
+/** Prefix of all headers of the relay, also of those that a later build adds. */
+const namePrefix = 'marigoldpost-relay-';
 
 const framings: readonly string[] = ['none', 'length', 'chunked', 'close'];
 const reasons: readonly string[] = [
@@ -89,7 +90,7 @@
   const kept: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] ?? '';
-    if (allNames.has(name.toLowerCase())) continue;
+    if (name.toLowerCase().startsWith(namePrefix)) continue;
     kept.push(name, rawHeaders[index + 1] ?? '');
   }
   return kept;
