Read the crash records that can be read beside others that cannot

One entry of another format made a build ignore all entries of its object, and an object that is no JSON stopped the reading of all objects. Entries are parsed one by one now.

--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -6,6 +6,7 @@
   type Clock,
   type DaemonId,
   type Fingerprint,
+  parseJson,
   type TargetId,
   type Timer,
   toId,
@@ -37,23 +38,21 @@
 /** Limit of the entries in one object, far below the size limit of objects. */
 const maxWrittenEntries = 2000;
 
-const entriesSchema = z.array(
-  z.object({
-    fingerprint: z.string(),
-    version: z.number(),
-    quarantinedDeaths: z.number().default(0),
-    deaths: z.array(
-      z.object({
-        target: z.string(),
-        startedAtMs: z.number().default(0),
-        // Daemons of earlier versions do not number deaths.
-        ordinal: z.number().default(1),
-        atMs: z.number(),
-        isCleared: z.boolean().default(false),
-      }),
-    ),
-  }),
-);
+const entrySchema = z.object({
+  fingerprint: z.string(),
+  version: z.number(),
+  quarantinedDeaths: z.number().default(0),
+  deaths: z.array(
+    z.object({
+      target: z.string(),
+      startedAtMs: z.number().default(0),
+      // Daemons of earlier versions do not number deaths.
+      ordinal: z.number().default(1),
+      atMs: z.number(),
+      isCleared: z.boolean().default(false),
+    }),
+  ),
+});
 
 /** Store and quarantine that a replicator connects. */
 export interface QuarantineReplicatorOptions {
@@ -179,15 +178,27 @@
   return isQuarantined ? maxQuarantineAgeMs : maxSuspicionAgeMs;
 }
 
+/** Parses the entries of an object; passes over those of other formats. */
 function parseEntries(value: string): QuarantineEntry[] {
-  const parsed = entriesSchema.safeParse(JSON.parse(value));
+  const parsed = z.array(z.unknown()).safeParse(parseJson(value));
   if (!parsed.success) return [];
-  return parsed.data.map(({fingerprint, deaths, ...entry}) => ({
+  return parsed.data.flatMap((item) => {
+    const entry = entrySchema.safeParse(item);
+    return entry.success ? [toQuarantineEntry(entry.data)] : [];
+  });
+}
+
+function toQuarantineEntry({
+  fingerprint,
+  deaths,
+  ...entry
+}: z.infer<typeof entrySchema>): QuarantineEntry {
+  return {
     ...entry,
     fingerprint: toId<Fingerprint>(fingerprint),
     deaths: deaths.map(({target, ...death}) => ({
       ...death,
       target: toId<TargetId>(target),
     })),
-  }));
+  };
 }
--- a/packages/nodes/tests/entry/quarantine_replicator.feature
+++ b/packages/nodes/tests/entry/quarantine_replicator.feature
@@ -19,3 +19,13 @@
     When an entry VM reads crash records of 100 suspect requests and then of a quarantined one
     Then it logs at most 8 merged records, with 93 omitted
     And the first of them is of the quarantined request
+
+  Scenario Outline: Crash records that this build cannot read do not hide the others (<unreadable>)
+    When an entry VM reads <unreadable> beside the crash records of a quarantined request
+    Then it holds the request as quarantined
+
+    Examples:
+      | unreadable                  |
+      | an entry of another format  |
+      | an object of another format |
+      | an object that is no JSON   |
--- a/packages/nodes/tests/entry/quarantine_replicator_steps.ts
+++ b/packages/nodes/tests/entry/quarantine_replicator_steps.ts
@@ -67,6 +67,24 @@
   },
 );
 
+When(
+  /^an entry VM reads (an entry of another format|an object of another format|an object that is no JSON) beside the crash records of a quarantined request$/,
+  function (this: ReplicatorWorld, unreadable: string) {
+    const clock = VirtualClock.create();
+    this.quarantine = Quarantine.create({clock, deathsToQuarantine: 3});
+    const own = createEntry(request, 3);
+    const later = {fingerprint: 'later', crashes: 3};
+    const isEntry = unreadable.startsWith('an entry');
+    const isJson = unreadable !== 'an object that is no JSON';
+    const value = JSON.stringify(isEntry ? [later, own] : [own]);
+    const other = isJson ? JSON.stringify({entries: [later]}) : '{';
+    createReplicator(clock, this.quarantine).replaceObjects([
+      {key: 'crashes/a', value: isEntry ? '[]' : other, version: 1},
+      {key: 'crashes/b', value, version: 1},
+    ]);
+  },
+);
+
 Then(
   'it logs at most {int} merged records, with {int} omitted',
   function (this: ReplicatorWorld, maxCount: number, omitted: number) {
