Send crash records again to archives that have restarted

Archives keep crash records in memory. An entry VM that finds a restarted archive now sends it all entries that it holds, also those of entry VMs that no longer run.

--- a/packages/nodes/src/entry/quarantine_exchange.ts
+++ b/packages/nodes/src/entry/quarantine_exchange.ts
@@ -30,6 +30,8 @@
 const initialPollMs = 50;
 /** One crash fails many requests at a time; they are sent as one batch. */
 const batchDelayMs = 30;
+/** Lower than the number of any change, also of entries of other entry VMs. */
+const allEntries = -1;
 
 /** Archives, quarantine and clock of an exchange. */
 export interface QuarantineExchangeOptions {
@@ -44,7 +46,10 @@
 
 /** Progress of the exchange with one archive. */
 interface ExchangeState {
-  /** Last change of this entry VM that the archive has. */
+  /**
+   * Last change of this entry VM that the archive has; `allEntries` if it needs
+   * the entries of other entry VMs as well.
+   */
   sentChange: number;
   /** Process of the archive, and its revision that this entry VM has. */
   process: string;
@@ -165,9 +170,10 @@
     });
     const reply = await client.exchangeQuarantines(request);
     if (reply === undefined) return false;
-    state.sentChange = lastChange;
-    // A restarted archive has lost the limits that it received before.
+    // A restarted archive has lost the limits and entries that it received
+    // before, also those of entry VMs that no longer run.
     const isRestarted = state.process !== '' && state.process !== reply.process;
+    state.sentChange = isRestarted ? allEntries : lastChange;
     state.sentLimitRevision = isRestarted ? 0 : ownRevision;
     state.process = reply.process;
     state.revision = reply.revision;
