End calls in flight with an error when the drain time ends

What callers saw: a request that a daemon of marigoldpost serve had read, and whose call had not ended by the end of the drain time, got a closed connection without a byte; a stream was broken off without an error event. A stop waited for the whole drain time while one caller kept its connection alive after its response.

Cause: CallerServer.stop destroyed all connections at the end of the drain time. It then waited for the handlers, for ever if one did not observe its cancellation. Connections that became idle during the stop were not closed.

Now each exchange is cut off at the end of the drain time: its work is cancelled and the caller receives 503 draining with outcome unknown, or an error event in its stream. One second later, connections that are still open are destroyed, which breaks off a stream that no event could end; chunked coding shows that it is incomplete. The last response of each connection closes it. Pipelined requests keep theirs, so none loses its response.

--- a/packages/entry/src/chat/chat_route.ts
+++ b/packages/entry/src/chat/chat_route.ts
@@ -125,7 +125,9 @@
       }
       throw createTruncatedError();
     } catch (error) {
-      stream?.fail(error);
+      // A cut-off call may also fail with the error of its cancelled relay.
+      const {signal} = exchange;
+      stream?.fail(signal.aborted ? signal.reason : error);
       throw error;
     }
   }
--- a/packages/entry/src/http/exchange.ts
+++ b/packages/entry/src/http/exchange.ts
@@ -1,6 +1,8 @@
 /** One HTTP request and its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {
+  Deferred,
   errorDefinitions,
   MarigoldpostError,
   toMarigoldpostError,
@@ -22,20 +24,24 @@
 /** Reads a request and writes its response. */
 export class Exchange {
   readonly url: URL;
-  /** Aborted when the caller disconnects before the response is complete. */
+  /**
+   * Aborted when the caller disconnects before the response is complete, or
+   * when the exchange is cut off; the reason tells which.
+   */
   readonly signal: AbortSignal;
   logger: EventLogger;
+  private readonly controller = new AbortController();
+  private readonly cutOffError = Deferred.create<MarigoldpostError>();
 
   private constructor(private readonly options: ExchangeOptions) {
     const {request, response, requestId, logger} = options;
     this.url = parseUrl(request.url ?? '/');
     this.logger = logger;
-    const controller = new AbortController();
-    this.signal = controller.signal;
+    this.signal = this.controller.signal;
     response.setHeader('Marigoldpost-Request', requestId);
     response.once('close', () => {
       if (response.writableFinished) return;
-      controller.abort(
+      this.controller.abort(
         MarigoldpostError.create('cancelled', 'caller disconnected'),
       );
     });
@@ -54,6 +60,11 @@
     return this.options.request.method ?? 'GET';
   }
 
+  /** Connection of the request; a pipelined response has none yet. */
+  get connection(): Socket {
+    return this.options.request.socket;
+  }
+
   /** The response, for streams and for additional headers. */
   get response(): ServerResponse {
     return this.options.response;
@@ -73,6 +84,26 @@
     return this.options.request.headers;
   }
 
+  /** Closes the connection after the response, unless that has started. */
+  closeAfterResponse(): void {
+    if (this.response.headersSent) return;
+    this.response.setHeader('Connection', 'close');
+  }
+
+  /**
+   * Cancels the work for the request and makes `waitForCutOff` throw.
+   * @param error - Error that the caller is to receive.
+   */
+  cutOff(error: MarigoldpostError): void {
+    this.controller.abort(error);
+    this.cutOffError.resolve(error);
+  }
+
+  /** Waits until the exchange is cut off, then throws the error of `cutOff`. */
+  async waitForCutOff(): Promise<never> {
+    throw await this.cutOffError.promise;
+  }
+
   /** Reads the body; throws `too_large`, or `invalid_request` if not UTF-8. */
   readText(): Promise<string> {
     return readBody(this.options.request, this.options.maxBodyBytes);
--- a/packages/entry/src/server/call_recorder.ts
+++ b/packages/entry/src/server/call_recorder.ts
@@ -1,5 +1,5 @@
 /** Records the log events and metrics of one call. */
-import {toMarigoldpostError} from '@marigoldpost/common';
+import {isErrorOfKind, toMarigoldpostError} from '@marigoldpost/common';
 import type {
   Call,
   CallAccepted,
@@ -108,8 +108,9 @@
       service,
       result: kind,
     });
-    if (signal.aborted) logger.log('caller_gone', {team, service});
-    else if (this.isAccepted) {
+    if (isErrorOfKind(signal.reason, 'cancelled')) {
+      logger.log('caller_gone', {team, service});
+    } else if (this.isAccepted) {
       logger.log('call_failed', {team, service, kind, outcome});
     }
   }
--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -39,6 +39,8 @@
   keepAliveTimeout: 65_000,
 };
 const requestIdLength = 16;
+/** Time for callers to receive the errors of calls that are cut off. */
+const cutOffMs = 1000;
 
 /** Dependencies of the server. */
 export interface CallerServerOptions {
@@ -57,7 +59,7 @@
   /** All routes, the extra ones included. */
   readonly routes: readonly Route[];
   private readonly router: Router;
-  private readonly exchanges = new Set<Promise<void>>();
+  private readonly exchanges = new Map<Exchange, Promise<void>>();
   private server: Server | undefined;
   private reloader: TlsReloader | undefined;
   private requestsInFlight = 0;
@@ -110,10 +112,11 @@
   }
 
   /**
-   * Stops listening and waits for the requests in flight. Destroys connections
-   * that are still open after the configured drain time.
+   * Stops listening and waits for the requests in flight. Those that are still
+   * in flight after the drain time end with an error.
+   * @param drainMs - Longest wait; by default the configured drain time.
    */
-  async stop(): Promise<void> {
+  async stop(drainMs = this.options.settings.drainMs): Promise<void> {
     this.isStopping = true;
     this.reloader?.stop();
     const {server} = this;
@@ -121,14 +124,17 @@
     const closed = new Promise<void>((resolve) =>
       server.close(() => resolve()),
     );
+    this.closeAfterResponses();
     server.closeIdleConnections();
-    const {clock, settings} = this.options;
-    const timer = clock.setTimer(settings.drainMs, () =>
-      server.closeAllConnections(),
-    );
+    const {clock} = this.options;
+    const timers = [
+      clock.setTimer(drainMs, () => this.cutOffExchanges()),
+      // Breaks off the streams that could not end with an error event.
+      clock.setTimer(drainMs + cutOffMs, () => server.closeAllConnections()),
+    ];
     await closed;
-    timer.cancel();
-    await Promise.allSettled(this.exchanges);
+    for (const timer of timers) timer.cancel();
+    await Promise.allSettled(this.exchanges.values());
   }
 
   /** Destroys all connections at once, like the end of the process. */
@@ -144,6 +150,20 @@
     await closed;
   }
 
+  private cutOffExchanges(): void {
+    const message = 'the daemon stopped before the request was complete';
+    const options = {outcome: 'unknown'} as const;
+    const error = MarigoldpostError.create('draining', message, options);
+    for (const exchange of this.exchanges.keys()) exchange.cutOff(error);
+  }
+
+  /** Closes each connection after the last response that is due on it. */
+  private closeAfterResponses(): void {
+    const exchanges = [...this.exchanges.keys()];
+    const last = new Map(exchanges.map((it) => [it.connection, it]));
+    for (const exchange of last.values()) exchange.closeAfterResponse();
+  }
+
   private async createServer(tls: TlsFiles | undefined): Promise<Server> {
     const listener = (request: IncomingMessage, response: ServerResponse) =>
       this.handleRequest(request, response);
@@ -181,17 +201,21 @@
       maxBodyBytes: settings.maxBodyBytes,
     });
     this.changeInFlight(1);
+    response.once('finish', () => this.closeIdleConnections());
     const served = this.serve(exchange);
-    this.exchanges.add(served);
+    this.exchanges.set(exchange, served);
     void served.finally(() => {
-      this.exchanges.delete(served);
+      this.exchanges.delete(exchange);
       this.changeInFlight(-1);
     });
   }
 
   private async serve(exchange: Exchange): Promise<void> {
     try {
-      await this.router.handle(exchange);
+      await Promise.race([
+        this.router.handle(exchange),
+        exchange.waitForCutOff(),
+      ]);
     } catch (error) {
       const {kind} = toMarigoldpostError(error);
       this.options.metrics.addToCounter('refusals_total', {kind});
@@ -199,6 +223,15 @@
     }
   }
 
+  /**
+   * Closes connections that callers keep alive after a response whose head was
+   * sent before the stop. A connection is idle only after the `finish` event.
+   */
+  private closeIdleConnections(): void {
+    if (!this.isStopping) return;
+    setImmediate(() => this.server?.closeIdleConnections());
+  }
+
   private changeInFlight(change: number): void {
     this.requestsInFlight += change;
     const {metrics} = this.options;
