Add failing tests of long calls while a daemon drains

A call of 200 tokens, 40 ms each, has run for more than two leases (6 s in the fleet of the tests, 20 s by default) when the holder of its partition drains.

--- a/packages/daemon/tests/calls/drained_calls_steps.ts
+++ b/packages/daemon/tests/calls/drained_calls_steps.ts
@@ -10,21 +10,38 @@
   program: ProgramId;
   tokens: number[];
   isFinished: boolean;
+  /** Time from the start of the call to the start of the drain. */
+  ranMs: number;
 }
 
 const seed = 20261203;
 const settleMs = 30_000;
 const team = toId<TeamId>('planners');
 
+async function addProgram(world: DrainedWorld): Promise<void> {
+  const {gateway} = world.fleet.daemons[0]!.core;
+  const {budget} = createLongCall();
+  const added = gateway.addProgram({team, budget});
+  await world.fleet.clock.advance(1000);
+  world.program = (await added).program;
+}
+
 Given(
   'a fleet with a program that a first daemon holds',
   async function (this: DrainedWorld) {
     this.fleet = await HistoryFleet.start(seed, {answerTokens: longCallTokens});
-    const {gateway} = this.fleet.daemons[0]!.core;
-    const {budget} = createLongCall();
-    const added = gateway.addProgram({team, budget});
-    await this.fleet.clock.advance(1000);
-    this.program = (await added).program;
+    await addProgram(this);
+  },
+);
+
+Given(
+  'a fleet whose engines need {int} ms for a token, with a program that a first daemon holds',
+  async function (this: DrainedWorld, stepBaseMs: number) {
+    this.fleet = await HistoryFleet.start(seed, {
+      answerTokens: longCallTokens,
+      stepBaseMs,
+    });
+    await addProgram(this);
   },
 );
 
@@ -35,6 +52,7 @@
     const {gateway} = daemons[entry === 'first' ? 0 : 1]!.core;
     const {core} = daemons[0]!;
     this.tokens = [];
+    const startMs = clock.nowMs();
     let drained: Promise<void> | undefined;
     const read = async () => {
       const call = {...createLongCall(), program: this.program};
@@ -43,6 +61,7 @@
         if (event.kind === 'token') this.tokens.push(event.index);
         if (event.kind === 'finished') this.isFinished = true;
         if (this.tokens.length !== Number(count)) continue;
+        this.ranMs ??= clock.nowMs() - startMs;
         core.startDraining();
         drained ??= core.handOver();
       }
@@ -63,6 +82,13 @@
   },
 );
 
+Then(
+  'the call of the program had run for more than {int} s when the first daemon drained',
+  function (this: DrainedWorld, seconds: number) {
+    assert.ok(this.ranMs > seconds * 1000, `${this.ranMs} ms`);
+  },
+);
+
 Then(
   'the engines ran the call of the program once',
   function (this: DrainedWorld) {
