Let a long call go on at the next holder when its holder drains

What callers saw: a call that had run for longer than two leases (20 s by default) when the daemon that held its partition drained, or handed the partition over, failed with not_holder or peer_lost, although its engine went on and the next holder could have resumed the stream.

Cause: CallRouter bounds the wait for a new holder by two leases, but measured it from the start of the call. It now measures from the loss of the holder until the next holder sends an event. A call that no holder accepts still fails after two leases.

Evidence: both scenarios of drained_calls.feature failed on and pass now, as do abandoned_calls.feature and histories.feature.

--- a/packages/daemon/src/calls/call_router.ts
+++ b/packages/daemon/src/calls/call_router.ts
@@ -44,6 +44,8 @@
   isAccepted: boolean;
   receivedTokens: number;
   lastTarget: TargetId | undefined;
+  /** When the call lost its holder; undefined once a holder sends an event. */
+  lostAtMs: number | undefined;
 }
 
 /** Routes calls, and retries them when their holder is lost. */
@@ -67,14 +69,14 @@
   async *runCall(call: Call, signal: AbortSignal): AsyncGenerator<CallEvent> {
     const progress = this.createProgress(call);
     const {clock, random} = this.options;
-    const startMs = clock.nowMs();
     const backoff = Backoff.create(backoffOptions, random);
     for (;;) {
       try {
         yield* this.runOnce(progress, signal);
         return;
       } catch (error) {
-        const waitedMs = clock.nowMs() - startMs;
+        progress.lostAtMs ??= clock.nowMs();
+        const waitedMs = clock.nowMs() - progress.lostAtMs;
         if (!this.canRetry(error, waitedMs, call)) throw error;
         this.rechoosePartition(progress);
         await clock.sleep(backoff.nextDelayMs(), signal);
@@ -96,6 +98,7 @@
       isAccepted: false,
       receivedTokens: 0,
       lastTarget: undefined,
+      lostAtMs: undefined,
     };
   }
 
@@ -120,6 +123,7 @@
     signal: AbortSignal,
   ): AsyncGenerator<CallEvent> {
     for await (const event of this.send(progress, signal)) {
+      progress.lostAtMs = undefined;
       if (recordEvent(progress, event)) yield event;
     }
   }
