Bound the wait for a draining daemon's calls by its drain time

What callers saw: a daemon that could not hand its partitions over waited for its calls without a bound, then for up to another drain time. A process that outlasts its grace period is killed, and its callers get a closed connection without a byte.

Cause: DaemonCore.handOver waited until no call ran, whatever drain_ms said, and CallerServer.stop started the drain time anew.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -94,16 +94,18 @@
   }
 
   /**
-   * Shuts down without failing a call: reports not ready so that callers go to
-   * other daemons, hands partitions over and finishes the requests in flight.
+   * Shuts down: reports not ready so that callers go to other daemons, hands
+   * partitions over and finishes the requests in flight. Those that are still in
+   * flight after the drain time end with an error.
    */
   async drain(): Promise<void> {
-    const {clock, logger} = this.options;
+    const {clock, logger, settings} = this.options;
     const startMs = clock.nowMs();
     this.core.startDraining();
     await clock.sleep(balancerDelayMs);
-    await this.core.handOver();
-    await this.server.stop();
+    const endMs = clock.nowMs() + settings.drainMs;
+    await this.core.handOver(settings.drainMs);
+    await this.server.stop(Math.max(0, endMs - clock.nowMs()));
     await this.core.stop();
     const drainMs = Math.round(clock.nowMs() - startMs);
     logger.log('daemon_stopped', {drainMs, cutOff: this.server.inFlight});
--- a/packages/daemon/src/daemon_core.ts
+++ b/packages/daemon/src/daemon_core.ts
@@ -1,5 +1,6 @@
 /** Creates and connects the parts of one daemon, except the caller server. */
 import {
+  Deferred,
   type Epoch,
   type PartitionId,
   toMarigoldpostError,
@@ -137,11 +138,20 @@
     this.membership.announceChange();
   }
 
-  /** Hands every partition over, then waits for the calls that run here. */
-  async handOver(): Promise<void> {
+  /**
+   * Hands every partition over, then waits for the calls that run here.
+   * @param maxWaitMs - Longest time after which it stops waiting for the calls.
+   */
+  async handOver(maxWaitMs = this.options.settings.drainMs): Promise<void> {
+    const {clock} = this.options;
+    const endMs = clock.nowMs() + maxWaitMs;
     await this.manager.handOverAll();
     this.membership.announceChange();
-    await this.runner.waitUntilIdle();
+    const expired = Deferred.create<void>();
+    const leftMs = Math.max(0, endMs - clock.nowMs());
+    const timer = clock.setTimer(leftMs, () => expired.resolve());
+    await Promise.race([this.runner.waitUntilIdle(), expired.promise]);
+    timer.cancel();
   }
 
   /** Stops every part, returns grants and releases the daemon's lease. */
