Send no requests to targets that state that they are leaving

Callers saw: requests went to targets that had stated in their responses that they were leaving, from all entry VMs, until the registration changed. Cause: no code read the header. Change: the codec decodes it (ResponseAttributes.isLeaving; a misdirected response states nothing). It spreads with the limits in an optional field of TargetLimit. While all targets that are left for a request are leaving, they are used for 1.5 s after the first statement; then the request, and those in the queue, are rejected as not run (no_target). Event 5109 target_leaving.

--- a/packages/dispatch/src/rate_limits/rate_limiter.ts
+++ b/packages/dispatch/src/rate_limits/rate_limiter.ts
@@ -61,6 +61,14 @@
     return this.getPermits(limit).getDelayMs(nowMs, limit.limitPerS, index);
   }
 
+  /**
+   * Gets since when a target is known to be leaving; `undefined` if it is not.
+   * @param entry - Target to send to.
+   */
+  getLeavingSinceMs(entry: TargetEntry): number | undefined {
+    return this.getLimit(entry)?.leavingSinceMs;
+  }
+
   /**
    * Uses a permit for a request that is about to be sent.
    * @param entry - Target whose delay is 0.
--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -7,6 +7,7 @@
   type Random,
   type ServiceId,
   type TargetId,
+  type Timer,
 } from '@marigoldpost/common';
 import type {PromptPart, Service, TargetEntry} from '@marigoldpost/sites';
 import {
@@ -76,6 +77,11 @@
 /** Assumed mean service time until a request has completed. */
 const defaultServiceTimeMs = 100;
 const minRetryAfterMs = 100;
+/**
+ * Time for which a leaving target is used where no other target is left; below
+ * the shortest drain period of a site, 2000 ms.
+ */
+const leavingUseMs = 1500;
 
 interface QueuedRequest extends QueueItem {
   readonly request: DispatchRequest;
@@ -133,6 +139,8 @@
   private readonly meanLatencies = new Map<string, MeanDuration>();
   private readonly serviceTime = MeanDuration.create();
   private service: Service;
+  /** Ends the use of leaving targets for queued requests. */
+  private leavingTimer: Timer | undefined;
 
   private constructor(private readonly options: ServiceDispatcherOptions) {
     this.service = options.service;
@@ -203,8 +211,9 @@
 
   /**
    * Waits for a slot at a target. Throws `no_target` if every target is
-   * excluded, and `overloaded` if the expected wait exceeds the deadline, the
-   * deadline passes or the caller aborts. The request has not run then.
+   * excluded or leaving, and `overloaded` if the expected wait exceeds the
+   * deadline, the deadline passes or the caller aborts. The request has not run
+   * then.
    * @param request - Request to assign.
    * @param signal - Aborts the wait.
    */
@@ -220,6 +229,56 @@
     return this.waitForLease(request, signal, choice);
   }
 
+  /**
+   * Whether a target may receive a request now: one that is leaving receives
+   * none, but for a short time where every other target is leaving as well.
+   * @param target - Target that was assigned.
+   * @param excluded - Targets that may not receive the request.
+   */
+  mayReceive(target: TargetEntry, excluded: ReadonlySet<TargetId>): boolean {
+    if (this.options.rateLimiter?.getLeavingSinceMs(target) === undefined) {
+      return true;
+    }
+    return this.getCandidates(excluded).some(
+      ({entry}) => entry.id === target.id,
+    );
+  }
+
+  /**
+   * Gets the targets that may receive a request: those that are not leaving.
+   * While all are, it is those that have been leaving for a short time.
+   */
+  private getCandidates(excluded: ReadonlySet<TargetId>): TargetState[] {
+    const {clock, rateLimiter} = this.options;
+    const nowMs = clock.nowMs();
+    const staying: TargetState[] = [];
+    const leaving: TargetState[] = [];
+    for (const target of this.targets.values()) {
+      if (excluded.has(target.entry.id)) continue;
+      const sinceMs = rateLimiter?.getLeavingSinceMs(target.entry);
+      if (sinceMs === undefined) staying.push(target);
+      else if (nowMs < sinceMs + leavingUseMs) leaving.push(target);
+    }
+    return staying.length > 0 ? staying : leaving;
+  }
+
+  /** Dispatches again when a leaving target must no longer be waited for. */
+  private watchLeaving(): void {
+    const {clock, rateLimiter} = this.options;
+    if (rateLimiter === undefined) return;
+    const nowMs = clock.nowMs();
+    let delayMs = Number.POSITIVE_INFINITY;
+    for (const {entry} of this.targets.values()) {
+      const sinceMs = rateLimiter.getLeavingSinceMs(entry);
+      if (sinceMs === undefined || sinceMs + leavingUseMs <= nowMs) continue;
+      delayMs = Math.min(delayMs, sinceMs + leavingUseMs - nowMs);
+    }
+    this.leavingTimer?.cancel();
+    this.leavingTimer = Number.isFinite(delayMs)
+      ? clock.setTimer(Math.ceil(delayMs), () => this.dispatchWaiting())
+      : undefined;
+  }
+
   /** Records the previous prompt, which another daemon may have sent. */
   private recordPreviousPrompt({previousPrompt}: DispatchRequest): void {
     if (previousPrompt === undefined) return;
@@ -249,6 +308,7 @@
       if (this.queue.remove(item)) leased.reject(this.createOverloadedError(0));
     };
     this.queue.add(item);
+    this.watchLeaving();
     if (choice !== undefined) {
       const count = this.countAwaiting().get(choice.target.entry.id) ?? 1;
       const {entry} = choice.target;
@@ -265,13 +325,11 @@
   }
 
   /**
-   * Throws `no_target` if every target is excluded, and `overloaded` if the
-   * expected wait exceeds the deadline.
+   * Throws `no_target` if every target is excluded or leaving, and `overloaded`
+   * if the expected wait exceeds the deadline.
    */
   private checkExpectedWait(request: DispatchRequest): void {
-    const candidates = [...this.targets.values()].filter(
-      ({entry}) => !request.excluded.has(entry.id),
-    );
+    const candidates = this.getCandidates(request.excluded);
     if (candidates.length === 0) throw this.createNoTargetError();
     const nowMs = this.options.clock.nowMs();
     const {priority, finishByMs} = request;
@@ -314,10 +372,8 @@
   ): TargetChoice | undefined {
     const nowMs = this.options.clock.nowMs();
     const {dataCentre} = this.options;
-    const open = [...this.targets.values()].filter(
-      (target) =>
-        !request.excluded.has(target.entry.id) &&
-        target.inFlight < this.getWindow(target),
+    const open = this.getCandidates(request.excluded).filter(
+      (target) => target.inFlight < this.getWindow(target),
     );
     const usable = open.filter(({health, inFlight}) =>
       health.isUsable(nowMs, inFlight),
@@ -421,7 +477,12 @@
     for (const item of this.queue.getOrdered(nowMs)) {
       const choice = this.chooseTarget(item.request, awaiting);
       item.awaited = undefined;
-      if (choice === undefined) continue;
+      if (choice === undefined) {
+        if (!this.hasOnlyLeavingTargets(item.request)) continue;
+        this.queue.remove(item);
+        item.leased.reject(this.createNoTargetError());
+        continue;
+      }
       const {target, delayMs, horizonMs} = choice;
       if (delayMs === 0) {
         this.queue.remove(item);
@@ -436,11 +497,18 @@
         awaited.set(target, Math.max(awaited.get(target) ?? 0, horizonMs));
       }
     }
+    this.watchLeaving();
     for (const [{entry}, horizonMs] of awaited) {
       rateLimiter?.request(entry, awaiting.get(entry.id) ?? 0, horizonMs);
     }
   }
 
+  /** Whether no target takes the request and those that are left are leaving. */
+  private hasOnlyLeavingTargets({excluded}: DispatchRequest): boolean {
+    if (this.getCandidates(excluded).length > 0) return false;
+    return [...this.targets.keys()].some((id) => !excluded.has(id));
+  }
+
   private createNoTargetError(): MarigoldpostError {
     const message = `service "${this.id}" has no target left for the request`;
     return MarigoldpostError.create('no_target', message, {
--- a/packages/dispatch/tests/dispatcher/service_dispatcher.feature
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher.feature
@@ -71,3 +71,50 @@
   Scenario: Daemons that see equal targets spread their requests over them
     When 40 daemons that see 8 equal targets dispatch one turn each
     Then no target receives more than 14 of the turns
+
+  Scenario: A leaving target receives no requests, even with a cached prompt
+    Given target "a" has processed prompt "shared:8000,line1:500"
+    When target "a" states that it is leaving
+    Then a turn with prompt "shared:8000,line1:900" is dispatched to target "b"
+    And the next 3 requests are dispatched to target "b"
+    And a request with a lease on target "a" may not be sent
+
+  Scenario: A queued request waits for a target that is not leaving
+    When 4 turns with prompt "shared:300,line1:100" are dispatched
+    And 1 turns are queued
+    And target "a" states that it is leaving
+    And a turn at target "a" completes
+    And 2000 ms pass on the clock of the dispatcher
+    Then 1 turns are still queued
+    When a turn at target "b" completes
+    And 1 ms pass on the clock of the dispatcher
+    Then no turn is queued
+    And 0 queued turns have been rejected for lack of a target
+
+  Scenario: Leaving targets are used for 1500 ms while there are no others
+    When target "a" states that it is leaving
+    And target "b" states that it is leaving
+    Then a request is still dispatched
+    And a request with a lease on target "a" may still be sent
+    When 1400 ms pass on the clock of the dispatcher
+    Then a request is still dispatched
+    When 100 ms pass on the clock of the dispatcher
+    Then a turn is rejected at once for lack of a target, with a retry time
+    And a request with a lease on target "a" may not be sent
+
+  Scenario: Queued requests are rejected when all targets have been leaving for 1500 ms
+    When 4 turns with prompt "shared:300,line1:100" are dispatched
+    And 3 turns are queued
+    And target "a" states that it is leaving
+    And 200 ms pass on the clock of the dispatcher
+    And target "b" states that it is leaving
+    And 1400 ms pass on the clock of the dispatcher
+    Then 3 turns are still queued
+    When 101 ms pass on the clock of the dispatcher
+    Then no turn is queued
+    And 3 queued turns have been rejected for lack of a target
+
+  Scenario: A leaving target that starts again is used again
+    When target "a" states that it is leaving
+    And target "a" restarts
+    Then requests are dispatched to target "a" again
--- a/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
@@ -1,37 +1,26 @@
 /** Step definitions for the service dispatcher. */
 import assert from 'node:assert/strict';
-import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {
   type DataCentreId,
   getHashNumber,
   isErrorOfKind,
-  SeededRandom,
-  type ServiceId,
   type TargetId,
   toId,
   VirtualClock,
 } from '@marigoldpost/common';
 import {
-  type DispatchRequest,
-  ServiceDispatcher,
-  type TargetLease,
-  type TargetResult,
-} from '@marigoldpost/dispatch';
-import type {PromptPart, PromptPartId, TargetEntry} from '@marigoldpost/sites';
-
-interface DispatchWorld extends World {
-  clock: VirtualClock;
-  dispatcher: ServiceDispatcher;
-  targetNames: string[];
-  slots: number;
-  leases: TargetLease[];
-  leaseOrder: string[];
-  lastLease: TargetLease;
-  turnsByTarget: Map<TargetId, number>;
-}
+  acquireLease,
+  completeRequest,
+  createDispatcher,
+  createEntry,
+  createRequest,
+  type DispatchWorld,
+  farFutureMs,
+  toPrompt,
+} from './dispatch_world.js';
 
 const callMs = 20;
-const farFutureMs = 60_000;
 
 Given(
   "a service with targets {string} of {int} slots each, {string} in the daemon's data centre",
@@ -40,6 +29,7 @@
     this.targetNames = names.split(', ');
     this.slots = slots;
     this.leases = [];
+    this.rejectedCount = 0;
     this.dispatcher = createDispatcher(this, near, 1);
     this.dispatcher.setTargets(
       this.targetNames.map((name) => createEntry(this, name, 1)),
@@ -332,88 +322,3 @@
     assert.ok(Math.max(...counts) <= most, counts.join(', '));
   },
 );
-
-function createDispatcher(
-  {clock, slots}: DispatchWorld,
-  localDataCentre: string,
-  seed: number,
-): ServiceDispatcher {
-  return ServiceDispatcher.create({
-    service: {
-      id: toId<ServiceId>('service'),
-      maxConnections: 100,
-      engine: {slots, cacheTokens: 200_000, tokensPerEvent: 10},
-    },
-    dataCentre: toId<DataCentreId>(localDataCentre),
-    clock,
-    random: SeededRandom.create(seed),
-  });
-}
-
-function createEntry(
-  {slots}: DispatchWorld,
-  name: string,
-  startedAtMs: number,
-): TargetEntry {
-  return {
-    id: toId<TargetId>(name),
-    service: toId<ServiceId>('service'),
-    address: {host: '10.0.0.1', port: name.charCodeAt(0)},
-    dataCentre: toId<DataCentreId>(name),
-    slots,
-    isDraining: false,
-    startedAtMs,
-  };
-}
-
-function createRequest(
-  {clock}: DispatchWorld,
-  fields: Partial<DispatchRequest>,
-): DispatchRequest {
-  const nowMs = clock.nowMs();
-  return {
-    prompt: toPrompt('shared:300,line1:100'),
-    priority: 1,
-    finishByMs: nowMs + farFutureMs,
-    deadlineMs: nowMs + farFutureMs,
-    excluded: new Set(),
-    previousPrompt: undefined,
-    kind: 'turn',
-    ...fields,
-  };
-}
-
-function acquireLease(
-  world: DispatchWorld,
-  fields: Partial<DispatchRequest>,
-  onlyTarget?: string,
-): Promise<TargetLease> {
-  const others = world.targetNames.filter((name) => name !== onlyTarget);
-  const excluded = new Set(
-    onlyTarget === undefined ? [] : others.map((name) => toId<TargetId>(name)),
-  );
-  const request = createRequest(world, {...fields, excluded});
-  const pendingLease = world.dispatcher.acquire(
-    request,
-    new AbortController().signal,
-  );
-  // Marks the rejection as handled; steps that expect one await it later.
-  pendingLease.catch(() => undefined);
-  return pendingLease;
-}
-
-async function completeRequest(
-  world: DispatchWorld,
-  name: string,
-  result: TargetResult,
-): Promise<void> {
-  const lease = await acquireLease(world, {}, name);
-  lease.release({result});
-}
-
-function toPrompt(text: string): PromptPart[] {
-  return text.split(',').map((part) => {
-    const [id = '', tokens] = part.split(':');
-    return {id: toId<PromptPartId>(id), tokens: Number(tokens)};
-  });
-}
--- a/packages/dispatch/tests/rate_limits/target_limits_steps.ts
+++ b/packages/dispatch/tests/rate_limits/target_limits_steps.ts
@@ -37,7 +37,8 @@
     });
     await this.clock.advance(1000);
     const sentAtMs = this.clock.nowMs();
-    const statement = {limitPerS, sentAtMs, isSigned: true};
+    const isLeaving = false;
+    const statement = {limitPerS, isLeaving, sentAtMs, isSigned: true};
     this.limits.recordResponse(entry, statement);
   },
 );
@@ -63,6 +64,28 @@
   },
 );
 
+When(
+  /^a response( without a signature)? states that the target is leaving$/,
+  function (this: LimitsWorld, isUnsigned: string | null | undefined) {
+    const isSigned = isUnsigned === undefined || isUnsigned === null;
+    const sentAtMs = this.clock.nowMs();
+    const limitPerS = isSigned ? 2 : undefined;
+    const statement = {limitPerS, isLeaving: true, sentAtMs, isSigned};
+    this.limits.recordResponse(entry, statement);
+  },
+);
+
+When(
+  'another daemon reports that the target is leaving',
+  function (this: LimitsWorld) {
+    this.limits.recordLeaving(entry, 'another');
+  },
+);
+
+When('the target is no longer listed', function (this: LimitsWorld) {
+  this.limits.retain([]);
+});
+
 When('the target is not listed for a moment', function (this: LimitsWorld) {
   this.limits.retain([]);
   this.limits.retain([entry]);
@@ -72,7 +95,8 @@
   'another daemon reports a limit of {float} requests a second that was stated {int} ms ago',
   function (this: LimitsWorld, limitPerS: number, ageMs: number) {
     const statedAtMs = this.clock.nowMs() - ageMs;
-    const limit = {target, startedAtMs, limitPerS, statedAtMs};
+    const leavingSinceMs = undefined;
+    const limit = {target, startedAtMs, limitPerS, statedAtMs, leavingSinceMs};
     this.limits.merge('another', [limit]);
   },
 );
@@ -88,13 +112,42 @@
   assert.equal(getLimitPerS(this), undefined);
 });
 
+Then(
+  /^the target is (not )?known to be leaving$/,
+  function (this: LimitsWorld, not: string | null | undefined) {
+    const isLeaving = not === undefined || not === null;
+    assert.equal(isKnownToLeave(this, startedAtMs), isLeaving);
+  },
+);
+
+Then(
+  'the next start of the target is not known to be leaving',
+  function (this: LimitsWorld) {
+    assert.equal(isKnownToLeave(this, startedAtMs + 1), false);
+  },
+);
+
+Then(
+  'the own changes contain that the target is leaving',
+  function (this: LimitsWorld) {
+    const [change] = this.limits.getOwnChanges(1);
+    assert.notEqual(change?.leavingSinceMs, undefined);
+  },
+);
+
+function isKnownToLeave({limits}: LimitsWorld, startMs: number): boolean {
+  const known = limits.get({target, startedAtMs: startMs});
+  return known?.leavingSinceMs !== undefined;
+}
+
 function recordResponse(
   {clock, limits}: LimitsWorld,
   beforeMs: number,
   isSigned: boolean,
 ): void {
   const sentAtMs = clock.nowMs() - beforeMs;
-  const statement = {limitPerS: undefined, sentAtMs, isSigned};
+  const isLeaving = false;
+  const statement = {limitPerS: undefined, isLeaving, sentAtMs, isSigned};
   limits.recordResponse(entry, statement);
 }
 
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -251,6 +251,7 @@
     crashTracker.recordResponse(target, sentAtMs);
     targetLimits.recordResponse(target, {
       limitPerS: attributes.rateLimitPerS,
+      isLeaving: attributes.isLeaving,
       sentAtMs,
       isSigned: attributes.isSigned,
     });
@@ -306,6 +307,11 @@
     const startMs = this.services.clock.nowMs();
     try {
       const lease = await dispatcher.acquire(this.createRequest(), signal);
+      if (!dispatcher.mayReceive(lease.target, this.excluded)) {
+        // A response has stated since that the target is leaving.
+        lease.release({result: 'cancelled'});
+        return await this.acquire(signal);
+      }
       const waitedMs = this.services.clock.nowMs() - startMs;
       this.logPlacement(lease, dispatcher, waitedMs);
       return lease;
@@ -405,7 +411,12 @@
     }
     const {reason, isSent, message, failedPeer, isMalformed} = outcome;
     const isPeerFault = failedPeer !== undefined;
-    const result = isPeerFault ? 'cancelled' : targetResults[reason];
+    if (outcome.leavingSource !== undefined) {
+      const {targetLimits} = this.services;
+      targetLimits.recordLeaving(lease.target, outcome.leavingSource);
+    }
+    const isSound = isPeerFault || outcome.leavingSource !== undefined;
+    const result = isSound ? 'cancelled' : targetResults[reason];
     this.release(lease, {result});
     this.logFailure(lease, reason, isSent, message);
     if (isMalformed !== true) {
--- a/packages/gateway/src/calls/target_sender.ts
+++ b/packages/gateway/src/calls/target_sender.ts
@@ -139,7 +139,7 @@
       if (peer === undefined) break;
       excluded.add(peer.daemon);
       const outcome = await this.sendThroughPeer(attempt, peer);
-      if (isUnreachable(outcome)) {
+      if (isUnreachable(outcome) && outcome.leavingSource === undefined) {
         if (outcome.failedPeer !== undefined) {
           peers.recordFailure(peer.daemon);
         } else {
--- a/packages/gateway/src/relay/peer_exchange.ts
+++ b/packages/gateway/src/relay/peer_exchange.ts
@@ -81,10 +81,19 @@
     const failure = decodeRelayFailure(headers);
     if (failure !== undefined) {
       response.resume();
-      const {reason, isSent, isPeerFault} = failure;
-      const message = `${peer.daemon} could not relay the request: ${reason}`;
+      const {reason, isSent, isPeerFault, isLeaving} = failure;
+      const cause = isLeaving ? 'the target is leaving' : reason;
+      const message = `${peer.daemon} could not relay the request: ${cause}`;
       const failedPeer = isPeerFault ? peer.daemon : undefined;
-      this.settle({kind: 'failed', reason, isSent, message, failedPeer});
+      const leavingSource = isLeaving ? peer.daemon : undefined;
+      this.settle({
+        kind: 'failed',
+        reason,
+        isSent,
+        message,
+        failedPeer,
+        leavingSource,
+      });
       return;
     }
     const framing = decodeRelayFraming(headers);
--- a/packages/gateway/src/relay/relay_codec.ts
+++ b/packages/gateway/src/relay/relay_codec.ts
@@ -12,6 +12,7 @@
   failure: 'marigoldpost-relay-failure',
   sent: 'marigoldpost-relay-sent',
   fault: 'marigoldpost-relay-fault',
+  leaving: 'marigoldpost-relay-leaving',
 } as const;
 const allNames: ReadonlySet<string> = new Set(Object.values(names));
 
@@ -38,6 +39,8 @@
   readonly isSent: boolean;
   /** Whether the relaying entry VM is at fault, not the target. */
   readonly isPeerFault: boolean;
+  /** Whether the request was not relayed because the target is leaving. */
+  readonly isLeaving: boolean;
 }
 
 /**
@@ -123,7 +126,9 @@
   reason,
   isSent,
   isPeerFault,
+  isLeaving,
 }: RelayFailure): string[] {
+  const leaving = isLeaving ? [names.leaving, '1'] : [];
   return [
     names.failure,
     reason,
@@ -131,6 +136,7 @@
     isSent ? '1' : '0',
     names.fault,
     isPeerFault ? 'peer' : 'target',
+    ...leaving,
   ];
 }
 
@@ -148,5 +154,6 @@
     // Only an explicit statement proves that the request was not sent.
     isSent: headers[names.sent] !== '0',
     isPeerFault: headers[names.fault] === 'peer',
+    isLeaving: headers[names.leaving] === '1',
   };
 }
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -129,10 +129,18 @@
     const body = await readBody(request, {maxBytes: maxBodyBytes, signal});
     const target =
       parameters === undefined ? undefined : findTarget(parameters.target);
+    if (target !== undefined && this.isLeaving(target)) {
+      const isLeaving = true;
+      const fault = {isSent: false, isPeerFault: false, isLeaving} as const;
+      this.sendFailure(response, {reason: 'unreachable', ...fault});
+      this.logOutcome(request, parameters, 'the target is leaving');
+      return;
+    }
     const refusal = this.findRefusal(target);
     if (parameters === undefined || target === undefined || refusal !== '') {
       const message = refusal === '' ? 'the target is not listed' : refusal;
-      const fault = {isSent: false, isPeerFault: true} as const;
+      const isLeaving = false;
+      const fault = {isSent: false, isPeerFault: true, isLeaving} as const;
       this.sendFailure(response, {reason: 'unreachable', ...fault});
       this.logOutcome(request, parameters, message);
       return;
@@ -141,7 +149,8 @@
     if (outcome.kind === 'failed') {
       const {reason, isSent, message} = outcome;
       if (reason === 'unreachable') links.recordConnectFailure(target, message);
-      const failure = {reason, isSent, isPeerFault: false};
+      const fault = {isPeerFault: false, isLeaving: false};
+      const failure = {reason, isSent, ...fault};
       this.sendFailure(response, failure);
       this.logOutcome(request, parameters, message);
       return;
@@ -159,6 +168,11 @@
     response.end();
   }
 
+  private isLeaving({id, startedAtMs}: TargetEntry): boolean {
+    const known = this.options.targetLimits.get({target: id, startedAtMs});
+    return known?.leavingSinceMs !== undefined;
+  }
+
   /** Finds why this entry VM does not relay; empty if it does. */
   private findRefusal(target: TargetEntry | undefined): string {
     if (this.isDraining) return 'the entry VM is draining';
@@ -194,10 +208,11 @@
       signal,
     });
     if (outcome.kind === 'failed') return outcome;
-    const {rateLimitPerS, isSigned} = outcome.attributes;
+    const {rateLimitPerS, isLeaving, isSigned} = outcome.attributes;
     links.recordReached(target);
     targetLimits.recordResponse(target, {
       limitPerS: rateLimitPerS,
+      isLeaving,
       sentAtMs,
       isSigned,
     });
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -53,6 +53,8 @@
   readonly isMalformed?: boolean;
   /** Relaying entry VM that failed itself, so that the target is not at fault. */
   readonly failedPeer?: DaemonId;
+  /** Entry VM that did not relay the request, since the target is leaving. */
+  readonly leavingSource?: DaemonId;
 }
 
 /** Result of an exchange. */
--- a/packages/nodes/src/entry/entry_fleet.ts
+++ b/packages/nodes/src/entry/entry_fleet.ts
@@ -46,7 +46,7 @@
   readonly tasks: BackgroundTasks;
   /** Finds a target that is listed; `undefined` if it is not. */
   readonly findTarget: (id: TargetId) => TargetEntry | undefined;
-  /** Called when a response to this entry VM has changed a target's limit. */
+  /** Called when a response to this entry VM has changed what is known. */
   readonly onLimitStated: () => void;
 }
 
@@ -137,17 +137,24 @@
     return Promise.reject(MarigoldpostError.create('invalid_request', message));
   }
 
-  private handleLimitChange({limit, previousPerS, source}: LimitChange): void {
-    const {target, startedAtMs, limitPerS, statedAtMs} = limit;
+  private handleLimitChange({limit, previous, source}: LimitChange): void {
+    const {target, startedAtMs, limitPerS, statedAtMs, leavingSinceMs} = limit;
     const {logger, clock} = this.options.node;
-    logger.log('target_limit_changed', {
-      target,
-      startedAtMs,
-      limitPerS,
-      previousPerS,
-      source: source ?? 'response',
-      ageMs: Math.round(clock.nowMs() - statedAtMs),
-    });
+    const nowMs = clock.nowMs();
+    const origin = {target, startedAtMs, source: source ?? 'response'};
+    const previousPerS = previous?.limitPerS;
+    if (limitPerS !== previousPerS) {
+      const ageMs = Math.round(nowMs - statedAtMs);
+      const fields = {...origin, limitPerS, previousPerS, ageMs};
+      logger.log('target_limit_changed', fields);
+    }
+    if (
+      leavingSinceMs !== undefined &&
+      previous?.leavingSinceMs === undefined
+    ) {
+      const ageMs = Math.round(nowMs - leavingSinceMs);
+      logger.log('target_leaving', {...origin, ageMs});
+    }
     if (source === undefined) this.options.onLimitStated();
     this.limiter.notify();
   }
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -1,5 +1,6 @@
 /** Daemons of a site, for entry VMs and archive VMs. */
 export * from './archive/archive_node.js';
+export * from './archive/quarantine_relay.js';
 export * from './entry/site_config_updater.js';
 export * from './entry/entry_directory.js';
 export * from './entry/entry_node.js';
--- a/packages/sites/src/calls/call_attributes.ts
+++ b/packages/sites/src/calls/call_attributes.ts
@@ -54,4 +54,6 @@
    * `undefined` if it states no limit.
    */
   readonly rateLimitPerS: number | undefined;
+  /** Whether the target states that it is leaving. */
+  readonly isLeaving: boolean;
 }
--- a/packages/telemetry/src/events/target_events.ts
+++ b/packages/telemetry/src/events/target_events.ts
@@ -79,4 +79,15 @@
       outcome: 'string',
     },
   ),
+  target_leaving: define(
+    5109,
+    'info',
+    'A target has stated that it is leaving',
+    {
+      target: 'string',
+      startedAtMs: 'number',
+      source: 'string',
+      ageMs: 'number',
+    },
+  ),
 } as const satisfies Record<string, EventDefinition>;
