Leave no sleep behind in the exchange of crash records

Cause: a change that ended the pause early left the sleep of up to 500 ms with its timer and its listener; a change every 30 ms leaves up to 17 at a time. Each expires after its pause, so their number is bounded, but none has a use. The pause now is one timer and one listener, and both are removed when it ends.

Evidence: quarantine_exchange.feature found 3 listeners before (pauses of 50 ms, a change every 30 ms) and finds at most 1 now; quarantine_replicator.feature passes.

--- a/packages/nodes/src/entry/quarantine_exchange.ts
+++ b/packages/nodes/src/entry/quarantine_exchange.ts
@@ -104,12 +104,29 @@
       this.removeExpiredChanges();
       await this.exchangeWithArchives(pool.getClients());
       const pauseMs = this.hasAskedArchive ? pollMs : initialPollMs;
-      await Promise.race([clock.sleep(pauseMs, signal), this.wake.promise]);
-      this.wake = Deferred.create<void>();
+      await this.waitForChange(pauseMs, signal);
       await clock.sleep(batchDelayMs, signal);
     }
   }
 
+  /** Waits for a change or the end of a pause; leaves no timer or listener. */
+  private async waitForChange(
+    pauseMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const wake = () => this.wake.resolve();
+    const timer = this.options.clock.setTimer(pauseMs, wake);
+    signal.addEventListener('abort', wake, {once: true});
+    try {
+      signal.throwIfAborted();
+      await this.wake.promise;
+    } finally {
+      timer.cancel();
+      signal.removeEventListener('abort', wake);
+      this.wake = Deferred.create<void>();
+    }
+  }
+
   private async exchangeWithArchives(
     clients: readonly ArchiveClient[],
   ): Promise<void> {
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -4,6 +4,7 @@
 export * from './entry/entry_directory.js';
 export * from './entry/entry_node.js';
 export * from './entry/permit_exchange.js';
+export * from './entry/quarantine_exchange.js';
 export * from './entry/quarantine_receiver.js';
 export * from './entry/quarantine_replicator.js';
 export * from './node_options.js';
