--- a/packages/daemon/tests/calls/drained_daemon_steps.ts
+++ b/packages/daemon/tests/calls/drained_daemon_steps.ts
@@ -22,7 +22,6 @@
   MemoryVmList,
 } from '@marigoldpost/standins';
 import {EventLogger, Metrics} from '@marigoldpost/telemetry';
-import {request} from 'undici';
 import {createHistoryConfig} from '../fixtures/history_config.js';
 import {longCallTokens} from '../fixtures/long_call.js';
 
@@ -121,7 +120,7 @@
     const {clock, daemon} = this;
     const url = `http://127.0.0.1:${daemon.callerPort}/v1/chat/completions`;
     const messages = [{role: 'user', content: 'plan the whole week'}];
-    const reading = request(url, {
+    const reading = fetch(url, {
       method: 'POST',
       headers: {authorization: 'Bearer planners-key'},
       body: JSON.stringify({
@@ -129,9 +128,9 @@
         messages,
         max_tokens: longCallTokens,
       }),
-    }).then(async ({statusCode, body}) => {
-      this.status = statusCode;
-      this.body = await body.text();
+    }).then(async (response) => {
+      this.status = response.status;
+      this.body = await response.text();
     });
     reading.catch(() => undefined);
     const hasWork = () =>
