Reject calls that a draining entry VM may not be able to end

What callers saw: calls on connections that lived on were accepted up to the end of the grace period of an entry VM that stopped, and were broken off or reset there.

Cause: a draining entry VM closed idle connections but served every call that came.

Change: from SIGTERM on, a call whose time ends after the drain does is rejected before it is sent: 503, not run, with a retry delay of 50 ms, on a connection that closes.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -21,12 +21,15 @@
 
 /** A daemon receives its first configuration shortly after it starts. */
 const noConfigRetryAfterMs = 300;
+/** Another daemon can serve the call at once. */
+const drainingRetryAfterMs = 50;
 
 /** Handles all client requests of one daemon. */
 export class CallHandler {
   private requests = 0;
   private readonly calls = new Set<IncomingCall>();
-  private isDraining = false;
+  /** Until when calls may last; `undefined` unless the daemon drains. */
+  private drainEndMs: number | undefined;
   private isStopping = false;
 
   private constructor(private readonly services: CallServices) {}
@@ -44,9 +47,17 @@
     return this.requests;
   }
 
-  /** Makes each connection close after its current response. */
-  drain(): void {
-    this.isDraining = true;
+  /**
+   * Makes each connection close after its current response, and rejects calls
+   * that may not end in time.
+   * @param endMs - Until when calls may last, on the daemon's clock.
+   */
+  drain(endMs: number): void {
+    this.drainEndMs = endMs;
+  }
+
+  private get isDraining(): boolean {
+    return this.drainEndMs !== undefined;
   }
 
   /** Aborts all calls and rejects new ones. Each ends shortly after. */
@@ -132,6 +143,7 @@
     const {config, route, request} = call;
     const maxBytes = config.limits.maxBodyBytes;
     const bytes = await readBody(request, {maxBytes, signal: call.signal});
+    this.rejectIfTooLate(call);
     const service = chooseService(route, this.services.random);
     if (route.retentionMs !== undefined) {
       await TurnCall.serve(call, this.services, service, bytes);
@@ -146,6 +158,17 @@
     await this.serveStream(call, service, body);
   }
 
+  /** Throws `draining` if the daemon may stop before the call ends. */
+  private rejectIfTooLate({leftMs}: IncomingCall): void {
+    const {drainEndMs, services} = this;
+    if (drainEndMs === undefined) return;
+    if (services.clock.nowMs() + leftMs <= drainEndMs) return;
+    const message = 'the entry VM may stop before the call ends';
+    throw MarigoldpostError.create('draining', message, {
+      retryAfterMs: drainingRetryAfterMs,
+    });
+  }
+
   private async serveStream(
     call: IncomingCall,
     service: ServiceId,
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -77,9 +77,13 @@
     });
   }
 
-  /** Makes each connection close after its current response. */
-  drain(): void {
-    this.handler.drain();
+  /**
+   * Makes each connection close after its current response, and rejects calls
+   * that may not end in time.
+   * @param endMs - Until when calls may last, on the daemon's clock.
+   */
+  drain(endMs: number): void {
+    this.handler.drain(endMs);
   }
 
   /** Aborts all calls and rejects new ones. Each ends shortly after. */
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -161,11 +161,11 @@
     const startMs = this.clock.nowMs();
     const {settings} = this;
     const {logger} = this.options;
+    const drainDeadlineMs = startMs + settings.bounds.graceMs - exitMarginMs;
     this.isDraining = true;
-    this.server.drain();
+    this.server.drain(drainDeadlineMs);
     this.fleet.drain();
     logger.log('node_stopping', {signal, inFlight: this.server.inFlight});
-    const drainDeadlineMs = startMs + settings.bounds.graceMs - exitMarginMs;
     await this.clock.sleep(settings.bounds.balancerNoticeMs);
     while (
       this.server.connectionCount + this.fleet.relayedInFlight > 0 &&
