Close no connection at a stop before its response has been sent

Cause: a stopping entry VM calls closeIdleConnections of Node.js every few milliseconds. Node counts a connection as idle as soon as end() was called on its response, also while bytes of it wait to be sent, and destroys them. The daemons of serve do the same through closeIdleConnections and through Server.close, which calls it. At the end of a stop such a connection was closed instead of reset, so a response without a length would look complete. The relay counted a response as done before it was sent.

Change: ClientConnections knows for each connection whether a response is open and whether a request has begun to arrive; only others are closed. Servers stop listening without closing connections.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,6 +10,7 @@
 export * from './resilience/retry_budget.js';
 export * from './utils/async_queue.js';
 export * from './utils/binary_heap.js';
+export * from './utils/client_connections.js';
 export * from './utils/connection_reset.js';
 export * from './utils/deferred.js';
 export * from './utils/digest.js';
--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -12,6 +12,7 @@
 } from 'node:https';
 import type {AddressInfo, Socket} from 'node:net';
 import {
+  ClientConnections,
   type Clock,
   errorDefinitions,
   MarigoldpostError,
@@ -61,6 +62,7 @@
   private readonly router: Router;
   private readonly exchanges = new Map<Exchange, Promise<void>>();
   private server: Server | undefined;
+  private connections: ClientConnections | undefined;
   private reloader: TlsReloader | undefined;
   private requestsInFlight = 0;
   private isStopping = false;
@@ -101,6 +103,7 @@
     const {callerHost, callerPort, tls} = this.options.settings;
     const server = await this.createServer(tls);
     this.server = server;
+    this.connections = ClientConnections.create(server);
     server.on('clientError', rejectMalformedRequest);
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -119,13 +122,11 @@
   async stop(drainMs = this.options.settings.drainMs): Promise<void> {
     this.isStopping = true;
     this.reloader?.stop();
-    const {server} = this;
-    if (server === undefined) return;
-    const closed = new Promise<void>((resolve) =>
-      server.close(() => resolve()),
-    );
+    const {server, connections} = this;
+    if (server === undefined || connections === undefined) return;
+    const closed = connections.stopListening();
     this.closeAfterResponses();
-    server.closeIdleConnections();
+    connections.closeIdle();
     const {clock} = this.options;
     const timers = [
       clock.setTimer(drainMs, () => this.cutOffExchanges()),
@@ -201,7 +202,7 @@
       maxBodyBytes: settings.maxBodyBytes,
     });
     this.changeInFlight(1);
-    response.once('finish', () => this.closeIdleConnections());
+    response.once('close', () => this.closeIdleConnections());
     const served = this.serve(exchange);
     this.exchanges.set(exchange, served);
     void served.finally(() => {
@@ -225,11 +226,10 @@
 
   /**
    * Closes connections that callers keep alive after a response whose head was
-   * sent before the stop. A connection is idle only after the `finish` event.
+   * sent before the stop.
    */
   private closeIdleConnections(): void {
-    if (!this.isStopping) return;
-    setImmediate(() => this.server?.closeIdleConnections());
+    if (this.isStopping) this.connections?.closeIdle();
   }
 
   private changeInFlight(change: number): void {
--- a/packages/entry/tests/server/stopped_calls.feature
+++ b/packages/entry/tests/server/stopped_calls.feature
@@ -30,3 +30,8 @@
     Given a caller server whose gateway delays the last event until shutdown
     When the caller server is stopped during a stream on a connection that is kept alive
     Then the caller server has stopped before its drain time
+
+  Scenario: A response that its caller has not read yet is whole although the daemon stops
+    Given a caller server whose gateway answers with 9 MB of text
+    When the caller server is stopped before the caller reads the response
+    Then the caller gets the whole text
--- a/packages/entry/tests/server/stopped_calls_steps.ts
+++ b/packages/entry/tests/server/stopped_calls_steps.ts
@@ -13,18 +13,21 @@
 import {
   type CallScript,
   createAcceptedEvent,
+  createResponseScript,
   knownProgram,
 } from '../fixtures/fake_gateway.js';
 
 interface StoppedWorld extends EntryWorld {
   readError: Error | undefined;
   hasStopped: boolean;
+  text: string;
 }
 
 const drainMs = 5000;
 /** Time that a server may take to close its connections after the drain time. */
 const closeMs = 2000;
 const stopTimeoutMs = 3000;
+const bytesPerMb = 1_000_000;
 
 function waitForever(): Promise<never> {
   return new Promise<never>(() => undefined);
@@ -100,6 +103,15 @@
   },
 );
 
+Given(
+  'a caller server whose gateway answers with {int} MB of text',
+  async function (this: StoppedWorld, textMb: number) {
+    this.fixture = await EntryFixture.start({drainMs});
+    this.text = 'x'.repeat(textMb * bytesPerMb);
+    this.fixture.gateway.script = createResponseScript([this.text]);
+  },
+);
+
 When(
   'the drain time ends during a {string}',
   async function (this: StoppedWorld, what: string) {
@@ -135,6 +147,30 @@
   },
 );
 
+When(
+  'the caller server is stopped before the caller reads the response',
+  async function (this: StoppedWorld) {
+    const {server, origin} = this.fixture;
+    const {path, headers, body} = createChatRequest();
+    const dispatcher = new Agent();
+    const sent = {method: 'POST', headers, body, dispatcher} as const;
+    const open = await request(`${origin}${path}`, sent);
+    await sleep(200);
+    const stopped = server.stop();
+    await sleep(200);
+    const text = await open.body.text().catch((error: Error) => error.message);
+    this.answer = {status: open.statusCode, headers: open.headers, text};
+    await stopped;
+    await dispatcher.destroy();
+  },
+);
+
+Then('the caller gets the whole text', function (this: StoppedWorld) {
+  const {text} = this.answer;
+  const isWhole = text.endsWith('}') && text.includes(this.text);
+  assert.ok(isWhole, `${text.length} bytes: ${text.slice(0, 100)}`);
+});
+
 Then("the caller's stream is broken off", function (this: StoppedWorld) {
   assert.equal(this.answer.status, 200);
   assert.ok(this.readError !== undefined, 'the stream ended normally');
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -4,8 +4,11 @@
  * forwards a single exchange with a target and never relays it any further.
  */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
-import type {Clock, TargetId} from '@marigoldpost/common';
+import {
+  ClientConnections,
+  type Clock,
+  type TargetId,
+} from '@marigoldpost/common';
 import type {TargetLimits} from '@marigoldpost/dispatch';
 import type {CallCodec, NetworkAddress, TargetEntry} from '@marigoldpost/sites';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
@@ -51,7 +54,7 @@
 /** HTTP server for requests of other entry VMs. */
 export class RelayServer {
   private readonly server: http.Server;
-  private readonly sockets = new Set<Socket>();
+  private readonly connections: ClientConnections;
   private relayed = 0;
   private isDraining = false;
 
@@ -60,10 +63,7 @@
       {maxHeaderSize: maxHeaderBytes, noDelay: true},
       (request, response) => void this.handle(request, response),
     );
-    this.server.on('connection', (socket) => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
-    });
+    this.connections = ClientConnections.create(this.server);
   }
 
   /**
@@ -74,7 +74,7 @@
     return new RelayServer(options);
   }
 
-  /** Number of requests that are being relayed. */
+  /** Number of requests whose response has not been sent completely. */
   get inFlight(): number {
     return this.relayed;
   }
@@ -97,8 +97,8 @@
 
   /** Stops listening and breaks the relays that are still open. */
   close(): void {
-    this.server.close();
-    for (const socket of this.sockets) resetSocket(socket);
+    void this.connections.stopListening();
+    for (const socket of this.connections.sockets) resetSocket(socket);
   }
 
   private async handle(
@@ -107,15 +107,16 @@
   ): Promise<void> {
     this.relayed += 1;
     const controller = new AbortController();
-    response.once('close', () => controller.abort());
+    response.once('close', () => {
+      this.relayed -= 1;
+      controller.abort();
+    });
     try {
       await this.relay(request, response, controller.signal);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       this.logOutcome(request, undefined, message);
       resetSocket(request.socket);
-    } finally {
-      this.relayed -= 1;
     }
   }
 
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for clients, with timeouts for slow and idle connections. */
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import {ClientConnections} from '@marigoldpost/common';
 import type {CallerLimits, NetworkAddress} from '@marigoldpost/sites';
 import type {CallHandler} from '../calls/call_handler.js';
 import {resetSocket} from './reset_socket.js';
@@ -22,7 +23,7 @@
 /** Accepts client connections and passes requests to the handler. */
 export class GatewayServer {
   private readonly server: http.Server;
-  private readonly sockets = new Set<Socket>();
+  private readonly connections: ClientConnections;
 
   private constructor(private readonly handler: CallHandler) {
     this.server = http.createServer({
@@ -36,7 +37,7 @@
       void handler.handle(request, response);
     });
     this.server.on('clientError', rejectMalformedRequest);
-    this.server.on('connection', (socket) => this.addSocket(socket));
+    this.connections = ClientConnections.create(this.server);
   }
 
   /**
@@ -54,7 +55,7 @@
 
   /** Number of open connections, idle ones included. */
   get connectionCount(): number {
-    return this.sockets.size;
+    return this.connections.count;
   }
 
   /**
@@ -96,9 +97,9 @@
     this.handler.failStoppedCalls();
   }
 
-  /** Closes connections without a request in flight. */
+  /** Closes connections without a request or response in flight. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.connections.closeIdle();
   }
 
   /**
@@ -106,14 +107,9 @@
    * end would complete a response that only its connection delimits.
    */
   close(): void {
-    this.server.close();
+    void this.connections.stopListening();
     this.closeIdle();
-    for (const socket of this.sockets) resetSocket(socket);
-  }
-
-  private addSocket(socket: Socket): void {
-    this.sockets.add(socket);
-    socket.once('close', () => this.sockets.delete(socket));
+    for (const socket of this.connections.sockets) resetSocket(socket);
   }
 }
 
