End turns that wait for archives with their time, their client or their entry VM

Callers got the end of a turn up to 0.7 s after its time, and at a stop 502 ('may have run') for a turn that no target had received.

Cause: reads of earlier turns, reservations and records took no signal.

Now the wait ends at once with archive_unavailable (503, not run); the work at the archives goes on, and an attempt whose wait ended is settled with 0 tokens, which wins over a reservation that arrives later.

--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -89,13 +89,14 @@
     const program = TokenReservation.getProgram(this.call);
     const startMs = clock.nowMs();
     try {
-      await turns.reserve({
+      const request = {
         program,
         attempt: this.attempt,
         tokens: maxOutputTokens,
         budgetTokens,
         home,
-      });
+      };
+      await turns.reserve(request, this.call.signal);
     } catch (error) {
       if (isErrorOfKind(error, 'tokens_spent')) {
         const wantedTokens = maxOutputTokens;
--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -74,7 +74,10 @@
     const {previousTurn} = this.call.attributes;
     if (previousTurn === undefined) return [];
     const startMs = this.services.clock.nowMs();
-    const chain = await this.services.turns.readChain(previousTurn);
+    const chain = await this.services.turns.readChain(
+      previousTurn,
+      this.call.signal,
+    );
     this.call.logger.log('turn_read', {
       previous: previousTurn,
       turns: chain.length,
@@ -105,7 +108,9 @@
     } catch (error) {
       reservation.settle(result.events);
       const message = error instanceof Error ? error.message : String(error);
-      const failure = MarigoldpostError.create('target_failed', message);
+      const isLate = this.call.endReason === 'timeout';
+      const kind = isLate ? 'target_timeout' : 'target_failed';
+      const failure = MarigoldpostError.create(kind, message);
       failCall(this.call, failure, result.events);
       return;
     }
@@ -131,7 +136,8 @@
       target,
       prompt: call.attributes.prompt,
     };
-    await services.turns.record(turn, chain.at(-1)?.disks ?? []);
+    const disks = chain.at(-1)?.disks ?? [];
+    await services.turns.record(turn, disks, this.createStoreSignal());
     const elapsedMs = services.clock.nowMs() - startMs;
     services.metrics.recordValue('turn_store_ms', {}, elapsedMs);
     call.logger.log('turn_stored', {
@@ -141,6 +147,21 @@
     });
   }
 
+  /**
+   * Creates the signal that ends the wait until the turn is stored. A stop of
+   * the entry VM does not: its calls have a short time to end.
+   */
+  private createStoreSignal(): AbortSignal {
+    const {call} = this;
+    const controller = new AbortController();
+    const onAbort = () => {
+      if (call.endReason !== 'stopping') controller.abort();
+    };
+    call.signal.addEventListener('abort', onAbort, {once: true});
+    if (call.signal.aborted) onAbort();
+    return controller.signal;
+  }
+
   private getHomeDataCentre(chain: TurnChain) {
     return chain[0]?.home ?? this.services.dataCentre;
   }
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -57,15 +57,16 @@
    * every archive replies that it does not store a turn of the chain, and
    * `archive_unavailable` when an archive that may store it does not reply.
    * @param turn - Newest turn of the chain.
+   * @param signal - No further archive is asked once it is aborted.
    */
-  async readChain(turn: TurnId): Promise<TurnChain> {
+  async readChain(turn: TurnId, signal: AbortSignal): Promise<TurnChain> {
     const newestFirst: TurnRecord[] = [];
     let next: TurnId | undefined = turn;
     while (next !== undefined) {
       const cached = this.options.cache.get(next);
       const part: PartialChain =
         cached === undefined
-          ? await this.fetchChain(next)
+          ? await this.fetchChain(next, signal)
           : {turns: [cached], missing: cached.previous};
       newestFirst.push(...part.turns.toReversed());
       next = part.missing;
@@ -74,12 +75,16 @@
     return newestFirst.toReversed();
   }
 
-  private async fetchChain(turn: TurnId): Promise<PartialChain> {
+  private async fetchChain(
+    turn: TurnId,
+    signal: AbortSignal,
+  ): Promise<PartialChain> {
     const {pool, ownDataCentre} = this.options;
     const localClients = pool.getReachableClients(ownDataCentre);
     for (const client of localClients) {
       const chain = await tryFetchChain(client, turn);
       if (chain !== undefined) return chain;
+      signal.throwIfAborted();
     }
     const clients = pool.getClients();
     const lookups = await Promise.all(
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -3,14 +3,16 @@
   type Clock,
   type DataCentreId,
   getHashNumber,
+  MarigoldpostError,
   type ProgramId,
+  waitUnlessAborted,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import type {DiskId} from '../log/disk_identity.js';
 import type {TurnChain} from '../records/turn_record.js';
 import type {ArchivePool} from './archive_pool.js';
 import {BudgetClient, type TokenRequest} from './budget_client.js';
-import {ChainReader} from './chain_reader.js';
+import {ChainReader, getArchiveRetryAfterMs} from './chain_reader.js';
 import {SettlementSender} from './settlement_sender.js';
 import {TurnCache} from './turn_cache.js';
 import {type NewTurn, TurnRecorder} from './turn_recorder.js';
@@ -73,11 +75,16 @@
   }
 
   /**
-   * Gets a turn and all its ancestors; see `ChainReader.readChain`.
+   * Gets a turn and all its ancestors; see `ChainReader.readChain`. Throws
+   * `archive_unavailable` if the wait for the archives is aborted.
    * @param turn - Newest turn of the chain.
+   * @param signal - Ends the wait.
    */
-  readChain(turn: TurnId): Promise<TurnChain> {
-    return this.chains.readChain(turn);
+  readChain(turn: TurnId, signal: AbortSignal): Promise<TurnChain> {
+    const work = this.chains.readChain(turn, signal);
+    return waitUnlessAborted(work, signal, () =>
+      this.createAbortError(`turn "${turn}" was not read in time`),
+    );
   }
 
   /**
@@ -100,11 +107,21 @@
   }
 
   /**
-   * Reserves tokens; see `BudgetClient.reserve`.
+   * Reserves tokens; see `BudgetClient.reserve`. Throws `archive_unavailable`
+   * if the wait for the archives is aborted; the attempt is then settled with 0
+   * tokens.
    * @param request - Attempt, tokens and budget.
+   * @param signal - Ends the wait.
    */
-  reserve(request: TokenRequest): Promise<void> {
-    return this.budgets.reserve(request);
+  async reserve(request: TokenRequest, signal: AbortSignal): Promise<void> {
+    const {program, attempt} = request;
+    const work = this.budgets.reserve(request);
+    await waitUnlessAborted(work, signal, () => {
+      this.settle(program, attempt, 0);
+      return this.createAbortError(
+        `the tokens of attempt "${attempt}" were not reserved in time`,
+      );
+    });
   }
 
   /**
@@ -119,13 +136,35 @@
 
   /**
    * Stores a finished turn and settles its tokens; resolves once the turn is
-   * durable.
+   * durable. Throws `archive_unavailable` if the wait for the archives is
+   * aborted; the turn may be stored nevertheless.
    * @param turn - Finished turn.
    * @param chainDisks - Disks of the previous turn.
+   * @param signal - Ends the wait.
    */
-  async record(turn: NewTurn, chainDisks: readonly DiskId[]): Promise<void> {
+  record(
+    turn: NewTurn,
+    chainDisks: readonly DiskId[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    return waitUnlessAborted(this.store(turn, chainDisks), signal, () =>
+      this.createAbortError(`turn "${turn.id}" was not stored in time`),
+    );
+  }
+
+  private async store(
+    turn: NewTurn,
+    chainDisks: readonly DiskId[],
+  ): Promise<void> {
     const record = await this.recorder.record(turn, chainDisks);
     this.cache.put(record);
     this.settle(turn.program, turn.id, turn.tokens);
   }
+
+  private createAbortError(message: string): MarigoldpostError {
+    const retryAfterMs = getArchiveRetryAfterMs(this.options.pool);
+    return MarigoldpostError.create('archive_unavailable', message, {
+      retryAfterMs,
+    });
+  }
 }
--- a/packages/turns/tests/client/turn_store.feature
+++ b/packages/turns/tests/client/turn_store.feature
@@ -105,6 +105,12 @@
     When attempts that reserve 100 tokens and use 10 run sequentially in "a" on a budget of 200
     Then 11 of them are admitted
 
+  Scenario: An attempt that no longer waits for its reservation holds no tokens
+    When an attempt of 200 tokens in "a" on a budget of 200 ends its wait after 1 ms
+    And 900 ms pass
+    And attempts that reserve 200 tokens and use 10 run sequentially in "b" on a budget of 200
+    Then 1 of them are admitted
+
   Scenario: A spent budget stays spent after a power loss of every archive
     When attempts that reserve 50 tokens and use 50 run sequentially in "a" on a budget of 200
     And all archives lose power and restart
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -18,6 +18,8 @@
 }
 
 const program = toId<ProgramId>('program');
+/** Waits for the archives are not ended. */
+const untilDone = new AbortController().signal;
 const maxAttempts = 30;
 /** Below the 1 s within which a budget must include a turn's used tokens. */
 const settleMs = 900;
@@ -46,7 +48,9 @@
     this.archives.cutOff = name;
     // The first request without a reply marks the archives unreachable.
     const {archives} = this;
-    const probe = archives.getStore(name).readChain(toId<TurnId>('probe'));
+    const probe = archives
+      .getStore(name)
+      .readChain(toId<TurnId>('probe'), untilDone);
     await archives.run(probe.catch(() => undefined));
   },
 );
@@ -243,7 +247,7 @@
     const expected = split(ids);
     const store = this.archives.getStore(dataCentre, true);
     const last = toId<TurnId>(expected.at(-1) ?? '');
-    const chain = await this.archives.run(store.readChain(last));
+    const chain = await this.archives.run(store.readChain(last, untilDone));
     assert.deepEqual(
       chain.map(({id}) => id),
       expected,
@@ -263,7 +267,7 @@
     kind: ErrorKind,
   ) {
     const store = this.archives.getStore(dataCentre, true);
-    const read = store.readChain(toId<TurnId>(id));
+    const read = store.readChain(toId<TurnId>(id), untilDone);
     await assertFails(this.archives.run(read), kind);
   },
 );
@@ -370,9 +374,9 @@
   const chain =
     previous === undefined
       ? []
-      : await archives.run(store.readChain(toId<TurnId>(previous)));
+      : await archives.run(store.readChain(toId<TurnId>(previous), untilDone));
   const disks = chain.at(-1)?.disks ?? [];
-  await archives.run(store.record(createTurn(id, previous), disks));
+  await archives.run(store.record(createTurn(id, previous), disks, untilDone));
   world.holders = archives.findHolders(id);
 }
 
@@ -395,13 +399,14 @@
   dataCentre: string,
   home = dataCentre,
 ): Promise<void> {
-  return archives.getStore(dataCentre).reserve({
+  const request = {
     program,
     attempt: toId<TurnId>(attempt),
     tokens,
     budgetTokens,
     home: toId<DataCentreId>(home),
-  });
+  };
+  return archives.getStore(dataCentre).reserve(request, untilDone);
 }
 
 async function assertFails(
