Break off relayed streams whose target is lost

A client whose stream was relayed by another entry VM waited until its time ended when the target died without closing its connection: only the accepting entry VM watched the response, and it looks at the relaying entry VM alone.

RelayServer now watches each body that it forwards with the same SilenceWatch and LossDetector as direct streams, so silence alone still ends nothing. It also stops reading when its peer leaves while the target's body is paused. The accepting entry VM cannot see why the relay ended the response. If it ends after a silence at which the relay may have given up, the run counts as a crash only once the target is lost; else three streams over a relay's cut links would quarantine a sound request.

--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -48,7 +48,7 @@
       const {isOversized} = started.answer.body;
       if (received.end.proof === 'truncated' && !isOversized) {
         if (call.signal.aborted) attempts.recordSilence(started.lease);
-        else attempts.recordCrash(started.lease);
+        else attempts.recordCrash(started.lease, received.end);
       }
       if (attempts.canRetry) continue;
       throw attempts.createFailure(problem);
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -77,7 +77,9 @@
   } else {
     attempts.recordBrokenResponse(started.lease, result.message, fields);
     if (result.isLost) attempts.recordSilence(started.lease);
-    else if (!targetBody.isOversized) attempts.recordCrash(started.lease);
+    else if (!targetBody.isOversized) {
+      attempts.recordCrash(started.lease, result.end);
+    }
   }
   return {...result, target};
 }
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -15,7 +15,8 @@
   TargetResult,
 } from '@marigoldpost/dispatch';
 import {isRepeatable, type TargetEntry} from '@marigoldpost/sites';
-import type {BodyFields, BodyProof} from '../responses/body_end.js';
+import {minRelayedLossSilenceMs} from '../links/loss_detector.js';
+import type {BodyEnd, BodyFields, BodyProof} from '../responses/body_end.js';
 import type {
   ExchangeOutcome,
   FailedExchange,
@@ -167,17 +168,15 @@
   }
 
   /**
-   * Records that a target closed its connection while it ran the request.
+   * Records that a connection was closed while a target ran the request.
    * @param lease - Lease of the attempt.
+   * @param end - How the response ended.
    */
-  recordCrash({target}: TargetLease): void {
+  recordCrash({target}: TargetLease, {silentMs}: BodyEnd): void {
     const {crashTracker} = this.services;
-    const run = this.getRun();
     if (this.peer === undefined) {
-      crashTracker.recordCrash(this.trackedRequest, target, run);
-    } else {
-      void this.recordRelayedCrash(target, this.peer, run);
-    }
+      crashTracker.recordCrash(this.trackedRequest, target, this.getRun());
+    } else void this.recordRelayedCrash(target, this.peer, silentMs);
   }
 
   /**
@@ -271,18 +270,22 @@
     });
   }
 
-  /** Either hop may have lost its connection; a peer that runs has not. */
+  /**
+   * Either hop may have lost its connection; a peer that runs has not, unless
+   * it gave up a silent response. Then only a loss of the target is a crash.
+   */
   private async recordRelayedCrash(
     target: TargetEntry,
     peer: DaemonId,
-    run: TargetRun,
+    silentMs: number,
   ): Promise<void> {
     const {crashTracker, sender} = this.services;
-    const isPeerRunning = await sender.isPeerRunning(peer);
-    if (isPeerRunning) {
-      crashTracker.recordCrash(this.trackedRequest, target, run);
-    } else {
+    const run = this.getRun();
+    const isGivenUp = silentMs >= minRelayedLossSilenceMs;
+    if (isGivenUp || !(await sender.isPeerRunning(peer))) {
       crashTracker.recordSilence(this.trackedRequest, target, run);
+    } else {
+      crashTracker.recordCrash(this.trackedRequest, target, run);
     }
   }
 
--- a/packages/gateway/src/links/loss_detector.ts
+++ b/packages/gateway/src/links/loss_detector.ts
@@ -19,6 +19,11 @@
  * connection is lost. A sound one that is suspended goes on earlier.
  */
 const maxUnreachableSilenceMs = 2000;
+/**
+ * Silence after which a relaying entry VM may have given up a response, less
+ * the difference of the silences that two entry VMs see in it.
+ */
+export const minRelayedLossSilenceMs = maxCutLinkSilenceMs - 100;
 /** Time without a link that covers two probes; one may fail by chance. */
 const minDownMs = 1000;
 /** Pause between two checks of a relaying entry VM. */
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -14,6 +14,8 @@
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import {readBody} from '../calls/body_reader.js';
 import type {LinkMonitor} from '../links/link_monitor.js';
+import type {LossDetector} from '../links/loss_detector.js';
+import {SilenceWatch} from '../responses/silence_watch.js';
 import {resetSocket} from '../server/reset_socket.js';
 import type {
   ExchangeOutcome,
@@ -44,6 +46,7 @@
   readonly codec: CallCodec;
   readonly agents: TargetAgents;
   readonly links: LinkMonitor;
+  readonly lossDetector: LossDetector;
   readonly targetLimits: TargetLimits;
   readonly logger: EventLogger;
   readonly metrics: Metrics;
@@ -158,7 +161,7 @@
     }
     this.logOutcome(request, parameters, outcome.kind);
     if (outcome.kind === 'answer') {
-      await this.forward(outcome, response);
+      await this.forward(outcome, response, target, signal);
       return;
     }
     const headers = [...encodeRelayFraming('none'), 'Content-Length', '0'];
@@ -223,7 +226,10 @@
   private async forward(
     {response: source, body}: StartedResponse,
     response: ServerResponse,
+    target: TargetEntry,
+    signal: AbortSignal,
   ): Promise<void> {
+    const {clock, lossDetector} = this.options;
     const {framing} = body;
     const headers = this.getHeaders(source.rawHeaders);
     const length = source.headers['content-length'];
@@ -233,11 +239,22 @@
     headers.push(...encodeRelayFraming(framing));
     response.writeHead(source.statusCode ?? failureStatus, headers);
     response.flushHeaders();
+    const findLoss = (silentMs: number) =>
+      lossDetector.findLoss({target, peer: undefined, silentMs});
+    const watch = SilenceWatch.start({clock, body, findLoss});
+    // A paused response is not aborted with its exchange once all its bytes
+    // have arrived.
+    const onAbort = () => body.abort('the relay was aborted');
+    signal.addEventListener('abort', onAbort, {once: true});
+    if (signal.aborted) onAbort();
     const end = await body.read((chunk) => {
+      watch.recordChunk();
       if (response.write(chunk)) return;
       source.pause();
       response.once('drain', () => source.resume());
     });
+    signal.removeEventListener('abort', onAbort);
+    watch.stop();
     // The last chunk stands for the normal end of the target's connection.
     if (end.proof === 'truncated') resetSocket(response.req.socket);
     else response.end();
--- a/packages/nodes/src/entry/entry_fleet.ts
+++ b/packages/nodes/src/entry/entry_fleet.ts
@@ -213,6 +213,7 @@
       codec: platform.codec,
       agents: this.agents,
       links: this.links,
+      lossDetector: this.lossDetector,
       targetLimits: this.limits,
       logger,
       metrics,
