Count a relayed response as truncated when its relay is lost

If the process of a relaying entry VM is killed, the kernel closes its connections normally. The accepting entry VM then took a relayed response without a length to have ended as such responses do, although the relay ends them by a last chunk: clients got the truncated stream, or a 200 with a part of a plain body, ended normally. Turns would have been stored.

Such an end is now a reset, which is truncated whatever the framing.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** Serves client requests on an entry VM: HTTP server, routing, relaying. */
+export * from './responses/body_end.js';
 export * from './responses/event_collector.js';
 export * from './responses/error_response.js';
 export * from './responses/response_memory.js';
@@ -9,6 +10,7 @@
 export * from './links/link_monitor.js';
 export * from './links/link_prober.js';
 export * from './links/loss_detector.js';
+export * from './relay/peer_exchange.js';
 export * from './relay/relay_codec.js';
 export * from './relay/relay_peers.js';
 export * from './relay/relay_server.js';
--- a/packages/gateway/src/responses/target_body.ts
+++ b/packages/gateway/src/responses/target_body.ts
@@ -164,7 +164,9 @@
       return framing === 'close' ? 'closed' : normalCauses[framing];
     }
     if (this.isReset) return 'reset';
-    return isParserError(error) ? 'malformed' : 'closed';
+    if (isParserError(error)) return 'malformed';
+    // Only the relaying entry VM was lost: it ends a body by a last chunk.
+    return framing === ownFraming ? 'closed' : 'reset';
   }
 
   private getMessage(): string {
