Let large responses wait for memory instead of cutting them

While the memory for the responses of all targets was full, callers got 502 for sound responses, and bookings that had run were lost to them: a response without room was aborted, whoever filled the memory. Eight endless responses, or fourteen of 2 MB at a time, fill it.

A response without room is now paused, and with it its target. One that states its length gets room for all of it before it is read and holds nothing while it waits. Others grow by parts; what the largest of them may still need is always kept free, so that one of them can end. While more wait than their connections may buffer, calls are rejected with 503 before they are sent. A call whose time ends while its response waits gets 504; its target is not blamed.

--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -39,23 +39,25 @@
     const started = await attempts.nextResponse();
     const {response} = started.answer;
     const allowance = services.responseMemory.createAllowance();
-    const received = await readResponseBody(started.answer.body, allowance);
+    const received = await readResponseBody(
+      started.answer.body,
+      allowance,
+      call.signal,
+    );
     const fields = getBodyFields(received.end);
     const problem = findResponseProblem(started, received);
     if (problem !== undefined) {
-      attempts.recordBrokenResponse(started.lease, problem, fields);
+      const {isWaiting} = allowance;
       allowance.release();
-      const {isOversized} = started.answer.body;
-      if (received.end.proof === 'truncated' && !isOversized) {
-        if (call.signal.aborted) attempts.recordSilence(started.lease);
-        else attempts.recordCrash(started.lease);
-      }
+      recordProblem(call, attempts, {started, received, problem, isWaiting});
       if (attempts.canRetry) continue;
       throw attempts.createFailure(problem);
     }
     const status = response.statusCode ?? 0;
     const {proof} = received.end;
-    const latencySampleMs = services.clock.nowMs() - startMs;
+    const latencySampleMs = allowance.hasWaited
+      ? undefined
+      : services.clock.nowMs() - startMs;
     if (status >= minServerErrorStatus && attempts.canRetry) {
       const message = `status ${status}`;
       attempts.recordBrokenResponse(started.lease, message, fields);
@@ -90,6 +92,33 @@
   return codec.encodeForClient(rawHeaders);
 }
 
+/** A response that must not be forwarded. */
+interface UnusableResponse {
+  readonly started: LeasedResponse;
+  readonly received: ReceivedBody;
+  readonly problem: string;
+  /** Whether it was not read because there was no room for it in memory. */
+  readonly isWaiting: boolean;
+}
+
+function recordProblem(
+  {signal}: IncomingCall,
+  attempts: TargetAttempts,
+  {started, received, problem, isWaiting}: UnusableResponse,
+): void {
+  const {answer, lease} = started;
+  const {end} = received;
+  if (isWaiting && signal.aborted) {
+    // The target is not at fault.
+    attempts.release(lease, {result: 'cancelled'});
+    return;
+  }
+  attempts.recordBrokenResponse(lease, problem, getBodyFields(end));
+  if (end.proof !== 'truncated' || answer.body.isOversized) return;
+  if (signal.aborted) attempts.recordSilence(lease);
+  else attempts.recordCrash(lease);
+}
+
 /** Finds why a response must not be forwarded; `undefined` if it may be. */
 function findResponseProblem(
   {answer}: LeasedResponse,
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -92,11 +92,16 @@
   const status = response.statusCode ?? 0;
   const allowance = services.responseMemory.createAllowance();
   call.onceClosed(() => allowance.release());
-  const {bytes, end} = await readResponseBody(answer.body, allowance);
+  const {bytes, end} = await readResponseBody(
+    answer.body,
+    allowance,
+    call.signal,
+  );
   const fields = getBodyFields(end);
   const {proof} = end;
   if (proof === 'truncated') {
-    attempts.recordBrokenResponse(lease, end.message, fields);
+    if (allowance.isWaiting) attempts.release(lease, {result: 'cancelled'});
+    else attempts.recordBrokenResponse(lease, end.message, fields);
     throw attempts.createFailure(end.message);
   }
   const target = lease.target.id;
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -130,7 +130,7 @@
    */
   async nextResponse(): Promise<LeasedResponse> {
     for (;;) {
-      this.rejectIfQuarantined();
+      this.rejectIfRefused();
       const lease = await this.acquireUnlessQuarantined();
       this.services.crashTracker.recordSend(
         this.trackedRequest,
@@ -291,9 +291,10 @@
     return {runStartedAtMs: this.sentAtMs, runEndedAtMs};
   }
 
-  private rejectIfQuarantined(): void {
+  private rejectIfRefused(): void {
     const outcome = this.mayHaveRun ? 'unknown' : 'not_run';
     this.services.crashTracker.check(this.trackedRequest, outcome);
+    this.services.responseMemory.check(outcome);
   }
 
   private async acquireUnlessQuarantined(): Promise<TargetLease> {
@@ -312,7 +313,7 @@
     } finally {
       stopWatching();
     }
-    this.rejectIfQuarantined();
+    this.rejectIfRefused();
     return this.acquireUnlessQuarantined();
   }
 
@@ -459,8 +460,7 @@
 
   private getLimitPerS({target}: TargetLease): number | undefined {
     const {id, startedAtMs} = target;
-    const {targetLimits} = this.services;
-    return targetLimits.get({target: id, startedAtMs})?.limitPerS;
+    return this.services.targetLimits.get({target: id, startedAtMs})?.limitPerS;
   }
 
   private logPlacement(
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -8,7 +8,7 @@
   getStreamProof,
   type StreamPosition,
 } from './body_end.js';
-import type {ResponseAllowance} from './response_memory.js';
+import type {ResponseAllowance} from './response_allowance.js';
 import {SilenceWatch} from './silence_watch.js';
 import type {TargetBody} from './target_body.js';
 
@@ -50,6 +50,8 @@
   private firstEventMs: number | undefined;
   private lastEventMs = 0;
   private readonly watch: SilenceWatch;
+  /** Number of reasons for which the target's response is paused. */
+  private pauses = 0;
 
   private constructor(private readonly options: StreamRelayOptions) {
     const {clock, body, findLoss} = options;
@@ -75,6 +77,7 @@
     const end = await body.read((chunk) => this.forwardChunk(chunk));
     call.signal.removeEventListener('abort', onAbort);
     this.watch.stop();
+    this.options.allowance.finish();
     return this.createResult(end);
   }
 
@@ -87,7 +90,6 @@
 
   private forwardChunk(chunk: Buffer): void {
     const {call, body, clock, allowance} = this.options;
-    const {response} = body;
     const eventsBefore = this.collector.eventCount;
     this.watch.recordChunk();
     this.collector.add(chunk);
@@ -96,14 +98,27 @@
       this.firstEventMs ??= this.lastEventMs;
     }
     if (call.signal.aborted) return;
-    if (!allowance.hold(this.collector.heldBytes)) {
+    const endPause = () => this.endPause();
+    const result = allowance.hold(this.collector.heldBytes, endPause);
+    if (result === 'too_large') {
       body.abortOversized(allowance.maxBytes);
       return;
     }
+    if (result === 'waiting') this.pause();
     if (!call.isHeadSent) call.writeHead(this.head);
     if (call.write(chunk)) return;
-    response.pause();
-    call.onceDrained(() => response.resume());
+    this.pause();
+    call.onceDrained(endPause);
+  }
+
+  private pause(): void {
+    this.pauses += 1;
+    this.options.body.response.pause();
+  }
+
+  private endPause(): void {
+    this.pauses -= 1;
+    if (this.pauses === 0) this.options.body.response.resume();
   }
 
   private createResult(end: BodyEnd): StreamResult {
--- a/packages/gateway/src/responses/target_body.ts
+++ b/packages/gateway/src/responses/target_body.ts
@@ -90,18 +90,24 @@
     });
   }
 
-  /** Whether the body was aborted because there is no room for it. */
+  /** Length that the response states; `undefined` if it has none. */
+  get length(): number | undefined {
+    if (this.ownFraming !== 'length') return undefined;
+    return Number(this.response.headers['content-length']);
+  }
+
+  /** Whether the body was aborted because it is too large. */
   get isOversized(): boolean {
     return this.hasExceeded;
   }
 
   /**
-   * Closes the connection because there is no room for the body.
+   * Closes the connection because the body is too large.
    * @param maxBytes - Most bytes that the body may occupy.
    */
   abortOversized(maxBytes: number): void {
     this.hasExceeded = true;
-    this.abort(`the response exceeds ${maxBytes} bytes, or the memory for all`);
+    this.abort(`the response exceeds ${maxBytes} bytes`);
   }
 
   /**
