--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -131,7 +131,7 @@
    */
   async nextResponse(): Promise<LeasedResponse> {
     for (;;) {
-      this.rejectIfQuarantined();
+      this.rejectIfRefused();
       const lease = await this.acquireUnlessQuarantined();
       this.services.crashTracker.recordSend(
         this.trackedRequest,
@@ -294,9 +294,10 @@
     return {runStartedAtMs: this.sentAtMs, runEndedAtMs};
   }
 
-  private rejectIfQuarantined(): void {
+  private rejectIfRefused(): void {
     const outcome = this.mayHaveRun ? 'unknown' : 'not_run';
     this.services.crashTracker.check(this.trackedRequest, outcome);
+    this.services.responseMemory.check(outcome);
   }
 
   private async acquireUnlessQuarantined(): Promise<TargetLease> {
@@ -315,7 +316,7 @@
     } finally {
       stopWatching();
     }
-    this.rejectIfQuarantined();
+    this.rejectIfRefused();
     return this.acquireUnlessQuarantined();
   }
 
@@ -462,8 +463,7 @@
 
   private getLimitPerS({target}: TargetLease): number | undefined {
     const {id, startedAtMs} = target;
-    const {targetLimits} = this.services;
-    return targetLimits.get({target: id, startedAtMs})?.limitPerS;
+    return this.services.targetLimits.get({target: id, startedAtMs})?.limitPerS;
   }
 
   private logPlacement(
