Wait for an archive that restarts before rejecting a reservation

Cause: an entry VM grants tokens to a program of another data centre only with a vote of that data centre's archives, which may be isolated and grant by themselves. A planned restart takes the only archive of a data centre away for 1 to 2 s; all turns of its programs that arrived elsewhere were rejected at once. Retries within that time were rejected as well.

Fix: BudgetClient asks again when an archive returns, for at most 1.5 s or half of the time of the call, if one has become unreachable in the last 2.5 s. No vote is counted in another way, so budgets hold as before; a longer isolation is still rejected at once.

Tests: budget_client.feature; three of its scenarios failed before the change ("too few archives granted", 0 attempts admitted).

--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -11,6 +11,9 @@
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
 
+/** Share of a call's remaining time that it may wait for archives. */
+const maxWaitShare = 0.5;
+
 /** Tokens of an attempt; holds none if the call has no budget. */
 export class TokenReservation {
   private constructor(
@@ -95,6 +98,8 @@
         tokens: maxOutputTokens,
         budgetTokens,
         home,
+        maxWaitMs: this.call.leftMs * maxWaitShare,
+        signal: this.call.signal,
       });
     } catch (error) {
       if (isErrorOfKind(error, 'tokens_spent')) {
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -103,6 +103,11 @@
     return this.unreachableSinceMs === undefined;
   }
 
+  /** When the archive became unreachable; `undefined` while it is reachable. */
+  get unreachableAtMs(): number | undefined {
+    return this.unreachableSinceMs;
+  }
+
   /**
    * Reserves tokens in the archive's ledger.
    * @param reservation - Attempt, its tokens and the program's budget.
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -1,5 +1,10 @@
 /** Clients of all registered archives. */
-import type {Clock, DaemonId, DataCentreId} from '@marigoldpost/common';
+import {
+  type Clock,
+  type DaemonId,
+  type DataCentreId,
+  Deferred,
+} from '@marigoldpost/common';
 import type {PeerRequester} from '@marigoldpost/peers';
 import type {
   ArchiveDirectory,
@@ -7,6 +12,12 @@
 } from '../directory/archive_directory.js';
 import {ArchiveClient} from './archive_client.js';
 
+/**
+ * Time for which an unreachable archive is expected to return: a restart takes
+ * 1 to 2 s, the isolation of a data centre lasts longer.
+ */
+const restartMs = 2500;
+
 /** Directory, transport and callbacks of a pool. */
 export interface ArchivePoolOptions {
   readonly directory: ArchiveDirectory;
@@ -26,6 +37,8 @@
 export class ArchivePool {
   private clients: readonly ArchiveClient[] = [];
   private seenChangeCount = -1;
+  private returned = Deferred.create<void>();
+  private returns = 0;
 
   private constructor(private readonly options: ArchivePoolOptions) {}
 
@@ -54,6 +67,38 @@
     return this.getClients().some((client) => client.isReachable);
   }
 
+  /** Number of times at which an archive has become reachable again. */
+  get returnCount(): number {
+    return this.returns;
+  }
+
+  /**
+   * Waits until an archive becomes reachable again. False if none does so, or
+   * at once if no archive has become unreachable in the last 2.5 s.
+   * @param maxWaitMs - Longest wait, in milliseconds.
+   * @param signal - Ends the wait when aborted.
+   */
+  async waitForReturn(
+    maxWaitMs: number,
+    signal?: AbortSignal,
+  ): Promise<boolean> {
+    const {clock} = this.options;
+    const sinceMs = clock.nowMs() - restartMs;
+    const isExpected = this.getClients().some(
+      ({unreachableAtMs = -Infinity}) => unreachableAtMs > sinceMs,
+    );
+    if (!isExpected || signal?.aborted === true) return false;
+    const {returnCount} = this;
+    const ended = Deferred.create<void>();
+    const end = () => ended.resolve();
+    const timer = clock.setTimer(maxWaitMs, end);
+    signal?.addEventListener('abort', end, {once: true});
+    await Promise.race([this.returned.promise, ended.promise]);
+    timer.cancel();
+    signal?.removeEventListener('abort', end);
+    return this.returnCount !== returnCount;
+  }
+
   /**
    * Gets the clients of the reachable archives in a data centre.
    * @param dataCentre - Data centre of the archives.
@@ -70,15 +115,27 @@
       (client) => getMemberKey(client.member) === key,
     );
     if (existing !== undefined) return existing;
-    const {transport, clock, signal, onReachabilityChanged} = this.options;
+    const {transport, clock, signal} = this.options;
     return ArchiveClient.create({
       member,
       transport,
       clock,
       signal,
-      onReachabilityChanged,
+      onReachabilityChanged: (changed, isReachable) =>
+        this.handleReachability(changed, isReachable),
     });
   }
+
+  private handleReachability(
+    member: ArchiveMember,
+    isReachable: boolean,
+  ): void {
+    this.options.onReachabilityChanged?.(member, isReachable);
+    if (!isReachable) return;
+    this.returns += 1;
+    this.returned.resolve();
+    this.returned = Deferred.create<void>();
+  }
 }
 
 /**
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -17,6 +17,11 @@
 /** Time in which the archives learn that an attempt has been settled. */
 const minContentionRetryMs = 600;
 const contentionRetrySpreadMs = 600;
+/**
+ * Longest wait of an attempt for an archive. Clients abandon a stream that has
+ * not begun after 2 s, and an archive that hangs has used 0.4 s of them.
+ */
+const longestWaitMs = 1500;
 
 /** Request of an attempt at a turn for tokens of its program's budget. */
 export interface TokenRequest {
@@ -27,6 +32,10 @@
   readonly budgetTokens: number;
   /** Data centre in which the program started. */
   readonly home: DataCentreId;
+  /** Longest wait for archives that have just become unreachable. */
+  readonly maxWaitMs: number;
+  /** Ends the wait when aborted. */
+  readonly signal?: AbortSignal;
 }
 
 /** Archives and settlement sender that a client uses. */
@@ -53,11 +62,12 @@
    * Reserves tokens. Throws `tokens_spent` when they exceed the budget,
    * `limit_reached` when concurrent attempts compete for the rest of it, and
    * `archive_unavailable` when too few archives reply to decide. In all cases
-   * the attempt is settled with 0 tokens.
+   * the attempt is settled with 0 tokens. Waits up to 1.5 s for archives that
+   * have just become unreachable, since a restart takes about that long.
    * @param request - Attempt, tokens and budget.
    */
   async reserve(request: TokenRequest): Promise<void> {
-    const decision = await this.requestReservation(request, false);
+    const decision = await this.requestWithWait(request);
     if (decision === 'granted') return;
     if (decision === 'refused' && (await this.isWithinBudget(request))) {
       if ((await this.requestReservation(request, true)) === 'granted') {
@@ -77,6 +87,26 @@
     );
   }
 
+  /** Requests a reservation again each time an archive has returned. */
+  private async requestWithWait(
+    request: TokenRequest,
+  ): Promise<ReservationDecision> {
+    const {pool, clock} = this.options;
+    const {maxWaitMs, signal} = request;
+    const endMs = clock.nowMs() + Math.min(maxWaitMs, longestWaitMs);
+    for (;;) {
+      const {returnCount} = pool;
+      const decision = await this.requestReservation(request, false);
+      if (decision !== 'unavailable') return decision;
+      const waitMs = endMs - clock.nowMs();
+      if (waitMs <= 0 || signal?.aborted === true) return decision;
+      const hasReturned =
+        pool.returnCount !== returnCount ||
+        (await pool.waitForReturn(waitMs, signal));
+      if (!hasReturned) return decision;
+    }
+  }
+
   private async requestReservation(
     request: TokenRequest,
     isForced: boolean,
--- /dev/null
+++ b/packages/turns/tests/client/budget_client.feature
@@ -0,0 +1,41 @@
+Feature: Reservations while archives restart
+  An archive that restarts is unreachable for a moment. Attempts that too few
+  archives can decide meanwhile wait for it.
+
+  Background:
+    Given archives "a, b, c, d" with 2 replicas per turn
+
+  Scenario: An attempt in another data centre waits while the archive of its program's home restarts
+    Given archive "a" is down for 900 ms
+    Then an attempt of a program of "a" is admitted in "b" within 1500 ms
+
+  Scenario: An attempt waits while archives of its majority restart
+    When turn "t1" finishes in "a"
+    And 1000 ms pass
+    Given archives "b, c" are down for 900 ms
+    Then an attempt of a program of "a" is admitted in "d" within 1500 ms
+
+  Scenario: An attempt waits for an archive no longer than its call allows
+    Given archive "a" is killed
+    Then an attempt of a program of "a" in "b" that may wait for 200 ms fails with archive_unavailable within 700 ms
+
+  Scenario: An attempt stops waiting for an archive when its call ends
+    Given archive "a" is killed
+    Then an attempt of a program of "a" in "b" whose call ends after 500 ms fails with archive_unavailable within 510 ms
+
+  Scenario: No attempt waits for an archive that has been down for long
+    Given archive "a" is killed
+    Then an attempt of a program of "a" in "b" fails with archive_unavailable
+    When 3000 ms pass
+    Then an attempt of a program of "a" in "b" that may wait for 1000 ms fails with archive_unavailable within 100 ms
+
+  Scenario Outline: Attempts that wait for an archive keep to their budget
+    Given archive "a" is down for 900 ms
+    When <attempts> attempts of 40 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "b, c, d"
+    Then at most 5 attempts hold a reservation
+    And at least <least> attempts hold a reservation
+
+    Examples:
+      | attempts | least |
+      | 5        | 5     |
+      | 10       | 0     |
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -2,14 +2,17 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
-  type DataCentreId,
   type ErrorKind,
   isErrorOfKind,
   type ProgramId,
   toId,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
-import {ArchiveFleet, createTurn} from '../fixtures/archive_fleet.js';
+import {
+  ArchiveFleet,
+  createTokenRequest,
+  createTurn,
+} from '../fixtures/archive_fleet.js';
 
 interface StoreWorld extends World {
   archives: ArchiveFleet;
@@ -131,12 +134,13 @@
 });
 
 When(
-  /^(\d+) (further )?attempts of (\d+) tokens reserve from a budget of (\d+) concurrently, alternating over "(.*)"$/,
+  /^(\d+) (further )?attempts of (\d+) tokens (?:of a program of "(\w)" )?reserve from a budget of (\d+) concurrently, alternating over "(.*)"$/,
   async function (
     this: StoreWorld,
     count: string,
     further: string | null,
     tokens: string,
+    home: string | null,
     budget: string,
     names: string,
   ) {
@@ -149,6 +153,7 @@
         Number(tokens),
         Number(budget),
         places[index % places.length] ?? '',
+        home ?? undefined,
       ),
     );
     const results = await this.archives.run(Promise.allSettled(tries));
@@ -395,13 +400,8 @@
   dataCentre: string,
   home = dataCentre,
 ): Promise<void> {
-  return archives.getStore(dataCentre).reserve({
-    program,
-    attempt: toId<TurnId>(attempt),
-    tokens,
-    budgetTokens,
-    home: toId<DataCentreId>(home),
-  });
+  const request = createTokenRequest(attempt, tokens, budgetTokens, home);
+  return archives.getStore(dataCentre).reserve(request);
 }
 
 async function assertFails(
