--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -111,10 +111,9 @@
    * if the wait for the archives is aborted; the attempt is then settled with 0
    * tokens.
    * @param request - Attempt, tokens and budget.
-   * @param signal - Ends the wait.
    */
-  async reserve(request: TokenRequest, signal: AbortSignal): Promise<void> {
-    const {program, attempt} = request;
+  async reserve(request: TokenRequest): Promise<void> {
+    const {program, attempt, signal} = request;
     const work = this.budgets.reserve(request);
     await waitUnlessAborted(work, signal, () => {
       this.settle(program, attempt, 0);
--- a/packages/turns/tests/client/aborted_wait_steps.ts
+++ b/packages/turns/tests/client/aborted_wait_steps.ts
@@ -1,14 +1,11 @@
 /** Steps with waits for archives that are aborted. */
 import assert from 'node:assert/strict';
 import {When, type World} from '@cucumber/cucumber';
+import {isErrorOfKind} from '@marigoldpost/common';
 import {
-  type DataCentreId,
-  isErrorOfKind,
-  type ProgramId,
-  toId,
-} from '@marigoldpost/common';
-import type {TurnId} from '@marigoldpost/sites';
-import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
+  type ArchiveFleet,
+  createTokenRequest,
+} from '../fixtures/archive_fleet.js';
 
 interface AbortedWaitWorld extends World {
   archives: ArchiveFleet;
@@ -25,15 +22,11 @@
   ) {
     const {archives} = this;
     const controller = new AbortController();
-    const request = {
-      program: toId<ProgramId>('program'),
-      attempt: toId<TurnId>('ended'),
-      tokens,
-      budgetTokens,
-      home: toId<DataCentreId>(dataCentre),
-    };
-    const store = archives.getStore(dataCentre);
-    const reserved = store.reserve(request, controller.signal);
+    const {signal} = controller;
+    const reserved = archives.getStore(dataCentre).reserve({
+      ...createTokenRequest('ended', tokens, budgetTokens, dataCentre),
+      signal,
+    });
     reserved.catch(() => undefined);
     await archives.clock.advance(afterMs);
     controller.abort();
