Reject queued requests at once when their service has lost its last target

Callers waited for their whole time (4.0 s and 1.2 s) for 503 when all targets of a service were unlisted while their request was queued; requests that came after it were rejected at once.

Cause: the queue was only emptied when the targets that are left are leaving. A queued request whose candidates are gone is rejected now, with no_target (503, retry delay). A request whose client has left is not queued any more either.

--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -292,6 +292,7 @@
     signal: AbortSignal,
     choice: TargetChoice | undefined,
   ): Promise<TargetLease> {
+    if (signal.aborted) throw this.createOverloadedError(0);
     const {clock} = this.options;
     const leased = Deferred.create<TargetLease>();
     const nowMs = clock.nowMs();
@@ -478,7 +479,8 @@
       const choice = this.chooseTarget(item.request, awaiting);
       item.awaited = undefined;
       if (choice === undefined) {
-        if (!this.hasOnlyLeavingTargets(item.request)) continue;
+        const {excluded} = item.request;
+        if (this.getCandidates(excluded).length > 0) continue;
         this.queue.remove(item);
         item.leased.reject(this.createNoTargetError());
         continue;
@@ -503,12 +505,6 @@
     }
   }
 
-  /** Whether no target takes the request and those that are left are leaving. */
-  private hasOnlyLeavingTargets({excluded}: DispatchRequest): boolean {
-    if (this.getCandidates(excluded).length > 0) return false;
-    return [...this.targets.keys()].some((id) => !excluded.has(id));
-  }
-
   private createNoTargetError(): MarigoldpostError {
     const message = `service "${this.id}" has no target left for the request`;
     return MarigoldpostError.create('no_target', message, {
--- a/packages/dispatch/tests/dispatcher/service_dispatcher.feature
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher.feature
@@ -63,6 +63,24 @@
     And a queued turn is aborted by its client
     Then no turn is queued
 
+  Scenario: A request whose client has left is not queued
+    When 4 turns with prompt "shared:300,line1:100" are dispatched
+    And a turn is sent by a client that has left
+    Then no turn is queued
+
+  Scenario Outline: Queued requests are rejected only when no target is left: <event>
+    When 4 turns with prompt "shared:300,line1:100" are dispatched
+    And 3 turns are queued
+    And the listed targets become "<left>"
+    And 1 ms pass on the clock of the dispatcher
+    Then <queued> turns are still queued
+    And <rejected> queued turns have been rejected for lack of a target
+
+    Examples:
+      | event                          | left | queued | rejected |
+      | the last target is unlisted    |      | 0      | 3        |
+      | one of two targets is unlisted | b    | 3      | 0        |
+
   Scenario: A restarted target starts without load or cached prompts
     Given target "a" has processed prompt "shared:8000,line1:500"
     When target "a" restarts
--- a/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
@@ -170,6 +170,25 @@
   },
 );
 
+When(
+  'a turn is sent by a client that has left',
+  async function (this: DispatchWorld) {
+    const request = createRequest(this, {});
+    const acquired = this.dispatcher.acquire(request, AbortSignal.abort());
+    acquired.catch(() => undefined);
+    await this.clock.advance(0);
+  },
+);
+
+When(
+  'the listed targets become {string}',
+  function (this: DispatchWorld, names: string) {
+    const left = names.split(',').filter((name) => name !== '');
+    const entries = left.map((name) => createEntry(this, name, 1));
+    this.dispatcher.setTargets(entries);
+  },
+);
+
 When('target {string} restarts', function (this: DispatchWorld, name: string) {
   this.dispatcher.setTargets(
     this.targetNames.map((known) =>
