Store a turn again when archives return, instead of breaking its stream

Cause: the requests to all three archives ran into their time limit of 400 ms within 7 ms of each other, after a pause of the entry VM's process under load (evidence: answer_broken_off and three archive_reachability lines of entry-1). TurnRecorder tried each reachable archive once and failed.

Fix: it tries again when an archive has returned, within 1.5 s and the time of the call. Storing a turn is idempotent. ArchiveRetries keeps this rule for reservations and turns.

--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -131,7 +131,8 @@
       target,
       prompt: call.attributes.prompt,
     };
-    await services.turns.record(turn, chain.at(-1)?.disks ?? []);
+    const wait = {maxWaitMs: call.leftMs, signal: call.signal};
+    await services.turns.record(turn, chain.at(-1)?.disks ?? [], wait);
     const elapsedMs = services.clock.nowMs() - startMs;
     services.metrics.recordValue('turn_store_ms', {}, elapsedMs);
     call.logger.log('turn_stored', {
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -11,6 +11,7 @@
   ArchiveMember,
 } from '../directory/archive_directory.js';
 import {ArchiveClient} from './archive_client.js';
+import {ArchiveRetries, type ArchiveWait} from './archive_retries.js';
 
 /**
  * Time for which an unreachable archive is expected to return: a restart takes
@@ -67,28 +68,31 @@
     return this.getClients().some((client) => client.isReachable);
   }
 
+  /**
+   * Creates the retries of one request, which start now.
+   * @param wait - Longest wait and what ends it.
+   */
+  createRetries(wait: ArchiveWait): ArchiveRetries {
+    return ArchiveRetries.create(this, this.options.clock, wait);
+  }
+
   /** Number of times at which an archive has become reachable again. */
   get returnCount(): number {
     return this.returns;
   }
 
   /**
-   * Waits until an archive becomes reachable again. False if none does so, or
-   * at once if no archive has become unreachable in the last 2.5 s.
-   * @param maxWaitMs - Longest wait, in milliseconds.
-   * @param signal - Ends the wait when aborted.
+   * Waits until an archive becomes reachable again. Does not wait if none has
+   * become unreachable in the last 2.5 s.
+   * @param wait - Longest wait and what ends it.
    */
-  async waitForReturn(
-    maxWaitMs: number,
-    signal?: AbortSignal,
-  ): Promise<boolean> {
+  async waitForReturn({maxWaitMs, signal}: ArchiveWait): Promise<void> {
     const {clock} = this.options;
     const sinceMs = clock.nowMs() - restartMs;
     const isExpected = this.getClients().some(
       ({unreachableAtMs = -Infinity}) => unreachableAtMs > sinceMs,
     );
-    if (!isExpected || signal?.aborted === true) return false;
-    const {returnCount} = this;
+    if (!isExpected || signal?.aborted === true) return;
     const ended = Deferred.create<void>();
     const end = () => ended.resolve();
     const timer = clock.setTimer(maxWaitMs, end);
@@ -96,7 +100,6 @@
     await Promise.race([this.returned.promise, ended.promise]);
     timer.cancel();
     signal?.removeEventListener('abort', end);
-    return this.returnCount !== returnCount;
   }
 
   /**
--- /dev/null
+++ b/packages/turns/src/client/archive_retries.ts
@@ -0,0 +1,62 @@
+/** Waits of one request for archives that have just become unreachable. */
+import type {Clock} from '@marigoldpost/common';
+import type {ArchivePool} from './archive_pool.js';
+
+/**
+ * Longest wait of a request. Clients abandon a stream without events after 2 s,
+ * and an archive that hangs has used 0.4 s of them.
+ */
+const longestWaitMs = 1500;
+
+/** How long a request waits for archives that are unreachable. */
+export interface ArchiveWait {
+  /** Longest wait, in milliseconds. */
+  readonly maxWaitMs: number;
+  /** Ends the wait when aborted. */
+  readonly signal?: AbortSignal;
+}
+
+/** Decides when a request that too few archives answered is sent again. */
+export class ArchiveRetries {
+  private readonly endMs: number;
+  private returnCount: number;
+
+  private constructor(
+    private readonly pool: ArchivePool,
+    private readonly clock: Clock,
+    private readonly wait: ArchiveWait,
+  ) {
+    this.endMs = clock.nowMs() + Math.min(wait.maxWaitMs, longestWaitMs);
+    this.returnCount = pool.returnCount;
+  }
+
+  /**
+   * Creates the retries of a request that starts now.
+   * @param pool - Archives that the request is sent to.
+   * @param clock - Clock of the waits.
+   * @param wait - Longest wait and what ends it.
+   */
+  static create(
+    pool: ArchivePool,
+    clock: Clock,
+    wait: ArchiveWait,
+  ): ArchiveRetries {
+    return new ArchiveRetries(pool, clock, wait);
+  }
+
+  /**
+   * Waits until an archive has returned since the last attempt; `false` if the
+   * request should fail instead.
+   */
+  async waitForReturn(): Promise<boolean> {
+    const {pool, wait} = this;
+    const maxWaitMs = this.endMs - this.clock.nowMs();
+    if (maxWaitMs <= 0 || wait.signal?.aborted === true) return false;
+    if (pool.returnCount === this.returnCount) {
+      await pool.waitForReturn({...wait, maxWaitMs});
+    }
+    const hasReturned = pool.returnCount !== this.returnCount;
+    this.returnCount = pool.returnCount;
+    return hasReturned;
+  }
+}
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -10,6 +10,7 @@
 import {sumMergedTokens} from '../ledger/merge_entries.js';
 import type {ReservationDecision} from '../ledger/reservation_quorum.js';
 import type {ArchivePool} from './archive_pool.js';
+import type {ArchiveWait} from './archive_retries.js';
 import {getArchiveRetryAfterMs} from './chain_reader.js';
 import {ReservationBallot} from './reservation_ballot.js';
 import type {SettlementSender} from './settlement_sender.js';
@@ -17,14 +18,9 @@
 /** Time in which the archives learn that an attempt has been settled. */
 const minContentionRetryMs = 600;
 const contentionRetrySpreadMs = 600;
-/**
- * Longest wait of an attempt for an archive. Clients abandon a stream that has
- * not begun after 2 s, and an archive that hangs has used 0.4 s of them.
- */
-const longestWaitMs = 1500;
 
 /** Request of an attempt at a turn for tokens of its program's budget. */
-export interface TokenRequest {
+export interface TokenRequest extends ArchiveWait {
   readonly program: ProgramId;
   readonly attempt: TurnId;
   /** Upper bound of the tokens that the attempt generates. */
@@ -32,10 +28,6 @@
   readonly budgetTokens: number;
   /** Data centre in which the program started. */
   readonly home: DataCentreId;
-  /** Longest wait for archives that have just become unreachable. */
-  readonly maxWaitMs: number;
-  /** Ends the wait when aborted. */
-  readonly signal?: AbortSignal;
 }
 
 /** Archives and settlement sender that a client uses. */
@@ -91,19 +83,11 @@
   private async requestWithWait(
     request: TokenRequest,
   ): Promise<ReservationDecision> {
-    const {pool, clock} = this.options;
-    const {maxWaitMs, signal} = request;
-    const endMs = clock.nowMs() + Math.min(maxWaitMs, longestWaitMs);
+    const retries = this.options.pool.createRetries(request);
     for (;;) {
-      const {returnCount} = pool;
       const decision = await this.requestReservation(request, false);
       if (decision !== 'unavailable') return decision;
-      const waitMs = endMs - clock.nowMs();
-      if (waitMs <= 0 || signal?.aborted === true) return decision;
-      const hasReturned =
-        pool.returnCount !== returnCount ||
-        (await pool.waitForReturn(waitMs, signal));
-      if (!hasReturned) return decision;
+      if (!(await retries.waitForReturn())) return decision;
     }
   }
 
--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -9,6 +9,7 @@
 import type {TurnRecord} from '../records/turn_record.js';
 import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
+import type {ArchiveWait} from './archive_retries.js';
 import {orderCandidates} from './replica_placement.js';
 
 /** Delay after which further archives are written to as well (hedging). */
@@ -41,13 +42,30 @@
   /**
    * Stores a turn; resolves once `replicaCount` archives have it. With fewer
    * archives reachable, one replica is enough: that archive repairs the others
-   * later. Throws `archive_unavailable` when no archive stored it.
+   * later. Throws `archive_unavailable` when no archive stored it, after a
+   * wait of up to 1.5 s for one that has just become unreachable.
    * @param turn - Finished turn.
    * @param chainDisks - Disks of the previous turn.
+   * @param wait - How long to wait while no archive is reachable.
    */
   async record(
     turn: NewTurn,
     chainDisks: readonly DiskId[],
+    wait: ArchiveWait,
+  ): Promise<TurnRecord> {
+    const retries = this.options.pool.createRetries(wait);
+    for (;;) {
+      try {
+        return await this.tryRecord(turn, chainDisks);
+      } catch (error) {
+        if (!(await retries.waitForReturn())) throw error;
+      }
+    }
+  }
+
+  private async tryRecord(
+    turn: NewTurn,
+    chainDisks: readonly DiskId[],
   ): Promise<TurnRecord> {
     const {pool, ownDataCentre, replicaCount} = this.options;
     const {program} = turn;
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -9,6 +9,7 @@
 import type {DiskId} from '../log/disk_identity.js';
 import type {TurnChain} from '../records/turn_record.js';
 import type {ArchivePool} from './archive_pool.js';
+import type {ArchiveWait} from './archive_retries.js';
 import {BudgetClient, type TokenRequest} from './budget_client.js';
 import {ChainReader} from './chain_reader.js';
 import {SettlementSender} from './settlement_sender.js';
@@ -122,9 +123,14 @@
    * durable.
    * @param turn - Finished turn.
    * @param chainDisks - Disks of the previous turn.
+   * @param wait - How long to wait while no archive is reachable.
    */
-  async record(turn: NewTurn, chainDisks: readonly DiskId[]): Promise<void> {
-    const record = await this.recorder.record(turn, chainDisks);
+  async record(
+    turn: NewTurn,
+    chainDisks: readonly DiskId[],
+    wait: ArchiveWait,
+  ): Promise<void> {
+    const record = await this.recorder.record(turn, chainDisks, wait);
     this.cache.put(record);
     this.settle(turn.program, turn.id, turn.tokens);
   }
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -4,6 +4,7 @@
 export * from './archive/turn_index.js';
 export * from './client/archive_client.js';
 export * from './client/archive_pool.js';
+export * from './client/archive_retries.js';
 export * from './client/budget_client.js';
 export * from './client/turn_recorder.js';
 export * from './client/turn_store.js';
--- /dev/null
+++ b/packages/turns/tests/client/turn_recorder_steps.ts
@@ -0,0 +1,44 @@
+/** Steps for turns that finish while archives restart. */
+import assert from 'node:assert/strict';
+import {Then, type World} from '@cucumber/cucumber';
+import {type ErrorKind, isErrorOfKind} from '@marigoldpost/common';
+import {
+  type ArchiveFleet,
+  createTurn,
+  unlimitedWaitMs,
+} from '../fixtures/archive_fleet.js';
+
+interface RecorderWorld extends World {
+  archives: ArchiveFleet;
+}
+
+Then(
+  /^turn "(\w+)" that finishes in "(\w)"(?: with a call that ends after (\d+) ms)? fails with (\w+) within (\d+) ms$/,
+  async function (
+    this: RecorderWorld,
+    id: string,
+    dataCentre: string,
+    endsAfterMs: string | null,
+    kind: ErrorKind,
+    withinMs: string,
+  ) {
+    const {archives} = this;
+    const {clock} = archives;
+    const startMs = clock.nowMs();
+    const controller = new AbortController();
+    if (endsAfterMs !== null) {
+      clock.setTimer(Number(endsAfterMs), () => controller.abort());
+    }
+    const stored = archives
+      .getStore(dataCentre)
+      .record(createTurn(id, undefined), [], {
+        maxWaitMs: unlimitedWaitMs,
+        signal: controller.signal,
+      });
+    await assert.rejects(archives.run(stored), (error) =>
+      isErrorOfKind(error, kind),
+    );
+    const elapsedMs = clock.nowMs() - startMs;
+    assert.ok(elapsedMs <= Number(withinMs), `it took ${elapsedMs} ms`);
+  },
+);
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -12,6 +12,7 @@
   ArchiveFleet,
   createTokenRequest,
   createTurn,
+  unlimitedWaitMs,
 } from '../fixtures/archive_fleet.js';
 
 interface StoreWorld extends World {
@@ -377,7 +378,9 @@
       ? []
       : await archives.run(store.readChain(toId<TurnId>(previous)));
   const disks = chain.at(-1)?.disks ?? [];
-  await archives.run(store.record(createTurn(id, previous), disks));
+  const wait = {maxWaitMs: unlimitedWaitMs};
+  const turn = createTurn(id, previous);
+  await archives.run(store.record(turn, disks, wait));
   world.holders = archives.findHolders(id);
 }
 
