--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -136,8 +136,8 @@
       target,
       prompt: call.attributes.prompt,
     };
-    const disks = chain.at(-1)?.disks ?? [];
-    await services.turns.record(turn, disks, this.createStoreSignal());
+    const wait = {maxWaitMs: call.leftMs, signal: this.createStoreSignal()};
+    await services.turns.record(turn, chain.at(-1)?.disks ?? [], wait);
     const elapsedMs = services.clock.nowMs() - startMs;
     services.metrics.recordValue('turn_store_ms', {}, elapsedMs);
     call.logger.log('turn_stored', {
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -11,6 +11,7 @@
 import type {DiskId} from '../log/disk_identity.js';
 import type {TurnChain} from '../records/turn_record.js';
 import type {ArchivePool} from './archive_pool.js';
+import type {ArchiveWait} from './archive_retries.js';
 import {BudgetClient, type TokenRequest} from './budget_client.js';
 import {ChainReader, getArchiveRetryAfterMs} from './chain_reader.js';
 import {SettlementSender} from './settlement_sender.js';
@@ -139,14 +140,15 @@
    * aborted; the turn may be stored nevertheless.
    * @param turn - Finished turn.
    * @param chainDisks - Disks of the previous turn.
-   * @param signal - Ends the wait.
+   * @param wait - How long to wait while no archive is reachable.
    */
   record(
     turn: NewTurn,
     chainDisks: readonly DiskId[],
-    signal: AbortSignal,
+    wait: ArchiveWait,
   ): Promise<void> {
-    return waitUnlessAborted(this.store(turn, chainDisks), signal, () =>
+    const stored = this.store(turn, chainDisks, wait);
+    return waitUnlessAborted(stored, wait.signal, () =>
       this.createAbortError(`turn "${turn.id}" was not stored in time`),
     );
   }
@@ -154,8 +156,9 @@
   private async store(
     turn: NewTurn,
     chainDisks: readonly DiskId[],
+    wait: ArchiveWait,
   ): Promise<void> {
-    const record = await this.recorder.record(turn, chainDisks);
+    const record = await this.recorder.record(turn, chainDisks, wait);
     this.cache.put(record);
     this.settle(turn.program, turn.id, turn.tokens);
   }
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -12,6 +12,7 @@
   ArchiveFleet,
   createTokenRequest,
   createTurn,
+  unlimitedWaitMs,
 } from '../fixtures/archive_fleet.js';
 
 interface StoreWorld extends World {
@@ -381,7 +382,9 @@
       ? []
       : await archives.run(store.readChain(toId<TurnId>(previous), untilDone));
   const disks = chain.at(-1)?.disks ?? [];
-  await archives.run(store.record(createTurn(id, previous), disks, untilDone));
+  const wait = {maxWaitMs: unlimitedWaitMs, signal: untilDone};
+  const turn = createTurn(id, previous);
+  await archives.run(store.record(turn, disks, wait));
   world.holders = archives.findHolders(id);
 }
 
