Blame no request for a target that had crashed before it

Cause: a connection to a target that has crashed may be accepted and reset (by a proxy before it, or above its limit of connections). Each request that met such a reset counted as one that crashed the target, at each entry VM and each time anew.

Change: a crashed target is back after seconds, so a run that starts after the crash of the same instance, and breaks within 1 s of it, is not counted, unless the instance has responded to a later request. Runs that began before count as before. The crash must have been seen by the same entry VM; crashes that others report explain nothing.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -12,6 +12,7 @@
 import type {TargetEntry} from '@marigoldpost/sites';
 import type {Quarantine} from '@marigoldpost/targets';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {RecentCrashes, type TargetRun} from './recent_crashes.js';
 import type {RequestFingerprint, TrackedRequest} from './tracked_request.js';
 import {UnconfirmedCrashes} from './unconfirmed_crashes.js';
 
@@ -26,12 +27,6 @@
   readonly onChanged: (fingerprint: Fingerprint) => void;
 }
 
-/** Start and end of a run, on the daemon's clock. */
-export interface TargetRun {
-  readonly runStartedAtMs: number;
-  readonly runEndedAtMs: number;
-}
-
 /** A request that waits for a target. */
 interface WaitingRequest {
   readonly request: TrackedRequest;
@@ -44,10 +39,12 @@
  */
 export class CrashTracker {
   private readonly unconfirmed: UnconfirmedCrashes;
+  private readonly recentCrashes: RecentCrashes;
   private readonly waiting = new Set<WaitingRequest>();
 
   private constructor(private readonly options: CrashTrackerOptions) {
     this.unconfirmed = UnconfirmedCrashes.create(options.clock);
+    this.recentCrashes = RecentCrashes.create(options.clock);
   }
 
   /**
@@ -172,6 +169,7 @@
    */
   recordResponse(target: TargetEntry, sentAtMs: number): void {
     this.unconfirmed.recordResponse(target, sentAtMs);
+    this.recentCrashes.recordResponse(target, sentAtMs);
   }
 
   /**
@@ -237,12 +235,18 @@
 
   private countCrash(
     fingerprints: readonly RequestFingerprint[],
-    {id: target, startedAtMs}: TargetEntry,
+    entry: TargetEntry,
     run: TargetRun,
     logger: EventLogger,
   ): void {
     const {quarantine, metrics, onChanged} = this.options;
+    const {id: target, startedAtMs} = entry;
     const ranMs = Math.round(run.runEndedAtMs - run.runStartedAtMs);
+    if (this.recentCrashes.explains(entry, run)) {
+      const reason = 'the target had crashed before the run';
+      logger.log('crash_not_counted', {target, reason, ranMs});
+      return;
+    }
     const counted = fingerprints
       .filter(({fingerprint, isShared}) => {
         const details = {startedAtMs, isShared, ...run};
@@ -259,6 +263,7 @@
       logger.log('crash_not_counted', {target, reason, ranMs});
       return;
     }
+    this.recentCrashes.add(entry, run);
     metrics.addToCounter('crash_records_total', {event: 'recorded'});
     for (const fingerprint of counted) {
       const deaths = quarantine.countDeaths(fingerprint);
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -24,8 +24,8 @@
   TargetRequest,
 } from '../targets/http_exchange.js';
 import type {CallServices} from './call_services.js';
-import type {TargetRun} from './crash_tracker.js';
 import type {IncomingCall} from './incoming_call.js';
+import type {TargetRun} from './recent_crashes.js';
 import type {AttemptRelay} from './target_sender.js';
 import {TrackedRequest} from './tracked_request.js';
 
