Read the rest of a request that is rejected before its connection closes

Clients that send a large body before they read got no byte of the error: their connection was reset (413 for bodies above the limit, and whatever is said with 'Connection: close').

Cause: the connection was closed with unread bytes in it, which resets it. The response ends now once the rest of the request has been read and discarded, after 1 s at the latest; Node.js closes the connection as soon as such a response ends. A response to a request that has not been read whole says 'Connection: close'.

--- a/packages/gateway/src/calls/end_call.ts
+++ b/packages/gateway/src/calls/end_call.ts
@@ -3,7 +3,7 @@
  * error; only a response that has begun is broken off, since nothing else tells
  * the client that it is not whole.
  */
-import {isErrorOfKind, MarigoldpostError} from '@marigoldpost/common';
+import {MarigoldpostError} from '@marigoldpost/common';
 import type {StreamResult} from '../responses/stream_relay.js';
 import {logRejection} from '../responses/write_response.js';
 import type {IncomingCall} from './incoming_call.js';
@@ -54,8 +54,6 @@
   }
   call.reject(error);
   logRejection(logger, {route, status: call.status, error, elapsedMs});
-  // Keeping the connection would require reading the rest of the body.
-  if (isErrorOfKind(error, 'too_large', 'body_timeout')) call.closeOnFinish();
 }
 
 function createTruncationError(
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -186,11 +186,12 @@
    * @param answer - Status, headers and body.
    */
   answer(answer: BufferedResponse): void {
-    const {response, isClosing} = this.options;
+    const {request, response, isClosing} = this.options;
     if (this.isHeadSent || response.destroyed) return;
     this.status = answer.status;
     this.told = answer.isUndelimited === true ? 'closed' : 'complete';
-    writeResponse(response, answer, isClosing());
+    // Keeping the connection would require reading the rest of the body.
+    writeResponse(response, answer, isClosing() || !request.complete);
   }
 
   /**
@@ -237,12 +238,6 @@
     response.end();
   }
 
-  /** Closes the connection after the response has been sent. */
-  closeOnFinish(): void {
-    const {request, response} = this.options;
-    response.once('finish', () => request.socket.destroySoon());
-  }
-
   /** Aborts the call because this daemon stops. */
   stop(): void {
     this.end('stopping');
--- a/packages/gateway/src/responses/write_response.ts
+++ b/packages/gateway/src/responses/write_response.ts
@@ -3,6 +3,13 @@
 import type {MarigoldpostError} from '@marigoldpost/common';
 import type {EventLogger} from '@marigoldpost/telemetry';
 
+/**
+ * Time in which the rest of a request is read and discarded once its response
+ * has been sent. Closing the connection with unread bytes would reset it, and
+ * the client could lose the response.
+ */
+const maxDiscardMs = 1000;
+
 /** A response whose complete body is in memory. */
 export interface BufferedResponse {
   readonly status: number;
@@ -26,7 +33,8 @@
 }
 
 /**
- * Writes a buffered response and ends it.
+ * Writes a buffered response and ends it; if the connection is to close, once
+ * the request has been read.
  * @param response - Response to write to; its head has not been sent.
  * @param answer - Status, headers and body.
  * @param isClosing - Whether to send `Connection: close`.
@@ -46,7 +54,17 @@
     ...getConnectionHeaders(isClosing || isUndelimited),
   ];
   response.writeHead(status, allHeaders);
-  response.end(body);
+  if (!isClosing || response.req.complete) response.end(body);
+  else endAfterRequest(response, body);
+}
+
+/** Node.js closes the connection as soon as such a response ends. */
+function endAfterRequest(response: ServerResponse, body: Uint8Array): void {
+  response.write(body);
+  const timer = setTimeout(() => response.end(), maxDiscardMs);
+  response.once('close', () => clearTimeout(timer));
+  response.req.once('end', () => response.end());
+  response.req.resume();
 }
 
 /**
