Let no malformed or late request end the response before it

A client that sent bytes that are no request, or a part of one, while it got a response (requests in a row on one connection) had that response cut: 400 or, after the header time-out, 408 was written into the stream, or stood in place of the response of a booking that had run, though 408 means that it has not.

Cause: the server rejected what it could not parse without a look at what the connection was sending. It closes the connection after the responses in progress now, and writes nothing.

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -4,8 +4,10 @@
 
 /** State of a connection from a client. */
 interface ConnectionState {
-  /** Responses that have not been sent completely. */
-  openResponses: number;
+  /** Requests whose responses have not been sent completely. */
+  readonly openRequests: Set<IncomingMessage>;
+  /** Whether it closes once the requests that have been read are answered. */
+  isClosing: boolean;
   /** Bytes that had been read when the last exchange ended. */
   idleAtBytes: number | undefined;
 }
@@ -48,12 +50,25 @@
    * request has begun to arrive.
    */
   closeIdle(): void {
-    for (const [socket, {openResponses, idleAtBytes}] of this.states) {
-      const isIdle = openResponses === 0 && idleAtBytes === socket.bytesRead;
+    for (const [socket, {openRequests, idleAtBytes}] of this.states) {
+      const isIdle =
+        openRequests.size === 0 && idleAtBytes === socket.bytesRead;
       if (isIdle) socket.destroy();
     }
   }
 
+  /**
+   * Closes a connection once the responses to the requests that have been read
+   * from it are sent; false if there are none.
+   * @param socket - Socket of the connection.
+   */
+  closeAfterResponses(socket: Socket): boolean {
+    const state = this.getState(socket);
+    if (!hasReadRequest(state)) return false;
+    state.isClosing = true;
+    return true;
+  }
+
   /** Stops listening; resolves once all connections are closed. */
   stopListening(): Promise<void> {
     return new Promise((resolve) => {
@@ -65,7 +80,11 @@
   private getState(socket: Socket): ConnectionState {
     const known = this.states.get(socket);
     if (known !== undefined) return known;
-    const added = {openResponses: 0, idleAtBytes: undefined};
+    const added: ConnectionState = {
+      openRequests: new Set(),
+      isClosing: false,
+      idleAtBytes: undefined,
+    };
     this.states.set(socket, added);
     socket.once('close', () => this.states.delete(socket));
     return added;
@@ -77,15 +96,20 @@
   ): void {
     const {socket} = request;
     const state = this.getState(socket);
-    state.openResponses += 1;
+    state.openRequests.add(request);
     const recordBytes = () => {
       state.idleAtBytes = socket.bytesRead;
     };
     // The rest of a body that nobody needs may follow the response.
     request.once('end', recordBytes);
     response.once('close', () => {
-      state.openResponses -= 1;
+      state.openRequests.delete(request);
       recordBytes();
+      if (state.isClosing && !hasReadRequest(state)) socket.destroySoon();
     });
   }
 }
+
+function hasReadRequest({openRequests}: ConnectionState): boolean {
+  return [...openRequests].some(({complete}) => complete);
+}
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -18,6 +18,8 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
 };
+/** The client has closed its connection within a request. */
+const endOfInputCode = 'HPE_INVALID_EOF_STATE';
 const defaultRejectionStatus = '400 Bad Request';
 
 /** Accepts client connections and passes requests to the handler. */
@@ -36,8 +38,12 @@
     this.server.on('request', (request, response) => {
       void handler.handle(request, response);
     });
-    this.server.on('clientError', rejectMalformedRequest);
     this.connections = ClientConnections.create(this.server);
+    this.server.on(
+      'clientError',
+      (error: NodeJS.ErrnoException, socket: Socket) =>
+        this.handleClientError(error, socket),
+    );
   }
 
   /**
@@ -111,16 +117,30 @@
     this.closeIdle();
     for (const socket of this.connections.sockets) resetSocket(socket);
   }
+
+  /**
+   * Rejects a malformed or late request. While responses to earlier requests of
+   * its connection are in progress, it is not answered: its response would be
+   * taken for theirs, or for a part of it.
+   */
+  private handleClientError(
+    error: NodeJS.ErrnoException,
+    socket: Socket,
+  ): void {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const isAnswering = this.connections.closeAfterResponses(socket);
+    if (!isAnswering) rejectMalformedRequest(error, socket);
+    else if (error.code === endOfInputCode) socket.destroy();
+  }
 }
 
 function rejectMalformedRequest(
   error: NodeJS.ErrnoException,
   socket: Socket,
 ): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
   const status = rejectionStatuses[error.code ?? ''] ?? defaultRejectionStatus;
   const lines = [`HTTP/1.1 ${status}`, 'Connection: close'];
   socket.end([...lines, 'Content-Length: 0', '', ''].join('\r\n'));
