--- a/packages/gateway/tests/relay/relay_codec_steps.ts
+++ b/packages/gateway/tests/relay/relay_codec_steps.ts
@@ -2,12 +2,20 @@
 import assert from 'node:assert/strict';
 import {Then, When, type World} from '@cucumber/cucumber';
 import {type DaemonId, type TargetId, toId} from '@marigoldpost/common';
-import {encodeRelayParameters, omitRelayHeaders} from '@marigoldpost/gateway';
+import {
+  decodeRelayFailure,
+  encodeRelayFailure,
+  encodeRelayParameters,
+  omitRelayHeaders,
+} from '@marigoldpost/gateway';
 
 interface RelayCodecWorld extends World {
   left: string[];
+  refusal: Record<string, string>;
 }
 
+/** Header that builds up to 50811bd neither send nor read. */
+const leavingHeader = 'marigoldpost-relay-leaving';
 const own = ['Host', 'site.example', 'X-Request-Id', 'a'];
 
 When(
@@ -29,3 +37,39 @@
     assert.deepEqual(this.left, own);
   },
 );
+
+When(
+  /^an entry VM of (the current|an earlier|a later) build refuses to relay to a leaving target$/,
+  function (this: RelayCodecWorld, sender: string) {
+    const headers = encodeRelayFailure({
+      reason: 'unreachable',
+      isSent: false,
+      isPeerFault: false,
+      isLeaving: sender !== 'an earlier',
+    });
+    if (sender === 'a later') headers.push('marigoldpost-relay-later', '1');
+    this.refusal = {};
+    for (let index = 0; index < headers.length; index += 2) {
+      this.refusal[headers[index] ?? ''] = headers[index + 1] ?? '';
+    }
+  },
+);
+
+Then(
+  /^(the current|an earlier) build reads that the request was not sent and that the relay is sound$/,
+  function (this: RelayCodecWorld, reader: string) {
+    if (reader === 'an earlier') delete this.refusal[leavingHeader];
+    const failure = decodeRelayFailure(this.refusal);
+    assert.equal(failure?.reason, 'unreachable');
+    assert.equal(failure.isSent, false);
+    assert.equal(failure.isPeerFault, false);
+  },
+);
+
+Then(
+  /^(?:the current|an earlier) build reads that the target is (leaving|not leaving)$/,
+  function (this: RelayCodecWorld, state: string) {
+    const failure = decodeRelayFailure(this.refusal);
+    assert.equal(failure?.isLeaving, state === 'leaving');
+  },
+);
