Discard the rest of headers that are too large, or malformed

Clients that send large headers before they read got no byte of the 431 (or 400): each further part of the headers was a further error of the parser, at which the connection was destroyed with unread bytes, which resets it. The parts that follow a rejection are ignored now, and the connection is closed after 1 s at the latest.

Failing test first: status 0 and a reset after 9 ms; now 431 within 1 s.

--- a/packages/gateway/src/responses/write_response.ts
+++ b/packages/gateway/src/responses/write_response.ts
@@ -8,7 +8,7 @@
  * has been sent. Closing the connection with unread bytes would reset it, and
  * the client could lose the response.
  */
-const maxDiscardMs = 1000;
+export const maxDiscardMs = 1000;
 
 /** A response whose complete body is in memory. */
 export interface BufferedResponse {
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -4,6 +4,7 @@
 import {ClientConnections} from '@marigoldpost/common';
 import type {CallerLimits, NetworkAddress} from '@marigoldpost/sites';
 import type {CallHandler} from '../calls/call_handler.js';
+import {maxDiscardMs} from '../responses/write_response.js';
 import {resetSocket} from './reset_socket.js';
 
 /**
@@ -127,10 +128,12 @@
     error: NodeJS.ErrnoException,
     socket: Socket,
   ): void {
-    if (!socket.writable || error.code === 'ECONNRESET') {
+    if (socket.destroyed || error.code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
+    // The rest of a request that has been rejected.
+    if (socket.writableEnded) return;
     const isAnswering = this.connections.closeAfterResponses(socket);
     if (!isAnswering) rejectMalformedRequest(error, socket);
     else if (error.code === endOfInputCode) socket.destroy();
@@ -144,4 +147,6 @@
   const status = rejectionStatuses[error.code ?? ''] ?? defaultRejectionStatus;
   const lines = [`HTTP/1.1 ${status}`, 'Connection: close'];
   socket.end([...lines, 'Content-Length: 0', '', ''].join('\r\n'));
+  const timer = setTimeout(() => socket.destroy(), maxDiscardMs);
+  socket.once('close', () => clearTimeout(timer));
 }
