Do not take a connection for timed out while the process did not run

Node.js handles expired timers before the events of sockets. A process that did not run for 120 ms while a connection was opening therefore failed a connection that stood, marked its link or the relaying entry VM as failed, and passed the latter over for 0.4 s. Callers of entry VMs without links got 503 meanwhile.

The timeout now acts in the phase after the events of sockets.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,3 +21,4 @@
 export * from './targets/target_agents.js';
 export * from './targets/http_exchange.js';
 export * from './targets/target_exchange.js';
+export * from './targets/wait_for_connect.js';
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -206,8 +206,14 @@
       this.isConnected = true;
       return;
     }
+    const failUnlessConnected = () => {
+      if (this.isConnected) return;
+      fail('unreachable', `no connection within ${connectTimeoutMs} ms`);
+    };
+    // A connection may have opened while the process did not run; its event
+    // follows the timers and precedes immediates.
     const timer = setTimeout(
-      () => fail('unreachable', `no connection within ${connectTimeoutMs} ms`),
+      () => setImmediate(failUnlessConnected),
       connectTimeoutMs,
     );
     socket.once('connect', () => {
--- a/packages/gateway/src/targets/wait_for_connect.ts
+++ b/packages/gateway/src/targets/wait_for_connect.ts
@@ -16,7 +16,11 @@
   clock: Clock,
 ): Promise<boolean> {
   const isConnected = await new Promise<boolean>((resolve) => {
-    const timer = clock.setTimer(connectTimeoutMs, () => resolve(false));
+    // A process that has not run for a while handles timers first, then the
+    // connections that have opened meanwhile, then immediates.
+    const timer = clock.setTimer(connectTimeoutMs, () => {
+      setImmediate(() => resolve(false));
+    });
     socket.once('error', () => resolve(false));
     socket.once('connect', () => {
       timer.cancel();
