Ask up to three entry VMs before a target counts as down

Callers of entry VMs without links got 503 for about a second: the first entry VM that was asked had lost its own links and did not know it yet, tried, and reported that the target accepts no connection. That alone made the target count as down, so no other entry VM was asked for 1 s. Whether it happens depends on the order in which the entry VMs find their links cut; a process that does not run for 100 ms under load changes that order.

A target that was not known to be down counts as down only once three entry VMs, or all that can be asked, do not reach it. While it is down, one is asked a second, as before.

--- a/packages/gateway/src/calls/target_sender.ts
+++ b/packages/gateway/src/calls/target_sender.ts
@@ -133,8 +133,13 @@
     const {links, peers} = this.options;
     const {target, signal} = attempt;
     const excluded = new Set<DaemonId>();
-    while (excluded.size < maxPeers && !signal.aborted) {
-      if (!links.mayAskPeers(target)) break;
+    // Of a target that is down, one entry VM is asked whether it is back.
+    const isDown = links.getState(target) === 'target_down';
+    const maxUnreached = isDown ? 1 : maxPeers;
+    const unreached: DaemonId[] = [];
+    const mayAsk = links.mayAskPeers(target);
+    while (mayAsk && excluded.size < maxPeers && !signal.aborted) {
+      if (unreached.length >= maxUnreached) break;
       const peer = peers.choose(excluded);
       if (peer === undefined) break;
       excluded.add(peer.daemon);
@@ -144,7 +149,7 @@
           peers.recordFailure(peer.daemon);
         } else {
           peers.recordUnreached(peer.daemon);
-          links.recordUnreachedByPeer(target, peer.daemon);
+          unreached.push(peer.daemon);
         }
         continue;
       }
@@ -156,6 +161,9 @@
       }
       return {outcome, peer: peer.daemon};
     }
+    // One alone may have lost its own link without knowing it yet.
+    const [last] = unreached.slice(-1);
+    if (last !== undefined) links.recordUnreachedByPeer(target, last);
     const message = `no entry VM of ${excluded.size} reaches the target`;
     return {outcome: failure ?? createFailure(message), peer: undefined};
   }
