Keep responses in blocks that hold nothing else

Responses were bounded by their bytes, but kept as they came: each chunk, line and event with an object of its own and the buffer of 64 KB that it was read into, and data lines without text counted as nothing. An entry process of 200 MB that got endless responses, 40 at a time, took up to 1.7 GB.

Bodies and data of events are now copied into blocks, which are counted as allocated and reused. Chunks of a body that arrive at the same time are handled as one part: their cost does not depend on their size, and the client's connection kept an object for each.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** Serves client requests on an entry VM: HTTP server, routing, relaying. */
+export * from './responses/block_pool.js';
 export * from './responses/event_collector.js';
 export * from './responses/error_response.js';
 export * from './responses/response_memory.js';
--- a/packages/gateway/src/responses/event_collector.ts
+++ b/packages/gateway/src/responses/event_collector.ts
@@ -1,27 +1,40 @@
 /** Parses a server-sent event stream, counting events and buffering data. */
 
+import type {BlockPool} from './block_pool.js';
+import {ByteBlocks} from './byte_blocks.js';
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const space = 0x20;
 const dataPrefix = 'data:';
+const lineEnd = Buffer.of(lineFeed);
 
 /**
  * Incremental parser for one stream. Collects `data` fields only; all other
  * fields and comments are ignored.
  */
 export class EventCollector {
-  private partialLine: Buffer[] = [];
-  private dataLines: string[] = [];
+  private readonly partialLine: ByteBlocks;
+  /** Data of the complete events, then that of the open event. */
+  private readonly data: ByteBlocks;
+  /** Bytes of the data of the complete events. */
+  private completeBytes = 0;
   /** Whether a line has been read since the last blank line. */
   private hasOpenLines = false;
-  private readonly data: Buffer[] = [];
+  private hasOpenData = false;
   private events = 0;
-  private bytes = 0;
 
-  private constructor() {}
+  private constructor(pool: BlockPool) {
+    this.partialLine = ByteBlocks.create(pool);
+    this.data = ByteBlocks.create(pool);
+  }
 
-  /** Creates a collector without events. */
-  static create(): EventCollector {
-    return new EventCollector();
+  /**
+   * Creates a collector without events.
+   * @param pool - Pool of the memory that it uses.
+   */
+  static create(pool: BlockPool): EventCollector {
+    return new EventCollector(pool);
   }
 
   /** Number of complete events, each of which has at least one `data` field. */
@@ -31,17 +44,23 @@
 
   /** Bytes that the collector keeps in memory. */
   get heldBytes(): number {
-    return this.bytes;
+    return this.partialLine.heldBytes + this.data.heldBytes;
   }
 
   /** Whether a blank line has ended all that the stream has begun. */
   get isAtEventBoundary(): boolean {
-    return this.partialLine.length === 0 && !this.hasOpenLines;
+    return this.partialLine.byteLength === 0 && !this.hasOpenLines;
   }
 
   /** Gets the data of all complete events, each followed by a line feed. */
   getData(): Buffer {
-    return Buffer.concat(this.data);
+    return this.data.concat(this.completeBytes);
+  }
+
+  /** Removes all data and gives back its memory. */
+  clear(): void {
+    this.partialLine.clear();
+    this.data.clear();
   }
 
   /**
@@ -56,34 +75,39 @@
       this.addLine(chunk.subarray(start, end));
       start = end + 1;
     }
-    if (start === chunk.byteLength) return;
     const rest = chunk.subarray(start);
-    this.bytes += rest.byteLength;
-    this.partialLine.push(rest);
+    if (rest.byteLength > 0) this.partialLine.append(rest);
   }
 
-  private addLine(lineEnd: Buffer): void {
-    const bytes =
-      this.partialLine.length === 0
-        ? lineEnd
-        : Buffer.concat([...this.partialLine, lineEnd]);
-    for (const part of this.partialLine) this.bytes -= part.byteLength;
-    this.partialLine = [];
-    const line = withoutCarriageReturn(bytes).toString('latin1');
-    this.hasOpenLines = line !== '';
-    if (line === '') this.endEvent();
-    else if (line.startsWith(dataPrefix)) {
-      const data = line.slice(dataPrefix.length).replace(/^ /, '');
-      this.bytes += data.length;
-      this.dataLines.push(data);
+  private addLine(end: Buffer): void {
+    const line = withoutCarriageReturn(this.completeLine(end));
+    this.hasOpenLines = line.byteLength > 0;
+    if (!this.hasOpenLines) {
+      this.endEvent();
+      return;
     }
+    const {length} = dataPrefix;
+    if (line.toString('latin1', 0, length) !== dataPrefix) return;
+    const dataStart = line[length] === space ? length + 1 : length;
+    this.data.append(line.subarray(dataStart));
+    this.data.append(lineEnd);
+    this.hasOpenData = true;
+  }
+
+  private completeLine(end: Buffer): Buffer {
+    const {partialLine} = this;
+    if (partialLine.byteLength === 0) return end;
+    partialLine.append(end);
+    const line = partialLine.concat();
+    partialLine.clear();
+    return line;
   }
 
   private endEvent(): void {
-    if (this.dataLines.length === 0) return;
+    if (!this.hasOpenData) return;
+    this.hasOpenData = false;
     this.events += 1;
-    this.data.push(Buffer.from(`${this.dataLines.join('\n')}\n`, 'latin1'));
-    this.dataLines = [];
+    this.completeBytes = this.data.byteLength;
   }
 }
 
--- a/packages/gateway/src/responses/response_allowance.ts
+++ b/packages/gateway/src/responses/response_allowance.ts
@@ -1,4 +1,5 @@
 /** Memory that one response of a target may occupy. */
+import type {BlockPool} from './block_pool.js';
 import type {ResponseMemory} from './response_memory.js';
 
 /**
@@ -29,6 +30,11 @@
     return new ResponseAllowance(memory, maxBytes);
   }
 
+  /** Pool of the blocks that the response is kept in. */
+  get pool(): BlockPool {
+    return this.memory.pool;
+  }
+
   /** Whether the response waits for room. */
   get isWaiting(): boolean {
     return this.memory.isWaiting(this);
--- a/packages/gateway/src/responses/response_body.ts
+++ b/packages/gateway/src/responses/response_body.ts
@@ -1,10 +1,12 @@
 /** Reads the complete body of a target's response into memory. */
 import type {BodyEnd} from './body_end.js';
+import {ByteBlocks} from './byte_blocks.js';
 import type {ResponseAllowance} from './response_allowance.js';
 import type {TargetBody} from './target_body.js';
 
-/** The bytes of a response body that arrived, complete or truncated. */
+/** A response body that was read. */
 export interface ReceivedBody {
+  /** Bytes that arrived; none of a truncated body. */
   readonly bytes: Buffer;
   readonly end: BodyEnd;
 }
@@ -22,8 +24,7 @@
   signal: AbortSignal,
 ): Promise<ReceivedBody> {
   const {response, length} = body;
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const blocks = ByteBlocks.create(allowance.pool);
   const resume = () => response.resume();
   const update = (result: ReturnType<ResponseAllowance['hold']>) => {
     if (result === 'waiting') response.pause();
@@ -36,11 +37,14 @@
   if (signal.aborted) onAbort();
   if (length !== undefined) update(allowance.reserve(length, resume));
   const end = await body.read((chunk) => {
-    chunks.push(chunk);
-    size += chunk.byteLength;
-    if (length === undefined) update(allowance.hold(size, resume));
+    blocks.append(chunk);
+    if (length !== undefined) return;
+    update(allowance.hold(blocks.heldBytes, resume));
   });
   signal.removeEventListener('abort', onAbort);
   allowance.finish();
-  return {bytes: Buffer.concat(chunks), end};
+  const isTruncated = end.proof === 'truncated';
+  const bytes = isTruncated ? Buffer.alloc(0) : blocks.concat();
+  blocks.clear();
+  return {bytes, end};
 }
--- a/packages/gateway/src/responses/response_memory.ts
+++ b/packages/gateway/src/responses/response_memory.ts
@@ -10,6 +10,7 @@
  * leader, may still need.
  */
 import {MarigoldpostError, type Outcome} from '@marigoldpost/common';
+import {BlockPool} from './block_pool.js';
 import {ResponseAllowance} from './response_allowance.js';
 
 /**
@@ -41,10 +42,13 @@
   private readonly maxBytesEach: number;
   private readonly maxSmallTotal: number;
   private readonly maxLargeTotal: number;
+  /** Pool of the blocks that responses are kept in. */
+  readonly pool: BlockPool;
   private smallTotal = 0;
   private largeTotal = 0;
 
   private constructor(maxBytes: number) {
+    this.pool = BlockPool.create(maxBytes);
     this.maxBytesEach = maxBytes * maxResponseShare;
     this.maxSmallTotal = maxBytes * smallResponsesShare;
     this.maxLargeTotal = maxBytes - this.maxSmallTotal;
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -38,7 +38,10 @@
   readonly isLost: boolean;
   /** Mean time between two events; `undefined` for fewer than three events. */
   readonly gapMs: number | undefined;
-  /** Data of all complete events, each followed by a line feed. */
+  /**
+   * Data of all complete events, each followed by a line feed; none if the
+   * stream is truncated.
+   */
   readonly data: Buffer;
 }
 
@@ -46,7 +49,7 @@
 
 /** Relay of one stream; the client's response starts with the first chunk. */
 export class StreamRelay {
-  private readonly collector = EventCollector.create();
+  private readonly collector: EventCollector;
   private firstEventMs: number | undefined;
   private lastEventMs = 0;
   private readonly watch: SilenceWatch;
@@ -54,7 +57,8 @@
   private pauses = 0;
 
   private constructor(private readonly options: StreamRelayOptions) {
-    const {clock, body, findLoss} = options;
+    const {clock, body, findLoss, allowance} = options;
+    this.collector = EventCollector.create(allowance.pool);
     this.watch = SilenceWatch.start({clock, body, findLoss});
   }
 
@@ -126,17 +130,20 @@
     const isInEvent = !this.collector.isAtEventBoundary;
     const proof = getStreamProof(end, {events, isInEvent});
     const message = end.message || 'the event stream was truncated';
+    const isTruncated = proof === 'truncated';
+    const data = isTruncated ? Buffer.alloc(0) : this.collector.getData();
+    this.collector.clear();
     const spanMs = this.lastEventMs - (this.firstEventMs ?? 0);
     return {
       head: this.head,
       end,
       proof,
-      message: proof === 'truncated' ? message : '',
+      message: isTruncated ? message : '',
       isLost: this.watch.isLost,
       events,
       isInEvent,
       gapMs: events < minEventsForGap ? undefined : spanMs / (events - 1),
-      data: this.collector.getData(),
+      data,
     };
   }
 }
--- a/packages/gateway/src/responses/target_body.ts
+++ b/packages/gateway/src/responses/target_body.ts
@@ -23,6 +23,8 @@
 /** Body of one response; it must be read once. */
 export class TargetBody {
   private bytes = 0;
+  /** Chunks that have arrived since the last call of the reader. */
+  private pending: Buffer[] = [];
   private lastByteMs = 0;
   private silentMs = 0;
   private isReset = false;
@@ -71,20 +73,25 @@
 
   /**
    * Reads the body until the response closes; never rejects.
-   * @param onChunk - Called with each chunk of the body.
+   * @param onChunk - Called with each part of the body. Chunks that arrive at
+   *   the same time are one part, since the cost of a part does not depend on
+   *   its size.
    */
   read(onChunk: (chunk: Buffer) => void): Promise<BodyEnd> {
     const {response, socket, onSocketEnd} = this;
     return new Promise((resolve) => {
       this.lastByteMs = performance.now();
+      const flush = () => this.flush(onChunk);
       response.on('data', (chunk: Buffer) => {
         this.recordSilence();
         this.bytes += chunk.byteLength;
-        onChunk(chunk);
+        this.pending.push(chunk);
+        if (this.pending.length === 1) queueMicrotask(flush);
       });
       response.once('close', () => {
         socket.removeListener('end', onSocketEnd);
         this.recordSilence();
+        flush();
         resolve(this.createEnd());
       });
     });
@@ -96,6 +103,14 @@
     return Number(this.response.headers['content-length']);
   }
 
+  private flush(onChunk: (chunk: Buffer) => void): void {
+    const {pending} = this;
+    if (pending.length === 0) return;
+    this.pending = [];
+    const [first = Buffer.alloc(0)] = pending;
+    onChunk(pending.length === 1 ? first : Buffer.concat(pending));
+  }
+
   /** Whether the body was aborted because it is too large. */
   get isOversized(): boolean {
     return this.hasExceeded;
--- a/packages/gateway/tests/responses/event_collector_steps.ts
+++ b/packages/gateway/tests/responses/event_collector_steps.ts
@@ -1,7 +1,7 @@
 /** Steps for the parsing of server-sent events. */
 import assert from 'node:assert/strict';
 import {Then, When, type World} from '@cucumber/cucumber';
-import {EventCollector} from '@marigoldpost/gateway';
+import {BlockPool, EventCollector} from '@marigoldpost/gateway';
 import fc from 'fast-check';
 
 interface CollectorWorld extends World {
@@ -9,11 +9,12 @@
 }
 
 const seed = 20261204;
+const pool = BlockPool.create(2 ** 20);
 
 When(
   'an event collector reads {string}',
   function (this: CollectorWorld, bytes: string) {
-    this.collector = EventCollector.create();
+    this.collector = EventCollector.create(pool);
     this.collector.add(Buffer.from(unescape(bytes)));
   },
 );
@@ -45,7 +46,7 @@
           const text = eventData
             .map((data, index) => `id: ${index}\ndata: ${data}\n\n`)
             .join('');
-          const collector = EventCollector.create();
+          const collector = EventCollector.create(pool);
           let start = 0;
           for (let chunk = 0; start < text.length; chunk++) {
             const size = sizes[chunk % sizes.length] ?? 1;
