--- a/packages/platform/tests/http/endless_response_steps.ts
+++ b/packages/platform/tests/http/endless_response_steps.ts
@@ -2,6 +2,8 @@
 import assert from 'node:assert/strict';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {BufferBudget, HttpChannel} from '@marigoldpost/platform';
 import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
@@ -11,6 +13,8 @@
   budget: BufferBudget;
   sockets: Set<Socket>;
   durationsMs: number[];
+  /** Memory that the process uses more than before, in bytes. */
+  addedBytes: number;
 }
 
 const bytesPerMb = 1024 * 1024;
@@ -18,6 +22,7 @@
 const closeDelayMs = 200;
 const dripMs = 50;
 const request = {method: 'GET', path: '/'};
+const tinyChunk = '1\r\nx\r\n';
 const block = 'x'.repeat(16 * 1024);
 const okHead = 'HTTP/1.1 200 OK\r\n';
 const parts: Record<string, {head: string; next: string}> = {
@@ -105,6 +110,59 @@
   },
 );
 
+Given(
+  'an HTTP server that sends {int} bytes in chunks of one byte and then nothing',
+  async function (this: EndlessChannelWorld, bytes: number) {
+    const server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write(`${okHead}Transfer-Encoding: chunked\r\n\r\n`);
+        socket.write(tinyChunk.repeat(bytes));
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    this.budget = BufferBudget.create(bytesPerMb);
+    const address = `http://127.0.0.1:${port}`;
+    const {budget} = this;
+    this.channels = [HttpChannel.create({address, timeoutMs, budget})];
+    addCleanup(this, async () => {
+      server.close();
+      for (const channel of this.channels) await channel.destroy();
+    });
+  },
+);
+
+When(
+  'the HTTP channel holds {int} bytes of the response',
+  async function (this: EndlessChannelWorld, bytes: number) {
+    const before = getUsedBytes();
+    const sent = this.channels[0]?.send({...request, timeoutMs: 5000});
+    while (this.budget.peakBytes < bytes) await pause(dripMs);
+    this.addedBytes = getUsedBytes() - before;
+    await this.channels[0]?.destroy();
+    await sent;
+  },
+);
+
+Then(
+  'the process uses {int} megabytes more at most',
+  function (this: EndlessChannelWorld, megabytes: number) {
+    const added = this.addedBytes / bytesPerMb;
+    assert.ok(added <= megabytes, `${added.toFixed(1)} MB`);
+  },
+);
+
+/** Gets the memory that the process uses after a garbage collection. */
+function getUsedBytes(): number {
+  setFlagsFromString('--expose-gc');
+  (runInNewContext('gc') as () => void)();
+  const {heapUsed, external} = process.memoryUsage();
+  return heapUsed + external;
+}
+
 /** Opens a stream whose reader leaves without reading it. */
 async function openWithoutReading(channel: HttpChannel): Promise<string> {
   const outcome = await channel.open(request);
--- a/packages/platform/tests/http/http_channel.feature
+++ b/packages/platform/tests/http/http_channel.feature
@@ -46,3 +46,8 @@
       | slow body     | sent   | 3000   |
       | chunked body  | opened | 2000   |
       | interim heads | opened | 2000   |
+
+  Scenario: A response in chunks of one byte takes little more memory than its bytes
+    Given an HTTP server that sends 400000 bytes in chunks of one byte and then nothing
+    When the HTTP channel holds 400000 bytes of the response
+    Then the process uses 8 megabytes more at most
