Keep request bodies in blocks that hold nothing else

A client may send a body in chunks of one byte. Each was kept with an object of its own until the body was complete, so that 60 clients with 90,000 bytes each, below the limit of request bodies, ended the entry process (its last output was not read; most likely its heap was full).

Bodies are now copied into the same blocks as responses.

--- a/packages/gateway/src/calls/body_reader.ts
+++ b/packages/gateway/src/calls/body_reader.ts
@@ -1,6 +1,11 @@
 /** Reads the body of a client's request into memory. */
 import type {IncomingMessage} from 'node:http';
 import {MarigoldpostError} from '@marigoldpost/common';
+import {BlockPool} from '../responses/block_pool.js';
+import {ByteBlocks} from '../responses/byte_blocks.js';
+
+/** Bodies are small, and their blocks are not kept. */
+const pool = BlockPool.create(0);
 
 /** Limits for reading a request body. */
 export interface BodyReadOptions {
@@ -20,8 +25,7 @@
   {maxBytes, signal}: BodyReadOptions,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const blocks = ByteBlocks.create(pool);
     const fail = (kind: 'too_large' | 'body_timeout', message: string) => {
       request.removeAllListeners('data');
       reject(MarigoldpostError.create(kind, message));
@@ -30,13 +34,13 @@
       fail('body_timeout', 'the request body did not arrive in time');
     signal.addEventListener('abort', onAbort, {once: true});
     request.on('data', (chunk: Buffer) => {
-      size += chunk.byteLength;
-      if (size > maxBytes) fail('too_large', `body exceeds ${maxBytes} bytes`);
-      else chunks.push(chunk);
+      blocks.append(chunk);
+      if (blocks.byteLength <= maxBytes) return;
+      fail('too_large', `body exceeds ${maxBytes} bytes`);
     });
     request.once('end', () => {
       signal.removeEventListener('abort', onAbort);
-      resolve(Buffer.concat(chunks));
+      resolve(blocks.concat());
     });
     request.once('error', onAbort);
   });
