Keep idle connections for the new time when IdleTimeoutMs grows

Clients whose connection was idle when the idle time-out grew found it closed after the old time: 20 of 20 second bookings 3 s after the first got no byte, 1 s before and 20 s after the change. A connection kept the time that was in force when its last response ended. Idle connections get a longer time at once; a shorter one holds from their next response, since clients may rely on the one that they were told.

Failing test first: 'was idle before the idle time-out grew'. Also tested, and sound before: second bookings that cross the close (40 clients) are answered if they were read.

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -50,11 +50,15 @@
    * request has begun to arrive.
    */
   closeIdle(): void {
-    for (const [socket, {openRequests, idleAtBytes}] of this.states) {
-      const isIdle =
-        openRequests.size === 0 && idleAtBytes === socket.bytesRead;
-      if (isIdle) socket.destroy();
-    }
+    for (const socket of this.findIdle()) socket.destroy();
+  }
+
+  /**
+   * Keeps the connections that are idle now for a time from now.
+   * @param timeoutMs - Time until they close, unless a request arrives.
+   */
+  keepIdle(timeoutMs: number): void {
+    for (const socket of this.findIdle()) socket.setTimeout(timeoutMs);
   }
 
   /**
@@ -77,6 +81,16 @@
     });
   }
 
+  private findIdle(): Socket[] {
+    const idle: Socket[] = [];
+    for (const [socket, {openRequests, idleAtBytes}] of this.states) {
+      const isIdle =
+        openRequests.size === 0 && idleAtBytes === socket.bytesRead;
+      if (isIdle) idle.push(socket);
+    }
+    return idle;
+  }
+
   private getState(socket: Socket): ConnectionState {
     const known = this.states.get(socket);
     if (known !== undefined) return known;
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -66,12 +66,18 @@
   }
 
   /**
-   * Sets the timeouts for request headers and idle connections.
+   * Sets the timeouts for request headers and idle connections. Connections
+   * that are idle keep a longer time that they had, since their clients may
+   * rely on it, and get a longer one.
    * @param limits - Limits of the configuration in force.
    */
   setLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    const {idleTimeoutMs} = limits;
+    if (idleTimeoutMs > this.server.keepAliveTimeout) {
+      this.connections.keepIdle(idleTimeoutMs);
+    }
+    this.server.keepAliveTimeout = idleTimeoutMs;
   }
 
   /**
