--- a/packages/entry/tests/server/malformed_request_steps.ts
+++ b/packages/entry/tests/server/malformed_request_steps.ts
@@ -52,6 +52,7 @@
     socket.on('error', () => undefined);
     socket.write(`${head.join('\r\n')}\r\n\r\n${body}`);
     await sleep(malformedAfterMs);
+    assert.equal(this.fixture.gateway.calls.length, 1);
     socket.write('no request\r\n\r\n');
     await Promise.race([closed, sleep(maxReadMs)]);
     socket.destroy();
