Count one crash of a target once for a request at several entry VMs

An entry VM that had heard of the crash from another one counted its own broken run as the next crash of the same instance, since the run had begun after it heard. A crashed target is back after seconds, so it cannot crash again that soon.

Change: a run that breaks within 1 s after a daemon has learned of a crash of the same instance by the same request is that crash. Later ones count as before; restarted targets have another start.

Evidence: the new scenario 'A request that meets a crashed target again through another entry VM ...' failed before (1 crash instead of 0 at entry VM 1) and passes.

--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -80,6 +80,8 @@
  * is unknown.
  */
 const duplicateDeathWindowMs = 10_000;
+/** Shorter than the time that a dead target takes to come back. */
+const minRestartMs = 1000;
 
 /**
  * Suspect and quarantined requests known to one daemon. A request becomes
@@ -280,7 +282,12 @@
   private findNextOrdinal(
     {fingerprint, deaths}: QuarantineEntry,
     target: TargetId,
-    {startedAtMs = 0, runStartedAtMs, isShared = false}: DeathDetails,
+    {
+      startedAtMs = 0,
+      runStartedAtMs,
+      runEndedAtMs = this.clock.nowMs(),
+      isShared = false,
+    }: DeathDetails,
   ): number | undefined {
     const known = this.entries.get(fingerprint);
     // One fault of this daemon or its network may break all of its runs.
@@ -300,7 +307,8 @@
     const isSameDeath =
       runStartedAtMs === undefined
         ? this.clock.nowMs() - learnedAtMs < duplicateDeathWindowMs
-        : runStartedAtMs < learnedAtMs;
+        : runStartedAtMs < learnedAtMs ||
+          runEndedAtMs < learnedAtMs + minRestartMs;
     return isSameDeath ? undefined : last + 1;
   }
 
