Let no malformed request end a response of serve that is in progress

Callers of marigoldpost serve who sent stray bytes while their call was in progress got 400 with outcome not_run in place of its response, although the gateway had begun the call.

--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -40,6 +40,8 @@
   keepAliveTimeout: 65_000,
 };
 const requestIdLength = 16;
+/** The caller has closed its connection within a request. */
+const endOfInputCode = 'HPE_INVALID_EOF_STATE';
 /** Time for callers to receive the errors of calls that are cut off. */
 const cutOffMs = 1000;
 
@@ -104,7 +106,9 @@
     const server = await this.createServer(tls);
     this.server = server;
     this.connections = ClientConnections.create(server);
-    server.on('clientError', rejectMalformedRequest);
+    server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
+      this.handleClientError(error, socket),
+    );
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen(callerPort, callerHost, () => {
@@ -232,6 +236,24 @@
     if (this.isStopping) this.connections?.closeIdle();
   }
 
+  /**
+   * Rejects a malformed or late request. While responses to earlier requests of
+   * its connection are in progress, it is not answered: its response would be
+   * taken for theirs, or for a part of it.
+   */
+  private handleClientError(
+    error: NodeJS.ErrnoException,
+    socket: Socket,
+  ): void {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const isAnswering = this.connections?.closeAfterResponses(socket) === true;
+    if (!isAnswering) rejectMalformedRequest(error, socket);
+    else if (error.code === endOfInputCode) socket.destroy();
+  }
+
   private changeInFlight(change: number): void {
     this.requestsInFlight += change;
     const {metrics} = this.options;
@@ -243,10 +265,6 @@
   error: NodeJS.ErrnoException,
   socket: Socket,
 ): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
   const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
   const refusal = MarigoldpostError.create(
     isTooLarge ? 'too_large' : 'invalid_request',
