Take a response with an invalid status as broken

A client whose target answered with a status below 100 got neither a response nor an error: the parser of Node.js accepts such a status, its server throws for it, and the call counted as ended by then. Such a response is broken now, and a call counts as answered only once its response has been written.

--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -188,10 +188,11 @@
   answer(answer: BufferedResponse): void {
     const {request, response, isClosing} = this.options;
     if (this.isHeadSent || response.destroyed) return;
-    this.status = answer.status;
-    this.told = answer.isUndelimited === true ? 'closed' : 'complete';
     // Keeping the connection would require reading the rest of the body.
     writeResponse(response, answer, isClosing() || !request.complete);
+    // Node.js throws for a status or header that it does not send.
+    this.status = answer.status;
+    this.told = answer.isUndelimited === true ? 'closed' : 'complete';
   }
 
   /**
--- a/packages/gateway/src/targets/target_exchange.ts
+++ b/packages/gateway/src/targets/target_exchange.ts
@@ -10,6 +10,10 @@
 } from './http_exchange.js';
 import type {TargetAgent} from './target_agent.js';
 
+/** Lower ones are interim, or none that can be sent to a client. */
+const minFinalStatus = 200;
+const maxStatus = 999;
+
 /** Target, request and limits of an exchange. */
 export interface TargetExchangeOptions extends HttpExchangeOptions {
   readonly target: TargetEntry;
@@ -55,6 +59,10 @@
     this.setBody(body);
     const status = response.statusCode ?? 0;
     const attributes = codec.decodeResponse(status, response.headers);
+    if (status < minFinalStatus || status > maxStatus) {
+      fail('broken', `the response has the invalid status ${status}`);
+      return;
+    }
     const {requestId} = attributes;
     if (requestId !== undefined && requestId !== request.requestId) {
       fail('broken', `the response belongs to request "${requestId}"`);
