--- a/tools/run_tests.js
+++ b/tools/run_tests.js
@@ -7,6 +7,10 @@
 import {existsSync, readFileSync} from 'node:fs';
 import {loadConfiguration, runCucumber} from '@cucumber/cucumber/api';
 
+const featurePaths = [
+  'packages/*/tests/**/*.feature',
+  'platform/tests/**/*.feature',
+];
 const knownRedPath = 'KNOWN-RED.txt';
 const testLinePrefix = 'test: ';
 /** Prefix of a scenario that fails in some runs only. */
@@ -67,7 +71,9 @@
   }
 }
 
-const {runConfiguration} = await loadConfiguration();
+const {runConfiguration} = await loadConfiguration({
+  provided: {paths: featurePaths},
+});
 const scenarioResults = new ScenarioResults();
 const {success} = await runCucumber(runConfiguration, {}, (envelope) =>
   scenarioResults.recordMessage(envelope),
