Do not eject a target whose attempts time out in a silence of less than two seconds

Cause: TargetHealth counted attempts that got no response like broken ones. How many of them fail at the same time says how many were sent, not how long the target has been silent.

TargetHealth now goes by the time since which requests have waited without a response. Below 2 s the target is only avoided: for 250 ms, then one request at a time, and its first response ends that at once. From 2 s on it is ejected as before. Connections that are not accepted and broken responses eject as before. So the use of a target that hangs changes from the same failure on as before; only the longer pauses between the probes begin later. On a VirtualClock, with a request every 50 ms for 10 s and attempts of 400 ms, a hanging target of 8 slots gets 12 requests (the scenario allows 12; on the code before it passes too).

Before the fix three of the five scenarios of silent_target.feature and both scenarios of unanswered_call.feature failed ("target_ejected, result silent"); they pass now, as do the features of packages/dispatch, crashing_request.feature and site.feature (100 scenarios).

--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -446,7 +446,7 @@
     startMs: number,
   ): void {
     const nowMs = this.options.clock.nowMs();
-    if (target.health.recordResult(result, nowMs)) {
+    if (target.health.recordResult(result, nowMs, startMs)) {
       this.options.onEjected?.(target.entry, result);
     }
     if (result !== 'answered') return;
--- a/packages/dispatch/src/targets/target_health.ts
+++ b/packages/dispatch/src/targets/target_health.ts
@@ -18,12 +18,24 @@
 const initialEjectionMs = 250;
 /** Maximum ejection time, within which a recovered target is retried. */
 const maxEjectionMs = 2000;
+/**
+ * Silence after which requests that got no response show that a target hangs;
+ * a sound one may fall silent for less.
+ */
+const minHangMs = 2000;
 
 /** Decides from request outcomes whether one daemon uses a target. */
 export class TargetHealth {
   private failuresInRow = 0;
   private ejectionsInRow = 0;
   private ejectedUntilMs = 0;
+  /** Until when a silent target that may be sound is avoided. */
+  private avoidedUntilMs = 0;
+  /** Whether as many requests got no response as would eject the target. */
+  private isDoubtful = false;
+  private lastAnsweredMs = Number.NEGATIVE_INFINITY;
+  /** Since when a request has waited without a response, as far as known. */
+  private silentSinceMs: number | undefined;
 
   private constructor() {}
 
@@ -38,21 +50,24 @@
    * @param inFlight - Number of this daemon's requests at the target.
    */
   isUsable(nowMs: number, inFlight: number): boolean {
-    if (nowMs < this.ejectedUntilMs) return false;
-    // After an ejection, one request at a time probes the target.
-    return this.ejectionsInRow === 0 || inFlight === 0;
+    if (nowMs < Math.max(this.ejectedUntilMs, this.avoidedUntilMs)) {
+      return false;
+    }
+    // After that, one request at a time probes the target.
+    const isTrusted = this.ejectionsInRow === 0 && !this.isDoubtful;
+    return isTrusted || inFlight === 0;
   }
 
   /**
    * Records the outcome of a request; true if it ejects the target.
    * @param result - Outcome of the request.
    * @param nowMs - Time on the daemon's clock.
+   * @param startMs - When the request was placed.
    */
-  recordResult(result: TargetResult, nowMs: number): boolean {
+  recordResult(result: TargetResult, nowMs: number, startMs: number): boolean {
     if (result === 'cancelled' || result === 'turned_away') return false;
     if (result === 'answered') {
-      this.failuresInRow = 0;
-      this.ejectionsInRow = 0;
+      this.recordAnswer(nowMs);
       return false;
     }
     this.failuresInRow += 1;
@@ -60,10 +75,35 @@
       result === 'unreachable' ||
       this.ejectionsInRow > 0 ||
       this.failuresInRow >= maxFailuresInRow;
+    const mayBeSound =
+      result === 'silent' &&
+      this.ejectionsInRow === 0 &&
+      this.recordSilence(nowMs, startMs) < minHangMs;
     if (!shouldEject || nowMs < this.ejectedUntilMs) return false;
+    if (mayBeSound) {
+      this.isDoubtful = true;
+      this.avoidedUntilMs = nowMs + initialEjectionMs;
+      return false;
+    }
     const ejectionMs = initialEjectionMs * 2 ** this.ejectionsInRow;
     this.ejectedUntilMs = nowMs + Math.min(maxEjectionMs, ejectionMs);
     this.ejectionsInRow += 1;
     return true;
   }
+
+  private recordAnswer(nowMs: number): void {
+    this.failuresInRow = 0;
+    this.ejectionsInRow = 0;
+    this.isDoubtful = false;
+    this.avoidedUntilMs = 0;
+    this.lastAnsweredMs = nowMs;
+    this.silentSinceMs = undefined;
+  }
+
+  /** Records a request without a response; gets how long the target is silent. */
+  private recordSilence(nowMs: number, startMs: number): number {
+    const sinceMs = Math.max(startMs, this.lastAnsweredMs);
+    this.silentSinceMs = Math.min(this.silentSinceMs ?? sinceMs, sinceMs);
+    return nowMs - this.silentSinceMs;
+  }
 }
--- a/packages/dispatch/tests/dispatcher/dispatch_world.ts
+++ b/packages/dispatch/tests/dispatcher/dispatch_world.ts
@@ -36,6 +36,8 @@
   turnsByTarget: Map<TargetId, number>;
   limits: TargetLimits;
   rejectedCount: number;
+  /** Targets that were ejected, in order. */
+  ejected: TargetId[];
 }
 
 /** Source that is asked for nothing, since no target states a limit. */
@@ -69,6 +71,7 @@
     clock,
     random: SeededRandom.create(seed),
     rateLimiter,
+    onEjected: ({id: target}) => world.ejected.push(target),
   });
 }
 
--- a/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
+++ b/packages/dispatch/tests/dispatcher/service_dispatcher_steps.ts
@@ -30,6 +30,8 @@
     this.slots = slots;
     this.leases = [];
     this.rejectedCount = 0;
+    this.ejected = [];
+    this.turnsByTarget = new Map();
     this.dispatcher = createDispatcher(this, near, 1);
     this.dispatcher.setTargets(
       this.targetNames.map((name) => createEntry(this, name, 1)),
