End the hold of a missing target within its drain time

Cause: the directory of targets held every entry that went missing within 2.3 s of the return of this VM's connection to the store, until the end of these 2.3 s, whenever the entry had been removed and whether the store itself or only this VM had been away.

Now a hold also ends by the bounds in the settings, less 0.5 s for the request to reach its target: - An entry that is removed after the first complete reading was removed after the return, so its hold ends DrainMs after the return at the latest. - An entry that the first reading misses was removed during the outage. If only this VM was away, it may have left long ago; the rule holds for this VM again ContactMs after the end of its outage. The end is known only to lie after the last failed call was sent, so the hold goes by that time, which the watch now reports. - If more than half of all entries are missing, the store was away itself, and they are held for 2.3 s as before: their targets register again within 2 s.

The step "the platform comes back" of the test reported the missing entry as a change; the watch reads all objects after every outage, so it does the same now.

Tests: the new scenarios of target_directory.feature.

--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -221,10 +221,11 @@
   }
 
   private createTargetDirectory(): TargetDirectory {
-    const {clock, logger, platform} = this.options;
+    const {clock, logger, platform, settings} = this.options;
     return TargetDirectory.create({
       clock,
       logger,
+      bounds: settings.bounds,
       prefix: platform.keys.targetPrefix,
       decode: (object) => platform.decodeTarget(object),
       onChanged: (targets) => {
--- a/packages/nodes/src/targets/target_directory.ts
+++ b/packages/nodes/src/targets/target_directory.ts
@@ -1,8 +1,9 @@
 /**
  * Targets that may receive requests, from the registry's objects. The object
  * API can be down for seconds; registrations expire meanwhile, and live targets
- * register again within about 2 s of its recovery. The directory keeps missing
- * entries for that time.
+ * register again within about 2 s of its recovery. The directory holds missing
+ * entries for that time. A missing entry may also be that of a target that has
+ * left, so a hold ends before such a target may receive no request any more.
  */
 import type {Clock, TargetId, Timer} from '@marigoldpost/common';
 import type {
@@ -10,19 +11,25 @@
   ObjectListener,
   StoredObject,
 } from '@marigoldpost/platform';
-import type {TargetEntry} from '@marigoldpost/sites';
+import type {NodeBounds, TargetEntry} from '@marigoldpost/sites';
 import type {EventLogger} from '@marigoldpost/telemetry';
 
-/** Time after an outage for which missing entries are kept. */
-const missingEntryGraceMs = 2300;
-/** Shorter outages let no registration expire, so no grace period follows. */
-const minGraceOutageMs = 1000;
+/** Longest time after an outage for which missing entries are held. */
+const maxHoldMs = 2300;
+/** Shorter outages let no registration expire, so no hold follows. */
+const minHoldOutageMs = 1000;
+/** Time for a request that was sent in a hold to reach its target. */
+const reachMarginMs = 500;
+
+/** Bounds of the operators that end holds. */
+export type TargetHoldBounds = Pick<NodeBounds, 'drainMs' | 'contactMs'>;
 
 /** Key prefix, decoder and callback of a directory. */
 export interface TargetDirectoryOptions {
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly prefix: string;
+  readonly bounds: TargetHoldBounds;
   /** Decodes an entry; `undefined` when it describes no usable target. */
   readonly decode: (object: StoredObject) => TargetEntry | undefined;
   /** Called after each change with all targets that may receive requests. */
@@ -31,17 +38,29 @@
   readonly onLost?: (target: TargetEntry) => void;
 }
 
+/** Why a missing entry is still listed, and until when. */
+interface Hold {
+  readonly untilMs: number;
+  /** Whether the entry was removed during the outage, not after it. */
+  readonly isFromOutage: boolean;
+}
+
 interface ListedTarget {
   readonly entry: TargetEntry;
-  /** Whether its entry is missing and kept only for the grace period. */
-  readonly isMissing: boolean;
+  /** Set only while the entry is missing. */
+  readonly hold?: Hold;
 }
 
-/** Lists targets from a watch, with a grace period after outages. */
+/** Lists targets from a watch, and holds missing entries after outages. */
 export class TargetDirectory implements ObjectListener {
   private readonly targets = new Map<string, ListedTarget>();
-  private graceUntilMs = Number.NEGATIVE_INFINITY;
-  private graceTimer: Timer | undefined;
+  /** End of holds of entries that were removed during the last outage. */
+  private outageHoldUntilMs = Number.NEGATIVE_INFINITY;
+  /** End of holds of entries that were removed after the last outage. */
+  private laterHoldUntilMs = Number.NEGATIVE_INFINITY;
+  /** Whether the next complete set shows what was removed during an outage. */
+  private isSetFromOutage = false;
+  private holdTimer: Timer | undefined;
   private hasLoaded = false;
 
   private constructor(private readonly options: TargetDirectoryOptions) {}
@@ -70,10 +89,16 @@
 
   replaceObjects(objects: readonly StoredObject[]): void {
     this.hasLoaded = true;
+    const isFromOutage = this.isSetFromOutage;
+    this.isSetFromOutage = false;
     const keys = new Set(objects.map(({key}) => key));
-    for (const key of [...this.targets.keys()]) {
-      if (!keys.has(key)) this.removeKey(key, 0);
+    const missing = [...this.targets.keys()].filter((key) => !keys.has(key));
+    // Most targets do not leave at once: the object API itself was away.
+    const isLapse = isFromOutage && missing.length * 2 > this.targets.size;
+    if (isLapse) {
+      this.outageHoldUntilMs = this.options.clock.nowMs() + maxHoldMs;
     }
+    for (const key of missing) this.removeKey(key, 0, isFromOutage);
     for (const object of objects) this.putObject(object);
     this.notifyChanged();
   }
@@ -89,20 +114,25 @@
     logger.log('watch_lost', {prefix, message: error.message});
   }
 
-  onWatchRecovered(outageMs: number): void {
-    const {logger, prefix, clock} = this.options;
+  onWatchRecovered(outageMs: number, failedAgoMs: number): void {
+    const {logger, prefix, clock, bounds} = this.options;
     logger.log('watch_back', {prefix, outageMs: Math.round(outageMs)});
-    if (outageMs < minGraceOutageMs) return;
-    this.graceUntilMs = clock.nowMs() + missingEntryGraceMs;
-    this.graceTimer?.cancel();
-    this.graceTimer = clock.setTimer(missingEntryGraceMs, () =>
-      this.endGrace(),
-    );
+    if (outageMs < minHoldOutageMs) return;
+    const nowMs = clock.nowMs();
+    // The object API may have been away from this daemon only. Removals of that
+    // time oblige it from `contactMs` after the end of its outage, which is
+    // known only to be later than the last failed call.
+    const contactMs = bounds.contactMs - failedAgoMs - reachMarginMs;
+    const drainMs = bounds.drainMs - reachMarginMs;
+    this.outageHoldUntilMs = nowMs + Math.min(maxHoldMs, contactMs);
+    this.laterHoldUntilMs = nowMs + Math.min(maxHoldMs, contactMs, drainMs);
+    this.isSetFromOutage = true;
+    this.extendHolds();
   }
 
-  /** Cancels the timer of the grace period. */
+  /** Cancels the timer of holds. */
   stop(): void {
-    this.graceTimer?.cancel();
+    this.holdTimer?.cancel();
   }
 
   private putObject(object: StoredObject): void {
@@ -112,7 +142,7 @@
       return;
     }
     const existing = this.targets.get(object.key);
-    this.targets.set(object.key, {entry, isMissing: false});
+    this.targets.set(object.key, {entry});
     if (existing !== undefined && isSameEntry(existing.entry, entry)) return;
     if (existing?.entry.startedAtMs !== entry.startedAtMs) {
       this.notifyLost(existing?.entry);
@@ -126,25 +156,52 @@
     });
   }
 
-  private removeKey(key: string, version: number): void {
+  private removeKey(key: string, version: number, isFromOutage = false): void {
     const existing = this.targets.get(key);
-    if (existing === undefined || existing.isMissing) return;
-    const isHeld =
-      !existing.entry.isDraining &&
-      this.options.clock.nowMs() < this.graceUntilMs;
-    if (isHeld) this.targets.set(key, {entry: existing.entry, isMissing: true});
-    else this.deleteTarget(key, existing.entry);
-    const target = existing.entry.id;
+    if (existing === undefined || existing.hold !== undefined) return;
+    const {entry} = existing;
+    const untilMs = isFromOutage
+      ? this.outageHoldUntilMs
+      : this.laterHoldUntilMs;
+    const isHeld = !entry.isDraining && this.options.clock.nowMs() < untilMs;
+    if (isHeld) {
+      this.targets.set(key, {entry, hold: {untilMs, isFromOutage}});
+      this.setHoldTimer();
+    } else this.deleteTarget(key, entry);
+    const target = entry.id;
     this.options.logger.log('target_unlisted', {target, isHeld, version});
   }
 
-  private endGrace(): void {
-    for (const [key, {entry, isMissing}] of this.targets) {
-      if (!isMissing) continue;
+  /** Targets whose entries lapsed could not register in another outage. */
+  private extendHolds(): void {
+    const untilMs = this.outageHoldUntilMs;
+    for (const [key, {entry, hold}] of this.targets) {
+      if (hold?.isFromOutage !== true || hold.untilMs >= untilMs) continue;
+      this.targets.set(key, {entry, hold: {...hold, untilMs}});
+    }
+    this.setHoldTimer();
+  }
+
+  private setHoldTimer(): void {
+    this.holdTimer?.cancel();
+    const ends = [...this.targets.values()].flatMap(({hold}) =>
+      hold === undefined ? [] : [hold.untilMs],
+    );
+    if (ends.length === 0) return;
+    const {clock} = this.options;
+    const waitMs = Math.max(0, Math.min(...ends) - clock.nowMs());
+    this.holdTimer = clock.setTimer(waitMs, () => this.endHolds());
+  }
+
+  private endHolds(): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const [key, {entry, hold}] of this.targets) {
+      if (hold === undefined || hold.untilMs > nowMs) continue;
       this.deleteTarget(key, entry);
       const fields = {target: entry.id, isHeld: false, version: 0};
       this.options.logger.log('target_unlisted', fields);
     }
+    this.setHoldTimer();
     this.notifyChanged();
   }
 
--- a/packages/nodes/tests/targets/target_directory.feature
+++ b/packages/nodes/tests/targets/target_directory.feature
@@ -33,3 +33,53 @@
   Scenario: An outage too short for entries to expire starts no grace period
     When the platform comes back after 400 ms without target "a"
     Then requests may go to "b"
+
+  Scenario: A target whose entry is removed after an outage receives no requests when its drain time ends
+    When the platform comes back after 10000 ms with all targets
+    And 800 ms pass at the target directory
+    And target "a" is removed from the registry
+    Then requests may go to "a, b"
+    When 1000 ms pass at the target directory
+    Then requests may go to "b"
+
+  Scenario: A target whose entry is removed late after an outage is not kept
+    When the platform comes back after 10000 ms with all targets
+    And 1600 ms pass at the target directory
+    And target "a" is removed from the registry
+    Then requests may go to "b"
+
+  Scenario: A target whose removal a watch without its history shows after an outage is not kept longer
+    When the platform comes back after 10000 ms with all targets
+    And 800 ms pass at the target directory
+    And a watch without its history lists the targets without target "a"
+    And 1000 ms pass at the target directory
+    Then requests may go to "b"
+
+  Scenario: A target that left during an outage of this daemon alone is not used once its bounds hold again
+    When the platform comes back after 5000 ms without target "a", 1500 ms after the last failed call
+    And 900 ms pass at the target directory
+    Then requests may go to "a, b"
+    When 200 ms pass at the target directory
+    Then requests may go to "b"
+
+  Scenario: An entry that is missing since an outage is kept through another one
+    When the platform comes back after 5000 ms without target "a"
+    And the platform is away again for 1200 ms, and target "a" is still missing
+    And 2000 ms pass at the target directory
+    Then requests may go to "a, b"
+    When 400 ms pass at the target directory
+    Then requests may go to "b"
+
+  Scenario: An entry that is removed between two outages is not kept through the second one
+    When the platform comes back after 5000 ms with all targets
+    And target "a" is removed from the registry
+    And the platform is away again for 1200 ms, and target "a" is still missing
+    And 400 ms pass at the target directory
+    Then requests may go to "b"
+
+  Scenario: Entries of all targets that expire during an outage are kept, whenever the last call failed
+    When the platform comes back after 5000 ms without targets, 4000 ms after the last failed call
+    And 2200 ms pass at the target directory
+    Then requests may go to "a, b"
+    When 200 ms pass at the target directory
+    Then requests may go to no target
--- a/packages/nodes/tests/targets/target_directory_steps.ts
+++ b/packages/nodes/tests/targets/target_directory_steps.ts
@@ -16,6 +16,7 @@
 interface TargetDirectoryWorld extends World {
   clock: VirtualClock;
   directory: TargetDirectory;
+  registered: string[];
   usable: string[];
 }
 
@@ -29,14 +30,14 @@
       clock: this.clock,
       logger: EventLogger.createSilent(),
       prefix,
+      bounds: {drainMs: 2000, contactMs: 3000},
       decode,
       onChanged: (targets) => {
         this.usable = targets.map(({id}) => id);
       },
     });
-    this.directory.replaceObjects(
-      names.split(', ').map((name) => toObject(name)),
-    );
+    this.registered = names.split(', ');
+    list(this);
   },
 );
 
@@ -68,13 +69,50 @@
 When(
   'the platform comes back after {int} ms without target {string}',
   function (this: TargetDirectoryWorld, outageMs: number, name: string) {
+    recover(this, {outageMs, missing: name, failedAgoMs: 0});
+  },
+);
+
+When(
+  'the platform comes back after {int} ms without target {string}, {int} ms after the last failed call',
+  function (
+    this: TargetDirectoryWorld,
+    outageMs: number,
+    name: string,
+    failedAgoMs: number,
+  ) {
+    recover(this, {outageMs, missing: name, failedAgoMs});
+  },
+);
+
+When(
+  'the platform comes back after {int} ms without targets, {int} ms after the last failed call',
+  function (this: TargetDirectoryWorld, outageMs: number, failedAgoMs: number) {
     this.directory.onWatchFailed(new Error('no answer'));
-    this.directory.onWatchRecovered(outageMs);
-    this.directory.applyChange({
-      key: `${prefix}${name}`,
-      object: undefined,
-      version: 9,
-    });
+    this.directory.onWatchRecovered(outageMs, failedAgoMs);
+    this.directory.replaceObjects([]);
+  },
+);
+
+When(
+  'the platform comes back after {int} ms with all targets',
+  function (this: TargetDirectoryWorld, outageMs: number) {
+    recover(this, {outageMs, failedAgoMs: 0});
+  },
+);
+
+When(
+  'the platform is away again for {int} ms, and target {string} is still missing',
+  async function (this: TargetDirectoryWorld, outageMs: number, name: string) {
+    await this.clock.advance(outageMs);
+    recover(this, {outageMs, missing: name, failedAgoMs: 0});
+  },
+);
+
+When(
+  'a watch without its history lists the targets without target {string}',
+  function (this: TargetDirectoryWorld, name: string) {
+    list(this, name);
   },
 );
 
@@ -104,6 +142,22 @@
   assert.deepEqual(this.usable, []);
 });
 
+/** The watch reads all objects after an outage, before it reports changes. */
+function recover(
+  world: TargetDirectoryWorld,
+  outage: {outageMs: number; failedAgoMs: number; missing?: string},
+): void {
+  const {directory} = world;
+  directory.onWatchFailed(new Error('no answer'));
+  directory.onWatchRecovered(outage.outageMs, outage.failedAgoMs);
+  list(world, outage.missing);
+}
+
+function list({directory, registered}: TargetDirectoryWorld, missing = '') {
+  const names = registered.filter((name) => name !== missing);
+  directory.replaceObjects(names.map((name) => toObject(name)));
+}
+
 function put(
   {directory}: TargetDirectoryWorld,
   name: string,
--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -39,8 +39,10 @@
   /**
    * Called when a call succeeds after failed ones.
    * @param outageMs - Time since the previous successful call.
+   * @param failedAgoMs - Time since the last failed call was sent: the outage
+   *   may have ended as long ago.
    */
-  onWatchRecovered(outageMs: number): void;
+  onWatchRecovered(outageMs: number, failedAgoMs: number): void;
 }
 
 /** Prefix to watch, listener and pacing of the calls. */
@@ -67,11 +69,16 @@
   private wait: AbortController | undefined;
   private version: number | undefined;
   private lastResponseMs: number;
+  /** When the last call, and the last one that failed, were sent. */
+  private lastSentMs: number;
+  private lastFailedSentMs: number;
   private isFailing = false;
 
   private constructor(private readonly options: ObjectWatcherOptions) {
     this.backoff = Backoff.create(retryBackoff, options.random);
     this.lastResponseMs = options.clock.nowMs();
+    this.lastSentMs = this.lastResponseMs;
+    this.lastFailedSentMs = this.lastResponseMs;
   }
 
   /**
@@ -108,6 +115,7 @@
 
   private async step(signal: AbortSignal): Promise<void> {
     const {store, prefix, listener, clock, pauseMs} = this.options;
+    this.lastSentMs = clock.nowMs();
     if (this.version === undefined) {
       const snapshot = await store.readSnapshot(prefix);
       this.recordResponse();
@@ -148,7 +156,8 @@
     this.backoff.reset();
     if (!this.isFailing) return;
     this.isFailing = false;
-    this.options.listener.onWatchRecovered(outageMs);
+    const failedAgoMs = nowMs - this.lastFailedSentMs;
+    this.options.listener.onWatchRecovered(outageMs, failedAgoMs);
   }
 
   private async handleFailure(
@@ -156,6 +165,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     const known = toMarigoldpostError(error);
+    this.lastFailedSentMs = this.lastSentMs;
     // The store's history may no longer have the changes missed meanwhile.
     this.version = undefined;
     if (!isErrorOfKind(known, 'history_gone') && !this.isFailing) {
--- a/packages/platform/src/watch/watch_group.ts
+++ b/packages/platform/src/watch/watch_group.ts
@@ -57,8 +57,8 @@
       replaceObjects: (objects) => listener.replaceObjects(objects),
       applyChange: (change) => listener.applyChange(change),
       onWatchFailed: (error) => listener.onWatchFailed(error),
-      onWatchRecovered: (outageMs) => {
-        listener.onWatchRecovered(outageMs);
+      onWatchRecovered: (outageMs, failedAgoMs) => {
+        listener.onWatchRecovered(outageMs, failedAgoMs);
         // Calls that began during the outage may never get a response either.
         for (const watcher of this.watchers) watcher.restartWait();
       },
--- a/packages/sites/src/node/node_settings.ts
+++ b/packages/sites/src/node/node_settings.ts
@@ -8,6 +8,10 @@
   readonly balancerNoticeMs: number;
   /** Time between the stop signal and the kill. */
   readonly graceMs: number;
+  /** Time after the removal of a target for which it may receive requests. */
+  readonly drainMs: number;
+  /** Time without disruption after which bounds oblige a daemon again. */
+  readonly contactMs: number;
 }
 
 /** Settings of one daemon, decoded from the platform's format. */
