Store turns on two disks while archives register or restart

Cause: the recorder asked for as many copies as archives were registered and reachable at that moment, and ended the turn with one copy if there was only one: while its entry VM had read one registration only, or while all other archives restarted. A lost disk in that time took the only copy.

The number of copies owed is known from the settings. While fewer archives hold the turn, and fewer are registered than are owed or one has become unreachable in the last 2.5 s, the recorder now waits up to 1.5 s for a registration or a return and writes the missing copies; holders whose disk was replaced meanwhile do not count. After that, or at once if an archive has been away for longer (an isolated data centre), one copy is enough as before.

Three of the new scenarios failed before: 'stored only on a' with one archive registered and with the three others restarting, archive_unavailable with none registered.

--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -56,10 +56,14 @@
     const {directory, ownDaemon} = this.options;
     if (this.seenChangeCount === directory.changeCount) return this.clients;
     this.seenChangeCount = directory.changeCount;
+    const previous = this.clients;
     this.clients = directory
       .getMembers()
       .filter(({daemon}) => daemon !== ownDaemon)
       .map((member) => this.getOrCreateClient(member));
+    if (this.clients.some((client) => !previous.includes(client))) {
+      this.returns += 1;
+    }
     return this.clients;
   }
 
@@ -76,30 +80,40 @@
     return ArchiveRetries.create(this, this.options.clock, wait);
   }
 
-  /** Number of times at which an archive has become reachable again. */
+  /**
+   * Number of times at which an archive has become reachable again or has been
+   * registered.
+   */
   get returnCount(): number {
+    this.getClients();
     return this.returns;
   }
 
   /**
-   * Waits until an archive becomes reachable again. Does not wait if none has
-   * become unreachable in the last 2.5 s.
+   * Waits until an archive becomes reachable again or the directory changes;
+   * `false` if the wait ends before, or if no archive is expected: enough are
+   * registered, and none has become unreachable in the last 2.5 s.
    * @param wait - Longest wait and what ends it.
+   * @param owedCount - Archives that the site must have.
    */
-  async waitForReturn({maxWaitMs, signal}: ArchiveWait): Promise<void> {
-    const {clock} = this.options;
-    const sinceMs = clock.nowMs() - restartMs;
-    const isExpected = this.getClients().some(
-      ({unreachableAtMs = -Infinity}) => unreachableAtMs > sinceMs,
-    );
-    if (!isExpected || signal.aborted) return;
-    const ended = Deferred.create<void>();
-    const end = () => ended.resolve();
+  async waitForChange(
+    {maxWaitMs, signal}: ArchiveWait,
+    owedCount: number,
+  ): Promise<boolean> {
+    const {clock, directory} = this.options;
+    if (!this.isArchiveExpected(owedCount) || signal.aborted) return false;
+    const ended = Deferred.create<boolean>();
+    const end = () => ended.resolve(false);
     const timer = clock.setTimer(maxWaitMs, end);
     signal.addEventListener('abort', end, {once: true});
-    await Promise.race([this.returned.promise, ended.promise]);
-    timer.cancel();
-    signal.removeEventListener('abort', end);
+    const changed = [this.returned.promise, directory.waitForChange()];
+    const hasChanged = Promise.race(changed).then(() => true);
+    try {
+      return await Promise.race([hasChanged, ended.promise]);
+    } finally {
+      timer.cancel();
+      signal.removeEventListener('abort', end);
+    }
   }
 
   /**
@@ -112,6 +126,15 @@
     );
   }
 
+  private isArchiveExpected(owedCount: number): boolean {
+    const clients = this.getClients();
+    const sinceMs = this.options.clock.nowMs() - restartMs;
+    return (
+      clients.length < owedCount ||
+      clients.some(({unreachableAtMs = -Infinity}) => unreachableAtMs > sinceMs)
+    );
+  }
+
   private getOrCreateClient(member: ArchiveMember): ArchiveClient {
     const key = getMemberKey(member);
     const existing = this.clients.find(
--- a/packages/turns/src/client/archive_retries.ts
+++ b/packages/turns/src/client/archive_retries.ts
@@ -1,4 +1,4 @@
-/** Waits of one request for archives that have just become unreachable. */
+/** Waits of one request for archives that are unreachable or not registered. */
 import type {Clock} from '@marigoldpost/common';
 import type {ArchivePool} from './archive_pool.js';
 
@@ -45,18 +45,24 @@
   }
 
   /**
-   * Waits until an archive has returned since the last attempt; `false` if the
-   * request should fail instead.
+   * Waits until an archive has returned or has been registered since the last
+   * attempt; `false` if no further attempt should follow.
+   * @param owedCount - Archives that the site must have; while fewer are
+   *   registered, another one is waited for.
    */
-  async waitForReturn(): Promise<boolean> {
+  async waitForReturn(owedCount = 0): Promise<boolean> {
     const {pool, wait} = this;
-    const maxWaitMs = this.endMs - this.clock.nowMs();
-    if (maxWaitMs <= 0 || wait.signal.aborted) return false;
-    if (pool.returnCount === this.returnCount) {
-      await pool.waitForReturn({...wait, maxWaitMs});
+    for (;;) {
+      const maxWaitMs = this.endMs - this.clock.nowMs();
+      if (maxWaitMs <= 0 || wait.signal.aborted) return false;
+      const {returnCount} = pool;
+      if (returnCount !== this.returnCount) {
+        this.returnCount = returnCount;
+        return true;
+      }
+      if (!(await pool.waitForChange({...wait, maxWaitMs}, owedCount))) {
+        return false;
+      }
     }
-    const hasReturned = pool.returnCount !== this.returnCount;
-    this.returnCount = pool.returnCount;
-    return hasReturned;
   }
 }
--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -40,46 +40,55 @@
   }
 
   /**
-   * Stores a turn; resolves once `replicaCount` archives have it. With fewer
-   * archives reachable, one replica is enough: that archive repairs the others
-   * later. Throws `archive_unavailable` when no archive stored it, after a
-   * wait of up to 1.5 s for one that has just become unreachable.
+   * Stores a turn; resolves once `replicaCount` archives have it. While fewer
+   * are registered or some have just become unreachable, waits up to 1.5 s for
+   * more; after that, or at once if none is expected, one replica is enough:
+   * that archive repairs the others later. Throws `archive_unavailable` when no
+   * archive stored it.
    * @param turn - Finished turn.
    * @param chainDisks - Disks of the previous turn.
-   * @param wait - How long to wait while no archive is reachable.
+   * @param wait - How long to wait while too few archives are reachable.
    */
   async record(
     turn: NewTurn,
     chainDisks: readonly DiskId[],
     wait: ArchiveWait,
   ): Promise<TurnRecord> {
-    const retries = this.options.pool.createRetries(wait);
+    const {pool, replicaCount} = this.options;
+    const retries = pool.createRetries(wait);
+    const holders = new Set<ArchiveClient>();
     for (;;) {
-      try {
-        return await this.tryRecord(turn, chainDisks);
-      } catch (error) {
-        if (!(await retries.waitForReturn())) throw error;
-      }
+      const record = await this.storeMissing(turn, chainDisks, holders);
+      if (holders.size >= replicaCount) return record;
+      if (await retries.waitForReturn(replicaCount)) continue;
+      if (holders.size > 0) return record;
+      const message = `turn "${turn.id}" could not be stored on any of ${pool.getClients().length} archives`;
+      throw MarigoldpostError.create('archive_unavailable', message);
     }
   }
 
-  private async tryRecord(
+  /** Writes a turn to further archives until enough of them hold it. */
+  private async storeMissing(
     turn: NewTurn,
     chainDisks: readonly DiskId[],
+    holders: Set<ArchiveClient>,
   ): Promise<TurnRecord> {
     const {pool, ownDataCentre, replicaCount} = this.options;
-    const {program} = turn;
-    const clients = pool.getClients().filter((client) => client.isReachable);
-    const candidates = orderCandidates(clients, {
-      program,
-      ownDataCentre,
-      chainDisks,
-    });
-    const disks = candidates
+    const clients = pool.getClients();
+    for (const holder of holders) {
+      // Its disk has been replaced or its VM removed.
+      if (!clients.includes(holder)) holders.delete(holder);
+    }
+    const candidates = orderCandidates(
+      clients.filter((client) => client.isReachable || holders.has(client)),
+      {program: turn.program, ownDataCentre, chainDisks},
+    );
+    const others = candidates.filter((client) => !holders.has(client));
+    const disks = [...holders, ...others]
       .slice(0, replicaCount)
       .map(({member}) => member.disk);
     const record = {...turn, disks};
-    await TurnReplication.create(record, candidates, this.options).run();
+    await TurnReplication.create(record, others, holders, this.options).run();
     return record;
   }
 }
@@ -89,26 +98,29 @@
   private readonly done = Deferred.create<void>();
   private nextClientIndex = 0;
   private inFlightCount = 0;
-  private stored = 0;
 
   private constructor(
     private readonly record: TurnRecord,
     private readonly clients: readonly ArchiveClient[],
+    private readonly holders: Set<ArchiveClient>,
     private readonly options: TurnRecorderOptions,
   ) {}
 
   static create(
     record: TurnRecord,
     clients: readonly ArchiveClient[],
+    holders: Set<ArchiveClient>,
     options: TurnRecorderOptions,
   ): TurnReplication {
-    return new TurnReplication(record, clients, options);
+    return new TurnReplication(record, clients, holders, options);
   }
 
+  /** Resolves once enough archives hold the turn or no candidate is left. */
   async run(): Promise<void> {
-    const {clock, replicaCount} = this.options;
-    for (let copy = 0; copy < replicaCount; copy++) this.startNextWrite();
-    const timer = clock.setTimer(hedgeDelayMs, () => this.startHedgedWrites());
+    this.startMissingWrites();
+    const timer = this.options.clock.setTimer(hedgeDelayMs, () =>
+      this.startMissingWrites(),
+    );
     this.check();
     try {
       await this.done.promise;
@@ -117,8 +129,8 @@
     }
   }
 
-  private startHedgedWrites(): void {
-    const missing = this.options.replicaCount - this.stored;
+  private startMissingWrites(): void {
+    const missing = this.options.replicaCount - this.holders.size;
     for (let copy = 0; copy < missing; copy++) this.startNextWrite();
   }
 
@@ -133,7 +145,7 @@
   private async store(client: ArchiveClient): Promise<void> {
     try {
       await client.storeTurns([this.record]);
-      this.stored += 1;
+      this.holders.add(client);
     } catch {
       // The pool reports the unreachable archive; the next candidate is tried.
       this.startNextWrite();
@@ -143,13 +155,7 @@
   }
 
   private check(): void {
-    if (this.stored >= this.options.replicaCount) this.done.resolve();
-    if (this.inFlightCount > 0) return;
-    if (this.stored > 0) {
-      this.done.resolve();
-      return;
-    }
-    const message = `turn "${this.record.id}" could not be stored on any of ${this.clients.length} reachable archives`;
-    this.done.reject(MarigoldpostError.create('archive_unavailable', message));
+    const isStored = this.holders.size >= this.options.replicaCount;
+    if (isStored || this.inFlightCount === 0) this.done.resolve();
   }
 }
--- a/packages/turns/src/directory/archive_directory.ts
+++ b/packages/turns/src/directory/archive_directory.ts
@@ -1,5 +1,10 @@
 /** Archives of a site, as registered in the object API. */
-import {type DaemonId, type DataCentreId, toId} from '@marigoldpost/common';
+import {
+  type DaemonId,
+  type DataCentreId,
+  Deferred,
+  toId,
+} from '@marigoldpost/common';
 import {
   type ObjectChange,
   type ObjectStore,
@@ -28,6 +33,7 @@
   private readonly members = new Map<string, ArchiveMember>();
   private hasLoaded = false;
   private changes = 0;
+  private changed = Deferred.create<void>();
 
   private constructor() {}
 
@@ -46,6 +52,11 @@
     return this.changes;
   }
 
+  /** Resolves at the next change. */
+  waitForChange(): Promise<void> {
+    return this.changed.promise;
+  }
+
   /** Gets every registered archive. */
   getMembers(): ArchiveMember[] {
     return [...this.members.values()];
@@ -65,9 +76,9 @@
    */
   replaceObjects(objects: readonly StoredObject[]): void {
     this.hasLoaded = true;
-    this.changes += 1;
     this.members.clear();
     for (const object of objects) this.putObject(object);
+    this.recordChange();
   }
 
   /**
@@ -75,9 +86,15 @@
    * @param change - Registration that was written or removed.
    */
   applyChange({key, object}: ObjectChange): void {
-    this.changes += 1;
     if (object === undefined) this.members.delete(key);
     else this.putObject(object);
+    this.recordChange();
+  }
+
+  private recordChange(): void {
+    this.changes += 1;
+    this.changed.resolve();
+    this.changed = Deferred.create<void>();
   }
 
   private putObject({key, value}: StoredObject): void {
--- a/packages/turns/tests/client/turn_recorder.feature
+++ b/packages/turns/tests/client/turn_recorder.feature
@@ -14,6 +14,42 @@
     Given archives "a, b, c, d" are down for 10000 ms
     Then turn "t1" that finishes in "a" fails with archive_unavailable within 2000 ms
 
+  Scenario: A turn that finishes while its entry VM knows one archive is stored on two disks
+    Given archives "a" with 2 replicas per turn
+    And archive "b" registers after 300 ms
+    When turn "t1" finishes in "a" within 500 ms
+    Then turn "t1" is on 2 disks
+    When the disk of the archive "a" is lost and 100 ms pass
+    Then a new entry VM in "b" reads the chain "t1"
+
+  Scenario: A turn that finishes while its entry VM knows no archive is stored on two disks
+    Given archives "" with 2 replicas per turn
+    And archive "a" registers after 200 ms
+    And archive "b" registers after 700 ms
+    When turn "t1" finishes in "a" within 900 ms
+    Then turn "t1" is on 2 disks
+
+  Scenario: A turn that finishes while all other archives restart is stored on two disks
+    Given archives "b, c, d" are down for 600 ms
+    When turn "t1" finishes in "a" within 1500 ms
+    Then turn "t1" is on 2 disks
+    When the disk of the archive "a" is lost and 100 ms pass
+    Then a new entry VM in "a" reads the chain "t1"
+
+  Scenario: A turn of a site with one archive is stored there after a short wait
+    Given archives "a" with 2 replicas per turn
+    When turn "t1" finishes in "a" within 1600 ms
+    Then turn "t1" is on 1 disks
+    When archive "b" registers after 10 ms
+    And 700 ms pass
+    Then turn "t1" is on 2 disks
+
+  Scenario: A turn waits for no archive that has been away for long
+    Given data centre "a" is isolated
+    When 3000 ms pass
+    And turn "t1" finishes in "a" within 100 ms
+    Then turn "t1" is on 1 disks, among them "a"
+
   Scenario: A turn waits for archives no longer than its call lasts
     Given archives "a, b, c, d" are down for 10000 ms
     Then turn "t1" that finishes in "a" with a call that ends after 600 ms fails with archive_unavailable within 610 ms
--- a/packages/turns/tests/client/turn_recorder_steps.ts
+++ b/packages/turns/tests/client/turn_recorder_steps.ts
@@ -1,6 +1,6 @@
 /** Steps for turns that finish while archives restart. */
 import assert from 'node:assert/strict';
-import {Then, type World} from '@cucumber/cucumber';
+import {Then, When, type World} from '@cucumber/cucumber';
 import {type ErrorKind, isErrorOfKind} from '@marigoldpost/common';
 import {
   type ArchiveFleet,
@@ -12,6 +12,14 @@
   archives: ArchiveFleet;
 }
 
+When(
+  'archive {string} registers after {int} ms',
+  function (this: RecorderWorld, name: string, afterMs: number) {
+    const {archives} = this;
+    archives.clock.setTimer(afterMs, () => void archives.add(name));
+  },
+);
+
 Then(
   /^turn "(\w+)" that finishes in "(\w)"(?: with a call that ends after (\d+) ms)? fails with (\w+) within (\d+) ms$/,
   async function (
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -366,7 +366,7 @@
 );
 
 function split(names: string): string[] {
-  return names.split(', ');
+  return names === '' ? [] : names.split(', ');
 }
 
 async function recordTurn(
