Sync what an archive recovers from its log before it counts as a copy

What callers saw: nothing yet; found by a test for the loss of a disk while all other machines lose power. A turn whose end a client had received is then on no disk.

Cause: an archive whose disk stalls in a sync writes an entry and is killed. Its files stay as they are, so the next process recovers the entry, indexes it, answers 'held' to its peers and acknowledges the turn again without writing it. The entry has never been synced: a power loss takes it.

The log now syncs every segment that it has recovered before it is opened. Nothing is sent or counted before.

The scenario with a stalled sync failed before ('none of 2 archives stores turn t1'), as did that of the log (the recovered entry was gone after the power loss).

--- a/packages/turns/src/log/entry_log.ts
+++ b/packages/turns/src/log/entry_log.ts
@@ -57,18 +57,23 @@
   ) {}
 
   /**
-   * Opens the log and recovers the entries on the disk.
+   * Opens the log, recovers the entries on the disk and makes them durable.
    * @param options - Folder, clock and recovery callback.
    */
   static async open(options: EntryLogOptions): Promise<EntryLog> {
     const {folder, clock, onRecovered} = options;
     let last = 0;
+    const segmentNames: string[] = [];
     for (const name of await folder.listFiles()) {
       const segment = toSegmentNumber(name);
       if (segment === undefined) continue;
       last = Math.max(last, segment);
+      segmentNames.push(name);
       recoverSegment(segment, await folder.readFile(name), onRecovered);
     }
+    // A process that was killed may have left entries that are not synced. Peers
+    // count recovered entries as durable.
+    await Promise.all(segmentNames.map((name) => folder.syncFile(name)));
     return new EntryLog(folder, clock, last + 1);
   }
 
--- a/packages/turns/src/log/log_folder.ts
+++ b/packages/turns/src/log/log_folder.ts
@@ -40,6 +40,13 @@
    */
   abstract createFile(name: string): Promise<LogFile>;
 
+  /**
+   * Makes the contents of a file durable, including what a process that was
+   * killed had written.
+   * @param name - File name within the folder.
+   */
+  abstract syncFile(name: string): Promise<void>;
+
   /**
    * Removes a file. The removal is not synced, so the file may reappear after
    * a power loss.
@@ -96,6 +103,15 @@
     };
   }
 
+  override async syncFile(name: string): Promise<void> {
+    const handle = await open(path.join(this.folder, name), 'a');
+    try {
+      await handle.datasync();
+    } finally {
+      await handle.close();
+    }
+  }
+
   override async removeFile(name: string): Promise<void> {
     await unlink(path.join(this.folder, name));
   }
--- /dev/null
+++ b/packages/turns/tests/client/lost_disk_steps.ts
@@ -0,0 +1,35 @@
+/** Steps for disks that are lost while other archives restart or lose power. */
+import {Given, When, type World} from '@cucumber/cucumber';
+import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
+
+interface DiskWorld extends World {
+  archives: ArchiveFleet;
+}
+
+Given(
+  'archive {string} stalls at each sync and restarts after {int} ms',
+  function (this: DiskWorld, name: string, afterMs: number) {
+    const {archives} = this;
+    archives.getFolder(name).fault = 'unsynced';
+    archives.clock.setTimer(afterMs, () => {
+      archives.kill(name);
+      archives.getFolder(name).fault = 'none';
+      void archives.start(name);
+    });
+  },
+);
+
+When(
+  'archive {string} loses its disk while all others of {string} lose power',
+  async function (this: DiskWorld, wiped: string, names: string) {
+    const {archives} = this;
+    for (const name of names.split(', ')) {
+      archives.kill(name);
+      const folder = archives.getFolder(name);
+      if (name === wiped) folder.wipe();
+      else folder.losePower('missing');
+    }
+    for (const name of names.split(', ')) await archives.start(name);
+    await archives.clock.advance(1000);
+  },
+);
--- a/packages/turns/tests/client/turn_store.feature
+++ b/packages/turns/tests/client/turn_store.feature
@@ -58,6 +58,25 @@
     And all archives lose power and restart
     Then a new entry VM in "b" reads the chain "t1"
 
+  Scenario Outline: An acknowledged turn survives the loss of disk "<wiped>" and of the power of all other archives
+    When turn "t1" finishes in "a"
+    And archive "<wiped>" loses its disk while all others of "a, b, c, d" lose power
+    Then a new entry VM in "b" reads the chain "t1"
+
+    Examples:
+      | wiped |
+      | a     |
+      | b     |
+      | c     |
+      | d     |
+
+  Scenario: A turn that an archive had written without a sync before its restart survives a power loss once it is acknowledged
+    Given archives "a, b" with 2 replicas per turn
+    And archive "b" stalls at each sync and restarts after 500 ms
+    When turn "t1" finishes in "a" within 1500 ms
+    And archive "a" loses its disk while all others of "a, b" lose power
+    Then a new entry VM in "b" reads the chain "t1"
+
   Scenario: A turn is reported unknown only when every archive replies that it lacks it
     Then reading turn "none" in "a" fails with unknown_turn
     When archive "d" is killed
--- a/packages/turns/tests/log/entry_log.feature
+++ b/packages/turns/tests/log/entry_log.feature
@@ -14,6 +14,13 @@
       | zeroed  |
       | kept    |
 
+  Scenario: Entries that a reopened log contains survive a power loss
+    Given an entry log with entries "a, b" acknowledged
+    And an entry "c" that is written but not synced
+    Then the reopened log contains exactly "a, b, c"
+    When the log's disk loses power and unsynced bytes are missing
+    Then the reopened log contains exactly "a, b, c"
+
   Scenario: Entries of any size are recovered from a real disk
     Given an entry log on a real disk
     When 60 entries of arbitrary sizes are appended concurrently
