Report a retirement only once no turn is left on the retired disk alone

What callers saw: nothing yet; found by reading, shown by tests. A turn whose end a client had received is on one disk, or none, once a retired archive's VM has been removed with its disk; the next lost disk takes it.

Three causes: an entry VM that has not read of the retirement (its watch is up to 20 s behind, or its store is away) stored turns on the archive after the last check; a turn whose write was pending at the check was not counted; copies on a peer that had lost its disk since it was asked counted until its new registration was read.

Before it reports, the archive is now sealed: it answers storeTurns with its status, which acknowledges nothing in this and in earlier builds, so that the recorder goes to the next archive without taking this one as unreachable. Pending writes are awaited, and all peers are asked for every turn again. If a copy is missing, the archive accepts turns again and goes on.

--- a/packages/nodes/src/archive/retirement_task.ts
+++ b/packages/nodes/src/archive/retirement_task.ts
@@ -5,7 +5,7 @@
 import {archivePrefix, type ArchiveRepairer} from '@marigoldpost/turns';
 import type {ObjectSink} from '../utils/object_sink.js';
 
-/** Pause between replication checks, and before a failed call is retried. */
+/** Pause before a failed call is retried. */
 const pollMs = 200;
 
 /** Archive, platform and callbacks of a retirement. */
@@ -63,15 +63,14 @@
   }
 
   private async retire(signal: AbortSignal): Promise<void> {
-    const {daemon, platform, repairer, clock, onRetired} = this.options;
+    const {daemon, platform, repairer, onRetired} = this.options;
     await this.retryUntilDone(signal, () =>
       platform.reportRetirement(daemon, 'running'),
     );
     // Entry VMs stop choosing this archive once it is unregistered.
     const key = `${archivePrefix}${daemon}`;
     await this.retryUntilDone(signal, () => platform.store.removeObject(key));
-    repairer.retire();
-    while (!repairer.isFullyReplicated) await clock.sleep(pollMs, signal);
+    await repairer.retire(signal);
     await this.retryUntilDone(signal, () =>
       platform.reportRetirement(daemon, 'complete'),
     );
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -46,6 +46,7 @@
 /** Persists turns and ledger entries to a log, and indexes them in memory. */
 export class Archive {
   private readonly pendingStores = new Map<TurnId, Promise<void>>();
+  private isClosedForTurns = false;
 
   private constructor(
     private readonly options: ArchiveOptions,
@@ -113,6 +114,22 @@
     await Promise.all(records.map((record) => this.storeTurn(record)));
   }
 
+  /** Whether it stores no further turns, since its VM is about to be removed. */
+  get isSealed(): boolean {
+    return this.isClosedForTurns;
+  }
+
+  /** Stores no further turns; resolves once pending ones are stored or failed. */
+  async seal(): Promise<void> {
+    this.isClosedForTurns = true;
+    await Promise.allSettled(this.pendingStores.values());
+  }
+
+  /** Stores turns again. */
+  unseal(): void {
+    this.isClosedForTurns = false;
+  }
+
   /**
    * Reserves tokens for an attempt; resolves once the reservation is durable.
    * @param reservation - Attempt, its tokens and the program's budget.
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -62,8 +62,7 @@
       case 'fetchLedger':
         return this.fetchLedger(request.value);
       case 'storeTurns':
-        await this.archive.storeTurns(request.value.turns.map(fromTurnMessage));
-        return acknowledgement;
+        return this.storeTurns(request.value);
       case 'fetchChain':
         return this.fetchChain(request.value);
       case 'findTurns':
@@ -96,6 +95,17 @@
     };
   }
 
+  /** A sealed archive replies with its status, which acknowledges nothing. */
+  private async storeTurns({
+    turns,
+  }: RequestOf<'storeTurns'>): Promise<PeerReplyBody> {
+    if (this.archive.isSealed) {
+      return {case: 'archiveStatus', value: this.getStatus()};
+    }
+    await this.archive.storeTurns(turns.map(fromTurnMessage));
+    return acknowledgement;
+  }
+
   private fetchLedger({program}: RequestOf<'fetchLedger'>): PeerReplyBody {
     const ledgers =
       program === undefined
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -17,6 +17,8 @@
 const roundIntervalMs = 250;
 /** Younger turns are skipped: their entry VM may still be storing them. */
 const minRepairAgeMs = 300;
+/** Pause between two checks whether a retirement is complete. */
+const retirementPollMs = 200;
 /** Limit of the turns queried or sent in one message; bounds its size. */
 const maxBatchTurns = 64;
 
@@ -67,14 +69,17 @@
     return this.hasPeerLedgers || this.options.pool.getClients().length === 0;
   }
 
-  /** Whether every turn has enough verified replicas on peer disks. */
-  get isFullyReplicated(): boolean {
-    return this.findUnderReplicated(Number.POSITIVE_INFINITY).length === 0;
-  }
-
-  /** Stops counting the own disk as a replica, since its VM is retired. */
-  retire(): void {
+  /**
+   * Stops counting the own disk as a replica, since its VM is retired. Resolves
+   * once peers have replied that they hold every turn on enough disks; the
+   * archive stores no further turns from then on.
+   * @param signal - Ends the wait when aborted.
+   */
+  async retire(signal: AbortSignal): Promise<void> {
     this.requiredPeerReplicas = this.options.replicaCount;
+    while (!this.isFullyReplicated || !(await this.trySeal())) {
+      await this.options.clock.sleep(retirementPollMs, signal);
+    }
   }
 
   /**
@@ -84,11 +89,35 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.runTask('ledgers', () => this.mergePeerLedgers());
-      await this.runTask('copies', () => this.repairTurns());
+      await this.runTask('copies', () =>
+        this.repairTurns(this.options.clock.nowMs() - minRepairAgeMs),
+      );
       await this.options.clock.sleep(roundIntervalMs, signal);
     }
   }
 
+  /** Whether every turn has enough verified replicas on peer disks. */
+  private get isFullyReplicated(): boolean {
+    return this.findUnderReplicated(Number.POSITIVE_INFINITY).length === 0;
+  }
+
+  /**
+   * Seals the archive and asks the peers for all replicas again: entry VMs that
+   * have not read of the retirement still store turns here, and a peer may have
+   * lost its disk since it was asked.
+   */
+  private async trySeal(): Promise<boolean> {
+    const {archive} = this.options;
+    await archive.seal();
+    this.verifiedDisks.clear();
+    await this.runTask('retirement', () =>
+      this.repairTurns(Number.POSITIVE_INFINITY),
+    );
+    if (this.isFullyReplicated) return true;
+    archive.unseal();
+    return false;
+  }
+
   private async runTask(
     task: string,
     work: () => Promise<void>,
@@ -120,12 +149,9 @@
       reachable.every((client) => this.mergedPeers.has(client));
   }
 
-  private async repairTurns(): Promise<void> {
+  private async repairTurns(storedBeforeMs: number): Promise<void> {
     this.removeLostReplicas();
-    const {clock} = this.options;
-    const underReplicated = this.findUnderReplicated(
-      clock.nowMs() - minRepairAgeMs,
-    );
+    const underReplicated = this.findUnderReplicated(storedBeforeMs);
     const turnsByClient = new Map<ArchiveClient, IndexedTurn[]>();
     for (const turn of underReplicated) {
       for (const client of this.choosePeers(turn)) {
--- /dev/null
+++ b/packages/turns/tests/repair/retirement.feature
@@ -0,0 +1,29 @@
+Feature: Retirement of an archive
+  A retired archive's VM is removed with its disk. A disk may be lost right after.
+
+  Background:
+    Given archives "a, b, c, d" with 2 replicas per turn
+
+  Scenario: A retired archive leaves every turn on enough other disks
+    When turn "t1" finishes in "a"
+    And archive "a" retires within 2000 ms and is removed
+    Then turn "t1" is on at least 2 disks
+
+  Scenario: A disk that is down and lost does not count for a retirement
+    When turn "t1" finishes in "a"
+    And 1000 ms pass
+    And the archive of the other disk with turn "t1" goes down and its disk is lost
+    And archive "a" retires within 4000 ms and is removed
+    Then turn "t1" is on at least 2 disks
+
+  Scenario: An entry VM that has not read of a retirement stores its turns elsewhere once it is complete
+    When archive "a" retires without notice to others
+    And turn "t1" finishes in "a" within 200 ms
+    Then turn "t1" is on 2 disks
+    And archive "a" does not hold turn "t1"
+
+  Scenario: A turn that is being written to a retiring archive is replicated before it is removed
+    Given the disk of archive "a" is stalled
+    When turn "t1" is sent to be stored in "a"
+    And archive "a" retires while its disk is stalled for another 300 ms
+    Then turn "t1" is on at least 2 disks
--- /dev/null
+++ b/packages/turns/tests/repair/retirement_steps.ts
@@ -0,0 +1,72 @@
+/** Steps for archives that are retired. */
+import assert from 'node:assert/strict';
+import {Then, When, type World} from '@cucumber/cucumber';
+import {
+  type ArchiveFleet,
+  createTurn,
+  unlimitedWaitMs,
+} from '../fixtures/archive_fleet.js';
+
+interface RetirementWorld extends World {
+  archives: ArchiveFleet;
+}
+
+When(
+  'archive {string} retires within {int} ms and is removed',
+  async function (this: RetirementWorld, name: string, withinMs: number) {
+    const {archives} = this;
+    const startMs = archives.clock.nowMs();
+    await archives.run(archives.retire(name, false));
+    const elapsedMs = archives.clock.nowMs() - startMs;
+    assert.ok(elapsedMs <= withinMs, `it took ${elapsedMs} ms`);
+    archives.kill(name);
+  },
+);
+
+When(
+  'archive {string} retires without notice to others',
+  async function (this: RetirementWorld, name: string) {
+    await this.archives.run(this.archives.retire(name, true));
+  },
+);
+
+When(
+  'the archive of the other disk with turn {string} goes down and its disk is lost',
+  function (this: RetirementWorld, id: string) {
+    const {archives} = this;
+    const other = archives.findHolders(id).find((name) => name !== 'a');
+    assert.ok(other, `turn "${id}" is on no disk except "a"`);
+    archives.kill(other);
+    archives.getFolder(other).wipe();
+  },
+);
+
+When(
+  'turn {string} is sent to be stored in {string}',
+  async function (this: RetirementWorld, id: string, dataCentre: string) {
+    const {signal} = new AbortController();
+    const wait = {maxWaitMs: unlimitedWaitMs, signal};
+    const {archives} = this;
+    void archives
+      .getStore(dataCentre)
+      .record(createTurn(id, undefined), [], wait);
+    await archives.clock.advance(10);
+  },
+);
+
+When(
+  'archive {string} retires while its disk is stalled for another {int} ms',
+  async function (this: RetirementWorld, name: string, forMs: number) {
+    const {archives} = this;
+    archives.clock.setTimer(forMs, () => archives.getFolder(name).endStall());
+    await archives.run(archives.retire(name, false));
+    archives.kill(name);
+  },
+);
+
+Then(
+  'archive {string} does not hold turn {string}',
+  function (this: RetirementWorld, name: string, id: string) {
+    assert.ok(!this.archives.findHolders(id).includes(name));
+  },
+);
