Read what has arrived before an idle connection is closed

A client whose request had arrived got a closed connection without a byte when the process did not run for a moment: Node.js calls timers before it reads, so the idle time-out, and the stop that closes idle connections every 50 ms, came before the request. The request was not read, so nobody ran it, but the client cannot know.

Both now close the connection after the next read of the event loop, and only if no byte has come. The end of the process still closes idle connections at once.

client_connections.feature blocks the process for 100 ms while a request arrives: both rows failed before (1 of 2 requests answered) and pass now; two rows check that idle connections still close. packages/entry/tests/server and it: all passed.

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -22,6 +22,8 @@
 
   private constructor(private readonly server: Server) {
     server.on('connection', (socket: Socket) => this.getState(socket));
+    // With a listener, Node.js leaves the socket to it.
+    server.on('timeout', (socket: Socket) => this.closeUnlessRead(socket));
     server.prependListener('request', (request, response) =>
       this.trackExchange(request, response),
     );
@@ -47,9 +49,14 @@
 
   /**
    * Closes the connections on which a response has been sent and no further
-   * request has begun to arrive.
+   * request has begun to arrive, once the requests that have arrived are read.
    */
   closeIdle(): void {
+    for (const socket of this.findIdle()) this.closeUnlessRead(socket);
+  }
+
+  /** Closes the idle connections at once, when the process ends. */
+  destroyIdle(): void {
     for (const socket of this.findIdle()) socket.destroy();
   }
 
@@ -81,6 +88,18 @@
     });
   }
 
+  /**
+   * Closes a connection unless bytes that have arrived on it are read first.
+   * Node.js calls timers before it reads: a process that did not run for a
+   * moment would close connections whose next request has arrived.
+   */
+  private closeUnlessRead(socket: Socket): void {
+    const {bytesRead} = socket;
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
+  }
+
   private findIdle(): Socket[] {
     const idle: Socket[] = [];
     for (const [socket, {openRequests, idleAtBytes}] of this.states) {
--- /dev/null
+++ b/packages/common/tests/utils/client_connections.feature
@@ -0,0 +1,23 @@
+Feature: Closing the connections of clients
+  A process that did not run for a moment finds that an idle time is over, or
+  that it stops, before it reads the requests that have arrived meanwhile.
+
+  Scenario Outline: A request that arrived before its idle connection is closed is answered
+    Given a connection whose first request was answered
+    When a second request arrives, and the process does not run for 100 ms while <event>
+    Then both requests are answered
+
+    Examples:
+      | event                    |
+      | its idle time ends       |
+      | idle connections close   |
+
+  Scenario Outline: An idle connection is closed
+    Given a connection whose first request was answered
+    When no request arrives, and the process does not run for 100 ms while <event>
+    Then the first request is answered and the connection is closed
+
+    Examples:
+      | event                    |
+      | its idle time ends       |
+      | idle connections close   |
--- /dev/null
+++ b/packages/common/tests/utils/client_connections_steps.ts
@@ -0,0 +1,94 @@
+/** Steps for closing the connections of clients. */
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import http from 'node:http';
+import net, {type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {ClientConnections} from '@marigoldpost/common';
+import {addCleanup} from '../fixtures/cleanup.js';
+
+interface ConnectionWorld extends World {
+  server: http.Server;
+  connections: ClientConnections;
+  client: Socket;
+  received: string;
+  isClosed: boolean;
+}
+
+const request = 'GET / HTTP/1.1\r\nHost: site.example\r\n\r\n';
+/** Time in which a request is answered or its connection closed. */
+const settledMs = 200;
+/** Time for which the process does not run. */
+const stoppedMs = 100;
+
+Given(
+  'a connection whose first request was answered',
+  async function (this: ConnectionWorld) {
+    await startServer(this);
+    await connect(this);
+    this.client.write(request);
+    while (countAnswers(this) === 0) await once(this.client, 'data');
+    await pause(settledMs);
+  },
+);
+
+When(
+  /^(a second|no) request arrives, and the process does not run for 100 ms while (its idle time ends|idle connections close)$/,
+  function (this: ConnectionWorld, arriving: string, event: string) {
+    if (event.startsWith('its')) this.connections.keepIdle(stoppedMs / 2);
+    else setTimeout(() => this.connections.closeIdle());
+    if (arriving !== 'no') this.client.write(request);
+    const endMs = Date.now() + stoppedMs;
+    while (Date.now() < endMs);
+  },
+);
+
+Then('both requests are answered', async function (this: ConnectionWorld) {
+  await pause(settledMs);
+  assert.equal(countAnswers(this), 2);
+});
+
+Then(
+  'the first request is answered and the connection is closed',
+  async function (this: ConnectionWorld) {
+    await pause(settledMs);
+    assert.equal(countAnswers(this), 1);
+    assert.ok(this.isClosed);
+  },
+);
+
+async function startServer(world: ConnectionWorld): Promise<void> {
+  const server = http.createServer((_request, response) => {
+    response.end('answer');
+  });
+  world.server = server;
+  world.connections = ClientConnections.create(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  addCleanup(world, async () => {
+    server.close();
+    server.closeAllConnections();
+    await once(server, 'close');
+  });
+}
+
+async function connect(world: ConnectionWorld): Promise<void> {
+  const {port} = world.server.address() as AddressInfo;
+  world.received = '';
+  world.isClosed = false;
+  world.client = net.connect({host: '127.0.0.1', port});
+  world.client.setEncoding('latin1');
+  world.client.on('data', (text: string) => {
+    world.received += text;
+  });
+  world.client.on('error', () => undefined);
+  world.client.once('close', () => {
+    world.isClosed = true;
+  });
+  await once(world.client, 'connect');
+}
+
+function countAnswers({received}: ConnectionWorld): number {
+  return received.split('HTTP/1.1 200 OK').length - 1;
+}
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -121,7 +121,7 @@
    */
   close(): void {
     void this.connections.stopListening();
-    this.closeIdle();
+    this.connections.destroyIdle();
     for (const socket of this.connections.sockets) resetSocket(socket);
   }
 
