Do not close a connection while the body of an answered request is due

A stopping VM closed a connection as idle when the response to its request had been sent but the rest of its body had not arrived. The client was still sending: the close resets it, and it may lose the response.

A request now counts as open until it is read and its response is sent, or it has failed; the idle time-out still bounds it. The new scenario of client_connections.feature (closeIdle, then the body and a second request) failed before with 1 of 2 answers; it passes now, as do packages/entry/tests/server and the crossing scenarios of unanswered_call.feature (89 scenarios).

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -4,7 +4,7 @@
 
 /** State of a connection from a client. */
 interface ConnectionState {
-  /** Requests whose responses have not been sent completely. */
+  /** Requests that have not been read and answered completely. */
   readonly openRequests: Set<IncomingMessage>;
   /** Whether it closes once the requests that have been read are answered. */
   isClosing: boolean;
@@ -130,16 +130,18 @@
     const {socket} = request;
     const state = this.getState(socket);
     state.openRequests.add(request);
-    const recordBytes = () => {
+    const update = () => {
       state.idleAtBytes = socket.bytesRead;
-    };
-    // The rest of a body that nobody needs may follow the response.
-    request.once('end', recordBytes);
-    response.once('close', () => {
-      state.openRequests.delete(request);
-      recordBytes();
+      if (!response.closed) return;
+      // The rest of a body that nobody needs may follow the response.
+      if (request.complete || request.closed) {
+        state.openRequests.delete(request);
+      }
       if (state.isClosing && !hasReadRequest(state)) socket.destroySoon();
-    });
+    };
+    request.once('end', update);
+    request.once('close', update);
+    response.once('close', update);
   }
 }
 
--- a/packages/common/tests/utils/client_connections.feature
+++ b/packages/common/tests/utils/client_connections.feature
@@ -21,3 +21,8 @@
       | event                    |
       | its idle time ends       |
       | idle connections close   |
+
+  Scenario: A connection is not idle while the body of an answered request is due
+    Given a connection whose first request was answered before its body arrived
+    When idle connections close, and then the body and a second request arrive
+    Then both requests are answered
--- a/packages/common/tests/utils/client_connections_steps.ts
+++ b/packages/common/tests/utils/client_connections_steps.ts
@@ -17,22 +17,33 @@
 }
 
 const request = 'GET / HTTP/1.1\r\nHost: site.example\r\n\r\n';
+const postBody = 'body';
+const postHead = `POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: ${postBody.length}\r\n\r\n`;
 /** Time in which a request is answered or its connection closed. */
 const settledMs = 200;
 /** Time for which the process does not run. */
 const stoppedMs = 100;
 
 Given(
-  'a connection whose first request was answered',
-  async function (this: ConnectionWorld) {
+  /^a connection whose first request was answered( before its body arrived|)$/,
+  async function (this: ConnectionWorld, time: string) {
     await startServer(this);
     await connect(this);
-    this.client.write(request);
+    this.client.write(time === '' ? request : postHead);
     while (countAnswers(this) === 0) await once(this.client, 'data');
     await pause(settledMs);
   },
 );
 
+When(
+  'idle connections close, and then the body and a second request arrive',
+  async function (this: ConnectionWorld) {
+    this.connections.closeIdle();
+    await pause(settledMs);
+    this.client.write(postBody + request);
+  },
+);
+
 When(
   /^(a second|no) request arrives, and the process does not run for 100 ms while (its idle time ends|idle connections close)$/,
   function (this: ConnectionWorld, arriving: string, event: string) {
