Tell restarted archives of leaving targets that others reported

What callers would see: an entry VM that restarted after all archives had done so sent requests to a target that had stated that it leaves, until the registration told it.

Cause: an entry VM told archives only what its own targets had stated. An archive keeps these statements in memory; after its restart, only the entry VM that had heard the statement itself told it again, and nobody if that one had restarted as well, although the other entry VMs knew of it. A starting entry VM asked only the nearest archive, which may know less than another one.

Now an entry VM also tells an archive that it has not asked yet, or that has restarted, which targets are leaving as it has learned from others, once. It tells no limit of others, since that may have ended. Thereby an entry VM asks every archive at its start.

--- a/packages/nodes/src/entry/quarantine_exchange.ts
+++ b/packages/nodes/src/entry/quarantine_exchange.ts
@@ -10,7 +10,7 @@
   Deferred,
   type Fingerprint,
 } from '@marigoldpost/common';
-import type {TargetLimits} from '@marigoldpost/dispatch';
+import type {TargetLimit, TargetLimits} from '@marigoldpost/dispatch';
 import {
   ExchangeQuarantinesSchema,
   fromQuarantineMessage,
@@ -56,6 +56,8 @@
   revision: bigint;
   /** Last revision of the own limits that the archive has. */
   sentLimitRevision: number;
+  /** Whether the archive may lack the leaving targets that others reported. */
+  needsLeaving: boolean;
   /** Revision of the archive's limits that this entry VM has. */
   limitRevision: bigint;
 }
@@ -157,9 +159,13 @@
   }
 
   private hasUnsent(client: ArchiveClient): boolean {
-    const {sentChange, sentLimitRevision} = this.getState(client);
+    const state = this.getState(client);
     const {ownRevision} = this.options.limits;
-    return sentChange < this.lastChange || sentLimitRevision < ownRevision;
+    return (
+      state.needsLeaving ||
+      state.sentChange < this.lastChange ||
+      state.sentLimitRevision < ownRevision
+    );
   }
 
   /** Exchanges records with an archive; false if it does not reply. */
@@ -175,9 +181,9 @@
       );
     const startMs = clock.nowMs();
     const {ownRevision} = limits;
-    const targetLimits = limits
-      .getOwnChanges(state.sentLimitRevision)
-      .map((limit) => toTargetLimitMessage(limit, startMs));
+    const targetLimits = this.getUnsentLimits(state).map((limit) =>
+      toTargetLimitMessage(limit, startMs),
+    );
     const request = create(ExchangeQuarantinesSchema, {
       quarantines: entries.map(toQuarantineMessage),
       process: state.process,
@@ -192,6 +198,7 @@
     const isRestarted = state.process !== '' && state.process !== reply.process;
     state.sentChange = isRestarted ? allEntries : lastChange;
     state.sentLimitRevision = isRestarted ? 0 : ownRevision;
+    state.needsLeaving = isRestarted;
     state.process = reply.process;
     state.revision = reply.revision;
     const {daemon} = client.member;
@@ -206,6 +213,23 @@
     return true;
   }
 
+  private getUnsentLimits(state: ExchangeState): TargetLimit[] {
+    const {limits} = this.options;
+    const own = limits.getOwnChanges(state.sentLimitRevision);
+    if (!state.needsLeaving) return own;
+    // A limit that others reported may have ended since; leaving does not end.
+    const leaving = limits
+      .getChanges(0)
+      .filter((limit) => limit.leavingSinceMs !== undefined)
+      .filter((limit) => !own.includes(limit))
+      .map((limit) => ({
+        ...limit,
+        limitPerS: undefined,
+        statedAtMs: Number.NEGATIVE_INFINITY,
+      }));
+    return [...own, ...leaving];
+  }
+
   private receiveLimits(
     source: DaemonId,
     state: ExchangeState,
@@ -227,6 +251,7 @@
       process: '',
       revision: 0n,
       sentLimitRevision: 0,
+      needsLeaving: true,
       limitRevision: 0n,
     };
     this.states.set(client, added);
--- a/packages/nodes/tests/entry/quarantine_exchange.feature
+++ b/packages/nodes/tests/entry/quarantine_exchange.feature
@@ -3,3 +3,8 @@
   Scenario: An exchange that is woken often keeps one listener of its signal
     When an exchange of crash records is woken 20 times, every 30 ms
     Then its signal never has more than 1 listener
+
+  Scenario: An archive that restarts learns of leaving targets from an entry VM that has learned of them from others
+    Given an exchange whose entry VM has learned from others that a target with a limit of 2 is leaving
+    When the archive of the exchange has restarted
+    Then the exchange tells the archive once that the target is leaving, and no limit
