End a silent response only by what is found in its silence

Callers could see the response of a sound target broken off: a target that neither reads nor accepts for a while and then goes on lost its response if an entry VM believed its link to be cut, or the target to be down, from what it had seen before the target went on. The belief was never tested again before it ended the response. The same held for a relaying entry VM that accepted no connection for 1.9 s.

LossDetector now asks for evidence that is later than the belief: - a cut link ends a response after 1 s only if another entry VM reached the target in this silence and a probe of this entry VM that started later failed (LinkMonitor.isKnownCutSince). recordReached still leaves a cut link cut, since open connections may outlive the link; the probe decides. - a target, or a relaying entry VM, that accepts no connection is lost only if a probe that started after 2 s of silence failed. A link that turns out to be cut after the first second ends by 1.5 s.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,8 @@
 export * from './responses/event_collector.js';
 export * from './responses/error_response.js';
 export * from './responses/response_memory.js';
+export * from './responses/silence_watch.js';
+export type {TargetBody} from './responses/target_body.js';
 export * from './calls/call_handler.js';
 export * from './calls/call_services.js';
 export * from './calls/crash_tracker.js';
--- a/packages/gateway/src/links/link_monitor.ts
+++ b/packages/gateway/src/links/link_monitor.ts
@@ -35,6 +35,12 @@
   readonly sinceMs: number;
   /** Since when the link has not worked, in any state. */
   readonly downSinceMs: number;
+  /** When another entry VM last reached the target. */
+  readonly reachedByPeerMs?: number;
+  /** Last `reachedByPeerMs` after which a probe of this daemon has failed. */
+  readonly missedReachMs?: number;
+  /** Start of the last probe that failed. */
+  readonly failedProbeMs?: number;
 }
 
 /** What this daemon believes of its links to targets. */
@@ -90,6 +96,27 @@
     return sinceMs === undefined ? 0 : this.options.clock.nowMs() - sinceMs;
   }
 
+  /**
+   * Whether a link has been cut since a time: another entry VM reached the
+   * target after it, and a later probe of this daemon did not.
+   * @param target - Target at its other end.
+   * @param sinceMs - Time on the daemon's clock.
+   */
+  isKnownCutSince(target: TargetEntry, sinceMs: number): boolean {
+    const link = this.links.get(toKey(target));
+    return link?.state === 'cut' && (link.missedReachMs ?? 0) > sinceMs;
+  }
+
+  /**
+   * Whether a probe that started at a time or later failed, and none since.
+   * @param target - Target that was probed.
+   * @param sinceMs - Time on the daemon's clock.
+   */
+  hasFailedProbeSince(target: TargetEntry, sinceMs: number): boolean {
+    const startMs = this.links.get(toKey(target))?.failedProbeMs;
+    return startMs !== undefined && startMs >= sinceMs;
+  }
+
   /**
    * Whether a request to a target should go through another entry VM.
    * @param target - Target of the request.
@@ -119,6 +146,21 @@
     }
   }
 
+  /**
+   * Records that a probe of a link that does not work has failed again.
+   * @param target - Target that was not reached.
+   * @param startMs - When the probe started.
+   */
+  recordFailedProbe(target: TargetEntry, startMs: number): void {
+    const key = toKey(target);
+    const link = this.links.get(key);
+    if (link === undefined) return;
+    const {reachedByPeerMs} = link;
+    const isLater = reachedByPeerMs !== undefined && startMs >= reachedByPeerMs;
+    const missedReachMs = isLater ? reachedByPeerMs : link.missedReachMs;
+    this.links.set(key, {...link, missedReachMs, failedProbeMs: startMs});
+  }
+
   /**
    * Whether a target has responded since a time.
    * @param target - The target.
@@ -168,6 +210,11 @@
   recordReachedByPeer(target: TargetEntry, peer: DaemonId): void {
     if (this.getState(target) === 'works' && !this.isIsolated) return;
     this.setState(target, 'cut', `${peer} reaches it`);
+    const key = toKey(target);
+    const link = this.links.get(key);
+    if (link === undefined) return;
+    const reachedByPeerMs = this.options.clock.nowMs();
+    this.links.set(key, {...link, reachedByPeerMs});
   }
 
   /**
@@ -214,7 +261,9 @@
     if (state === 'works') this.links.delete(key);
     else {
       const downSinceMs = known?.downSinceMs ?? nowMs;
-      this.links.set(key, {target, state, sinceMs: nowMs, downSinceMs});
+      const {failedProbeMs} = known ?? {};
+      const sinceMs = nowMs;
+      this.links.set(key, {target, state, sinceMs, downSinceMs, failedProbeMs});
     }
     logger.log('target_link_changed', {
       target: target.id,
--- a/packages/gateway/src/links/link_prober.ts
+++ b/packages/gateway/src/links/link_prober.ts
@@ -31,6 +31,8 @@
   private nextIndex = 0;
   private nextIdleIndex = 0;
   private readonly checkedAtMs = new Map<string, number>();
+  /** Targets that are being probed because a response depends on it. */
+  private readonly confirming = new Set<TargetEntry>();
 
   private constructor(private readonly options: LinkProberOptions) {}
 
@@ -72,6 +74,18 @@
     await Promise.all(this.targets.map((other) => this.check(other)));
   }
 
+  /**
+   * Probes a target at once, unless that is in progress, to learn whether what
+   * is believed of its link still holds.
+   * @param target - Target whose link is not known to work.
+   */
+  async confirm(target: TargetEntry): Promise<void> {
+    if (this.confirming.has(target)) return;
+    this.confirming.add(target);
+    await this.probe(target);
+    this.confirming.delete(target);
+  }
+
   /**
    * Sets the targets whose links are watched.
    * @param targets - Listed targets.
@@ -120,9 +134,11 @@
   private async probe(target: TargetEntry): Promise<boolean> {
     const {clock, links, agents} = this.options;
     const {host, port} = target.address;
+    const startMs = clock.nowMs();
     const socket = agents.get(target).createConnection({host, port});
     const isConnected = await waitForConnect(socket, clock);
     if (isConnected) links.recordConnected(target, 'a probe connected');
+    else links.recordFailedProbe(target, startMs);
     return isConnected;
   }
 }
--- a/packages/gateway/src/links/loss_detector.ts
+++ b/packages/gateway/src/links/loss_detector.ts
@@ -12,11 +12,16 @@
 
 /** Silence after which a target is probed; above the pause between events. */
 const probeSilenceMs = 500;
-/** Silence after which a response over a cut link is given up. */
+/**
+ * Silence after which a response over a cut link is given up, if another entry
+ * VM has reached the target in this silence, and a later probe did not: a target
+ * that was suspended and goes on is reached by both.
+ */
 const maxCutLinkSilenceMs = 1000;
 /**
- * Silence after which a target, or a relaying entry VM, that accepts no
- * connection is lost. A sound one that is suspended goes on earlier.
+ * Silence after which a target, or a relaying entry VM, is lost if it accepts no
+ * connection then. A sound one that is suspended goes on earlier, and its next
+ * bytes may follow later.
  */
 const maxUnreachableSilenceMs = 2000;
 /**
@@ -24,6 +29,8 @@
  * the difference of the silences that two entry VMs see in it.
  */
 export const minRelayedLossSilenceMs = maxCutLinkSilenceMs - 100;
+/** Silence after which a cut link is probed again; in time for its limit. */
+const confirmCutSilenceMs = 750;
 /** Time without a link that covers two probes; one may fail by chance. */
 const minDownMs = 1000;
 /** Pause between two checks of a relaying entry VM. */
@@ -42,6 +49,8 @@
   readonly atMs: number;
   /** True until the check has failed. */
   readonly isRunning: boolean;
+  /** Start of the last check that failed. */
+  readonly failedAtMs: number;
 }
 
 /** Target of a response, and the way that the response takes. */
@@ -99,14 +108,22 @@
     target: TargetEntry,
     silentMs: number,
   ): string | undefined {
-    const {links, prober} = this.options;
-    const state = links.getState(target);
-    if (state === 'cut' && silentMs >= maxCutLinkSilenceMs) {
-      return 'the link to the target is cut';
+    const {clock, links, prober} = this.options;
+    const sinceMs = clock.nowMs() - silentMs;
+    if (links.getState(target) === 'cut' && silentMs >= confirmCutSilenceMs) {
+      const isKnown = links.isKnownCutSince(target, sinceMs);
+      if (!isKnown) void prober.confirm(target);
+      else if (silentMs >= maxCutLinkSilenceMs) {
+        return 'the link to the target is cut';
+      }
     }
     const isUnreachable = links.getDownMs(target) >= minDownMs;
     if (isUnreachable && silentMs >= maxUnreachableSilenceMs) {
-      return 'the target accepts no connection';
+      const limitMs = sinceMs + maxUnreachableSilenceMs;
+      if (links.hasFailedProbeSince(target, limitMs)) {
+        return 'the target accepts no connection';
+      }
+      void prober.confirm(target);
     }
     if (silentMs >= probeSilenceMs) void prober.check(target);
     return undefined;
@@ -116,20 +133,29 @@
     if (silentMs < probeSilenceMs) return undefined;
     const check = this.peerChecks.get(peer);
     const nowMs = this.options.clock.nowMs();
-    if (check === undefined || nowMs - check.atMs >= peerCheckIntervalMs) {
-      void this.checkPeer(peer);
-    }
-    const isLost =
-      check?.isRunning === false && silentMs >= maxUnreachableSilenceMs;
+    const limitMs = nowMs - silentMs + maxUnreachableSilenceMs;
+    const hasFailed = check?.isRunning === false;
+    const isLost = hasFailed && check.failedAtMs >= limitMs;
+    const isDue =
+      check === undefined ||
+      nowMs - check.atMs >= peerCheckIntervalMs ||
+      (hasFailed && nowMs >= limitMs && check.atMs < limitMs);
+    if (isDue && !isLost) void this.checkPeer(peer);
     return isLost ? `${peer}, which relays, accepts no connection` : undefined;
   }
 
   private async checkPeer(peer: DaemonId): Promise<void> {
     const {clock, isPeerRunning} = this.options;
     const atMs = clock.nowMs();
-    const wasRunning = this.peerChecks.get(peer)?.isRunning ?? true;
-    this.peerChecks.set(peer, {atMs, isRunning: wasRunning});
+    const known = this.peerChecks.get(peer);
+    const isRunningSoFar = known?.isRunning ?? true;
+    const failedAtMs = known?.failedAtMs ?? Number.NEGATIVE_INFINITY;
+    this.peerChecks.set(peer, {atMs, isRunning: isRunningSoFar, failedAtMs});
     const isRunning = await isPeerRunning(peer);
-    this.peerChecks.set(peer, {atMs, isRunning});
+    this.peerChecks.set(peer, {
+      atMs,
+      isRunning,
+      failedAtMs: isRunning ? failedAtMs : atMs,
+    });
   }
 }
--- a/packages/gateway/src/responses/silence_watch.ts
+++ b/packages/gateway/src/responses/silence_watch.ts
@@ -52,7 +52,10 @@
 
   private scheduleCheck(): void {
     const {clock} = this.options;
-    this.timer = clock.setTimer(checkIntervalMs, () => this.check());
+    // A check falls on each limit of the silence, not up to an interval later.
+    const silentMs = clock.nowMs() - this.lastChunkMs;
+    const delayMs = checkIntervalMs - (silentMs % checkIntervalMs);
+    this.timer = clock.setTimer(Math.ceil(delayMs), () => this.check());
   }
 
   private check(): void {
