Give the whole time to an attempt that no other target can follow

Callers of a repeatable route with more attempts than targets got 502 before their time was over: with 3 or 4 attempts and two sound tools that were silent for 0.9 s, after 780 of 1,200 ms ("no target left for the request").

Cause: an attempt was ended after its share of the time whenever the route allowed another one, also when the call had tried every other target. Each target is tried at most once, so nothing could follow.

Two of the three rows of the new scenario in unanswered_call.feature failed before (502 after 780 and 779 ms, after the request); the row after the head passed. All three pass now.

--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -244,6 +244,14 @@
     );
   }
 
+  /**
+   * Whether any target may receive a request, now or once it has room.
+   * @param excluded - Targets that the request was sent to.
+   */
+  hasTarget(excluded: ReadonlySet<TargetId>): boolean {
+    return this.getCandidates(excluded).length > 0;
+  }
+
   /**
    * Gets the targets that may receive a request: those that are not leaving.
    * While all are, it is those that have been leaving for a short time.
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -80,7 +80,6 @@
   private attempts = 0;
   private rejections = 0;
   private sentAtMs = 0;
-  private mayHaveRun = false;
   /** Whether the current attempt may take the whole time of the call. */
   private mayTakeAllTime = false;
   /** Whether the last attempt waited until the time of the call ended. */
@@ -143,7 +142,7 @@
         this.recordResponse(lease, outcome);
       }
       if (outcome.kind === 'answer') {
-        this.recordSent();
+        this.attempts += 1;
         return {answer: outcome, lease};
       }
       this.handleFailure(lease, outcome);
@@ -246,7 +245,7 @@
   /** Creates the error for the client when no further attempt is allowed. */
   createFailure(message: string): MarigoldpostError {
     const isLate = this.hasTimedOut || this.call.endReason === 'timeout';
-    if (this.mayHaveRun) {
+    if (this.attempts > 0) {
       const kind = isLate ? 'target_timeout' : 'target_failed';
       return MarigoldpostError.create(kind, message);
     }
@@ -295,7 +294,7 @@
   }
 
   private rejectIfRefused(): void {
-    const outcome = this.mayHaveRun ? 'unknown' : 'not_run';
+    const outcome = this.attempts > 0 ? 'unknown' : 'not_run';
     this.services.crashTracker.check(this.trackedRequest, outcome);
     this.services.responseMemory.check(outcome);
   }
@@ -334,7 +333,7 @@
       this.logPlacement(lease, dispatcher, waitedMs);
       return lease;
     } catch (error) {
-      if (!this.mayHaveRun || !isErrorOfKind(error)) throw error;
+      if (this.attempts === 0 || !isErrorOfKind(error)) throw error;
       throw this.createFailure(error.message);
     }
   }
@@ -367,7 +366,7 @@
     const {outcome, peer} = await this.services.sender.send({
       target,
       createRequest: () => this.createTargetRequest(target),
-      getHeadTimeoutMs: () => this.getHeadTimeoutMs(this.wholeLeftMs),
+      getHeadTimeoutMs: () => this.getHeadTimeoutMs(target, this.wholeLeftMs),
       signal: this.call.signal,
       onRelay: (relay) => this.logRelay(target, relay),
     });
@@ -406,9 +405,10 @@
     };
   }
 
-  private getHeadTimeoutMs(leftMs: number): number {
+  private getHeadTimeoutMs(target: TargetEntry, leftMs: number): number {
     const shareMs = Math.max(minAttemptTimeoutMs, leftMs * attemptTimeShare);
-    const timeoutMs = this.isLastAttempt ? leftMs : Math.min(leftMs, shareMs);
+    const mayEnd = !this.isLastAttempt && this.hasTargetBeside(target);
+    const timeoutMs = mayEnd ? Math.min(leftMs, shareMs) : leftMs;
     this.mayTakeAllTime = timeoutMs === leftMs;
     return timeoutMs;
   }
@@ -419,6 +419,12 @@
     return !isRepeatable(route) || this.attempts + 1 >= route.attempts;
   }
 
+  private hasTargetBeside({id}: TargetEntry): boolean {
+    const tried = new Set([...this.excluded, id]);
+    const dispatcher = this.services.site.getDispatcher(this.service);
+    return dispatcher?.hasTarget(tried) === true;
+  }
+
   private handleFailure(
     lease: TargetLease,
     outcome: Exclude<ExchangeOutcome, StartedResponse>,
@@ -451,16 +457,11 @@
       } else if (isSent) this.recordSilence(lease);
     }
     if (reason === 'silent') this.services.agents.get(lease.target).closeIdle();
-    if (isSent) this.recordSent();
+    if (isSent) this.attempts += 1;
     const mayContinue = isSent ? this.canRetry : !this.call.signal.aborted;
     if (!mayContinue) throw this.createFailure(message);
   }
 
-  private recordSent(): void {
-    this.attempts += 1;
-    this.mayHaveRun = true;
-  }
-
   private getLimitPerS({target}: TargetLease): number | undefined {
     const {id, startedAtMs} = target;
     return this.services.targetLimits.get({target: id, startedAtMs})?.limitPerS;
