Report no turn as unknown while the list of archives is behind

What callers saw: nothing yet; found by reading. 404 for a turn whose end a client had received, from an entry VM that has not read all registrations: it asked every archive it knew, and none had the turn.

An entry VM cannot know how many more will register, but two signs of a list that is behind are at hand: fewer archives than must store each turn, and an archive that replies from another disk than the registered one. Either now gives 503 with a retry delay in place of 404.

--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -38,6 +38,8 @@
   readonly pool: ArchivePool;
   readonly cache: TurnCache;
   readonly ownDataCentre: DataCentreId;
+  /** Archives that the site must have; while fewer are registered, a turn may be elsewhere. */
+  readonly owedArchives: number;
 }
 
 /** Reads from the cache, then the own data centre, then all archives. */
@@ -55,7 +57,8 @@
   /**
    * Gets a turn and all its ancestors, oldest first. Throws `unknown_turn` when
    * every archive replies that it does not store a turn of the chain, and
-   * `archive_unavailable` when an archive that may store it does not reply.
+   * `archive_unavailable` when an archive that may store it does not reply or
+   * the list of archives is behind.
    * @param turn - Newest turn of the chain.
    * @param signal - No further archive is asked once it is aborted.
    */
@@ -79,7 +82,7 @@
     turn: TurnId,
     signal: AbortSignal,
   ): Promise<PartialChain> {
-    const {pool, ownDataCentre} = this.options;
+    const {pool, ownDataCentre, owedArchives} = this.options;
     const localClients = pool.getReachableClients(ownDataCentre);
     for (const client of localClients) {
       const chain = await tryFetchChain(client, turn);
@@ -95,13 +98,16 @@
       const chain = await tryFetchChain(client, turn);
       if (chain !== undefined) return chain;
     }
-    if (clients.length > 0 && lookups.every((lookup) => lookup === 'absent')) {
+    if (
+      clients.length >= owedArchives &&
+      lookups.every((lookup) => lookup === 'absent')
+    ) {
       const message = `none of ${clients.length} archives stores turn "${turn}"`;
       throw MarigoldpostError.create('unknown_turn', message);
     }
     throw MarigoldpostError.create(
       'archive_unavailable',
-      `turn "${turn}" not found, but an archive that may store it did not reply`,
+      `turn "${turn}" not found, but an archive that may store it did not reply or is not known yet`,
       {retryAfterMs: getArchiveRetryAfterMs(pool)},
     );
   }
@@ -126,8 +132,10 @@
   turn: TurnId,
 ): Promise<'held' | 'absent' | 'unknown'> {
   try {
-    const {isHeld} = await client.findTurns([turn]);
-    return isHeld[0] === true ? 'held' : 'absent';
+    const {isHeld, disk} = await client.findTurns([turn]);
+    if (isHeld[0] === true) return 'held';
+    // Its disk is newer than the list of archives, which may lack others too.
+    return disk === client.member.disk ? 'absent' : 'unknown';
   } catch {
     // An archive that does not reply may store the turn.
     return 'unknown';
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -48,7 +48,12 @@
       settlements,
       ownDataCentre,
     });
-    this.chains = ChainReader.create({pool, cache, ownDataCentre});
+    this.chains = ChainReader.create({
+      pool,
+      cache,
+      ownDataCentre,
+      owedArchives: replicaCount,
+    });
     this.recorder = TurnRecorder.create({
       pool,
       clock,
--- a/packages/turns/tests/client/lost_disk_steps.ts
+++ b/packages/turns/tests/client/lost_disk_steps.ts
@@ -19,6 +19,17 @@
   },
 );
 
+When(
+  'archive {string} loses its disk and nobody has read of its new one, nor of archive {string}',
+  async function (this: DiskWorld, wiped: string, unknown: string) {
+    const {archives} = this;
+    archives.kill(wiped);
+    archives.getFolder(wiped).wipe();
+    archives.unregister(unknown);
+    await archives.start(wiped, false);
+  },
+);
+
 When(
   'archive {string} loses its disk while all others of {string} lose power',
   async function (this: DiskWorld, wiped: string, names: string) {
--- a/packages/turns/tests/client/turn_store.feature
+++ b/packages/turns/tests/client/turn_store.feature
@@ -82,6 +82,20 @@
     When archive "d" is killed
     Then reading turn "none" in "a" fails with archive_unavailable
 
+  Scenario: No turn is reported unknown while fewer archives are registered than store each turn
+    Given archives "a" with 2 replicas per turn
+    Then reading turn "none" in "a" fails with archive_unavailable
+    When archive "b" registers after 100 ms
+    And 700 ms pass
+    Then reading turn "none" in "a" fails with unknown_turn
+
+  Scenario: No turn is reported unknown while the list of archives is older than a disk
+    Given archives "a, b, c" with 2 replicas per turn
+    When turn "t1" finishes in "a"
+    And turn "t2" after "t1" finishes in "c"
+    And archive "a" loses its disk and nobody has read of its new one, nor of archive "c"
+    Then reading turn "none" in "b" fails with archive_unavailable
+
   Scenario: Concurrent attempts in several data centres do not exceed a budget
     When 10 attempts of 40 tokens reserve from a budget of 200 concurrently, alternating over "a, b, c, d"
     Then at most 5 attempts hold a reservation
