Grant a repeated reservation only once the first one is synced

What callers saw: nothing yet; found by reading. A program could exceed its budget after a power loss: an attempt asks an archive again that did not reply within 400 ms, and the archive granted it from memory while the first write was still waiting for the disk.

The repeated request now waits for the pending write and fails with it. What remains: if that write fails (full disk), the entry stays in memory and a third request would be granted without a sync.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -46,6 +46,7 @@
 /** Persists turns and ledger entries to a log, and indexes them in memory. */
 export class Archive {
   private readonly pendingStores = new Map<TurnId, Promise<void>>();
+  private readonly pendingReservations = new Map<TurnId, Promise<void>>();
   private isClosedForTurns = false;
 
   private constructor(
@@ -136,10 +137,16 @@
    */
   async reserve(reservation: Reservation): Promise<ReservationResult> {
     const result = this.ledger.reserve(reservation, this.nowMs());
-    if (!result.isNew) return result;
     const {program, attempt, tokens} = reservation;
-    const entries = [{attempt, tokens, isSettled: false}];
-    await this.appendLedger({program, entries});
+    if (result.isNew) {
+      const entries = [{attempt, tokens, isSettled: false}];
+      const appended = this.appendLedger({program, entries}).finally(() =>
+        this.pendingReservations.delete(attempt),
+      );
+      this.pendingReservations.set(attempt, appended);
+    }
+    // A repeated request is not granted before the first one is durable.
+    await this.pendingReservations.get(attempt);
     return result;
   }
 
