Bound the memory of all request bodies together

What callers saw: nothing yet; found by reading. Each body is bounded by MaxBodyBytes, their sum was not: many clients with large bodies end the process at its memory limit, and with it every call.

The bodies of all clients' requests now share a tenth of the VM's memory. The room is given back when the call ends.

Not run: a whole process with bodies up to its limit.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -13,6 +13,7 @@
 import type {CallServices} from './call_services.js';
 import {IncomingCall} from './incoming_call.js';
 import {servePlainCall} from './plain_call.js';
+import {RequestAllowance} from './request_allowance.js';
 import {failCall, finishStream} from './end_call.js';
 import {relayStreamCall} from './stream_call.js';
 import type {CallBody} from './target_attempts.js';
@@ -132,17 +133,23 @@
   }
 
   private async serveOrReject(call: IncomingCall): Promise<void> {
+    const allowance = RequestAllowance.create(this.services.requestMemory);
     try {
-      await this.serve(call);
+      await this.serve(call, allowance);
     } catch (error) {
       failCall(call, toMarigoldpostError(error));
+    } finally {
+      allowance.release();
     }
   }
 
-  private async serve(call: IncomingCall): Promise<void> {
-    const {config, route, request} = call;
+  private async serve(
+    call: IncomingCall,
+    allowance: RequestAllowance,
+  ): Promise<void> {
+    const {config, route, request, signal} = call;
     const maxBytes = config.limits.maxBodyBytes;
-    const bytes = await readBody(request, {maxBytes, signal: call.signal});
+    const bytes = await readBody(request, {maxBytes, signal, allowance});
     this.rejectIfTooLate(call);
     const service = chooseService(route, this.services.random);
     if (route.retentionMs !== undefined) {
--- a/packages/gateway/src/calls/call_services.ts
+++ b/packages/gateway/src/calls/call_services.ts
@@ -5,6 +5,7 @@
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import type {TurnStore} from '@marigoldpost/turns';
 import type {LossDetector} from '../links/loss_detector.js';
+import type {RequestMemory} from './request_memory.js';
 import type {ResponseMemory} from '../responses/response_memory.js';
 import type {SiteState} from '../site/site_state.js';
 import type {TargetAgents} from '../targets/target_agents.js';
@@ -22,6 +23,7 @@
   readonly sender: TargetSender;
   readonly lossDetector: LossDetector;
   readonly responseMemory: ResponseMemory;
+  readonly requestMemory: RequestMemory;
   readonly turns: TurnStore;
   readonly targetLimits: TargetLimits;
   readonly crashTracker: CrashTracker;
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -4,6 +4,7 @@
   CrashTracker,
   GatewayServer,
   PageServer,
+  RequestMemory,
   ResponseMemory,
   SiteState,
 } from '@marigoldpost/gateway';
@@ -41,6 +42,8 @@
 const cacheShare = 0.15;
 /** Share of the VM's memory that responses of targets may use. */
 const responseShare = 0.15;
+/** Share of the memory for request bodies, which are small as a rule. */
+const requestShare = 0.1;
 const bytesPerMb = 2 ** 20;
 const okStatus = 200;
 const unavailableStatus = 503;
@@ -108,6 +111,9 @@
       responseMemory: ResponseMemory.create(
         settings.memoryMb * responseShare * bytesPerMb,
       ),
+      requestMemory: RequestMemory.create(
+        settings.memoryMb * requestShare * bytesPerMb,
+      ),
       turns,
       targetLimits: fleet.limits,
       crashTracker: this.crashTracker,
