Count a target that stays down as down since the same time

A response of a target that was gone ended later while other requests asked for it: each second another entry VM was asked again, and its answer replaced the record of the link, so the time without a link (which must reach 1 s) began anew.

LinkMonitor.recordUnreachedByPeer now keeps the record and only moves the time after which others are asked again. The log line target_link_changed is no longer repeated for a target that stays down.

--- a/packages/gateway/src/links/link_monitor.ts
+++ b/packages/gateway/src/links/link_monitor.ts
@@ -225,8 +225,14 @@
   recordUnreachedByPeer(target: TargetEntry, peer: DaemonId): void {
     const state = this.getState(target);
     if (state === 'cut' || (state === 'works' && !this.isIsolated)) return;
-    this.links.delete(toKey(target));
-    this.setState(target, 'target_down', `${peer} does not reach it`);
+    const key = toKey(target);
+    const link = this.links.get(key);
+    if (link?.state !== 'target_down') {
+      this.setState(target, 'target_down', `${peer} does not reach it`);
+      return;
+    }
+    // It stays down since the same time; others are asked again later.
+    this.links.set(key, {...link, sinceMs: this.options.clock.nowMs()});
   }
 
   /**
--- a/packages/gateway/tests/links/loss_detector.feature
+++ b/packages/gateway/tests/links/loss_detector.feature
@@ -46,6 +46,12 @@
     And another entry VM does not reach it at 800 ms
     Then the response ends within 2000 to 2250 ms
 
+  Scenario: A response of a target that is gone ends as fast while other requests ask for it
+    Given a target that neither reads nor accepts from 0 to 9000 ms
+    And another entry VM does not reach it at 700 ms
+    And another entry VM does not reach it at 1750 ms
+    Then the response ends within 2000 to 2250 ms
+
   Scenario Outline: A relayed response goes on after its entry VM accepted no connection for <silence> ms
     Given a relaying entry VM that neither reads nor accepts from 0 to <silence> ms
     And its next bytes come <pause> ms after that
