Reject turns over a spent budget without asking every archive

Cause: a refusal of one archive may be due to reservations that are no longer held elsewhere, so every refusal was checked against the ledgers of all archives, also when attempts that have ended had used the budget up. What an attempt has used is final once it has ended, so the sum that one archive knows is a lower bound for the site. Archives tell it in their replies (settled_tokens; 0 from earlier builds, which are then asked as before; earlier builds pass it over). If it leaves too little, the ballot asks no further archive, and the entry VM rejects later attempts of the program without a message. Archives that have granted the attempt meanwhile get its settlement.

--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -81,7 +81,7 @@
   private async reserve(
     request: RequestOf<'reserveTokens'>,
   ): Promise<PeerReplyBody> {
-    const {isGranted, heldTokens} = await this.archive.reserve({
+    const {isGranted, heldTokens, settledTokens} = await this.archive.reserve({
       program: toId<ProgramId>(request.program),
       attempt: toId<TurnId>(request.attempt),
       tokens: request.tokens,
@@ -89,10 +89,8 @@
       isForced: request.isForced,
     });
     const isComplete = this.isComplete();
-    return {
-      case: 'reserve',
-      value: create(ReserveReplySchema, {isGranted, heldTokens, isComplete}),
-    };
+    const reply = {isGranted, heldTokens, settledTokens, isComplete};
+    return {case: 'reserve', value: create(ReserveReplySchema, reply)};
   }
 
   /** A sealed archive replies with its status, which acknowledges nothing. */
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -46,6 +46,8 @@
 export interface ReservationReply {
   readonly isGranted: boolean;
   readonly heldTokens: number;
+  /** Tokens used by the program's settled attempts; 0 if not known. */
+  readonly settledTokens: number;
   /** Whether its ledger includes what its peers recorded while it was down. */
   readonly isComplete: boolean;
 }
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -8,16 +8,17 @@
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import {sumMergedTokens} from '../ledger/merge_entries.js';
-import type {ReservationDecision} from '../ledger/reservation_quorum.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveWait} from './archive_retries.js';
 import {getArchiveRetryAfterMs} from './chain_reader.js';
-import {ReservationBallot} from './reservation_ballot.js';
+import {type BallotResult, ReservationBallot} from './reservation_ballot.js';
 import type {SettlementSender} from './settlement_sender.js';
 
 /** Time in which the archives learn that an attempt has been settled. */
 const minContentionRetryMs = 600;
 const contentionRetrySpreadMs = 600;
+/** Programs whose spent budgets are kept; the oldest are dropped first. */
+const maxSpentPrograms = 10_000;
 
 /** Request of an attempt at a turn for tokens of its program's budget. */
 export interface TokenRequest extends ArchiveWait {
@@ -40,6 +41,9 @@
 
 /** Decides by quorum whether an attempt may use tokens of its budget. */
 export class BudgetClient {
+  /** Tokens that attempts of programs with spent budgets have used at least. */
+  private readonly settledTokens = new Map<ProgramId, number>();
+
   private constructor(private readonly options: BudgetClientOptions) {}
 
   /**
@@ -59,8 +63,10 @@
    * @param request - Attempt, tokens and budget.
    */
   async reserve(request: TokenRequest): Promise<void> {
+    if (this.isKnownAsSpent(request)) throw createTokensSpentError(request);
     const decision = await this.requestWithWait(request);
     if (decision === 'granted') return;
+    if (decision === 'spent') throw createTokensSpentError(request);
     if (decision === 'refused' && (await this.isWithinBudget(request))) {
       if ((await this.requestReservation(request, true)) === 'granted') {
         // Concurrent attempts may have been forced as well. Of two, at least one
@@ -79,10 +85,31 @@
     );
   }
 
+  /** What ended attempts have used is final, so such a refusal is too. */
+  private isKnownAsSpent({
+    program,
+    tokens,
+    budgetTokens,
+  }: TokenRequest): boolean {
+    const settledTokens = this.settledTokens.get(program) ?? 0;
+    return settledTokens > 0 && settledTokens + tokens > budgetTokens;
+  }
+
+  private recordSpent(request: TokenRequest, ballot: ReservationBallot): void {
+    const {program, attempt} = request;
+    this.settledTokens.delete(program);
+    this.settledTokens.set(program, ballot.settledTokens);
+    const [oldest] = this.settledTokens.keys();
+    if (this.settledTokens.size > maxSpentPrograms && oldest !== undefined) {
+      this.settledTokens.delete(oldest);
+    }
+    void ballot.mayBeRecorded().then((mayBeRecorded) => {
+      if (mayBeRecorded) this.options.settlements.add(program, attempt, 0);
+    });
+  }
+
   /** Requests a reservation again each time an archive has returned. */
-  private async requestWithWait(
-    request: TokenRequest,
-  ): Promise<ReservationDecision> {
+  private async requestWithWait(request: TokenRequest): Promise<BallotResult> {
     const retries = this.options.pool.createRetries(request);
     for (;;) {
       const decision = await this.requestReservation(request, false);
@@ -94,7 +121,7 @@
   private async requestReservation(
     request: TokenRequest,
     isForced: boolean,
-  ): Promise<ReservationDecision> {
+  ): Promise<BallotResult> {
     const {pool, clock, ownDataCentre} = this.options;
     const location = {home: request.home, own: ownDataCentre};
     const ballot = ReservationBallot.create({
@@ -103,7 +130,9 @@
       location,
       reservation: {...request, isForced},
     });
-    return ballot.run();
+    const result = await ballot.run();
+    if (result === 'spent') this.recordSpent(request, ballot);
+    return result;
   }
 
   /**
--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -19,6 +19,12 @@
 /** Delay after which the remaining archives are asked too (hedging). */
 const hedgeDelayMs = 30;
 
+/**
+ * Outcome of a ballot; `spent` if attempts that have ended leave too few tokens,
+ * which no later vote can change.
+ */
+export type BallotResult = ReservationDecision | 'spent';
+
 /** Archives and reservation that a ballot covers. */
 export interface ReservationBallotOptions {
   readonly clients: readonly ArchiveClient[];
@@ -34,7 +40,9 @@
  */
 export class ReservationBallot {
   private readonly votes: ReservationVote[];
-  private readonly decided = Deferred.create<ReservationDecision>();
+  private readonly decided = Deferred.create<BallotResult>();
+  private readonly requests: Promise<void>[] = [];
+  private highestSettledTokens = 0;
   private timer: Timer | undefined;
   private unaskedIndexes: number[];
 
@@ -57,7 +65,7 @@
   }
 
   /** Requests votes until they decide on the reservation. */
-  async run(): Promise<ReservationDecision> {
+  async run(): Promise<BallotResult> {
     const {clients, clock} = this.options;
     this.timer = clock.setTimer(hedgeDelayMs, () =>
       this.requestVotes(clients.length),
@@ -71,10 +79,25 @@
     }
   }
 
+  /** Tokens that the program's attempts have used at least. */
+  get settledTokens(): number {
+    return this.highestSettledTokens;
+  }
+
+  /** Whether an archive may have recorded the reservation, once all replied. */
+  async mayBeRecorded(): Promise<boolean> {
+    await Promise.all(this.requests);
+    return this.votes.some(
+      ({answer}) => answer === 'granted' || answer === 'failed',
+    );
+  }
+
   private requestVotes(maxCount: number): void {
     const nextIndexes = this.unaskedIndexes.slice(0, maxCount);
     this.unaskedIndexes = this.unaskedIndexes.slice(maxCount);
-    for (const index of nextIndexes) void this.requestVote(index);
+    for (const index of nextIndexes) {
+      this.requests.push(this.requestVote(index));
+    }
   }
 
   private async requestVote(index: number): Promise<void> {
@@ -83,6 +106,10 @@
     try {
       const reply = await client.reserve(reservation);
       const answer = reply.isGranted ? 'granted' : 'refused';
+      this.highestSettledTokens = Math.max(
+        this.highestSettledTokens,
+        reply.settledTokens,
+      );
       this.recordVote(index, answer, reply.isComplete);
     } catch {
       // The pool reports unreachable archives; here the vote is a failure.
@@ -97,11 +124,21 @@
   ): void {
     const {dataCentre} = this.options.clients[index] as ArchiveClient;
     this.votes[index] = {dataCentre, answer, isComplete};
+    if (answer === 'refused' && this.isSpent) {
+      this.unaskedIndexes = [];
+      this.decided.resolve('spent');
+      return;
+    }
     const isCompleteGrant = answer === 'granted' && isComplete;
     if (!isCompleteGrant) this.requestVotes(this.options.clients.length);
     this.decide();
   }
 
+  private get isSpent(): boolean {
+    const {tokens, budgetTokens} = this.options.reservation;
+    return this.highestSettledTokens + tokens > budgetTokens;
+  }
+
   private decide(): void {
     const decision = decideReservation(this.votes, this.options.location);
     if (decision !== 'pending') this.decided.resolve(decision);
--- a/packages/turns/src/ledger/budget_ledger.ts
+++ b/packages/turns/src/ledger/budget_ledger.ts
@@ -25,6 +25,8 @@
   readonly isGranted: boolean;
   /** Tokens reserved or used by the program's attempts, this one included. */
   readonly heldTokens: number;
+  /** Tokens used by the program's settled attempts. */
+  readonly settledTokens: number;
   /** Whether the reservation changed the ledger. */
   readonly isNew: boolean;
 }
@@ -32,6 +34,7 @@
 interface ProgramBudget {
   readonly entries: Map<TurnId, LedgerEntry>;
   heldTokens: number;
+  settledTokens: number;
   changedAtMs: number;
 }
 
@@ -63,14 +66,16 @@
     const {program, attempt, tokens, budgetTokens, isForced} = reservation;
     const budget = this.budgets.get(program);
     const held = budget?.heldTokens ?? 0;
+    const settledTokens = budget?.settledTokens ?? 0;
     if (budget?.entries.has(attempt)) {
-      return {isGranted: true, heldTokens: held, isNew: false};
+      return {isGranted: true, heldTokens: held, settledTokens, isNew: false};
     }
-    if (!isForced && held + tokens > budgetTokens) {
-      return {isGranted: false, heldTokens: held + tokens, isNew: false};
+    const heldTokens = held + tokens;
+    if (!isForced && heldTokens > budgetTokens) {
+      return {isGranted: false, heldTokens, settledTokens, isNew: false};
     }
     this.putEntry(program, {attempt, tokens, isSettled: false}, nowMs);
-    return {isGranted: true, heldTokens: held + tokens, isNew: true};
+    return {isGranted: true, heldTokens, settledTokens, isNew: true};
   }
 
   /**
@@ -121,13 +126,20 @@
     const before = budget.entries.get(entry.attempt)?.tokens ?? 0;
     budget.entries.set(entry.attempt, entry);
     budget.heldTokens += entry.tokens - before;
+    // An entry changes only once, when it is settled.
+    if (entry.isSettled) budget.settledTokens += entry.tokens;
     budget.changedAtMs = nowMs;
   }
 
   private getOrCreateBudget(program: ProgramId, nowMs: number): ProgramBudget {
     const existing = this.budgets.get(program);
     if (existing !== undefined) return existing;
-    const added = {entries: new Map(), heldTokens: 0, changedAtMs: nowMs};
+    const added: ProgramBudget = {
+      entries: new Map(),
+      heldTokens: 0,
+      settledTokens: 0,
+      changedAtMs: nowMs,
+    };
     this.budgets.set(program, added);
     return added;
   }
--- a/packages/turns/tests/client/budget_client.feature
+++ b/packages/turns/tests/client/budget_client.feature
@@ -39,3 +39,18 @@
       | attempts | least |
       | 5        | 5     |
       | 10       | 0     |
+
+  Scenario: An attempt over what ended attempts have left costs one majority of requests, and later ones cost none
+    Given an attempt that has ended used 170 tokens, as archives "a, b, c, d" count
+    Then attempt "t1" of 40 tokens in "b" is rejected as over the budget of 200, with 3 requests at most
+    And attempt "t2" of 40 tokens in "b" is rejected as over the budget of 200, with 0 requests at most
+    And attempt "t3" of 40 tokens in "c" is rejected as over the budget of 200, with 3 requests at most
+    And attempt "t4" of 30 tokens in "b" is admitted to the budget of 200
+    And attempt "t5" of 40 tokens in "b" is admitted to the budget of 240
+
+  Scenario: A rejected attempt leaves no reservation at archives that granted it
+    Given an attempt that has ended used 170 tokens, as archives "a, b" count
+    Then attempt "t1" of 40 tokens in "b" is rejected as over the budget of 200, with 3 requests at most
+    When 2000 ms pass
+    Then archive "c" counts 0 tokens of the program
+    And archive "d" counts 0 tokens of the program
--- a/packages/turns/tests/client/budget_client_steps.ts
+++ b/packages/turns/tests/client/budget_client_steps.ts
@@ -1,12 +1,20 @@
 /** Steps for reservations while archives restart. */
 import assert from 'node:assert/strict';
 import {Given, Then, type World} from '@cucumber/cucumber';
-import {type ErrorKind, isErrorOfKind} from '@marigoldpost/common';
+import {
+  type ErrorKind,
+  isErrorOfKind,
+  type ProgramId,
+  toId,
+} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
 import {
   type ArchiveFleet,
   createTokenRequest,
 } from '../fixtures/archive_fleet.js';
 
+const program = toId<ProgramId>('program');
+
 interface BudgetWorld extends World {
   archives: ArchiveFleet;
   admitted: number;
@@ -66,3 +74,63 @@
     );
   },
 );
+
+Given(
+  /^an attempt that has ended used (\d+) tokens, as archives? "(.*)" count$/,
+  async function (this: BudgetWorld, tokens: string, names: string) {
+    const attempt = toId<TurnId>('ended');
+    const entry = {attempt, tokens: Number(tokens), isSettled: true};
+    for (const name of names.split(', ')) {
+      await this.archives.run(this.archives.mergeLedger(name, program, entry));
+    }
+  },
+);
+
+Then(
+  /^attempt "(.*)" of (\d+) tokens in "(\w)" is rejected as over the budget of (\d+), with (\d+) requests at most$/,
+  async function (
+    this: BudgetWorld,
+    attempt: string,
+    tokens: string,
+    dataCentre: string,
+    budget: string,
+    maxRequests: string,
+  ) {
+    const {archives} = this;
+    const before = archives.requestCount;
+    const request = createTokenRequest(
+      attempt,
+      Number(tokens),
+      Number(budget),
+      'a',
+    );
+    const tried = archives.getStore(dataCentre).reserve(request);
+    await assert.rejects(archives.run(tried), (error) =>
+      isErrorOfKind(error, 'tokens_spent'),
+    );
+    const requests = archives.requestCount - before;
+    assert.ok(requests <= Number(maxRequests), `${requests} requests`);
+  },
+);
+
+Then(
+  'attempt {string} of {int} tokens in {string} is admitted to the budget of {int}',
+  async function (
+    this: BudgetWorld,
+    attempt: string,
+    tokens: number,
+    dataCentre: string,
+    budget: number,
+  ) {
+    const {archives} = this;
+    const request = createTokenRequest(attempt, tokens, budget, 'a');
+    await archives.run(archives.getStore(dataCentre).reserve(request));
+  },
+);
+
+Then(
+  'archive {string} counts {int} tokens of the program',
+  function (this: BudgetWorld, name: string, tokens: number) {
+    assert.equal(this.archives.getHeldTokens(name, program), tokens);
+  },
+);
