End turns that are on one disk before the time of their call is over

A turn whose events the client has received, and which one archive has stored, fails with 504 or a broken connection at the end of its call's time.

Cause: the wait for a second disk lasts 1.5 s or as long as the call has time left, and the end of that time aborts the call. Within 2.5 s of an isolation, while all other archives restart, or in a site with fewer archives than copies, each call with less than 1.5 s left waits until it fails.

Once one archive holds the turn, the wait for others now ends 0.5 s before the time of the call: enough for an attempt at an archive that hangs.

--- a/packages/turns/src/client/archive_retries.ts
+++ b/packages/turns/src/client/archive_retries.ts
@@ -7,6 +7,8 @@
  * and an archive that hangs has used 0.4 s of them.
  */
 const longestWaitMs = 1500;
+/** Time for a last attempt at an archive that hangs, and to end the call. */
+const lastAttemptMs = 500;
 
 /** How long a request waits for archives that are unreachable. */
 export interface ArchiveWait {
@@ -19,6 +21,8 @@
 /** Decides when a request that too few archives answered is sent again. */
 export class ArchiveRetries {
   private readonly endMs: number;
+  /** End of waits of a request that can do without another attempt. */
+  private readonly optionalEndMs: number;
   private returnCount: number;
 
   private constructor(
@@ -26,7 +30,10 @@
     private readonly clock: Clock,
     private readonly wait: ArchiveWait,
   ) {
-    this.endMs = clock.nowMs() + Math.min(wait.maxWaitMs, longestWaitMs);
+    const {maxWaitMs} = wait;
+    this.endMs = clock.nowMs() + Math.min(maxWaitMs, longestWaitMs);
+    const optionalWaitMs = Math.min(maxWaitMs - lastAttemptMs, longestWaitMs);
+    this.optionalEndMs = clock.nowMs() + optionalWaitMs;
     this.returnCount = pool.returnCount;
   }
 
@@ -49,11 +56,14 @@
    * attempt; `false` if no further attempt should follow.
    * @param owedCount - Archives that the site must have; while fewer are
    *   registered, another one is waited for.
+   * @param isOptional - Whether the request can end well without another
+   *   attempt; time is then left for its end.
    */
-  async waitForReturn(owedCount = 0): Promise<boolean> {
+  async waitForReturn(owedCount = 0, isOptional = false): Promise<boolean> {
     const {pool, wait} = this;
+    const endMs = isOptional ? this.optionalEndMs : this.endMs;
     for (;;) {
-      const maxWaitMs = this.endMs - this.clock.nowMs();
+      const maxWaitMs = endMs - this.clock.nowMs();
       if (maxWaitMs <= 0 || wait.signal.aborted) return false;
       const {returnCount} = pool;
       if (returnCount !== this.returnCount) {
--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -60,8 +60,9 @@
     for (;;) {
       const record = await this.storeMissing(turn, chainDisks, holders);
       if (holders.size >= replicaCount) return record;
-      if (await retries.waitForReturn(replicaCount)) continue;
-      if (holders.size > 0) return record;
+      const isStored = holders.size > 0;
+      if (await retries.waitForReturn(replicaCount, isStored)) continue;
+      if (isStored) return record;
       const message = `turn "${turn.id}" could not be stored on any of ${pool.getClients().length} archives`;
       throw MarigoldpostError.create('archive_unavailable', message);
     }
--- a/packages/turns/tests/client/turn_recorder.feature
+++ b/packages/turns/tests/client/turn_recorder.feature
@@ -44,6 +44,11 @@
     And 700 ms pass
     Then turn "t1" is on 2 disks
 
+  Scenario: A turn on one disk ends in the time of its call although more archives are expected
+    Given data centre "a" is isolated
+    Then turn "t1" that finishes in "a" with a call that ends after 1200 ms is stored
+    And turn "t1" is on 1 disks, among them "a"
+
   Scenario: A turn waits for no archive that has been away for long
     Given data centre "a" is isolated
     When 3000 ms pass
--- a/packages/turns/tests/client/turn_recorder_steps.ts
+++ b/packages/turns/tests/client/turn_recorder_steps.ts
@@ -10,6 +10,7 @@
 
 interface RecorderWorld extends World {
   archives: ArchiveFleet;
+  holders: string[];
 }
 
 When(
@@ -50,3 +51,21 @@
     assert.ok(elapsedMs <= Number(withinMs), `it took ${elapsedMs} ms`);
   },
 );
+
+Then(
+  'turn {string} that finishes in {string} with a call that ends after {int} ms is stored',
+  async function (
+    this: RecorderWorld,
+    id: string,
+    dataCentre: string,
+    endsAfterMs: number,
+  ) {
+    const {archives} = this;
+    const controller = new AbortController();
+    archives.clock.setTimer(endsAfterMs, () => controller.abort());
+    const wait = {maxWaitMs: endsAfterMs, signal: controller.signal};
+    const turn = createTurn(id, undefined);
+    await archives.run(archives.getStore(dataCentre).record(turn, [], wait));
+    this.holders = archives.findHolders(id);
+  },
+);
