Acknowledge ledger entries that are sent again only once they are durable

What callers saw: nothing yet; found by review, shown by tests. Token reservations and settlements that archives have acknowledged are on no disk: after a power loss a budget counts less than was used or granted.

Cause: an archive counts an entry in memory before its write, so that concurrent requests see it. If the write failed, or had not ended yet, the same entry sent again changed nothing in memory and was acknowledged at once. Settlements are sent until they are acknowledged, and reservations again when an archive returns, so the second request is the usual one after a full or stalled disk.

The archive now keeps the entries whose write has not succeeded, and writes them again with the request that repeats them.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -13,6 +13,7 @@
   type Reservation,
   type ReservationResult,
 } from '../ledger/budget_ledger.js';
+import {UnwrittenEntries} from '../ledger/unwritten_entries.js';
 import {type DiskId, readDiskIdentity} from '../log/disk_identity.js';
 import {EntryLog, type EntryPosition} from '../log/entry_log.js';
 import type {LogFolder} from '../log/log_folder.js';
@@ -46,6 +47,7 @@
 /** Persists turns and ledger entries to a log, and indexes them in memory. */
 export class Archive {
   private readonly pendingStores = new Map<TurnId, Promise<void>>();
+  private readonly unwritten = UnwrittenEntries.create();
   private isClosedForTurns = false;
 
   private constructor(
@@ -136,16 +138,19 @@
    */
   async reserve(reservation: Reservation): Promise<ReservationResult> {
     const result = this.ledger.reserve(reservation, this.nowMs());
-    if (!result.isNew) return result;
+    if (!result.isGranted) return result;
     const {program, attempt, tokens} = reservation;
-    const entries = [{attempt, tokens, isSettled: false}];
-    await this.appendLedger({program, entries});
+    const entry = result.isNew
+      ? {attempt, tokens, isSettled: false}
+      : this.unwritten.get(program, attempt);
+    if (entry === undefined) return result;
+    await this.appendLedger({program, entries: [entry]});
     return result;
   }
 
   /**
    * Merges ledger entries of an entry VM or of another archive; resolves once
-   * the entries that changed the ledger are durable.
+   * they are durable.
    * @param ledgers - Entries by program.
    */
   async mergeLedgers(ledgers: readonly ProgramEntries[]): Promise<void> {
@@ -153,7 +158,7 @@
     const changed = ledgers
       .map((ledger) => ({
         program: ledger.program,
-        entries: mergeLedger(this.ledger, ledger, nowMs),
+        entries: this.mergeEntries(ledger, nowMs),
       }))
       .filter(({entries}) => entries.length > 0);
     await Promise.all(changed.map((ledger) => this.appendLedger(ledger)));
@@ -230,6 +235,9 @@
   private async removeExpired(): Promise<void> {
     const nowMs = this.nowMs();
     this.ledger.removeIdle(nowMs - ledgerRetentionMs);
+    this.unwritten.removePrograms(
+      (program) => this.ledger.getEntries(program).length > 0,
+    );
     const current = this.log.currentSegment;
     for (const segment of this.index.removeExpired(nowMs)) {
       if (segment === current) continue;
@@ -263,9 +271,23 @@
     this.options.onStored?.(indexed);
   }
 
+  /** Merges entries; gets those that are not durable yet. */
+  private mergeEntries(
+    {program, entries}: ProgramEntries,
+    nowMs: number,
+  ): LedgerEntry[] {
+    return entries.flatMap((entry) => {
+      if (this.ledger.mergeEntry(program, entry, nowMs)) return [entry];
+      return this.unwritten.get(program, entry.attempt) ?? [];
+    });
+  }
+
   private async appendLedger(ledger: ProgramEntries): Promise<void> {
+    const {program, entries} = ledger;
     const entry = encodeArchiveEntry({kind: 'ledger', ledger});
+    this.unwritten.add(program, entries);
     this.retainSegment(await this.log.append(entry));
+    this.unwritten.remove(program, entries);
   }
 
   private retainSegment({segment}: EntryPosition): void {
