Replicate turns to other peers when one stores no turns any more

A turn whose end a client had received stays on one disk; a lost disk takes it.

Cause: an archive that is about to report its retirement stores no further turns, but stays listed at peers that have not read of it (up to 20 s, or as long as the object API is away). A repairing peer that prefers it was rejected in each round, chose it again in the next, and the error ended the round for all other peers' turns.

Peers that are reachable and reject turns now come last in the choice, until they store one.

--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -45,6 +45,8 @@
   private readonly verifiedDisks = new Map<TurnId, Set<DiskId>>();
   /** Peers whose ledger was merged since they last became reachable. */
   private readonly mergedPeers = new Set<ArchiveClient>();
+  /** Reachable peers that stored no turns when last asked, as if retired. */
+  private readonly refusingPeers = new WeakSet<ArchiveClient>();
 
   /** Whether the ledgers of all reachable peers were merged since the start. */
   private hasPeerLedgers: boolean;
@@ -161,12 +163,25 @@
       }
     }
     for (const [client, turns] of turnsByClient) {
+      await this.replicateInBatches(client, turns);
+    }
+  }
+
+  private async replicateInBatches(
+    client: ArchiveClient,
+    turns: readonly IndexedTurn[],
+  ): Promise<void> {
+    try {
       for (let start = 0; start < turns.length; start += maxBatchTurns) {
         await this.replicateTurns(
           client,
           turns.slice(start, start + maxBatchTurns),
         );
       }
+      this.refusingPeers.delete(client);
+    } catch (error) {
+      if (client.isReachable) this.refusingPeers.add(client);
+      throw error;
     }
   }
 
@@ -207,7 +222,11 @@
       ...candidates.filter((candidate) => candidate.dataCentre !== dataCentre),
       ...candidates.filter((candidate) => candidate.dataCentre === dataCentre),
     ];
-    return ordered.slice(0, this.requiredPeerReplicas - held.size);
+    const {refusingPeers} = this;
+    return [
+      ...ordered.filter((candidate) => !refusingPeers.has(candidate)),
+      ...ordered.filter((candidate) => refusingPeers.has(candidate)),
+    ].slice(0, this.requiredPeerReplicas - held.size);
   }
 
   private async replicateTurns(
--- a/packages/turns/tests/repair/retirement.feature
+++ b/packages/turns/tests/repair/retirement.feature
@@ -27,3 +27,17 @@
     When turn "t1" is sent to be stored in "a"
     And archive "a" retires while its disk is stalled for another 300 ms
     Then turn "t1" is on at least 2 disks
+
+  Scenario Outline: A turn on one disk is replicated elsewhere while others have not read of the retirement of "<retired>"
+    When archive "<retired>" retires without notice to others
+    And data centre "b" is isolated
+    And turn "t1" finishes in "b"
+    And the isolation ends and 2000 ms pass
+    Then turn "t1" is on at least 2 disks
+    And archive "<retired>" does not hold turn "t1"
+
+    Examples:
+      | retired |
+      | a       |
+      | c       |
+      | d       |
