End turns that are on one disk when their entry VM stops

A turn whose events the client has received is broken off beside a SIGTERM.

Once the grace period is over, calls have 150 ms to end; a turn that has one copy and waits up to 1.5 s for another is broken off then.

The wait for further copies now ends with the call, also at a stop.

No process was stopped in such a wait.

--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -136,7 +136,11 @@
       target,
       prompt: call.attributes.prompt,
     };
-    const wait = {maxWaitMs: call.leftMs, signal: this.createStoreSignal()};
+    const wait = {
+      maxWaitMs: call.leftMs,
+      signal: this.createStoreSignal(),
+      copySignal: call.signal,
+    };
     await services.turns.record(turn, chain.at(-1)?.disks ?? [], wait);
     const elapsedMs = services.clock.nowMs() - startMs;
     services.metrics.recordValue('turn_store_ms', {}, elapsedMs);
--- a/packages/turns/src/client/archive_retries.ts
+++ b/packages/turns/src/client/archive_retries.ts
@@ -16,6 +16,8 @@
   readonly maxWaitMs: number;
   /** Ends the wait when aborted. */
   readonly signal: AbortSignal;
+  /** Ends the wait early if the request can end well without another attempt. */
+  readonly copySignal?: AbortSignal;
 }
 
 /** Decides when a request that too few archives answered is sent again. */
@@ -62,15 +64,17 @@
   async waitForReturn(owedCount = 0, isOptional = false): Promise<boolean> {
     const {pool, wait} = this;
     const endMs = isOptional ? this.optionalEndMs : this.endMs;
+    const {copySignal = wait.signal} = wait;
+    const signal = isOptional ? copySignal : wait.signal;
     for (;;) {
       const maxWaitMs = endMs - this.clock.nowMs();
-      if (maxWaitMs <= 0 || wait.signal.aborted) return false;
+      if (maxWaitMs <= 0 || signal.aborted) return false;
       const {returnCount} = pool;
       if (returnCount !== this.returnCount) {
         this.returnCount = returnCount;
         return true;
       }
-      if (!(await pool.waitForChange({...wait, maxWaitMs}, owedCount))) {
+      if (!(await pool.waitForChange({maxWaitMs, signal}, owedCount))) {
         return false;
       }
     }
--- a/packages/turns/tests/client/turn_recorder.feature
+++ b/packages/turns/tests/client/turn_recorder.feature
@@ -49,6 +49,11 @@
     Then turn "t1" that finishes in "a" with a call that ends after 1200 ms is stored
     And turn "t1" is on 1 disks, among them "a"
 
+  Scenario: A turn on one disk ends when its entry VM stops although more archives are expected
+    Given data centre "a" is isolated
+    Then turn "t1" that finishes in "a" is stored within 350 ms of its start, by an entry VM that stops after 300 ms
+    And turn "t1" is on 1 disks, among them "a"
+
   Scenario: A turn waits for no archive that has been away for long
     Given data centre "a" is isolated
     When 3000 ms pass
--- a/packages/turns/tests/client/turn_recorder_steps.ts
+++ b/packages/turns/tests/client/turn_recorder_steps.ts
@@ -69,3 +69,27 @@
     this.holders = archives.findHolders(id);
   },
 );
+
+Then(
+  'turn {string} that finishes in {string} is stored within {int} ms of its start, by an entry VM that stops after {int} ms',
+  async function (
+    this: RecorderWorld,
+    id: string,
+    dataCentre: string,
+    withinMs: number,
+    stopsAfterMs: number,
+  ) {
+    const {archives} = this;
+    const {clock} = archives;
+    const startMs = clock.nowMs();
+    const stop = new AbortController();
+    clock.setTimer(stopsAfterMs, () => stop.abort());
+    const {signal} = new AbortController();
+    const wait = {maxWaitMs: unlimitedWaitMs, signal, copySignal: stop.signal};
+    const turn = createTurn(id, undefined);
+    await archives.run(archives.getStore(dataCentre).record(turn, [], wait));
+    const elapsedMs = clock.nowMs() - startMs;
+    assert.ok(elapsedMs <= withinMs, `it took ${elapsedMs} ms`);
+    this.holders = archives.findHolders(id);
+  },
+);
