Hold all targets whose entries lapse right after an outage of the store

For up to 0.8 s after an outage of the store, every request is rejected since no target is listed, although all targets run and are about to register again.

If most entries are held at a time, they now stay for 2.3 s after the return as before, whichever way their removal is seen.

The scenario failed before (no target 1.9 s after the return). 14 scenarios of packages/nodes/tests/targets pass.

--- a/packages/nodes/src/targets/target_directory.ts
+++ b/packages/nodes/src/targets/target_directory.ts
@@ -58,6 +58,8 @@
   private outageHoldUntilMs = Number.NEGATIVE_INFINITY;
   /** End of holds of entries that were removed after the last outage. */
   private laterHoldUntilMs = Number.NEGATIVE_INFINITY;
+  /** End of holds if most entries lapse, during the last outage or after it. */
+  private lapseHoldUntilMs = Number.NEGATIVE_INFINITY;
   /** Whether the next complete set shows what was removed during an outage. */
   private isSetFromOutage = false;
   private holdTimer: Timer | undefined;
@@ -104,8 +106,10 @@
   }
 
   applyChange({key, object, version}: ObjectChange): void {
-    if (object === undefined) this.removeKey(key, version);
-    else this.putObject(object);
+    if (object === undefined) {
+      this.removeKey(key, version);
+      this.extendLapsedHolds();
+    } else this.putObject(object);
     this.notifyChanged();
   }
 
@@ -124,6 +128,7 @@
     // known only to be later than the last failed call.
     const contactMs = bounds.contactMs - failedAgoMs - reachMarginMs;
     const drainMs = bounds.drainMs - reachMarginMs;
+    this.lapseHoldUntilMs = nowMs + maxHoldMs;
     this.outageHoldUntilMs = nowMs + Math.min(maxHoldMs, contactMs);
     this.laterHoldUntilMs = nowMs + Math.min(maxHoldMs, contactMs, drainMs);
     this.isSetFromOutage = true;
@@ -182,6 +187,18 @@
     this.setHoldTimer();
   }
 
+  /** Most targets do not leave at once: their entries lapse after an outage. */
+  private extendLapsedHolds(): void {
+    const untilMs = this.lapseHoldUntilMs;
+    const held = [...this.targets].filter(([, {hold}]) => hold !== undefined);
+    if (held.length * 2 <= this.targets.size) return;
+    for (const [key, {entry, hold}] of held) {
+      if (hold === undefined || hold.untilMs >= untilMs) continue;
+      this.targets.set(key, {entry, hold: {...hold, untilMs}});
+    }
+    this.setHoldTimer();
+  }
+
   private setHoldTimer(): void {
     this.holdTimer?.cancel();
     const ends = [...this.targets.values()].flatMap(({hold}) =>
--- a/packages/nodes/tests/targets/target_directory.feature
+++ b/packages/nodes/tests/targets/target_directory.feature
@@ -83,3 +83,12 @@
     Then requests may go to "a, b"
     When 200 ms pass at the target directory
     Then requests may go to no target
+
+  Scenario: Entries of all targets that lapse right after an outage are kept until the targets had time to register again
+    When the platform comes back after 5000 ms with all targets
+    And target "a" is removed from the registry
+    And target "b" is removed from the registry
+    And 1900 ms pass at the target directory
+    Then requests may go to "a, b"
+    When 500 ms pass at the target directory
+    Then requests may go to no target
