Keep nothing of a wait for archives once it has ended

In a site with fewer archives than copies each turn waits for a registration, and the memory of its entry VMs grows with each turn until an archive is registered or returns.

Cause: each wait raced promises that live until the next change; every race leaves its reactions there.

Waits now add a listener and remove it when they end.

--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -38,7 +38,8 @@
 export class ArchivePool {
   private clients: readonly ArchiveClient[] = [];
   private seenChangeCount = -1;
-  private returned = Deferred.create<void>();
+  /** Waits that a return ends; removed with the wait. */
+  private readonly returnListeners = new Set<() => void>();
   private returns = 0;
 
   private constructor(private readonly options: ArchivePoolOptions) {}
@@ -106,11 +107,14 @@
     const end = () => ended.resolve(false);
     const timer = clock.setTimer(maxWaitMs, end);
     signal.addEventListener('abort', end, {once: true});
-    const changed = [this.returned.promise, directory.waitForChange()];
-    const hasChanged = Promise.race(changed).then(() => true);
+    const endByChange = () => ended.resolve(true);
+    const removeListener = directory.onChange(endByChange);
+    this.returnListeners.add(endByChange);
     try {
-      return await Promise.race([hasChanged, ended.promise]);
+      return await ended.promise;
     } finally {
+      removeListener();
+      this.returnListeners.delete(endByChange);
       timer.cancel();
       signal.removeEventListener('abort', end);
     }
@@ -159,8 +163,7 @@
     this.options.onReachabilityChanged?.(member, isReachable);
     if (!isReachable) return;
     this.returns += 1;
-    this.returned.resolve();
-    this.returned = Deferred.create<void>();
+    for (const listener of [...this.returnListeners]) listener();
   }
 }
 
--- a/packages/turns/src/directory/archive_directory.ts
+++ b/packages/turns/src/directory/archive_directory.ts
@@ -1,10 +1,5 @@
 /** Archives of a site, as registered in the object API. */
-import {
-  type DaemonId,
-  type DataCentreId,
-  Deferred,
-  toId,
-} from '@marigoldpost/common';
+import {type DaemonId, type DataCentreId, toId} from '@marigoldpost/common';
 import {
   type ObjectChange,
   type ObjectStore,
@@ -33,7 +28,7 @@
   private readonly members = new Map<string, ArchiveMember>();
   private hasLoaded = false;
   private changes = 0;
-  private changed = Deferred.create<void>();
+  private readonly listeners = new Set<() => void>();
 
   private constructor() {}
 
@@ -52,9 +47,14 @@
     return this.changes;
   }
 
-  /** Resolves at the next change. */
-  waitForChange(): Promise<void> {
-    return this.changed.promise;
+  /**
+   * Calls a function at each change.
+   * @param listener - Called after the change.
+   * @returns Ends the calls.
+   */
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
   }
 
   /** Gets every registered archive. */
@@ -93,8 +93,7 @@
 
   private recordChange(): void {
     this.changes += 1;
-    this.changed.resolve();
-    this.changed = Deferred.create<void>();
+    for (const listener of [...this.listeners]) listener();
   }
 
   private putObject({key, value}: StoredObject): void {
