Do not take an unidentified response on a reused connection as the response to a request

Callers were told "not run, try again" for bookings and turns that a target was running, and some ran at a second target: a faulty target writes an earlier refusal once more on a kept connection. Responses with another id were refused already; one without an id was taken as the response to the newest request, and its statement that the request had not run was believed.

Targets echo the id of each request, and only a reused connection can carry a response to an earlier one. So a response without an id on a reused connection is malformed now: the connection is closed, the result is unknown, and only requests that may be repeated go to another target. On the first request of a connection it is believed as before. A request never goes to the same target twice, so an id that matches is that of this attempt.

--- a/packages/gateway/src/targets/target_exchange.ts
+++ b/packages/gateway/src/targets/target_exchange.ts
@@ -22,6 +22,8 @@
 
 /** One request to one target; never retries. */
 export class TargetExchange extends HttpExchange {
+  private sent: http.ClientRequest | undefined;
+
   private constructor(private readonly options: TargetExchangeOptions) {
     super(options);
   }
@@ -47,6 +49,7 @@
       headers: headers as unknown as http.OutgoingHttpHeaders,
     });
     sent.end(body);
+    this.sent = sent;
     return sent;
   }
 
@@ -68,6 +71,11 @@
       fail('broken', `the response belongs to request "${requestId}"`);
       return;
     }
+    // It may be a response to an earlier request, sent once more.
+    if (requestId === undefined && this.sent?.reusedSocket === true) {
+      fail('broken', 'a response on a reused connection has no request id');
+      return;
+    }
     this.settleResponse(body, attributes);
   }
 }
