Do not count replicas on archives that are presumed lost

A caller that went on from a kept turn got 503 within milliseconds, for ever, after two storage VMs had been lost for good without notice and then a disk with all other VMs' power.

Cause: nothing removes the registration of an archive whose VM never returns, and the repair dropped replicas on unregistered disks only. So a replica on such a VM counted for ever, no other one was made, and the next lost disk took the last. By the same count, a replaced disk counted until the object API told of it, and a peer that nothing is exchanged with was never found out.

Now a disk counts unless its archive has been unreachable for 2.5 s (a restart takes less) or names another disk in its replies; peers that are silent for 0.5 s are probed. It counts again once its archive names it: what counted there was synced. An archive that was isolated itself waits 1 s for the others to return, and batches end as soon as the count suffices, so that a cut sets off no more than one further copy of each turn. Registrations stay, since no proof of a permanent loss exists and a removal would shrink the majorities of budgets (docs/design/platform.md). Event 3107 tells when a peer's replicas stop to count and count again.

replica_repair.feature: with the former count, three of six scenarios failed (turns on one disk; a chain that could not be read; no report); with the disk of the directory in place of the named one, the one with the object API away; without the wait after an isolation, that of the isolated archive; without the probes, three; with replicas that stop counting at once, that of the restart.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -118,7 +118,7 @@
   }
 
   private createRepairer(archive: Archive): ArchiveRepairer {
-    const {settings, clock} = this.options;
+    const {settings, clock, logger} = this.options;
     const pool = this.createArchivePool();
     const isDiskNew = archive.programCount === 0 && !settings.isFirstStart;
     return ArchiveRepairer.create({
@@ -130,6 +130,12 @@
       replicaCount: settings.toleratedDisks + 1,
       isDiskNew,
       onFailed: (task, error) => this.tasks.logFailure(task, error),
+      onReplicasCounted: ({daemon, disk}, areCounted) =>
+        logger.log('archive_replicas_counted', {
+          archive: daemon,
+          disk,
+          areCounted,
+        }),
     });
   }
 
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -211,6 +211,16 @@
   archive_retired: define(3106, 'info', 'An archive was emptied', {
     turns: 'number',
   }),
+  archive_replicas_counted: define(
+    3107,
+    'warn',
+    'Replicas of another archive stopped to count, or count again',
+    {
+      archive: 'string',
+      disk: 'string',
+      areCounted: 'boolean',
+    },
+  ),
 
   // 4000: peers.
   member_changed: define(4001, 'info', 'A daemon changed its state', {
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -79,6 +79,8 @@
  */
 export class ArchiveClient {
   private unreachableSinceMs: number | undefined;
+  private lastReplyMs = Number.NEGATIVE_INFINITY;
+  private repliedDisk: DiskId | undefined;
 
   private constructor(private readonly options: ArchiveClientOptions) {}
 
@@ -95,6 +97,19 @@
     return this.options.member;
   }
 
+  /**
+   * Disk that the archive named in its last status; until then, the one of its
+   * directory entry, which is behind after the loss of a disk.
+   */
+  get disk(): DiskId {
+    return this.repliedDisk ?? this.member.disk;
+  }
+
+  /** When the archive last replied; `-Infinity` before its first reply. */
+  get repliedAtMs(): number {
+    return this.lastReplyMs;
+  }
+
   /** Data centre in which the archive runs. */
   get dataCentre(): DataCentreId {
     return this.options.member.dataCentre;
@@ -190,11 +205,10 @@
     });
     if (reply.case !== 'foundTurns') throw this.createReplyError(reply);
     const {isHeld, status} = reply.value;
-    return {
-      isHeld,
-      disk: toId<DiskId>(status?.disk ?? ''),
-      isComplete: status?.isComplete ?? false,
-    };
+    if (status === undefined) throw this.createReplyError(reply);
+    const disk = toId<DiskId>(status.disk);
+    this.repliedDisk = disk;
+    return {isHeld, disk, isComplete: status.isComplete};
   }
 
   /**
@@ -228,11 +242,15 @@
       await clock.sleep(probeIntervalMs, signal);
       try {
         const value = create(ArchiveProbeSchema);
-        await transport.ask(
+        const reply = await transport.ask(
           {daemon, address},
           {case: 'archiveProbe', value},
           replyTimeoutMs,
         );
+        this.lastReplyMs = clock.nowMs();
+        if (reply.case === 'archiveStatus') {
+          this.repliedDisk = toId<DiskId>(reply.value.disk);
+        }
         if (clock.nowMs() - sinceMs >= minUnreachableMs) break;
       } catch {
         // Still unreachable; the next probe follows.
@@ -258,11 +276,13 @@
       );
     }
     try {
-      return await this.options.transport.ask(
+      const reply = await this.options.transport.ask(
         {daemon, address},
         request,
         replyTimeoutMs,
       );
+      this.lastReplyMs = this.options.clock.nowMs();
+      return reply;
     } catch (error) {
       this.markUnreachable();
       throw error;
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -18,6 +18,11 @@
  * 1 to 2 s, the isolation of a data centre lasts longer.
  */
 const restartMs = 2500;
+/**
+ * Time in which the probes of all archives succeed again after the own VM was
+ * isolated.
+ */
+const reconnectMs = 1000;
 
 /** Directory, transport and callbacks of a pool. */
 export interface ArchivePoolOptions {
@@ -41,6 +46,8 @@
   /** Waits that a return ends; removed with the wait. */
   private readonly returnListeners = new Set<() => void>();
   private returns = 0;
+  /** When an archive became reachable while no other one was. */
+  private isolationEndMs = Number.NEGATIVE_INFINITY;
 
   private constructor(private readonly options: ArchivePoolOptions) {}
 
@@ -130,6 +137,20 @@
     );
   }
 
+  /**
+   * Whether an archive has been unreachable for longer than a restart takes, so
+   * that its VM may never return. While the own VM is isolated, and just after
+   * it, the absence of an archive is no sign of that.
+   * @param client - Client of the archive.
+   */
+  isPresumedLost({unreachableAtMs = Infinity}: ArchiveClient): boolean {
+    const nowMs = this.options.clock.nowMs();
+    return (
+      nowMs - unreachableAtMs >= restartMs &&
+      nowMs - this.isolationEndMs >= reconnectMs
+    );
+  }
+
   private isArchiveExpected(owedCount: number): boolean {
     const clients = this.getClients();
     const sinceMs = this.options.clock.nowMs() - restartMs;
@@ -163,6 +184,10 @@
     this.options.onReachabilityChanged?.(member, isReachable);
     if (!isReachable) return;
     this.returns += 1;
+    const reachable = this.clients.filter((client) => client.isReachable);
+    if (reachable.length === 1) {
+      this.isolationEndMs = this.options.clock.nowMs();
+    }
     for (const listener of [...this.returnListeners]) listener();
   }
 }
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -11,6 +11,7 @@
 import type {ArchiveClient} from '../client/archive_client.js';
 import type {ArchivePool} from '../client/archive_pool.js';
 import {orderCandidates} from '../client/replica_placement.js';
+import type {ArchiveMember} from '../directory/archive_directory.js';
 import type {DiskId} from '../log/disk_identity.js';
 
 /** Pause between two repair rounds. */
@@ -19,6 +20,8 @@
 const minRepairAgeMs = 300;
 /** Pause between two checks whether a retirement is complete. */
 const retirementPollMs = 200;
+/** A peer that has not replied for this long is probed. */
+const silenceMs = 500;
 /** Limit of the turns queried or sent in one message; bounds its size. */
 const maxBatchTurns = 64;
 
@@ -37,16 +40,28 @@
    */
   readonly isDiskNew: boolean;
   readonly onFailed: (task: string, error: Error) => void;
+  /** Called when the replicas of a peer stop to count or count again. */
+  readonly onReplicasCounted?: (
+    member: ArchiveMember,
+    areCounted: boolean,
+  ) => void;
 }
 
 /** Repairs replicas and ledger of one archive in periodic rounds. */
 export class ArchiveRepairer {
-  /** Peer disks on which each turn was last verified. */
+  /**
+   * Peer disks on which each turn was verified, and which are still registered.
+   * Those of peers that are presumed lost do not count while they are.
+   */
   private readonly verifiedDisks = new Map<TurnId, Set<DiskId>>();
   /** Peers whose ledger was merged since they last became reachable. */
   private readonly mergedPeers = new Set<ArchiveClient>();
   /** Reachable peers that stored no turns when last asked, as if retired. */
   private readonly refusingPeers = new WeakSet<ArchiveClient>();
+  /** Peers whose replicas do not count, as of the last round. */
+  private lostPeers = new Set<ArchiveClient>();
+  /** Disks whose replicas count, as of the last round. */
+  private countedDisks = new Set<DiskId>();
 
   /** Whether the ledgers of all reachable peers were merged since the start. */
   private hasPeerLedgers: boolean;
@@ -90,6 +105,7 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      await this.probeSilentPeers();
       await this.runTask('ledgers', () => this.mergePeerLedgers());
       await this.runTask('copies', () =>
         this.repairTurns(this.options.clock.nowMs() - minRepairAgeMs),
@@ -131,6 +147,17 @@
     }
   }
 
+  /** Detects lost peers while no turns are exchanged with them. */
+  private async probeSilentPeers(): Promise<void> {
+    const {pool, clock} = this.options;
+    const sinceMs = clock.nowMs() - silenceMs;
+    const silent = pool
+      .getClients()
+      .filter((client) => client.isReachable && client.repliedAtMs <= sinceMs);
+    // The pool reports those that do not reply.
+    await Promise.allSettled(silent.map((client) => client.findTurns([])));
+  }
+
   private async mergePeerLedgers(): Promise<void> {
     const clients = this.options.pool.getClients();
     for (const client of this.mergedPeers) {
@@ -152,6 +179,7 @@
   }
 
   private async repairTurns(storedBeforeMs: number): Promise<void> {
+    this.updateCountedDisks();
     this.removeLostReplicas();
     const underReplicated = this.findUnderReplicated(storedBeforeMs);
     const turnsByClient = new Map<ArchiveClient, IndexedTurn[]>();
@@ -173,10 +201,11 @@
   ): Promise<void> {
     try {
       for (let start = 0; start < turns.length; start += maxBatchTurns) {
-        await this.replicateTurns(
-          client,
-          turns.slice(start, start + maxBatchTurns),
-        );
+        const batch = turns.slice(start, start + maxBatchTurns);
+        this.updateCountedDisks();
+        // An archive may have returned meanwhile, so that its replicas count.
+        const missing = batch.filter((turn) => this.isUnderReplicated(turn));
+        if (missing.length > 0) await this.replicateTurns(client, missing);
       }
       this.refusingPeers.delete(client);
     } catch (error) {
@@ -185,20 +214,59 @@
     }
   }
 
+  /** Gets the turns with the fewest replicas first, the newest of them first. */
   private findUnderReplicated(storedBeforeMs: number): IndexedTurn[] {
     const {archive} = this.options;
-    return [...archive.getTurns()].filter(
-      (turn) =>
-        turn.storedAtMs <= storedBeforeMs &&
-        (this.verifiedDisks.get(turn.id)?.size ?? 0) <
-          this.requiredPeerReplicas,
+    return [...archive.getTurns()]
+      .filter(
+        (turn) =>
+          turn.storedAtMs <= storedBeforeMs && this.isUnderReplicated(turn),
+      )
+      .reverse()
+      .sort(
+        (left, right) => this.countReplicas(left) - this.countReplicas(right),
+      );
+  }
+
+  private isUnderReplicated(turn: IndexedTurn): boolean {
+    return this.countReplicas(turn) < this.requiredPeerReplicas;
+  }
+
+  private countReplicas({id}: IndexedTurn): number {
+    let count = 0;
+    for (const disk of this.verifiedDisks.get(id) ?? []) {
+      if (this.countedDisks.has(disk)) count += 1;
+    }
+    return count;
+  }
+
+  /**
+   * Stops counting the replicas of peers that are presumed lost, since no one
+   * removes the registration of a VM that never returns. They count again once
+   * the peer has named the same disk.
+   */
+  private updateCountedDisks(): void {
+    const {pool, onReplicasCounted} = this.options;
+    const clients = pool.getClients();
+    const lost = clients.filter((client) => pool.isPresumedLost(client));
+    const {lostPeers} = this;
+    this.lostPeers = new Set(lost);
+    this.countedDisks = new Set(
+      clients
+        .filter((client) => !this.lostPeers.has(client))
+        .map(({disk}) => disk),
     );
+    for (const client of clients) {
+      const isLost = this.lostPeers.has(client);
+      if (isLost === lostPeers.has(client)) continue;
+      onReplicasCounted?.(client.member, !isLost);
+    }
   }
 
-  /** Removes replicas on unregistered disks, and expired turns. */
+  /** Removes replicas on replaced or unregistered disks, and expired turns. */
   private removeLostReplicas(): void {
     const {archive, pool} = this.options;
-    const disks = new Set(pool.getClients().map(({member}) => member.disk));
+    const disks = new Set(pool.getClients().map(({disk}) => disk));
     for (const [turn, held] of this.verifiedDisks) {
       if (!archive.hasTurn(turn)) this.verifiedDisks.delete(turn);
       for (const disk of held) if (!disks.has(disk)) held.delete(disk);
@@ -210,7 +278,7 @@
     const held = this.verifiedDisks.get(turn.id) ?? new Set<DiskId>();
     const clients = pool
       .getClients()
-      .filter(({isReachable, member}) => isReachable && !held.has(member.disk));
+      .filter(({isReachable, disk}) => isReachable && !held.has(disk));
     const {program, disks} = turn;
     const candidates = orderCandidates(clients, {
       program,
@@ -226,7 +294,7 @@
     return [
       ...ordered.filter((candidate) => !refusingPeers.has(candidate)),
       ...ordered.filter((candidate) => refusingPeers.has(candidate)),
-    ].slice(0, this.requiredPeerReplicas - held.size);
+    ].slice(0, this.requiredPeerReplicas - this.countReplicas(turn));
   }
 
   private async replicateTurns(
@@ -235,8 +303,6 @@
   ): Promise<void> {
     const {archive} = this.options;
     const found = await client.findTurns(turns.map(({id}) => id));
-    // The peer's disk was replaced, and its new entry has not been read yet.
-    if (found.disk !== client.member.disk) return;
     const missing = turns.filter((_turn, index) => !found.isHeld[index]);
     if (missing.length > 0) {
       const records = await Promise.all(
--- /dev/null
+++ b/packages/turns/tests/repair/replica_repair_steps.ts
@@ -0,0 +1,89 @@
+/** Steps for replicas on archives that are lost, cut off or replaced. */
+import assert from 'node:assert/strict';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {type ProgramId, toId} from '@marigoldpost/common';
+import {
+  type ArchiveFleet,
+  createTurn,
+  unlimitedWaitMs,
+} from '../fixtures/archive_fleet.js';
+
+interface RepairWorld extends World {
+  archives: ArchiveFleet;
+  turnIds: string[];
+}
+
+Given(
+  '{int} turns of separate programs finish in {string}',
+  async function (this: RepairWorld, count: number, dataCentre: string) {
+    const {archives} = this;
+    const wait = {
+      maxWaitMs: unlimitedWaitMs,
+      signal: new AbortController().signal,
+    };
+    this.turnIds = Array.from({length: count}, (_, index) => `t${index}`);
+    for (const id of this.turnIds) {
+      const turn = createTurn(id, undefined);
+      const program = toId<ProgramId>(`program of ${id}`);
+      const store = archives.getStore(dataCentre);
+      await archives.run(store.record({...turn, program}, [], wait));
+    }
+  },
+);
+
+When(
+  'archive {string} restarts',
+  async function (this: RepairWorld, name: string) {
+    await this.archives.start(name);
+  },
+);
+
+When(
+  'archive {string} loses its disk and nobody has read of its new one',
+  async function (this: RepairWorld, name: string) {
+    const {archives} = this;
+    archives.kill(name);
+    archives.getFolder(name).wipe();
+    await archives.start(name, false);
+  },
+);
+
+When(
+  'archive {string} reaches the others again, one after the other',
+  async function (this: RepairWorld, name: string) {
+    const {archives} = this;
+    archives.sentTurnCounts.clear();
+    const links = ['b', 'c', 'd'].map((other) => `${name} ${other}`);
+    for (const link of links) archives.cutLinks.add(link);
+    archives.cutOff = undefined;
+    for (const link of links) {
+      archives.cutLinks.delete(link);
+      await archives.clock.advance(300);
+    }
+  },
+);
+
+Then(
+  'each of these turns is on {int} to {int} running archives',
+  function (this: RepairWorld, least: number, most: number) {
+    for (const id of this.turnIds) {
+      const holders = this.archives.findHolders(id);
+      const text = `turn "${id}" is on ${holders.join(', ')}`;
+      assert.ok(holders.length >= least && holders.length <= most, text);
+    }
+  },
+);
+
+Then(
+  'archive {string} has reported {string}',
+  function (this: RepairWorld, name: string, reports: string) {
+    assert.equal(this.archives.getCountReports(name).join(', '), reports);
+  },
+);
+
+Then(
+  'archive {string} has sent no turns',
+  function (this: RepairWorld, name: string) {
+    assert.equal(this.archives.sentTurnCounts.get(name) ?? 0, 0);
+  },
+);
