End the wait for a second disk once no archive is expected to return

Callers in a data centre that had just been cut off waited up to 1.5 s for the end of each turn that ended within 2.5 s of the cut, so up to 3.9 s after it, although an archive that has been unreachable for 2.5 s is not expected to return.

The wait now ends with the time within which the newest unreachable archive is expected. It lasts as long as before while fewer archives are registered than are owed.

turn_recorder.feature, 'The wait of a turn ends once no archive is expected to return' failed before; 92 of 92 scenarios of packages/turns pass.

--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -99,8 +99,8 @@
 
   /**
    * Waits until an archive becomes reachable again or the directory changes;
-   * `false` if the wait ends before, or if no archive is expected: enough are
-   * registered, and none has become unreachable in the last 2.5 s.
+   * `false` if the wait ends before, or as soon as no archive is expected: enough
+   * are registered, and none has become unreachable in the last 2.5 s.
    * @param wait - Longest wait and what ends it.
    * @param owedCount - Archives that the site must have.
    */
@@ -109,10 +109,11 @@
     owedCount: number,
   ): Promise<boolean> {
     const {clock, directory} = this.options;
-    if (!this.isArchiveExpected(owedCount) || signal.aborted) return false;
+    const expectedMs = this.getExpectedUntilMs(owedCount) - clock.nowMs();
+    if (expectedMs <= 0 || signal.aborted) return false;
     const ended = Deferred.create<boolean>();
     const end = () => ended.resolve(false);
-    const timer = clock.setTimer(maxWaitMs, end);
+    const timer = clock.setTimer(Math.min(maxWaitMs, expectedMs), end);
     signal.addEventListener('abort', end, {once: true});
     const endByChange = () => ended.resolve(true);
     const removeListener = directory.onChange(endByChange);
@@ -151,13 +152,14 @@
     );
   }
 
-  private isArchiveExpected(owedCount: number): boolean {
+  /** Until when an archive is expected to return or to be registered. */
+  private getExpectedUntilMs(owedCount: number): number {
     const clients = this.getClients();
-    const sinceMs = this.options.clock.nowMs() - restartMs;
-    return (
-      clients.length < owedCount ||
-      clients.some(({unreachableAtMs = -Infinity}) => unreachableAtMs > sinceMs)
+    if (clients.length < owedCount) return Infinity;
+    const unreachableAtMs = clients.map(
+      (client) => client.unreachableAtMs ?? -Infinity,
     );
+    return Math.max(...unreachableAtMs) + restartMs;
   }
 
   private getOrCreateClient(member: ArchiveMember): ArchiveClient {
--- a/packages/turns/tests/client/turn_recorder.feature
+++ b/packages/turns/tests/client/turn_recorder.feature
@@ -60,6 +60,12 @@
     And turn "t1" finishes in "a" within 100 ms
     Then turn "t1" is on 1 disks, among them "a"
 
+  Scenario: The wait of a turn ends once no archive is expected to return
+    Given data centre "a" is isolated
+    When turn "t1" finishes in "a" within 2000 ms
+    And turn "t2" finishes in "a" within 1100 ms
+    Then turn "t2" is on 1 disks, among them "a"
+
   Scenario: A turn waits for archives no longer than its call lasts
     Given archives "a, b, c, d" are down for 10000 ms
     Then turn "t1" that finishes in "a" with a call that ends after 600 ms fails with archive_unavailable within 610 ms
