Do not call a stored turn unknown when one before it is missing

A caller that named a turn that archives store got 404 when each archive had said that it lacks an earlier turn of the chain: ChainReader threw unknown_turn for any turn of the chain. 404 for a kept turn is forbidden at all times, since a caller gives up on it. Now only the turn that the call names can be unknown; a missing ancestor is archive_unavailable (503).

turn_store.feature, "A stored turn is not reported unknown when a turn before it is missing", failed before: "none of 4 archives stores turn".

--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -56,9 +56,9 @@
 
   /**
    * Gets a turn and all its ancestors, oldest first. Throws `unknown_turn` when
-   * every archive replies that it does not store a turn of the chain, and
-   * `archive_unavailable` when an archive that may store it does not reply or
-   * the list of archives is behind.
+   * every archive replies that it does not store the turn, and
+   * `archive_unavailable` when an archive that may store it does not reply, the
+   * list of archives is behind, or an ancestor of a stored turn is missing.
    * @param turn - Newest turn of the chain.
    * @param signal - No further archive is asked once it is aborted.
    */
@@ -69,7 +69,7 @@
       const cached = this.options.cache.get(next);
       const part: PartialChain =
         cached === undefined
-          ? await this.fetchChain(next, signal)
+          ? await this.fetchChain(next, signal, newestFirst.length > 0)
           : {turns: [cached], missing: cached.previous};
       newestFirst.push(...part.turns.toReversed());
       next = part.missing;
@@ -81,6 +81,7 @@
   private async fetchChain(
     turn: TurnId,
     signal: AbortSignal,
+    isAncestor: boolean,
   ): Promise<PartialChain> {
     const {pool, ownDataCentre, owedArchives} = this.options;
     const localClients = pool.getReachableClients(ownDataCentre);
@@ -98,7 +99,9 @@
       const chain = await tryFetchChain(client, turn);
       if (chain !== undefined) return chain;
     }
+    // The turn that the call names is stored, so it must not be called unknown.
     if (
+      !isAncestor &&
       clients.length >= owedArchives &&
       lookups.every((lookup) => lookup === 'absent')
     ) {
@@ -107,7 +110,7 @@
     }
     throw MarigoldpostError.create(
       'archive_unavailable',
-      `turn "${turn}" not found, but an archive that may store it did not reply or is not known yet`,
+      `turn "${turn}" not found, but a stored turn continues it, or an archive that may store it did not reply or is not known yet`,
       {retryAfterMs: getArchiveRetryAfterMs(pool)},
     );
   }
--- a/packages/turns/tests/client/turn_store.feature
+++ b/packages/turns/tests/client/turn_store.feature
@@ -82,6 +82,11 @@
     When archive "d" is killed
     Then reading turn "none" in "a" fails with archive_unavailable
 
+  Scenario: A stored turn is not reported unknown when a turn before it is missing
+    When turn "t2" after "none" finishes in "a", and nobody stores "none"
+    And 1000 ms pass
+    Then reading turn "t2" in "d" fails with archive_unavailable
+
   Scenario: No turn is reported unknown while fewer archives are registered than store each turn
     Given archives "a" with 2 replicas per turn
     Then reading turn "none" in "a" fails with archive_unavailable
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -78,6 +78,22 @@
   },
 );
 
+When(
+  'turn {string} after {string} finishes in {string}, and nobody stores {string}',
+  async function (
+    this: StoreWorld,
+    id: string,
+    previous: string,
+    dataCentre: string,
+    missing: string,
+  ) {
+    const wait = {maxWaitMs: unlimitedWaitMs, signal: untilDone};
+    const store = this.archives.getStore(dataCentre);
+    await this.archives.run(store.record(createTurn(id, previous), [], wait));
+    assert.deepEqual(this.archives.findHolders(missing), []);
+  },
+);
+
 When(
   'turn {string} finishes in {string} within {int} ms',
   async function (
