Keep replicas of early turns as long as the chain that goes on from them

A turn that continues a chain extends the retention of the chain's earlier turns at the archives that store it. When it is stored on another disk than they are (one is unreachable for a moment), the archive left out removes its copies at their first expiry, and the other one counted them for ever. The loss of one disk then ended a chain whose newest turn was kept.

A replica that is gone is made again. Differences below 1 s are left alone, so that two archives do not extend each other's copies without end.

replica_repair.feature, "An early turn of a chain stays on two disks when its next turn was stored on another one", failed before (turn t1 on one disk 60 s after it was stored, then unknown) and fails without the renewal, or when the peer ignores the time.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -107,6 +107,15 @@
     return this.index.get(id) !== undefined;
   }
 
+  /**
+   * Retains a stored turn longer, since a peer has a turn that continues it.
+   * @param id - Id of the turn.
+   * @param retainedMs - Least time from now.
+   */
+  retainTurn(id: TurnId, retainedMs: number): void {
+    this.index.retainTurn(id, this.nowMs() + retainedMs);
+  }
+
   /**
    * Stores turns; resolves once they are durable. Skips turns that are stored
    * already.
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -122,7 +122,13 @@
     return {case: 'chain', value: create(ChainSchema, {turns, missing})};
   }
 
-  private findTurns({turns}: RequestOf<'findTurns'>): PeerReplyBody {
+  private findTurns({
+    turns,
+    retainedMs,
+  }: RequestOf<'findTurns'>): PeerReplyBody {
+    for (const [index, turn] of turns.entries()) {
+      this.archive.retainTurn(toId<TurnId>(turn), retainedMs[index] ?? 0);
+    }
     const isHeld = turns.map((turn) =>
       this.archive.hasTurn(toId<TurnId>(turn)),
     );
--- a/packages/turns/src/archive/turn_index.ts
+++ b/packages/turns/src/archive/turn_index.ts
@@ -71,6 +71,18 @@
     return turn;
   }
 
+  /**
+   * Retains a turn at least until a time, if it is stored here.
+   * @param id - Id of the turn.
+   * @param untilMs - Expiry on the archive's clock.
+   */
+  retainTurn(id: TurnId, untilMs: number): void {
+    const turn = this.turns.get(id);
+    if (turn === undefined || turn.expiresAtMs >= untilMs) return;
+    turn.expiresAtMs = untilMs;
+    this.retainSegment(turn.position.segment, untilMs);
+  }
+
   /**
    * Retains a log segment at least until a time.
    * @param segment - Segment number.
@@ -105,8 +117,7 @@
       const ancestor = this.turns.get(previous);
       if (ancestor === undefined) return;
       if (ancestor.expiresAtMs >= turn.expiresAtMs) return;
-      ancestor.expiresAtMs = turn.expiresAtMs;
-      this.retainSegment(ancestor.position.segment, turn.expiresAtMs);
+      this.retainTurn(ancestor.id, turn.expiresAtMs);
       previous = ancestor.previous;
     }
   }
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -197,11 +197,19 @@
   /**
    * Queries which turns the archive stores.
    * @param turns - Ids of the turns.
+   * @param retainedMs - For each turn, how much longer the archive should retain
+   *   it at least; empty to leave that as it is.
    */
-  async findTurns(turns: readonly TurnId[]): Promise<FoundTurnsReply> {
+  async findTurns(
+    turns: readonly TurnId[],
+    retainedMs: readonly number[] = [],
+  ): Promise<FoundTurnsReply> {
     const reply = await this.sendRequest({
       case: 'findTurns',
-      value: create(FindTurnsSchema, {turns: [...turns]}),
+      value: create(FindTurnsSchema, {
+        turns: [...turns],
+        retainedMs: [...retainedMs],
+      }),
     });
     if (reply.case !== 'foundTurns') throw this.createReplyError(reply);
     const {isHeld, status} = reply.value;
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -22,6 +22,13 @@
 const retirementPollMs = 200;
 /** A peer that has not replied for this long is probed. */
 const silenceMs = 500;
+/**
+ * Time before a replica's expiry at which the peer is asked to retain it for
+ * longer; more than the time between two sweeps of an archive.
+ */
+const renewalMs = 10_000;
+/** Differences of expiry that are left alone. */
+const expirySlackMs = 1000;
 /** Limit of the turns queried or sent in one message; bounds its size. */
 const maxBatchTurns = 64;
 
@@ -51,9 +58,10 @@
 export class ArchiveRepairer {
   /**
    * Peer disks on which each turn was verified, and which are still registered.
-   * Those of peers that are presumed lost do not count while they are.
+   * Those of peers that are presumed lost do not count while they are. Each has
+   * the time until which the peer retains the replica at least.
    */
-  private readonly verifiedDisks = new Map<TurnId, Set<DiskId>>();
+  private readonly verifiedDisks = new Map<TurnId, Map<DiskId, number>>();
   /** Peers whose ledger was merged since they last became reachable. */
   private readonly mergedPeers = new Set<ArchiveClient>();
   /** Reachable peers that stored no turns when last asked, as if retired. */
@@ -181,6 +189,7 @@
   private async repairTurns(storedBeforeMs: number): Promise<void> {
     this.updateCountedDisks();
     this.removeLostReplicas();
+    await this.renewReplicas();
     const underReplicated = this.findUnderReplicated(storedBeforeMs);
     const turnsByClient = new Map<ArchiveClient, IndexedTurn[]>();
     for (const turn of underReplicated) {
@@ -234,7 +243,7 @@
 
   private countReplicas({id}: IndexedTurn): number {
     let count = 0;
-    for (const disk of this.verifiedDisks.get(id) ?? []) {
+    for (const disk of this.verifiedDisks.get(id)?.keys() ?? []) {
       if (this.countedDisks.has(disk)) count += 1;
     }
     return count;
@@ -269,13 +278,39 @@
     const disks = new Set(pool.getClients().map(({disk}) => disk));
     for (const [turn, held] of this.verifiedDisks) {
       if (!archive.hasTurn(turn)) this.verifiedDisks.delete(turn);
-      for (const disk of held) if (!disks.has(disk)) held.delete(disk);
+      for (const disk of held.keys()) {
+        if (!disks.has(disk)) held.delete(disk);
+      }
+    }
+  }
+
+  /**
+   * Asks peers to retain replicas as long as the own ones: a turn stored
+   * elsewhere that continues the chain extends the expiry of the own ones only.
+   */
+  private async renewReplicas(): Promise<void> {
+    const clients = this.options.pool.getClients();
+    for (const client of clients.filter(({isReachable}) => isReachable)) {
+      const expiring = this.findExpiringReplicas(client.disk);
+      for (let start = 0; start < expiring.length; start += maxBatchTurns) {
+        const batch = expiring.slice(start, start + maxBatchTurns);
+        await this.findReplicas(client, batch);
+      }
     }
   }
 
+  private findExpiringReplicas(disk: DiskId): IndexedTurn[] {
+    const {archive, clock} = this.options;
+    const renewBeforeMs = clock.nowMs() + renewalMs;
+    return [...archive.getTurns()].filter(({id, expiresAtMs}) => {
+      const untilMs = this.verifiedDisks.get(id)?.get(disk) ?? Infinity;
+      return untilMs < renewBeforeMs && untilMs < expiresAtMs - expirySlackMs;
+    });
+  }
+
   private choosePeers(turn: IndexedTurn): ArchiveClient[] {
     const {pool, dataCentre} = this.options;
-    const held = this.verifiedDisks.get(turn.id) ?? new Set<DiskId>();
+    const held = this.verifiedDisks.get(turn.id) ?? new Map<DiskId, number>();
     const clients = pool
       .getClients()
       .filter(({isReachable, disk}) => isReachable && !held.has(disk));
@@ -301,19 +336,47 @@
     client: ArchiveClient,
     turns: readonly IndexedTurn[],
   ): Promise<void> {
-    const {archive} = this.options;
-    const found = await client.findTurns(turns.map(({id}) => id));
-    const missing = turns.filter((_turn, index) => !found.isHeld[index]);
-    if (missing.length > 0) {
-      const records = await Promise.all(
-        missing.map((turn) => archive.readTurn(turn)),
-      );
-      await client.storeTurns(records);
+    const {archive, clock} = this.options;
+    const {disk, missing} = await this.findReplicas(client, turns);
+    if (missing.length === 0) return;
+    const records = await Promise.all(
+      missing.map((turn) => archive.readTurn(turn)),
+    );
+    const nowMs = clock.nowMs();
+    await client.storeTurns(records);
+    for (const {id, retentionMs} of records) {
+      this.setVerified(id, disk, nowMs + retentionMs);
     }
-    for (const {id} of turns) {
-      const held = this.verifiedDisks.get(id);
-      if (held === undefined) this.verifiedDisks.set(id, new Set([found.disk]));
-      else held.add(found.disk);
+  }
+
+  /**
+   * Asks a peer for its replicas of turns, and to retain them as long as the own
+   * ones; gets those that it lacks.
+   */
+  private async findReplicas(
+    client: ArchiveClient,
+    turns: readonly IndexedTurn[],
+  ): Promise<{disk: DiskId; missing: IndexedTurn[]}> {
+    const nowMs = this.options.clock.nowMs();
+    const expiriesMs = turns.map(({expiresAtMs}) => expiresAtMs);
+    const {disk, isHeld} = await client.findTurns(
+      turns.map(({id}) => id),
+      expiriesMs.map((expiryMs) => Math.max(0, Math.ceil(expiryMs - nowMs))),
+    );
+    for (const [index, {id}] of turns.entries()) {
+      if (isHeld[index] === true) {
+        this.setVerified(id, disk, expiriesMs[index] ?? nowMs);
+      } else {
+        this.verifiedDisks.get(id)?.delete(disk);
+      }
     }
+    return {disk, missing: turns.filter((_turn, index) => !isHeld[index])};
+  }
+
+  private setVerified(turn: TurnId, disk: DiskId, untilMs: number): void {
+    const held = this.verifiedDisks.get(turn);
+    if (held === undefined) {
+      this.verifiedDisks.set(turn, new Map([[disk, untilMs]]));
+    } else held.set(disk, untilMs);
   }
 }
--- a/packages/turns/tests/repair/replica_repair.feature
+++ b/packages/turns/tests/repair/replica_repair.feature
@@ -62,3 +62,15 @@
     And 3000 ms pass
     Then each of these turns is on 2 to 3 running archives
     And archive "a" has sent no turns
+
+  Scenario: An early turn of a chain stays on two disks when its next turn was stored on another one
+    Given archives "a, b, c" with 2 replicas per turn
+    When turn "t1" finishes in "a"
+    And 50000 ms pass
+    And the other archive with turn "t1" is isolated
+    And turn "t0" finishes in "a"
+    And 500 ms pass
+    And turn "t2" after "t1" finishes in "a"
+    And the isolation ends and 40000 ms pass
+    And the disk of the archive "a" is lost and 3000 ms pass
+    Then a new entry VM in "b" reads the chain "t1, t2"
--- a/packages/turns/tests/repair/replica_repair_steps.ts
+++ b/packages/turns/tests/repair/replica_repair_steps.ts
@@ -31,6 +31,16 @@
   },
 );
 
+When(
+  'the other archive with turn {string} is isolated',
+  function (this: RepairWorld, id: string) {
+    const {archives} = this;
+    const other = archives.findHolders(id).find((name) => name !== 'a');
+    assert.ok(other, `turn "${id}" is on no disk except "a"`);
+    archives.cutOff = other;
+  },
+);
+
 When(
   'archive {string} restarts',
   async function (this: RepairWorld, name: string) {
