Stop probing archives that are no longer registered

A client that ArchivePool had dropped, since its archive was retired or its address changed, went on probing until the process ended: 1.7 requests a second from each VM for each archive that had ever left, if it was unreachable then. The pool now ends the probes of clients it drops.

replica_repair.feature, "An archive that is no longer registered is not probed", failed before.

--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -81,6 +81,7 @@
   private unreachableSinceMs: number | undefined;
   private lastReplyMs = Number.NEGATIVE_INFINITY;
   private repliedDisk: DiskId | undefined;
+  private isProbing = true;
 
   private constructor(private readonly options: ArchiveClientOptions) {}
 
@@ -125,6 +126,11 @@
     return this.unreachableSinceMs;
   }
 
+  /** Ends the probes for good, since the archive is no longer registered so. */
+  stopProbes(): void {
+    this.isProbing = false;
+  }
+
   /**
    * Reserves tokens in the archive's ledger.
    * @param reservation - Attempt, its tokens and the program's budget.
@@ -248,6 +254,7 @@
     const {daemon, address} = this.member;
     for (;;) {
       await clock.sleep(probeIntervalMs, signal);
+      if (!this.isProbing) return;
       try {
         const value = create(ArchiveProbeSchema);
         const reply = await transport.ask(
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -72,6 +72,9 @@
     if (this.clients.some((client) => !previous.includes(client))) {
       this.returns += 1;
     }
+    for (const client of previous) {
+      if (!this.clients.includes(client)) client.stopProbes();
+    }
     return this.clients;
   }
 
--- a/packages/turns/tests/repair/replica_repair.feature
+++ b/packages/turns/tests/repair/replica_repair.feature
@@ -63,6 +63,13 @@
     Then each of these turns is on 2 to 3 running archives
     And archive "a" has sent no turns
 
+  Scenario: An archive that is no longer registered is not probed
+    Given archive "b" is killed
+    And 1000 ms pass
+    When archive "b" is killed and unregistered
+    And 1000 ms pass
+    Then no requests are sent to archive "b" for 3000 ms
+
   Scenario: An early turn of a chain stays on two disks when its next turn was stored on another one
     Given archives "a, b, c" with 2 replicas per turn
     When turn "t1" finishes in "a"
--- a/packages/turns/tests/repair/replica_repair_steps.ts
+++ b/packages/turns/tests/repair/replica_repair_steps.ts
@@ -91,6 +91,16 @@
   },
 );
 
+Then(
+  'no requests are sent to archive {string} for {int} ms',
+  async function (this: RepairWorld, name: string, forMs: number) {
+    const {archives} = this;
+    archives.requestCounts.delete(name);
+    await archives.clock.advance(forMs);
+    assert.equal(archives.requestCounts.get(name) ?? 0, 0);
+  },
+);
+
 Then(
   'archive {string} has sent no turns',
   function (this: RepairWorld, name: string) {
