Presume no archive lost while the own VM reaches none

While no archive is reachable none is presumed lost now, as the method's comment says.

replica_repair.feature, the scenario of the isolated archive, checks the reports; it failed before.

--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -149,6 +149,7 @@
   isPresumedLost({unreachableAtMs = Infinity}: ArchiveClient): boolean {
     const nowMs = this.options.clock.nowMs();
     return (
+      this.hasReachableArchive &&
       nowMs - unreachableAtMs >= restartMs &&
       nowMs - this.isolationEndMs >= reconnectMs
     );
--- a/packages/turns/tests/repair/replica_repair.feature
+++ b/packages/turns/tests/repair/replica_repair.feature
@@ -62,6 +62,7 @@
     And 3000 ms pass
     Then each of these turns is on 2 to 3 running archives
     And archive "a" has sent no turns
+    And archive "a" has reported ""
 
   Scenario: An archive that is no longer registered is not probed
     Given archive "b" is killed
