--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -72,6 +72,9 @@
     if (this.clients.some((client) => !previous.includes(client))) {
       this.returns += 1;
     }
+    for (const client of previous) {
+      if (!this.clients.includes(client)) client.stopProbes();
+    }
     return this.clients;
   }
 
@@ -147,6 +150,7 @@
   isPresumedLost({unreachableAtMs = Infinity}: ArchiveClient): boolean {
     const nowMs = this.options.clock.nowMs();
     return (
+      this.hasReachableArchive &&
       nowMs - unreachableAtMs >= restartMs &&
       nowMs - this.isolationEndMs >= reconnectMs
     );
--- a/packages/turns/tests/repair/replica_repair_steps.ts
+++ b/packages/turns/tests/repair/replica_repair_steps.ts
@@ -31,6 +31,16 @@
   },
 );
 
+When(
+  'the other archive with turn {string} is isolated',
+  function (this: RepairWorld, id: string) {
+    const {archives} = this;
+    const other = archives.findHolders(id).find((name) => name !== 'a');
+    assert.ok(other, `turn "${id}" is on no disk except "a"`);
+    archives.cutOff = other;
+  },
+);
+
 When(
   'archive {string} restarts',
   async function (this: RepairWorld, name: string) {
@@ -81,6 +91,16 @@
   },
 );
 
+Then(
+  'no requests are sent to archive {string} for {int} ms',
+  async function (this: RepairWorld, name: string, forMs: number) {
+    const {archives} = this;
+    archives.requestCounts.delete(name);
+    await archives.clock.advance(forMs);
+    assert.equal(archives.requestCounts.get(name) ?? 0, 0);
+  },
+);
+
 Then(
   'archive {string} has sent no turns',
   function (this: RepairWorld, name: string) {
