Add the replicas of turns on one disk from the memory of their entry VM

While no other archive is reachable, as in an isolated data centre, a turn is acknowledged on one disk after 1.5 s at most. Only the archive itself added the second replica after the isolation; if its disk or VM was lost before, the caller that went on from the turn got 404 or 503 for ever, with one lost disk, which the site must tolerate.

The entry VM has such a turn in memory. TurnRecorder counts a holder by the disk on which it stored the turn, so a replaced disk does not count, whether or not the object API tells of it. Peers skip turns that they have, and the archive orders candidates alike, so the turn is mostly not stored more often. Not to acknowledge on one disk would end the service of an isolated data centre.

turn_recorder.feature: "A turn on one disk survives when the disk is lost before other archives return" and "... when its archive's VM is lost for good before others return" failed before (stored only on no archive); without the check of the disk, the first one fails.

--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -10,6 +10,7 @@
 import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveWait} from './archive_retries.js';
+import {ReplicaCompletion} from './replica_completion.js';
 import {orderCandidates} from './replica_placement.js';
 
 /** Delay after which further archives are written to as well (hedging). */
@@ -27,9 +28,16 @@
 /** A finished turn whose disks are not chosen yet. */
 export type NewTurn = Omit<TurnRecord, 'disks'>;
 
+/** Archives that store a turn, each with the disk on which it did. */
+type TurnHolders = Map<ArchiveClient, DiskId>;
+
 /** Chooses the archives of a finished turn and writes it to them. */
 export class TurnRecorder {
-  private constructor(private readonly options: TurnRecorderOptions) {}
+  private readonly completion: ReplicaCompletion;
+
+  private constructor(private readonly options: TurnRecorderOptions) {
+    this.completion = ReplicaCompletion.create(options.pool, options.clock);
+  }
 
   /**
    * Creates a recorder.
@@ -39,11 +47,16 @@
     return new TurnRecorder(options);
   }
 
+  /** Stops completing replicas in the background. */
+  stop(): void {
+    this.completion.stop();
+  }
+
   /**
    * Stores a turn; resolves once `replicaCount` archives have it. While fewer
    * are registered or some have just become unreachable, waits up to 1.5 s for
    * more; after that, or at once if none is expected, one replica is enough:
-   * that archive repairs the others later. Throws `archive_unavailable` when no
+   * others are added later, by that archive and by this recorder. Throws `archive_unavailable` when no
    * archive stored it.
    * @param turn - Finished turn.
    * @param chainDisks - Disks of the previous turn.
@@ -56,36 +69,57 @@
   ): Promise<TurnRecord> {
     const {pool, replicaCount} = this.options;
     const retries = pool.createRetries(wait);
-    const holders = new Set<ArchiveClient>();
+    const holders: TurnHolders = new Map();
     for (;;) {
       const record = await this.storeMissing(turn, chainDisks, holders);
       if (holders.size >= replicaCount) return record;
       const isStored = holders.size > 0;
       if (await retries.waitForReturn(replicaCount, isStored)) continue;
-      if (isStored) return record;
+      if (isStored) {
+        this.completeLater(turn, chainDisks, holders);
+        return record;
+      }
       const message = `turn "${turn.id}" could not be stored on any of ${pool.getClients().length} archives`;
       throw MarigoldpostError.create('archive_unavailable', message);
     }
   }
 
+  private completeLater(
+    turn: NewTurn,
+    chainDisks: readonly DiskId[],
+    holders: TurnHolders,
+  ): void {
+    const {id, retentionMs, input, output} = turn;
+    this.completion.add({
+      id,
+      retentionMs,
+      bytes: input.length + output.length,
+      storeMissing: async () => {
+        await this.storeMissing(turn, chainDisks, holders);
+        return holders.size >= this.options.replicaCount;
+      },
+    });
+  }
+
   /** Writes a turn to further archives until enough of them hold it. */
   private async storeMissing(
     turn: NewTurn,
     chainDisks: readonly DiskId[],
-    holders: Set<ArchiveClient>,
+    holders: TurnHolders,
   ): Promise<TurnRecord> {
     const {pool, ownDataCentre, replicaCount} = this.options;
     const clients = pool.getClients();
-    for (const holder of holders) {
+    for (const [holder, disk] of holders) {
       // Its disk has been replaced or its VM removed.
-      if (!clients.includes(holder)) holders.delete(holder);
+      const isGone = !clients.includes(holder) || holder.disk !== disk;
+      if (isGone) holders.delete(holder);
     }
     const candidates = orderCandidates(
       clients.filter((client) => client.isReachable || holders.has(client)),
       {program: turn.program, ownDataCentre, chainDisks},
     );
     const others = candidates.filter((client) => !holders.has(client));
-    const disks = [...holders, ...others]
+    const disks = [...holders.keys(), ...others]
       .slice(0, replicaCount)
       .map(({member}) => member.disk);
     const record = {...turn, disks};
@@ -103,14 +137,14 @@
   private constructor(
     private readonly record: TurnRecord,
     private readonly clients: readonly ArchiveClient[],
-    private readonly holders: Set<ArchiveClient>,
+    private readonly holders: TurnHolders,
     private readonly options: TurnRecorderOptions,
   ) {}
 
   static create(
     record: TurnRecord,
     clients: readonly ArchiveClient[],
-    holders: Set<ArchiveClient>,
+    holders: TurnHolders,
     options: TurnRecorderOptions,
   ): TurnReplication {
     return new TurnReplication(record, clients, holders, options);
@@ -146,7 +180,7 @@
   private async store(client: ArchiveClient): Promise<void> {
     try {
       await client.storeTurns([this.record]);
-      this.holders.add(client);
+      this.holders.set(client, client.disk);
     } catch {
       // The pool reports the unreachable archive; the next candidate is tried.
       this.startNextWrite();
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -75,9 +75,10 @@
     return this.options.pool.hasReachableArchive;
   }
 
-  /** Stops sending settlements in the background. */
+  /** Stops sending settlements and turns in the background. */
   stop(): void {
     this.settlements.stop();
+    this.recorder.stop();
   }
 
   /**
--- a/packages/turns/tests/client/turn_recorder.feature
+++ b/packages/turns/tests/client/turn_recorder.feature
@@ -60,6 +60,27 @@
     And turn "t1" finishes in "a" within 100 ms
     Then turn "t1" is on 1 disks, among them "a"
 
+  Scenario: A turn on one disk survives when the disk is lost before other archives return
+    Given data centre "a" is isolated
+    When 3000 ms pass
+    And turn "t1" finishes in "a" within 100 ms
+    And archive "a" is killed
+    Then turn "t0" that finishes in "a" fails with archive_unavailable within 2000 ms
+    When archive "a" loses its disk and nobody has read of its new one
+    And 1200 ms pass
+    Then turn "t1" is on 1 disks, among them "a"
+    When the isolation ends and 2000 ms pass
+    Then turn "t1" is on at least 2 disks
+    And a new entry VM in "d" reads the chain "t1"
+
+  Scenario: A turn on one disk survives when its archive's VM is lost for good before others return
+    Given data centre "a" is isolated
+    When 3000 ms pass
+    And turn "t1" finishes in "a" within 100 ms
+    And archive "a" is killed
+    And the isolation ends and 4000 ms pass
+    Then turn "t1" is on at least 2 disks
+
   Scenario: A turn waits for archives no longer than its call lasts
     Given archives "a, b, c, d" are down for 10000 ms
     Then turn "t1" that finishes in "a" with a call that ends after 600 ms fails with archive_unavailable within 610 ms
