Search for expiring replicas every 2 s

The search looks at every turn once for each peer, which adds up on sites with many archives; the renewal has a margin of 10 s. No behaviour changes but that; the turns features pass (96 scenarios).

--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -27,6 +27,8 @@
  * longer; more than the time between two sweeps of an archive.
  */
 const renewalMs = 10_000;
+/** Pause between two searches for such replicas, which look at every turn. */
+const renewalIntervalMs = 2000;
 /** Differences of expiry that are left alone. */
 const expirySlackMs = 1000;
 /** Limit of the turns queried or sent in one message; bounds its size. */
@@ -68,6 +70,7 @@
   private readonly refusingPeers = new WeakSet<ArchiveClient>();
   /** Peers whose replicas do not count, as of the last round. */
   private lostPeers = new Set<ArchiveClient>();
+  private nextRenewalMs = 0;
   /** Disks whose replicas count, as of the last round. */
   private countedDisks = new Set<DiskId>();
 
@@ -289,7 +292,10 @@
    * elsewhere that continues the chain extends the expiry of the own ones only.
    */
   private async renewReplicas(): Promise<void> {
-    const clients = this.options.pool.getClients();
+    const {clock, pool} = this.options;
+    if (clock.nowMs() < this.nextRenewalMs) return;
+    this.nextRenewalMs = clock.nowMs() + renewalIntervalMs;
+    const clients = pool.getClients();
     for (const client of clients.filter(({isReachable}) => isReachable)) {
       const expiring = this.findExpiringReplicas(client.disk);
       for (let start = 0; start < expiring.length; start += maxBatchTurns) {
