Keep crash records on the disks of the archives

Cause: crash records were in the memory of entry VMs and archives, and in one object an entry VM, which is written 300 ms after a crash and not while the store does not respond. If all processes ended before, nothing was left of them.

No reply waits for the disk: an entry VM sends its records again to an archive that restarts, so a record is lost only if its entry VM ends as well before the write.

An entry VM was ready once it had read the objects, or after one round without a reply of an archive. Archives that start at the same time do not serve yet, so it now waits until one has replied, for 2 s at most; without archives it is ready as before.

The event archive_opened counts the records (crashRecords).

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -12,9 +12,10 @@
 import {Quarantine} from '@marigoldpost/targets';
 import {entryPrefix} from '../entry/entry_directory.js';
 import type {NodeOptions} from '../node_options.js';
-import {deathsToQuarantine} from '../quarantine_settings.js';
+import {deathsToQuarantine, isCurrentEntry} from '../quarantine_settings.js';
 import {promptWaitMs, relaxedTiming, SiteNode} from '../site_node.js';
 import {getKindPrefix, combineSinks} from '../utils/object_sink.js';
+import {QuarantineLog} from './quarantine_log.js';
 import {QuarantineRelay} from './quarantine_relay.js';
 import {RetirementTask} from './retirement_task.js';
 import {SiteMirror} from './site_mirror.js';
@@ -39,12 +40,15 @@
 
   override async start(): Promise<void> {
     const startMs = this.clock.nowMs();
-    const archive = await this.openArchive();
+    const {clock} = this;
+    const quarantine = Quarantine.create({clock, deathsToQuarantine});
+    const archive = await this.openArchive(quarantine);
     this.archive = archive;
     const repairer = this.createRepairer(archive);
     const service = ArchiveService.create(archive, () => repairer.isComplete);
     const mirror = SiteMirror.create();
-    const relay = this.createQuarantineRelay();
+    const quarantineLog = this.createQuarantineLog(archive, quarantine);
+    const relay = this.createQuarantineRelay(quarantine, quarantineLog);
     await this.transport.start((sender, request) => {
       if (request.case === 'fetchSite') {
         return Promise.resolve(mirror.createReply());
@@ -62,6 +66,7 @@
     );
     this.tasks.run('repair', (signal) => repairer.run(signal));
     this.tasks.run('sweep', (signal) => archive.sweep(signal));
+    this.tasks.run('crash records', (signal) => quarantineLog.run(signal));
     await this.startSharedServices('archive', startMs);
   }
 
@@ -92,13 +97,32 @@
     }
   }
 
-  private createQuarantineRelay(): QuarantineRelay {
+  private createQuarantineLog(
+    archive: Archive,
+    quarantine: Quarantine,
+  ): QuarantineLog {
+    return QuarantineLog.create({
+      archive,
+      quarantine,
+      clock: this.clock,
+      onFailed: (error) => this.tasks.logFailure('crash records', error),
+    });
+  }
+
+  private createQuarantineRelay(
+    quarantine: Quarantine,
+    quarantineLog: QuarantineLog,
+  ): QuarantineRelay {
     const {clock, random} = this.options;
-    const quarantine = Quarantine.create({clock, deathsToQuarantine});
-    return QuarantineRelay.create(quarantine, clock, String(random.next()));
+    return QuarantineRelay.create({
+      quarantine,
+      clock,
+      process: String(random.next()),
+      onMerged: (entries) => quarantineLog.add(entries),
+    });
   }
 
-  private async openArchive(): Promise<Archive> {
+  private async openArchive(quarantine: Quarantine): Promise<Archive> {
     const startMs = this.clock.nowMs();
     const {settings, clock, random, logger} = this.options;
     const folder = await DiskLogFolder.create(getDataFolderOrThrow(settings));
@@ -106,12 +130,17 @@
       folder,
       clock,
       random,
+      onQuarantineRecovered: (entry) => {
+        if (!isCurrentEntry(entry, clock.wallTimeMs())) return;
+        quarantine.mergeEntries([entry]);
+      },
       onSweepFailed: (error) => this.tasks.logFailure('sweep', error),
     });
     logger.log('archive_opened', {
       disk: archive.disk,
       turns: archive.turnCount,
       programs: archive.programCount,
+      crashRecords: quarantine.size,
       elapsedMs: Math.round(clock.nowMs() - startMs),
     });
     return archive;
--- a/packages/nodes/src/archive/quarantine_relay.ts
+++ b/packages/nodes/src/archive/quarantine_relay.ts
@@ -11,35 +11,38 @@
   toQuarantineMessage,
   toTargetLimitMessage,
 } from '@marigoldpost/peers';
-import type {Quarantine} from '@marigoldpost/targets';
+import type {Quarantine, QuarantineEntry} from '@marigoldpost/targets';
 
 /** Limits that are kept; far more than a site has targets. */
 const maxLimits = 4000;
 
+/** Quarantine and clock of a relay. */
+export interface QuarantineRelayOptions {
+  /** Quarantine that keeps the records. */
+  readonly quarantine: Quarantine;
+  /** Clock of the ages of limits. */
+  readonly clock: Clock;
+  /** Differs for each process, since revisions start anew. */
+  readonly process: string;
+  /** Called with the entries that records of an entry VM have changed. */
+  readonly onMerged: (entries: readonly QuarantineEntry[]) => void;
+}
+
 /** Merges the records of entry VMs and replies with those of the others. */
 export class QuarantineRelay {
   private readonly limits: TargetLimits;
 
-  private constructor(
-    private readonly quarantine: Quarantine,
-    private readonly clock: Clock,
-    private readonly process: string,
-  ) {
+  private constructor(private readonly options: QuarantineRelayOptions) {
+    const {clock} = options;
     this.limits = TargetLimits.create({clock, onChanged: () => undefined});
   }
 
   /**
    * Creates a relay.
-   * @param quarantine - Quarantine that keeps the records.
-   * @param clock - Clock of the ages of limits.
-   * @param process - Differs for each process, since revisions start anew.
+   * @param options - Quarantine, clock and listener.
    */
-  static create(
-    quarantine: Quarantine,
-    clock: Clock,
-    process: string,
-  ): QuarantineRelay {
-    return new QuarantineRelay(quarantine, clock, process);
+  static create(options: QuarantineRelayOptions): QuarantineRelay {
+    return new QuarantineRelay(options);
   }
 
   /**
@@ -48,10 +51,13 @@
    * @param request - Entries of the entry VM and the revision that it has.
    */
   answer(sender: DaemonId, request: ExchangeQuarantines): PeerReplyBody {
-    const {quarantine, limits, clock, process} = this;
+    const {limits} = this;
+    const {quarantine, clock, process, onMerged} = this.options;
     const isKnown = request.process === process;
     const sinceRevision = isKnown ? Number(request.sinceRevision) : 0;
-    quarantine.mergeEntries(request.quarantines.map(fromQuarantineMessage));
+    const received = request.quarantines.map(fromQuarantineMessage);
+    const merged = quarantine.mergeEntries(received);
+    if (merged.length > 0) onMerged(merged);
     const entries = quarantine.getEntries(sinceRevision);
     const nowMs = clock.nowMs();
     limits.merge(
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -343,14 +343,23 @@
     return {status, body: `${reason}\n`};
   }
 
+  /**
+   * Whether the crash records have been read. The store may lack those of its
+   * outages, so archives are asked as well if there are any.
+   */
+  private get hasCrashRecords(): boolean {
+    if (this.quarantineExchange.isLoaded) return true;
+    const hasArchives =
+      !this.archiveDirectory.isLoaded || this.archivePool.hasReachableArchive;
+    return this.quarantineReplicator.isLoaded && !hasArchives;
+  }
+
   private getReadinessReason(): string {
     if (this.isDraining) return 'draining';
     const config = this.site.currentConfig;
     if (config === undefined) return 'no configuration';
     if (!this.targetDirectory.isLoaded) return 'no list of targets';
-    const hasCrashRecords =
-      this.quarantineReplicator.isLoaded || this.quarantineExchange.isLoaded;
-    if (!hasCrashRecords) return 'no crash records';
+    if (!this.hasCrashRecords) return 'no crash records';
     const keepsTurns = config.routes.some(
       ({retentionMs}) => retentionMs !== undefined,
     );
--- a/packages/nodes/src/entry/quarantine_exchange.ts
+++ b/packages/nodes/src/entry/quarantine_exchange.ts
@@ -30,6 +30,8 @@
 const initialPollMs = 50;
 /** One crash fails many requests at a time; they are sent as one batch. */
 const batchDelayMs = 30;
+/** Time after which an entry VM serves although no archive has replied. */
+const maxLoadMs = 2000;
 /** Lower than the number of any change, also of entries of other entry VMs. */
 const allEntries = -1;
 
@@ -68,7 +70,7 @@
   private readonly changes = new Map<Fingerprint, number>();
   private lastChange = 0;
   private readonly states = new WeakMap<ArchiveClient, ExchangeState>();
-  private hasAskedArchive = false;
+  private hasLoaded = false;
   private wake = Deferred.create<void>();
 
   private constructor(private readonly options: QuarantineExchangeOptions) {}
@@ -81,9 +83,12 @@
     return new QuarantineExchange(options);
   }
 
-  /** Whether a reachable archive has been asked for its records. */
+  /**
+   * Whether an archive has sent its records, or none has replied for 2 s.
+   * Archives that start at the same time may not serve yet.
+   */
   get isLoaded(): boolean {
-    return this.hasAskedArchive;
+    return this.hasLoaded;
   }
 
   /**
@@ -107,10 +112,13 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     const {clock, pool} = this.options;
+    const startMs = clock.nowMs();
     while (!signal.aborted) {
       this.removeExpiredChanges();
-      await this.exchangeWithArchives(pool.getClients());
-      const pauseMs = this.hasAskedArchive ? pollMs : initialPollMs;
+      const hasReply = await this.exchangeWithArchives(pool.getClients());
+      const isLate = clock.nowMs() - startMs >= maxLoadMs;
+      this.hasLoaded ||= hasReply || isLate;
+      const pauseMs = this.hasLoaded ? pollMs : initialPollMs;
       await this.waitForChange(pauseMs, signal);
       await clock.sleep(batchDelayMs, signal);
     }
@@ -134,28 +142,28 @@
     }
   }
 
+  /** Exchanges records with the archives; false if none replies. */
   private async exchangeWithArchives(
     clients: readonly ArchiveClient[],
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {dataCentre} = this.options;
     const reachable = clients.filter(({isReachable}) => isReachable);
     const [nearest, ...others] = [
       ...reachable.filter((client) => client.dataCentre === dataCentre),
       ...reachable.filter((client) => client.dataCentre !== dataCentre),
     ];
-    if (nearest === undefined) return;
+    if (nearest === undefined) return false;
     const hasReplied = await Promise.all([
       this.exchange(nearest),
       ...others
         .filter((client) => this.hasUnsent(client))
         .map((client) => this.exchange(client)),
     ]);
-    if (!hasReplied.includes(true)) {
-      for (const client of others) {
-        if (await this.exchange(client)) break;
-      }
+    if (hasReplied.includes(true)) return true;
+    for (const client of others) {
+      if (await this.exchange(client)) return true;
     }
-    this.hasAskedArchive = true;
+    return false;
   }
 
   private hasUnsent(client: ArchiveClient): boolean {
--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -20,7 +20,7 @@
 import type {Quarantine, QuarantineEntry} from '@marigoldpost/targets';
 import type {EventLogger} from '@marigoldpost/telemetry';
 import * as z from 'zod';
-import {deathsToQuarantine} from '../quarantine_settings.js';
+import {isCurrentEntry} from '../quarantine_settings.js';
 import type {ObjectSink} from '../utils/object_sink.js';
 import type {QuarantineReceiver} from './quarantine_receiver.js';
 
@@ -31,10 +31,6 @@
 const batchDelayMs = 300;
 /** Pause before a failed write is retried. */
 const retryDelayMs = 500;
-/** Suspicions of earlier runs of a daemon are ignored after this time. */
-const maxSuspicionAgeMs = 600_000;
-/** Quarantines of earlier runs are ignored after a day. */
-const maxQuarantineAgeMs = 86_400_000;
 /** Limit of the entries in one object, far below the size limit of objects. */
 const maxWrittenEntries = 2000;
 
@@ -122,10 +118,8 @@
 
   private mergeObject({key, value}: StoredObject): void {
     const nowMs = this.options.clock.wallTimeMs();
-    const entries = parseEntries(value).filter(
-      (entry) =>
-        entry.deaths.length === 0 ||
-        getLastDeathMs(entry) >= nowMs - getMaxAgeMs(entry),
+    const entries = parseEntries(value).filter((entry) =>
+      isCurrentEntry(entry, nowMs),
     );
     this.options.receiver.receive(key, entries);
   }
@@ -167,17 +161,6 @@
   }
 }
 
-function getLastDeathMs({deaths}: QuarantineEntry): number {
-  return Math.max(0, ...deaths.map(({atMs}) => atMs));
-}
-
-function getMaxAgeMs({deaths, quarantinedDeaths}: QuarantineEntry): number {
-  const current = deaths.filter(({isCleared}) => !isCleared).length;
-  const isQuarantined =
-    Math.max(quarantinedDeaths, current) >= deathsToQuarantine;
-  return isQuarantined ? maxQuarantineAgeMs : maxSuspicionAgeMs;
-}
-
 /** Parses the entries of an object; passes over those of other formats. */
 function parseEntries(value: string): QuarantineEntry[] {
   const parsed = z.array(z.unknown()).safeParse(parseJson(value));
--- a/packages/nodes/tests/archive/target_statements_steps.ts
+++ b/packages/nodes/tests/archive/target_statements_steps.ts
@@ -34,7 +34,12 @@
     await this.clock.advance(10_000);
     const {clock} = this;
     const quarantine = Quarantine.create({clock, deathsToQuarantine: 3});
-    this.relay = QuarantineRelay.create(quarantine, clock, 'process');
+    this.relay = QuarantineRelay.create({
+      quarantine,
+      clock,
+      process: 'process',
+      onMerged: () => undefined,
+    });
   },
 );
 
--- a/packages/nodes/tests/entry/quarantine_exchange.feature
+++ b/packages/nodes/tests/entry/quarantine_exchange.feature
@@ -8,3 +8,13 @@
     Given an exchange whose entry VM has learned from others that a target with a limit of 2 is leaving
     When the archive of the exchange has restarted
     Then the exchange tells the archive once that the target is leaving, and no limit
+
+  Scenario Outline: An entry VM that starts together with the archives waits for their crash records (<reply>)
+    When an exchange starts whose archive replies after <reply> ms
+    Then the exchange has loaded after <loaded> ms, and not before
+
+    Examples:
+      | reply  | loaded |
+      | 0      | 0      |
+      | 700    | 700    |
+      | 100000 | 2000   |
--- a/packages/nodes/tests/entry/quarantine_exchange_steps.ts
+++ b/packages/nodes/tests/entry/quarantine_exchange_steps.ts
@@ -25,6 +25,7 @@
 
 interface ExchangeWorld extends World {
   mostListeners: number;
+  loadedAfterMs: number;
   clock: VirtualClock;
   controller: AbortController;
   /** Process of the archive, and limits that each of its processes received. */
@@ -34,6 +35,8 @@
 
 /** Enough for several exchanges. */
 const exchangeMs = 3000;
+/** Above the pause between two requests of an exchange that starts. */
+const longestPauseMs = 150;
 const leavingTarget = {target: toId<TargetId>('tool-0'), startedAtMs: 7};
 
 Given(
@@ -134,3 +137,48 @@
     assert.ok(this.mostListeners <= most, `${this.mostListeners} listeners`);
   },
 );
+
+When(
+  'an exchange starts whose archive replies after {int} ms',
+  async function (this: ExchangeWorld, replyAfterMs: number) {
+    const clock = VirtualClock.create();
+    const limits = TargetLimits.create({clock, onChanged: () => undefined});
+    const client = {
+      isReachable: true,
+      dataCentre: toId<DataCentreId>('cat-lai'),
+      member: {daemon: toId<DaemonId>('archive-0')},
+      exchangeQuarantines: () =>
+        Promise.resolve(
+          clock.nowMs() < replyAfterMs
+            ? undefined
+            : create(QuarantineChangesSchema, {process: 'first'}),
+        ),
+    };
+    const exchange = QuarantineExchange.create({
+      pool: {getClients: () => [client]},
+      dataCentre: client.dataCentre,
+      clock,
+      quarantine: Quarantine.create({clock, deathsToQuarantine: 2}),
+      receiver: {receive: () => undefined},
+      limits,
+      logger: EventLogger.createSilent(),
+    } as unknown as QuarantineExchangeOptions);
+    const controller = new AbortController();
+    const run = exchange.run(controller.signal).catch(() => undefined);
+    await clock.advance(1);
+    while (!exchange.isLoaded) await clock.advance(10);
+    this.loadedAfterMs = clock.nowMs();
+    controller.abort();
+    await run;
+  },
+);
+
+Then(
+  'the exchange has loaded after {int} ms, and not before',
+  function (this: ExchangeWorld, loadedMs: number) {
+    const {loadedAfterMs} = this;
+    const isInTime =
+      loadedAfterMs >= loadedMs && loadedAfterMs <= loadedMs + longestPauseMs;
+    assert.ok(isInTime, `${loadedAfterMs} ms`);
+  },
+);
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -114,6 +114,11 @@
     return this.lastRevision;
   }
 
+  /** Number of entries, cleared ones included. */
+  get size(): number {
+    return this.entries.size;
+  }
+
   /** Whether there are no entries, cleared ones included. */
   get isEmpty(): boolean {
     return this.entries.size === 0;
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -197,6 +197,7 @@
     disk: 'string',
     turns: 'number',
     programs: 'number',
+    crashRecords: 'number',
     elapsedMs: 'number',
   }),
   archive_reachability: define(
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -7,6 +7,7 @@
   toId,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
+import type {QuarantineEntry} from '@marigoldpost/targets';
 import {
   BudgetLedger,
   type LedgerEntry,
@@ -31,6 +32,11 @@
  * turns is retained.
  */
 const ledgerRetentionMs = 120_000;
+/**
+ * How long a quarantine is kept on the disk after it was stored. Entries that
+ * are needed for longer must be stored again within this time.
+ */
+export const quarantineRetentionMs = ledgerRetentionMs;
 const sweepIntervalMs = 5000;
 
 /** Dependencies and callbacks of an archive. */
@@ -40,6 +46,8 @@
   readonly random: Random;
   /** Called after a turn is durable on this disk. */
   readonly onStored?: (turn: IndexedTurn) => void;
+  /** Called for each quarantine on the disk, the oldest one first. */
+  readonly onQuarantineRecovered?: (quarantine: QuarantineEntry) => void;
   /** Called when an expired log segment could not be removed. */
   readonly onSweepFailed?: (error: unknown) => void;
 }
@@ -64,7 +72,7 @@
    * @param options - Log folder, clock and callbacks.
    */
   static async open(options: ArchiveOptions): Promise<Archive> {
-    const {folder, clock, random} = options;
+    const {folder, clock, random, onQuarantineRecovered} = options;
     const index = TurnIndex.create();
     const ledger = BudgetLedger.create();
     const nowMs = clock.nowMs();
@@ -76,6 +84,9 @@
         const entry = decodeArchiveEntry(bytes);
         index.retainSegment(position.segment, nowMs + ledgerRetentionMs);
         if (entry?.kind === 'ledger') mergeLedger(ledger, entry.ledger, nowMs);
+        if (entry?.kind === 'quarantine') {
+          onQuarantineRecovered?.(entry.quarantine);
+        }
         if (entry?.kind !== 'turn') return;
         index.add(entry.turn, position, nowMs);
         settleTurn(ledger, entry.turn, nowMs);
@@ -116,6 +127,24 @@
     await Promise.all(records.map((record) => this.storeTurn(record)));
   }
 
+  /**
+   * Stores quarantines for `quarantineRetentionMs`; resolves once they are
+   * durable.
+   * @param quarantines - Entries that have changed.
+   */
+  async storeQuarantines(
+    quarantines: readonly QuarantineEntry[],
+  ): Promise<void> {
+    await Promise.all(
+      quarantines.map(async (quarantine) => {
+        const entry = encodeArchiveEntry({kind: 'quarantine', quarantine});
+        const {segment} = await this.log.append(entry);
+        const expiresAtMs = this.nowMs() + quarantineRetentionMs;
+        this.index.retainSegment(segment, expiresAtMs);
+      }),
+    );
+  }
+
   /** Whether it stores no further turns, since its VM is about to be removed. */
   get isSealed(): boolean {
     return this.isClosedForTurns;
--- a/packages/turns/src/records/turn_codec.ts
+++ b/packages/turns/src/records/turn_codec.ts
@@ -1,4 +1,4 @@
-/** Converts turns and ledgers to peer messages and log entries, and back. */
+/** Converts turns, ledgers and quarantines to peer messages and log entries, and back. */
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {
   type DataCentreId,
@@ -8,13 +8,16 @@
 } from '@marigoldpost/common';
 import {
   ArchiveLogEntrySchema,
+  fromQuarantineMessage,
   type ProgramLedger,
   ProgramLedgerSchema,
+  toQuarantineMessage,
   type Turn,
   TurnPromptPartSchema,
   TurnSchema,
 } from '@marigoldpost/peers';
 import type {PromptPartId, TurnId} from '@marigoldpost/sites';
+import type {QuarantineEntry} from '@marigoldpost/targets';
 import type {LedgerEntry} from '../ledger/budget_ledger.js';
 import type {DiskId} from '../log/disk_identity.js';
 import type {TurnRecord} from './turn_record.js';
@@ -28,7 +31,8 @@
 /** Content of one entry in an archive's log. */
 export type ArchiveEntry =
   | {readonly kind: 'turn'; readonly turn: TurnRecord}
-  | {readonly kind: 'ledger'; readonly ledger: ProgramEntries};
+  | {readonly kind: 'ledger'; readonly ledger: ProgramEntries}
+  | {readonly kind: 'quarantine'; readonly quarantine: QuarantineEntry};
 
 /**
  * Converts a turn to a peer message.
@@ -93,16 +97,27 @@
 
 /**
  * Encodes a log entry as protobuf.
- * @param entry - Turn or ledger entries to store.
+ * @param entry - Turn or ledger entries to store, or a quarantine.
  */
 export function encodeArchiveEntry(entry: ArchiveEntry): Uint8Array {
-  const body =
-    entry.kind === 'turn'
-      ? {case: 'turn' as const, value: toTurnMessage(entry.turn)}
-      : {case: 'ledger' as const, value: toLedgerMessage(entry.ledger)};
+  const body = toEntryBody(entry);
   return toBinary(ArchiveLogEntrySchema, create(ArchiveLogEntrySchema, {body}));
 }
 
+function toEntryBody(entry: ArchiveEntry) {
+  switch (entry.kind) {
+    case 'turn':
+      return {case: 'turn' as const, value: toTurnMessage(entry.turn)};
+    case 'ledger':
+      return {case: 'ledger' as const, value: toLedgerMessage(entry.ledger)};
+    case 'quarantine':
+      return {
+        case: 'quarantine' as const,
+        value: toQuarantineMessage(entry.quarantine),
+      };
+  }
+}
+
 /**
  * Decodes a log entry; `undefined` for a kind that this version does not know.
  * @param bytes - Payload of an intact entry.
@@ -117,5 +132,8 @@
   if (body.case === 'ledger') {
     return {kind: 'ledger', ledger: fromLedgerMessage(body.value)};
   }
+  if (body.case === 'quarantine') {
+    return {kind: 'quarantine', quarantine: fromQuarantineMessage(body.value)};
+  }
   return undefined;
 }
