Let a malformed object of the store cost only itself

One odd entry among those of the targets made every process that read the list stop following it: each listing and each watch failed again, as long as the entry was there. Entries with ports or numbers out of range were taken as targets, and http.request and net.connect throw on those at once.

Cause: JSON.parse accepts any depth, JSON.stringify recurses. The client of the store serialized each value again, so one value nested 5,000 deep threw RangeError for its whole page. Readers of archives, retirements and the configuration called JSON.parse without a check, and no reader checked ranges or addresses.

Change: values that cannot be serialized become empty texts, so that they still replace the sound value of their key. ObjectDecoder decodes entries of targets, archives and entry VMs: no error leaves it, and a malformed object is logged once (object_ignored, at most 1000 keys). A malformed entry removes its target at once, without the hold of a missing one.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -16,4 +16,5 @@
 export * from './utils/digest.js';
 export * from './utils/linked_list.js';
 export * from './utils/parse_json.js';
+export * from './utils/stringify_json.js';
 export * from './utils/wait_unless_aborted.js';
--- a/packages/nodes/src/entry/entry_directory.ts
+++ b/packages/nodes/src/entry/entry_directory.ts
@@ -7,7 +7,12 @@
 } from '@marigoldpost/common';
 import type {RelayMember} from '@marigoldpost/gateway';
 import type {PeerAddress} from '@marigoldpost/peers';
-import type {ObjectChange, StoredObject} from '@marigoldpost/platform';
+import {
+  type ObjectChange,
+  ObjectDecoder,
+  type StoredObject,
+} from '@marigoldpost/platform';
+import {isHttpAddress} from '@marigoldpost/sites';
 import * as z from 'zod';
 import type {ObjectSink} from '../utils/object_sink.js';
 
@@ -16,8 +21,8 @@
 
 const memberSchema = z.object({
   daemon: z.string(),
-  address: z.string(),
-  relayAddress: z.string(),
+  address: z.string().refine(isHttpAddress),
+  relayAddress: z.string().refine(isHttpAddress),
   dataCentre: z.string(),
 });
 
@@ -26,26 +31,36 @@
   readonly dataCentre: DataCentreId;
 }
 
+/** Own registration and callbacks of a directory. */
+export interface EntryDirectoryOptions {
+  /** Registration of the own entry VM. */
+  readonly own: EntryMember;
+  /** Called when the own object was removed by another daemon. */
+  readonly onOwnRemoved: () => void;
+  /** Called once for an object that is malformed. */
+  readonly onIgnored?: (object: StoredObject) => void;
+}
+
 /** Registered entry VMs, updated from a watch; includes the own one. */
 export class EntryDirectory implements ObjectSink {
   private readonly members = new Map<string, EntryMember>();
   private hasLoaded = false;
   private changes = 0;
 
-  private constructor(
-    private readonly own: EntryMember,
-    private readonly onOwnRemoved: () => void,
-  ) {
+  private readonly decoder: ObjectDecoder<EntryMember>;
+
+  private constructor(private readonly options: EntryDirectoryOptions) {
+    const {onIgnored} = options;
+    this.decoder = ObjectDecoder.create({decode: decodeMember, onIgnored});
     this.addOwn();
   }
 
   /**
    * Creates a directory that contains only the own entry VM.
-   * @param own - Registration of the own entry VM.
-   * @param onOwnRemoved - Called when its object was removed by another daemon.
+   * @param options - Own registration and callbacks.
    */
-  static create(own: EntryMember, onOwnRemoved: () => void): EntryDirectory {
-    return new EntryDirectory(own, onOwnRemoved);
+  static create(options: EntryDirectoryOptions): EntryDirectory {
+    return new EntryDirectory(options);
   }
 
   /** Whether the list of entry VMs has been read at least once. */
@@ -80,30 +95,36 @@
     this.members.delete(key);
     if (key !== this.ownKey) return;
     this.addOwn();
-    this.onOwnRemoved();
+    this.options.onOwnRemoved();
   }
 
   private get ownKey(): string {
-    return `${entryPrefix}${this.own.daemon}`;
+    return `${entryPrefix}${this.options.own.daemon}`;
   }
 
   private addOwn(): void {
-    this.members.set(this.ownKey, this.own);
+    this.members.set(this.ownKey, this.options.own);
   }
 
-  private putObject({key, value}: StoredObject): void {
+  private putObject(object: StoredObject): void {
+    const {key} = object;
     if (key === this.ownKey) return;
-    const parsed = memberSchema.safeParse(parseJson(value));
-    if (!parsed.success) {
-      this.members.delete(key);
-      return;
-    }
-    const {daemon, address, relayAddress, dataCentre} = parsed.data;
-    this.members.set(key, {
-      daemon: toId<DaemonId>(daemon),
-      address,
-      relayAddress,
-      dataCentre: toId<DataCentreId>(dataCentre),
-    });
+    const member = this.decoder.decode(object);
+    if (member === undefined) this.members.delete(key);
+    else this.members.set(key, member);
   }
 }
+
+function decodeMember({key, value}: StoredObject): EntryMember | undefined {
+  const parsed = memberSchema.safeParse(parseJson(value));
+  if (!parsed.success) return undefined;
+  const {daemon, address, relayAddress, dataCentre} = parsed.data;
+  // An entry VM registers only itself.
+  if (key !== `${entryPrefix}${daemon}`) return undefined;
+  return {
+    daemon: toId<DaemonId>(daemon),
+    address,
+    relayAddress,
+    dataCentre: toId<DataCentreId>(dataCentre),
+  };
+}
--- a/packages/nodes/src/entry/entry_fleet.ts
+++ b/packages/nodes/src/entry/entry_fleet.ts
@@ -30,6 +30,7 @@
 import type {TargetEntry} from '@marigoldpost/sites';
 import type {NodeOptions} from '../node_options.js';
 import type {BackgroundTasks} from '../utils/background_tasks.js';
+import {createIgnoredObjectLog} from '../utils/log_ignored_object.js';
 import {
   EntryDirectory,
   type EntryMember,
@@ -74,9 +75,11 @@
     this.links = LinkMonitor.create({clock, logger});
     const {agents, limits, links} = this;
     this.prober = LinkProber.create({clock, links, agents});
-    this.directory = EntryDirectory.create(this.getOwnMember(), () =>
-      this.startRegistration(),
-    );
+    this.directory = EntryDirectory.create({
+      own: this.getOwnMember(),
+      onOwnRemoved: () => this.startRegistration(),
+      onIgnored: createIgnoredObjectLog(logger),
+    });
     this.permits = this.createPermitExchange();
     this.limiter = RateLimiter.create({clock, limits, source: this.permits});
     this.sender = this.createSender();
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -8,6 +8,7 @@
 import type {NodeOptions} from './node_options.js';
 import {BackgroundTasks} from './utils/background_tasks.js';
 import {findChangedSettings} from './utils/changed_settings.js';
+import {createIgnoredObjectLog} from './utils/log_ignored_object.js';
 import {createLoggingListener, type ObjectSink} from './utils/object_sink.js';
 import {reportDroppedLines} from './utils/report_dropped_lines.js';
 
@@ -38,7 +39,7 @@
   protected readonly clock: Clock;
   protected readonly tasks: BackgroundTasks;
   protected readonly transport: MessageTransport;
-  protected readonly archiveDirectory = ArchiveDirectory.create();
+  protected readonly archiveDirectory: ArchiveDirectory;
   private readonly metricsPage: PageServer;
   private readonly watches: WatchGroup;
   private currentSettings: NodeSettings;
@@ -50,6 +51,9 @@
     this.currentSettings = settings;
     this.clock = clock;
     this.tasks = BackgroundTasks.create(logger);
+    this.archiveDirectory = ArchiveDirectory.create({
+      onIgnored: createIgnoredObjectLog(logger),
+    });
     this.transport = MessageTransport.create({
       daemon: settings.daemon,
       host: settings.ip,
--- a/packages/nodes/src/targets/target_directory.ts
+++ b/packages/nodes/src/targets/target_directory.ts
@@ -6,13 +6,15 @@
  * left, so a hold ends before such a target may receive no request any more.
  */
 import type {Clock, TargetId, Timer} from '@marigoldpost/common';
-import type {
-  ObjectChange,
-  ObjectListener,
-  StoredObject,
+import {
+  type ObjectChange,
+  ObjectDecoder,
+  type ObjectListener,
+  type StoredObject,
 } from '@marigoldpost/platform';
 import type {NodeBounds, TargetEntry} from '@marigoldpost/sites';
 import type {EventLogger} from '@marigoldpost/telemetry';
+import {createIgnoredObjectLog} from '../utils/log_ignored_object.js';
 
 /** Longest time after an outage for which missing entries are held. */
 const maxHoldMs = 2300;
@@ -64,8 +66,13 @@
   private isSetFromOutage = false;
   private holdTimer: Timer | undefined;
   private hasLoaded = false;
+  private readonly decoder: ObjectDecoder<TargetEntry>;
 
-  private constructor(private readonly options: TargetDirectoryOptions) {}
+  private constructor(private readonly options: TargetDirectoryOptions) {
+    const {decode, logger} = options;
+    const onIgnored = createIgnoredObjectLog(logger);
+    this.decoder = ObjectDecoder.create({decode, onIgnored});
+  }
 
   /**
    * Creates an empty directory.
@@ -141,12 +148,15 @@
   }
 
   private putObject(object: StoredObject): void {
-    const entry = this.options.decode(object);
+    const entry = this.decoder.decode(object);
+    const existing = this.targets.get(object.key);
     if (entry === undefined) {
-      this.removeKey(object.key, object.version);
+      // The entry is not missing, so it is not held: its target is unknown.
+      if (existing !== undefined) {
+        this.unlist(object.key, existing.entry, object.version);
+      }
       return;
     }
-    const existing = this.targets.get(object.key);
     this.targets.set(object.key, {entry});
     if (existing !== undefined && isSameEntry(existing.entry, entry)) return;
     if (existing?.entry.startedAtMs !== entry.startedAtMs) {
@@ -214,14 +224,18 @@
     const nowMs = this.options.clock.nowMs();
     for (const [key, {entry, hold}] of this.targets) {
       if (hold === undefined || hold.untilMs > nowMs) continue;
-      this.deleteTarget(key, entry);
-      const fields = {target: entry.id, isHeld: false, version: 0};
-      this.options.logger.log('target_unlisted', fields);
+      this.unlist(key, entry, 0);
     }
     this.setHoldTimer();
     this.notifyChanged();
   }
 
+  private unlist(key: string, entry: TargetEntry, version: number): void {
+    this.deleteTarget(key, entry);
+    const fields = {target: entry.id, isHeld: false, version};
+    this.options.logger.log('target_unlisted', fields);
+  }
+
   private deleteTarget(key: string, entry: TargetEntry): void {
     this.targets.delete(key);
     this.notifyLost(entry);
--- a/packages/nodes/tests/targets/target_directory.feature
+++ b/packages/nodes/tests/targets/target_directory.feature
@@ -92,3 +92,32 @@
     Then requests may go to "a, b"
     When 500 ms pass at the target directory
     Then requests may go to no target
+
+  Scenario Outline: A malformed entry in place of a sound one removes its target at once, also after an outage
+    When the platform comes back after 10000 ms with all targets
+    And the registry entry of target "a" <is malformed>
+    Then requests may go to "b"
+    And one line names the object "targets/a" as ignored
+    When the registry entry of target "a" <is malformed>
+    Then one line names the object "targets/a" as ignored
+    When target "a" is registered again after 100 ms
+    Then requests may go to "a, b"
+    When the registry entry of target "a" <is malformed>
+    Then requests may go to "b"
+    And 2 lines name the object "targets/a" as ignored
+
+    Examples:
+      | is malformed                |
+      | is malformed                |
+      | makes the decoder throw     |
+
+  Scenario: A malformed entry ends the hold of its target
+    When the platform comes back after 5000 ms without target "a"
+    Then requests may go to "a, b"
+    When the registry entry of target "a" is malformed
+    Then requests may go to "b"
+
+  Scenario: The log names at most 1000 malformed entries
+    When the registry entries of 5000 other targets are malformed
+    Then requests may go to "a, b"
+    And 1000 lines name an object as ignored
--- a/packages/nodes/tests/targets/target_directory_steps.ts
+++ b/packages/nodes/tests/targets/target_directory_steps.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
+  type DaemonId,
   type DataCentreId,
   type ServiceId,
   type TargetId,
@@ -18,6 +19,12 @@
   directory: TargetDirectory;
   registered: string[];
   usable: string[];
+  lines: LogLine[];
+}
+
+interface LogLine {
+  readonly name: string;
+  readonly key: string;
 }
 
 const prefix = 'targets/';
@@ -26,9 +33,16 @@
   'a target directory with targets {string}',
   function (this: TargetDirectoryWorld, names: string) {
     this.clock = VirtualClock.create();
+    this.lines = [];
     this.directory = TargetDirectory.create({
       clock: this.clock,
-      logger: EventLogger.createSilent(),
+      logger: EventLogger.create({
+        level: 'warn',
+        daemon: toId<DaemonId>('entry-0'),
+        destination: {
+          write: (line) => this.lines.push(JSON.parse(line) as LogLine),
+        },
+      }),
       prefix,
       bounds: {drainMs: 2000, contactMs: 3000},
       decode,
@@ -55,6 +69,33 @@
   },
 );
 
+When(
+  'the registry entry of target {string} makes the decoder throw',
+  function (this: TargetDirectoryWorld, name: string) {
+    put(this, name, 'poison');
+  },
+);
+
+When(
+  'the registry entries of {int} other targets are malformed',
+  function (this: TargetDirectoryWorld, count: number) {
+    for (let index = 0; index < count; index++) {
+      put(this, `other-${index}`, 'garbage');
+    }
+  },
+);
+
+Then(
+  /^(one|\d+) lines? names? (?:the object "(.+)"|an object) as ignored$/,
+  function (this: TargetDirectoryWorld, count: string, key: string | null) {
+    const lines = this.lines.filter(
+      (line) =>
+        line.name === 'object_ignored' && (key === null || line.key === key),
+    );
+    assert.equal(lines.length, count === 'one' ? 1 : Number(count));
+  },
+);
+
 When(
   'target {string} is removed from the registry',
   function (this: TargetDirectoryWorld, name: string) {
@@ -173,6 +214,7 @@
 
 function decode({key, value}: StoredObject): TargetEntry | undefined {
   if (value === 'garbage') return undefined;
+  if (value === 'poison') throw new RangeError('nested too deeply');
   return {
     id: toId<TargetId>(key.slice(prefix.length)),
     service: toId<ServiceId>('service'),
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,6 +3,7 @@
 export * from './http/http_channel.js';
 export * from './http/http_types.js';
 export * from './store/object_store.js';
+export * from './store/object_decoder.js';
 export * from './store/http_object_store.js';
 export * from './vms/vm_list.js';
 export * from './vms/http_vm_list.js';
--- a/packages/sites/src/index.ts
+++ b/packages/sites/src/index.ts
@@ -6,4 +6,5 @@
 export * from './config/site_config.js';
 export * from './node/node_settings.js';
 export * from './platform/site_platform.js';
+export * from './targets/network_address.js';
 export * from './targets/target_entry.js';
--- a/packages/sites/src/node/node_settings.ts
+++ b/packages/sites/src/node/node_settings.ts
@@ -1,6 +1,6 @@
 /** Settings of a daemon: its VM, addresses, limits and peers. */
 import type {DaemonId, DataCentreId} from '@marigoldpost/common';
-import type {NetworkAddress} from '../targets/target_entry.js';
+import type {NetworkAddress} from '../targets/network_address.js';
 
 /** Time bounds that the operators guarantee or require. */
 export interface NodeBounds {
--- a/packages/sites/src/targets/target_entry.ts
+++ b/packages/sites/src/targets/target_entry.ts
@@ -1,11 +1,6 @@
 /** Registry entry of a target. */
 import type {DataCentreId, ServiceId, TargetId} from '@marigoldpost/common';
-
-/** Host and port of a TCP endpoint. */
-export interface NetworkAddress {
-  readonly host: string;
-  readonly port: number;
-}
+import type {NetworkAddress} from './network_address.js';
 
 /** One registration of a target; a restart registers it again. */
 export interface TargetEntry {
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -325,6 +325,10 @@
     'Objects were read from a seed instead of the platform',
     {seed: 'string', prefix: 'string', objects: 'number'},
   ),
+  object_ignored: define(7105, 'warn', 'A malformed object was ignored', {
+    key: 'string',
+    version: 'number',
+  }),
 } as const satisfies Record<string, EventDefinition>;
 
 /** Key of an event in the catalogue. */
--- a/packages/turns/src/directory/archive_directory.ts
+++ b/packages/turns/src/directory/archive_directory.ts
@@ -1,11 +1,19 @@
 /** Archives of a site, as registered in the object API. */
-import {type DaemonId, type DataCentreId, toId} from '@marigoldpost/common';
+import {
+  type DaemonId,
+  type DataCentreId,
+  parseJson,
+  toId,
+} from '@marigoldpost/common';
 import {
   type ObjectChange,
+  ObjectDecoder,
   type ObjectStore,
   putOwnObject,
   type StoredObject,
 } from '@marigoldpost/platform';
+import {isHttpAddress} from '@marigoldpost/sites';
+import * as z from 'zod';
 import type {DiskId} from '../log/disk_identity.js';
 
 /** Registration of one archive; stored as JSON. */
@@ -20,6 +28,19 @@
 /** Key prefix of the objects in which archives register. */
 export const archivePrefix = 'archives/';
 
+const memberSchema = z.object({
+  daemon: z.string(),
+  address: z.string().refine(isHttpAddress),
+  dataCentre: z.string(),
+  disk: z.string(),
+});
+
+/** Callbacks of a directory. */
+export interface ArchiveDirectoryOptions {
+  /** Called once for an object that is malformed. */
+  readonly onIgnored?: (object: StoredObject) => void;
+}
+
 /**
  * Registered archives by object key, updated from a watch. A removed archive
  * counts as having lost its data.
@@ -30,11 +51,18 @@
   private changes = 0;
   private readonly listeners = new Set<() => void>();
 
-  private constructor() {}
+  private readonly decoder: ObjectDecoder<ArchiveMember>;
 
-  /** Creates an empty directory that has not been loaded. */
-  static create(): ArchiveDirectory {
-    return new ArchiveDirectory();
+  private constructor({onIgnored}: ArchiveDirectoryOptions) {
+    this.decoder = ObjectDecoder.create({decode: decodeMember, onIgnored});
+  }
+
+  /**
+   * Creates an empty directory that has not been loaded.
+   * @param options - Callbacks.
+   */
+  static create(options: ArchiveDirectoryOptions = {}): ArchiveDirectory {
+    return new ArchiveDirectory(options);
   }
 
   /** Whether the list of archives has been read at least once. */
@@ -96,10 +124,10 @@
     for (const listener of [...this.listeners]) listener();
   }
 
-  private putObject({key, value}: StoredObject): void {
-    const member = parseMember(value);
-    if (member === undefined) this.members.delete(key);
-    else this.members.set(key, member);
+  private putObject(object: StoredObject): void {
+    const member = this.decoder.decode(object);
+    if (member === undefined) this.members.delete(object.key);
+    else this.members.set(object.key, member);
   }
 }
 
@@ -116,15 +144,16 @@
   await putOwnObject(store, key, JSON.stringify(member));
 }
 
-function parseMember(value: string): ArchiveMember | undefined {
-  const parsed = JSON.parse(value) as Partial<Record<string, unknown>>;
-  const {daemon, address, dataCentre, disk} = parsed;
-  const fields = [daemon, address, dataCentre, disk];
-  if (!fields.every((text) => typeof text === 'string')) return undefined;
+function decodeMember({key, value}: StoredObject): ArchiveMember | undefined {
+  const parsed = memberSchema.safeParse(parseJson(value));
+  if (!parsed.success) return undefined;
+  const {daemon, address, dataCentre, disk} = parsed.data;
+  // An archive registers only itself.
+  if (key !== `${archivePrefix}${daemon}`) return undefined;
   return {
-    daemon: toId<DaemonId>(daemon as string),
-    address: address as string,
-    dataCentre: toId<DataCentreId>(dataCentre as string),
-    disk: toId<DiskId>(disk as string),
+    daemon: toId<DaemonId>(daemon),
+    address,
+    dataCentre: toId<DataCentreId>(dataCentre),
+    disk: toId<DiskId>(disk),
   };
 }
