Count a program's tokens at one archive, or by merged ledgers

Cause, as the model and the new scenarios show it (the record itself has not been reproduced): - Reservations were granted by majorities, each archive checking its own sum. Two majorities meet, so of two reservations one sees the other; but the sum of many is split over the archives.

An archive of the home, the counter, now takes part in each reservation that one round decides. Its count is exact, since every such reservation is recorded there. Without it, or after it has changed or an archive has restarted, the reservation is recorded as contended at a quorum; then the ledgers of that quorum are read and merged. Any two quorums meet, so an entry VM that counted on the counter alone either is seen by that reading or saw the mark. An isolated home needs all its archives, complete, and a majority elsewhere one of them. Too few ledgers decide nothing: 503. A 402 needs ended attempts or a majority's count. Programs without a recorded home need a majority.

Old builds neither send a counter nor tell whether their count is exact, so reservations with them are contended.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -182,12 +182,12 @@
     body: CallBody,
   ): Promise<void> {
     const {services} = this;
-    const home = services.turns.chooseHome(TokenReservation.getProgram(call));
+    // No record tells where a program started whose turns are not stored.
     const reservation = await TokenReservation.create(
       call,
       services,
       service,
-      home,
+      undefined,
     );
     let events = 0;
     try {
--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -28,13 +28,14 @@
    * @param call - Call of a turn.
    * @param services - Components that all calls share.
    * @param service - Service that generates the tokens.
-   * @param home - Data centre that counts the program while it is isolated.
+   * @param home - Data centre that counts the program while it is isolated;
+   *   `undefined` if none does.
    */
   static async create(
     call: IncomingCall,
     services: CallServices,
     service: ServiceId,
-    home: DataCentreId,
+    home: DataCentreId | undefined,
   ): Promise<TokenReservation> {
     const reservation = new TokenReservation(call, services, service);
     await reservation.reserve(home);
@@ -85,7 +86,7 @@
     return toId<TurnId>(this.call.requestId);
   }
 
-  private async reserve(home: DataCentreId): Promise<void> {
+  private async reserve(home: DataCentreId | undefined): Promise<void> {
     const {budgetTokens, maxOutputTokens} = this.call.attributes;
     if (budgetTokens === undefined || maxOutputTokens === undefined) return;
     const {clock, metrics, turns} = this.services;
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -75,7 +75,11 @@
       onRecovered: ({position, bytes}) => {
         const entry = decodeArchiveEntry(bytes);
         index.retainSegment(position.segment, nowMs + ledgerRetentionMs);
-        if (entry?.kind === 'ledger') mergeLedger(ledger, entry.ledger, nowMs);
+        if (entry?.kind === 'ledger') {
+          mergeLedger(ledger, entry.ledger, nowMs);
+          // The log does not tell which reservations were contended.
+          ledger.markContended(entry.ledger.program);
+        }
         if (entry?.kind !== 'turn') return;
         index.add(entry.turn, position, nowMs);
         settleTurn(ledger, entry.turn, nowMs);
@@ -149,11 +153,22 @@
   }
 
   /**
-   * Merges ledger entries of an entry VM or of another archive; resolves once
-   * they are durable.
+   * Merges ledger entries of another archive; resolves once they are durable.
    * @param ledgers - Entries by program.
    */
   async mergeLedgers(ledgers: readonly ProgramEntries[]): Promise<void> {
+    const unchecked = ledgers.filter((ledger) => this.hasUnknownEntry(ledger));
+    // Entries are merged into memory at once; the promise waits for the disk.
+    const merged = this.settle(ledgers);
+    for (const {program} of unchecked) this.ledger.markContended(program);
+    await merged;
+  }
+
+  /**
+   * Merges the tokens that attempts used; resolves once they are durable.
+   * @param ledgers - Settled entries by program.
+   */
+  async settle(ledgers: readonly ProgramEntries[]): Promise<void> {
     const nowMs = this.nowMs();
     const changed = ledgers
       .map((ledger) => ({
@@ -271,6 +286,13 @@
     this.options.onStored?.(indexed);
   }
 
+  /** Whether entries include one that this archive has not counted. */
+  private hasUnknownEntry({program, entries}: ProgramEntries): boolean {
+    const known = this.ledger.getEntries(program);
+    const attempts = new Set(known.map(({attempt}) => attempt));
+    return entries.some(({attempt}) => !attempts.has(attempt));
+  }
+
   /** Merges entries; gets those that are not durable yet. */
   private mergeEntries(
     {program, entries}: ProgramEntries,
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -57,7 +57,7 @@
       case 'reserveTokens':
         return this.reserve(request.value);
       case 'settleTokens':
-        await this.archive.mergeLedgers(toSettledLedgers(request.value));
+        await this.archive.settle(toSettledLedgers(request.value));
         return acknowledgement;
       case 'fetchLedger':
         return this.fetchLedger(request.value);
@@ -81,15 +81,17 @@
   private async reserve(
     request: RequestOf<'reserveTokens'>,
   ): Promise<PeerReplyBody> {
-    const {isGranted, heldTokens, settledTokens} = await this.archive.reserve({
+    const result = await this.archive.reserve({
       program: toId<ProgramId>(request.program),
       attempt: toId<TurnId>(request.attempt),
       tokens: request.tokens,
       budgetTokens: request.budgetTokens,
       isForced: request.isForced,
+      counter: request.counter,
     });
+    const {isGranted, heldTokens, settledTokens, isExact} = result;
     const isComplete = this.isComplete();
-    const reply = {isGranted, heldTokens, settledTokens, isComplete};
+    const reply = {isGranted, heldTokens, settledTokens, isComplete, isExact};
     return {case: 'reserve', value: create(ReserveReplySchema, reply)};
   }
 
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -50,6 +50,8 @@
   readonly settledTokens: number;
   /** Whether its ledger includes what its peers recorded while it was down. */
   readonly isComplete: boolean;
+  /** Whether it knows of no contended reservation of the program. */
+  readonly isExact: boolean;
 }
 
 /** Which of the requested turns an archive stores, in request order. */
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -8,10 +8,12 @@
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import {sumMergedTokens} from '../ledger/merge_entries.js';
+import {getMajority} from '../ledger/reservation_quorum.js';
+import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveWait} from './archive_retries.js';
 import {getArchiveRetryAfterMs} from './chain_reader.js';
-import {type BallotResult, ReservationBallot} from './reservation_ballot.js';
+import {ReservationBallot} from './reservation_ballot.js';
 import type {SettlementSender} from './settlement_sender.js';
 
 /** Time in which the archives learn that an attempt has been settled. */
@@ -27,8 +29,8 @@
   /** Upper bound of the tokens that the attempt generates. */
   readonly tokens: number;
   readonly budgetTokens: number;
-  /** Data centre in which the program started. */
-  readonly home: DataCentreId;
+  /** Data centre in which the program started; `undefined` if not recorded. */
+  readonly home: DataCentreId | undefined;
 }
 
 /** Archives and settlement sender that a client uses. */
@@ -39,6 +41,15 @@
   readonly ownDataCentre: DataCentreId;
 }
 
+/** Ledgers of several archives for one program. */
+interface MergedLedgers {
+  /** Tokens that other attempts have used or reserved. */
+  readonly heldTokens: number;
+  /** Tokens that other attempts have used. */
+  readonly settledTokens: number;
+  readonly repliedClients: readonly ArchiveClient[];
+}
+
 /** Decides by quorum whether an attempt may use tokens of its budget. */
 export class BudgetClient {
   /** Tokens that attempts of programs with spent budgets have used at least. */
@@ -55,7 +66,7 @@
   }
 
   /**
-   * Reserves tokens. Throws `tokens_spent` when they exceed the budget,
+   * Reserves tokens. Throws `tokens_spent` when the budget does not hold them,
    * `limit_reached` when concurrent attempts compete for the rest of it, and
    * `archive_unavailable` when too few archives reply to decide. In all cases
    * the attempt is settled with 0 tokens. Waits up to 1.5 s for archives that
@@ -64,25 +75,17 @@
    */
   async reserve(request: TokenRequest): Promise<void> {
     if (this.isKnownAsSpent(request)) throw createTokensSpentError(request);
-    const decision = await this.requestWithWait(request);
-    if (decision === 'granted') return;
-    if (decision === 'spent') throw createTokensSpentError(request);
-    if (decision === 'refused' && (await this.isWithinBudget(request))) {
-      if ((await this.requestReservation(request, true)) === 'granted') {
-        // Concurrent attempts may have been forced as well. Of two, at least one
-        // sees the other now, since both are recorded at a majority.
-        if (await this.isWithinBudget(request)) return;
-        this.options.settlements.add(request.program, request.attempt, 0);
-        throw createContentionError(request);
-      }
-    }
+    const ballot = await this.requestWithWait(request);
+    const {result} = ballot;
+    if (result === 'granted') return;
+    if (result === 'spent') throw createTokensSpentError(request);
+    const failure =
+      result === 'unavailable'
+        ? this.createUnavailableError(request)
+        : await this.reserveByMergedLedgers(request, ballot);
+    if (failure === undefined) return;
     this.options.settlements.add(request.program, request.attempt, 0);
-    if (decision === 'refused') throw createTokensSpentError(request);
-    throw MarigoldpostError.create(
-      'archive_unavailable',
-      `too few archives granted ${request.tokens} tokens to program "${request.program}"`,
-      {retryAfterMs: getArchiveRetryAfterMs(this.options.pool)},
-    );
+    throw failure;
   }
 
   /** What ended attempts have used is final, so such a refusal is too. */
@@ -108,20 +111,68 @@
     });
   }
 
+  /**
+   * Decides by the merged ledgers, since each archive's own ledger may lag
+   * behind the others. Gets the error that rejects the attempt, if any.
+   */
+  private async reserveByMergedLedgers(
+    request: TokenRequest,
+    ballot: ReservationBallot,
+  ): Promise<MarigoldpostError | undefined> {
+    const {budgetTokens, tokens} = request;
+    const leftTokens = budgetTokens - tokens;
+    if (ballot.result === 'refused') {
+      const {clients} = ballot;
+      const ledgers = await readLedgers(request, clients);
+      if (ledgers.settledTokens > leftTokens) {
+        return createTokensSpentError(request);
+      }
+      if (ledgers.heldTokens > leftTokens) {
+        const isMajority =
+          ledgers.repliedClients.length >= getMajority(clients.length);
+        return isMajority
+          ? createTokensSpentError(request)
+          : this.createUnavailableError(request);
+      }
+    }
+    const isRecorded =
+      ballot.result === 'contended' && ballot.isKnownAsContended;
+    const recorded = isRecorded
+      ? ballot
+      : await this.requestReservation(request, true);
+    if (recorded.result !== 'contended') {
+      return this.createUnavailableError(request);
+    }
+    // Concurrent attempts may be contended as well. Of two, at least one sees
+    // the other now, since both are recorded at a quorum.
+    const ledgers = await readLedgers(request, recorded.grantingClients);
+    if (ledgers.settledTokens > leftTokens) {
+      return createTokensSpentError(request);
+    }
+    if (!recorded.isQuorum(ledgers.repliedClients)) {
+      return this.createUnavailableError(request);
+    }
+    return ledgers.heldTokens > leftTokens
+      ? createContentionError(request)
+      : undefined;
+  }
+
   /** Requests a reservation again each time an archive has returned. */
-  private async requestWithWait(request: TokenRequest): Promise<BallotResult> {
+  private async requestWithWait(
+    request: TokenRequest,
+  ): Promise<ReservationBallot> {
     const retries = this.options.pool.createRetries(request);
     for (;;) {
-      const decision = await this.requestReservation(request, false);
-      if (decision !== 'unavailable') return decision;
-      if (!(await retries.waitForReturn())) return decision;
+      const ballot = await this.requestReservation(request, false);
+      if (ballot.result !== 'unavailable') return ballot;
+      if (!(await retries.waitForReturn())) return ballot;
     }
   }
 
   private async requestReservation(
     request: TokenRequest,
     isForced: boolean,
-  ): Promise<BallotResult> {
+  ): Promise<ReservationBallot> {
     const {pool, clock, ownDataCentre} = this.options;
     const location = {home: request.home, own: ownDataCentre};
     const ballot = ReservationBallot.create({
@@ -130,33 +181,50 @@
       location,
       reservation: {...request, isForced},
     });
-    const result = await ballot.run();
-    if (result === 'spent') this.recordSpent(request, ballot);
-    return result;
+    await ballot.run();
+    if (ballot.result === 'spent') this.recordSpent(request, ballot);
+    return ballot;
   }
 
-  /**
-   * Checks the budget against the merged ledgers of all archives, since each
-   * archive's own ledger may lag behind the others.
-   */
-  private async isWithinBudget(request: TokenRequest): Promise<boolean> {
-    const {program, attempt, tokens, budgetTokens} = request;
-    const replies = await Promise.allSettled(
-      this.options.pool
-        .getClients()
-        .map((client) => client.fetchLedgers(program)),
-    );
-    const lists = replies.flatMap((reply) =>
-      reply.status === 'fulfilled'
-        ? reply.value.map(({entries}) =>
-            entries.filter((entry) => entry.attempt !== attempt),
-          )
-        : [],
+  private createUnavailableError({
+    program,
+    tokens,
+  }: TokenRequest): MarigoldpostError {
+    return MarigoldpostError.create(
+      'archive_unavailable',
+      `too few archives granted ${tokens} tokens to program "${program}"`,
+      {retryAfterMs: getArchiveRetryAfterMs(this.options.pool)},
     );
-    return sumMergedTokens(lists) + tokens <= budgetTokens;
   }
 }
 
+/** Merges the ledgers of the archives that reply, without the attempt itself. */
+async function readLedgers(
+  {program, attempt}: TokenRequest,
+  clients: readonly ArchiveClient[],
+): Promise<MergedLedgers> {
+  const replies = await Promise.allSettled(
+    clients.map((client) => client.fetchLedgers(program)),
+  );
+  const lists = replies.flatMap((reply) =>
+    reply.status === 'fulfilled'
+      ? reply.value.map(({entries}) =>
+          entries.filter((entry) => entry.attempt !== attempt),
+        )
+      : [],
+  );
+  const settled = lists.map((entries) =>
+    entries.filter(({isSettled}) => isSettled),
+  );
+  return {
+    heldTokens: sumMergedTokens(lists),
+    settledTokens: sumMergedTokens(settled),
+    repliedClients: clients.filter(
+      (_client, index) => replies[index]?.status === 'fulfilled',
+    ),
+  };
+}
+
 /** Spreads the retries of the attempts that saw each other. */
 function createContentionError({
   program,
--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -9,7 +9,7 @@
 import {
   decideReservation,
   getMajority,
-  type ReservationAnswer,
+  isRecordedAtQuorum,
   type ReservationDecision,
   type ReservationLocation,
   type ReservationVote,
@@ -25,12 +25,14 @@
  */
 export type BallotResult = ReservationDecision | 'spent';
 
+type ArchiveVote = Pick<ReservationVote, 'answer' | 'isComplete' | 'isExact'>;
+
 /** Archives and reservation that a ballot covers. */
 export interface ReservationBallotOptions {
   readonly clients: readonly ArchiveClient[];
   readonly clock: Clock;
   readonly location: ReservationLocation;
-  readonly reservation: Reservation;
+  readonly reservation: Omit<Reservation, 'counter'>;
 }
 
 /**
@@ -42,16 +44,22 @@
   private readonly votes: ReservationVote[];
   private readonly decided = Deferred.create<BallotResult>();
   private readonly requests: Promise<void>[] = [];
+  private outcome: BallotResult = 'pending';
   private highestSettledTokens = 0;
   private timer: Timer | undefined;
   private unaskedIndexes: number[];
+  /** Archive whose count of the program is relied on, if any is registered. */
+  private readonly counter: ArchiveClient | undefined;
 
   private constructor(private readonly options: ReservationBallotOptions) {
     const {clients} = options;
-    this.votes = clients.map(({dataCentre}) => ({
-      dataCentre,
+    this.counter = chooseCounter(options);
+    this.votes = clients.map((client) => ({
+      dataCentre: client.dataCentre,
       answer: 'pending',
       isComplete: false,
+      isExact: false,
+      isCounter: client === this.counter,
     }));
     this.unaskedIndexes = orderClients(options);
   }
@@ -65,7 +73,7 @@
   }
 
   /** Requests votes until they decide on the reservation. */
-  async run(): Promise<BallotResult> {
+  async run(): Promise<void> {
     const {clients, clock} = this.options;
     this.timer = clock.setTimer(hedgeDelayMs, () =>
       this.requestVotes(clients.length),
@@ -73,17 +81,59 @@
     this.requestVotes(getMajority(clients.length));
     this.decide();
     try {
-      return await this.decided.promise;
+      this.outcome = await this.decided.promise;
     } finally {
       this.timer.cancel();
     }
   }
 
+  /** Result of the ballot, once it has run. */
+  get result(): BallotResult {
+    return this.outcome;
+  }
+
+  /** Archives that the ballot covers. */
+  get clients(): readonly ArchiveClient[] {
+    return this.options.clients;
+  }
+
   /** Tokens that the program's attempts have used at least. */
   get settledTokens(): number {
     return this.highestSettledTokens;
   }
 
+  /** Archives that have recorded the reservation, of those that replied. */
+  get grantingClients(): readonly ArchiveClient[] {
+    const {clients} = this.options;
+    return clients.filter((_client, index) => {
+      const vote = this.votes[index];
+      return vote?.answer === 'granted' && vote.isComplete;
+    });
+  }
+
+  /** Whether every archive that has recorded it counts it as contended. */
+  get isKnownAsContended(): boolean {
+    return this.votes.every(
+      ({answer, isExact}) => answer !== 'granted' || !isExact,
+    );
+  }
+
+  /**
+   * Whether some of the archives that have recorded the reservation are a
+   * quorum without the others.
+   * @param clients - Archives to count.
+   */
+  isQuorum(clients: readonly ArchiveClient[]): boolean {
+    const votes = this.votes.map((vote, index): ReservationVote => {
+      const client = this.options.clients[index];
+      const isCounted = client !== undefined && clients.includes(client);
+      if (isCounted || vote.answer === 'failed') return vote;
+      // One that replied takes part in other quorums, so it is not down.
+      return {...vote, answer: 'refused'};
+    });
+    return isRecordedAtQuorum(votes, this.options.location);
+  }
+
   /** Whether an archive may have recorded the reservation, once all replied. */
   async mayBeRecorded(): Promise<boolean> {
     await Promise.all(this.requests);
@@ -103,27 +153,27 @@
   private async requestVote(index: number): Promise<void> {
     const {clients, reservation} = this.options;
     const client = clients[index] as ArchiveClient;
+    const counter = this.counter?.member.disk ?? '';
     try {
-      const reply = await client.reserve(reservation);
+      const reply = await client.reserve({...reservation, counter});
       const answer = reply.isGranted ? 'granted' : 'refused';
       this.highestSettledTokens = Math.max(
         this.highestSettledTokens,
         reply.settledTokens,
       );
-      this.recordVote(index, answer, reply.isComplete);
+      const {isComplete, isExact} = reply;
+      this.recordVote(index, {answer, isComplete, isExact});
     } catch {
       // The pool reports unreachable archives; here the vote is a failure.
-      this.recordVote(index, 'failed', false);
+      const vote = {isComplete: false, isExact: false};
+      this.recordVote(index, {...vote, answer: 'failed'});
     }
   }
 
-  private recordVote(
-    index: number,
-    answer: ReservationAnswer,
-    isComplete: boolean,
-  ): void {
-    const {dataCentre} = this.options.clients[index] as ArchiveClient;
-    this.votes[index] = {dataCentre, answer, isComplete};
+  private recordVote(index: number, vote: ArchiveVote): void {
+    const {answer, isComplete} = vote;
+    const pending = this.votes[index] as ReservationVote;
+    this.votes[index] = {...pending, ...vote};
     if (answer === 'refused' && this.isSpent) {
       this.unaskedIndexes = [];
       this.decided.resolve('spent');
@@ -145,6 +195,26 @@
   }
 }
 
+/**
+ * Chooses the archive whose count of the program is relied on: one of its home,
+ * since every quorum includes an archive there.
+ */
+function chooseCounter({
+  clients,
+  location,
+  reservation,
+}: ReservationBallotOptions): ArchiveClient | undefined {
+  const atHome = clients.filter(({dataCentre}) => dataCentre === location.home);
+  const getRank = ({member}: ArchiveClient) =>
+    getHashNumber(`${reservation.program} ${member.disk}`);
+  return (atHome.length > 0 ? atHome : clients).reduce<
+    ArchiveClient | undefined
+  >((best, client) => {
+    if (best === undefined) return client;
+    return getRank(client) > getRank(best) ? client : best;
+  }, undefined);
+}
+
 /**
  * Orders client indexes: the home and own data centres first, then the other
  * reachable archives by hash of the program, unreachable ones last.
@@ -156,7 +226,8 @@
 }: ReservationBallotOptions): number[] {
   const getRank = ({isReachable, dataCentre, member}: ArchiveClient) => {
     if (!isReachable) return 2;
-    if (dataCentre === location.home || dataCentre === location.own) return -1;
+    if (dataCentre === location.home) return -2;
+    if (dataCentre === location.own) return -1;
     // Asks the same archives for all turns of a program, so that their ledgers
     // already have its entries.
     const hashRange = 2 ** 32;
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -2,7 +2,6 @@
 import {
   type Clock,
   type DataCentreId,
-  getHashNumber,
   MarigoldpostError,
   type ProgramId,
   waitUnlessAborted,
@@ -93,25 +92,6 @@
     );
   }
 
-  /**
-   * Chooses the home of a program whose turns are not stored: there is no
-   * record of where it started. Every entry VM that lists the same archives chooses
-   * the same one.
-   * @param program - Program of a turn.
-   */
-  chooseHome(program: ProgramId): DataCentreId {
-    const {pool, ownDataCentre} = this.options;
-    let home = ownDataCentre;
-    let highest = -1;
-    for (const {dataCentre} of pool.getClients()) {
-      const rank = getHashNumber(`${program} ${dataCentre}`);
-      if (rank <= highest) continue;
-      highest = rank;
-      home = dataCentre;
-    }
-    return home;
-  }
-
   /**
    * Reserves tokens; see `BudgetClient.reserve`. Throws `archive_unavailable`
    * if the wait for the archives is aborted; the attempt is then settled with 0
--- a/packages/turns/src/ledger/budget_ledger.ts
+++ b/packages/turns/src/ledger/budget_ledger.ts
@@ -18,6 +18,8 @@
   readonly budgetTokens: number;
   /** Whether to record the reservation even above the budget. */
   readonly isForced: boolean;
+  /** Disk of the archive whose count is relied on; empty if not known. */
+  readonly counter: string;
 }
 
 /** Result of a reservation. */
@@ -29,6 +31,8 @@
   readonly settledTokens: number;
   /** Whether the reservation changed the ledger. */
   readonly isNew: boolean;
+  /** Whether no reservation of the program relied on another count. */
+  readonly isExact: boolean;
 }
 
 interface ProgramBudget {
@@ -36,6 +40,10 @@
   heldTokens: number;
   settledTokens: number;
   changedAtMs: number;
+  /** Counter that the reservations named; `undefined` before the first one. */
+  counter: string | undefined;
+  /** Whether reservations were forced, or relied on more than one counter. */
+  isContended: boolean;
 }
 
 /**
@@ -64,18 +72,30 @@
    */
   reserve(reservation: Reservation, nowMs: number): ReservationResult {
     const {program, attempt, tokens, budgetTokens, isForced} = reservation;
-    const budget = this.budgets.get(program);
-    const held = budget?.heldTokens ?? 0;
-    const settledTokens = budget?.settledTokens ?? 0;
-    if (budget?.entries.has(attempt)) {
-      return {isGranted: true, heldTokens: held, settledTokens, isNew: false};
+    const budget = this.getOrCreateBudget(program, nowMs);
+    const {settledTokens} = budget;
+    recordCounter(budget, reservation);
+    const isExact = !budget.isContended;
+    const result = {settledTokens, isExact, isNew: false};
+    if (budget.entries.has(attempt)) {
+      return {...result, isGranted: true, heldTokens: budget.heldTokens};
     }
-    const heldTokens = held + tokens;
+    const heldTokens = budget.heldTokens + tokens;
     if (!isForced && heldTokens > budgetTokens) {
-      return {isGranted: false, heldTokens, settledTokens, isNew: false};
+      return {...result, isGranted: false, heldTokens};
     }
     this.putEntry(program, {attempt, tokens, isSettled: false}, nowMs);
-    return {isGranted: true, heldTokens, settledTokens, isNew: true};
+    return {...result, isGranted: true, heldTokens, isNew: true};
+  }
+
+  /**
+   * Records that the count of a program may lack reservations, or may include
+   * some that were not checked against it.
+   * @param program - Id of the program.
+   */
+  markContended(program: ProgramId): void {
+    const budget = this.budgets.get(program);
+    if (budget !== undefined) budget.isContended = true;
   }
 
   /**
@@ -139,8 +159,20 @@
       heldTokens: 0,
       settledTokens: 0,
       changedAtMs: nowMs,
+      counter: undefined,
+      isContended: false,
     };
     this.budgets.set(program, added);
     return added;
   }
 }
+
+/** Entry VMs that rely on different counters do not see each other's sums. */
+function recordCounter(
+  budget: ProgramBudget,
+  {counter, isForced}: Reservation,
+): void {
+  budget.counter ??= counter;
+  const isOther = counter === '' || counter !== budget.counter;
+  budget.isContended ||= isForced || isOther;
+}
--- a/packages/turns/src/ledger/reservation_quorum.ts
+++ b/packages/turns/src/ledger/reservation_quorum.ts
@@ -1,10 +1,16 @@
 /**
  * Decides a reservation from the votes of the archives.
  *
- * Any two majorities share an archive, so of two entry VMs that reserve
- * concurrently at least one sees the other's reservation. An isolated data
- * centre grants reservations only to programs that started there; other data
- * centres do not grant to those programs while its archives do not reply.
+ * Reservations of one program are recorded at sets of archives that meet: a
+ * majority that includes an archive of the program's home, or, while the home
+ * data centre is isolated, all archives there. So of two entry VMs that reserve
+ * concurrently at least one sees the other's reservation.
+ *
+ * That alone does not bound the sum of many reservations, since each archive
+ * counts a part of them only. One archive, the counter, is therefore part of
+ * every set, and its count is exact. A reservation without it, or of a program
+ * that has had one, is contended: it is granted only by the merged ledgers of
+ * the archives that have recorded it.
  */
 import type {DataCentreId} from '@marigoldpost/common';
 
@@ -17,17 +23,25 @@
   readonly answer: ReservationAnswer;
   /** Whether its ledger includes what its peers recorded while it was down. */
   readonly isComplete: boolean;
+  /** Whether it knows of no contended reservation of the program. */
+  readonly isExact: boolean;
+  /** Whether it is the archive whose count of the program is relied on. */
+  readonly isCounter: boolean;
 }
 
 /** Data centres of the program's start and of the entry VM that reserves. */
 export interface ReservationLocation {
-  readonly home: DataCentreId;
+  /** `undefined` if it is not recorded where the program started. */
+  readonly home: DataCentreId | undefined;
   readonly own: DataCentreId;
 }
 
-/** Outcome of the votes; `pending` while more votes are needed. */
+/**
+ * Outcome of the votes; `pending` while more votes are needed, `contended` if a
+ * quorum has recorded the reservation but its ledgers must be merged to decide.
+ */
 export type ReservationDecision =
-  'granted' | 'refused' | 'unavailable' | 'pending';
+  'granted' | 'contended' | 'refused' | 'unavailable' | 'pending';
 
 /**
  * Gets the size of a majority: any two of that size share an archive.
@@ -46,24 +60,56 @@
   votes: readonly ReservationVote[],
   location: ReservationLocation,
 ): ReservationDecision {
-  const majority = getMajority(votes.length);
+  if (isRecordedAtQuorum(votes, location)) return decideByCounter(votes);
   const count = (answer: ReservationAnswer) =>
     votes.filter((vote) => vote.answer === answer).length;
-  const granted = votes.filter((vote) => vote.answer === 'granted');
-  const completeGrants = granted.filter((vote) => vote.isComplete);
-  const isOwnProgram = location.home === location.own;
-  const isFromHome = (vote: ReservationVote) =>
-    vote.dataCentre === location.home;
-  const hasHomeGrant = granted.some(isFromHome);
-  // Elsewhere the home data centre must grant too, since it may be isolated and
-  // grant by itself. Without an archive of its own it cannot do that.
-  const canGrantHere = hasHomeGrant || isOwnProgram || !votes.some(isFromHome);
-  if (completeGrants.length >= majority && canGrantHere) {
-    return 'granted';
-  }
   const refused = count('refused');
-  if (refused > 0 && refused + granted.length >= majority) return 'refused';
+  const isMajority = refused + count('granted') >= getMajority(votes.length);
+  if (refused > 0 && isMajority) return 'refused';
   if (count('pending') > 0) return 'pending';
-  if (refused > 0) return 'refused';
-  return isOwnProgram && hasHomeGrant ? 'granted' : 'unavailable';
+  return refused > 0 ? 'refused' : 'unavailable';
+}
+
+/**
+ * Whether the reservation is recorded at archives that every other quorum of
+ * the program meets.
+ * @param votes - One vote per registered archive.
+ * @param location - Data centres of the program and of the entry VM.
+ */
+export function isRecordedAtQuorum(
+  votes: readonly ReservationVote[],
+  {home, own}: ReservationLocation,
+): boolean {
+  const homeVotes = votes.filter(({dataCentre}) => dataCentre === home);
+  const grants = votes.filter(isCompleteGrant);
+  if (grants.length >= getMajority(votes.length)) {
+    // The home data centre may be isolated and grant by itself, which takes all
+    // archives there; so one of them must take part elsewhere.
+    if (homeVotes.length === 0 || homeVotes.some(isCompleteGrant)) return true;
+    return home === own && homeVotes.every(({answer}) => answer === 'failed');
+  }
+  const isIsolated = votes.every(
+    ({answer}) => answer === 'granted' || answer === 'failed',
+  );
+  return (
+    home === own &&
+    isIsolated &&
+    homeVotes.length > 0 &&
+    homeVotes.every(isCompleteGrant)
+  );
+}
+
+function isCompleteGrant({answer, isComplete}: ReservationVote): boolean {
+  return answer === 'granted' && isComplete;
+}
+
+/** Decides on a reservation that is recorded at a quorum. */
+function decideByCounter(
+  votes: readonly ReservationVote[],
+): ReservationDecision {
+  const isExact = votes.filter(isCompleteGrant).every((vote) => vote.isExact);
+  const counter = votes.find(({isCounter}) => isCounter);
+  if (!isExact || counter === undefined) return 'contended';
+  if (counter.answer === 'pending') return 'pending';
+  return isCompleteGrant(counter) ? 'granted' : 'contended';
 }
--- a/packages/turns/tests/client/budget_client.feature
+++ b/packages/turns/tests/client/budget_client.feature
@@ -54,3 +54,39 @@
     When 2000 ms pass
     Then archive "c" counts 0 tokens of the program
     And archive "d" counts 0 tokens of the program
+
+  Scenario Outline: Entry VMs that reach different archives of a program's home keep to its budget
+    Given archives "a1, a2, b, c, d" with 2 replicas per turn
+    And entry VM "a:1" reaches only archives "<first>"
+    And entry VM "a:2" reaches only archives "<second>"
+    And entry VM "a:3" reaches only archives "<third>"
+    When 18 attempts of 40 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "a:1, a:2, a:3"
+    Then at most 6 attempts hold a reservation
+
+    Examples:
+      | first | second | third    |
+      | a1    | a2     | a1       |
+      | a1    | a2     | b, c, d  |
+      | a1, b, c | a2, c, d | a1, b, d |
+      | b, c, d | a1, b, c | a2, c, d |
+
+  Scenario Outline: Entry VMs that reserve one after the other at different majorities keep to a budget
+    Given archives "a1, a2, b, c, d" with 2 replicas per turn
+    And entry VM "a:1" reaches only archives "a1, b, c"
+    And entry VM "a:2" reaches only archives "a2, c, d"
+    And entry VM "a:3" reaches only archives "a1, b, d"
+    And entry VM "a:4" reaches only archives "a2, b, d"
+    When 20 attempts of <tokens> tokens of a program of "a" reserve from a budget of 400 one after the other, alternating over "a:1, a:2, a:3, a:4"
+    Then at most <most> attempts hold a reservation
+    And at least <least> attempts hold a reservation
+
+    Examples:
+      | tokens | most | least |
+      | 40     | 11   | 10    |
+      | 200    | 3    | 2     |
+
+  Scenario: A majority admits attempts at home while the archive there is down
+    Given archive "a" is killed
+    When 8 attempts of 40 tokens of a program of "a" reserve from a budget of 200 one after the other, alternating over "a:1, a:2"
+    Then at most 6 attempts hold a reservation
+    And at least 5 attempts hold a reservation
--- a/packages/turns/tests/client/budget_client_steps.ts
+++ b/packages/turns/tests/client/budget_client_steps.ts
@@ -1,6 +1,6 @@
 /** Steps for reservations while archives restart. */
 import assert from 'node:assert/strict';
-import {Given, Then, type World} from '@cucumber/cucumber';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
   type ErrorKind,
   isErrorOfKind,
@@ -65,6 +65,52 @@
   },
 );
 
+Given(
+  'entry VM {string} reaches only archives {string}',
+  function (this: BudgetWorld, entryVm: string, names: string) {
+    const {archives} = this;
+    const reached = names.split(', ');
+    for (const name of archives.names) {
+      if (reached.includes(name)) continue;
+      archives.brokenLinks.add(`${entryVm} ${name}`);
+    }
+  },
+);
+
+When(
+  /^(\d+) attempts of (\d+) tokens of a program of "(\w)" reserve from a budget of (\d+) one after the other, alternating over "(.*)"$/,
+  async function (
+    this: BudgetWorld,
+    count: string,
+    tokens: string,
+    home: string,
+    budget: string,
+    entryVms: string,
+  ) {
+    const {archives} = this;
+    const names = entryVms.split(', ');
+    this.admitted = 0;
+    for (let index = 0; index < Number(count); index++) {
+      const request = createTokenRequest(
+        `t${index}`,
+        Number(tokens),
+        Number(budget),
+        home,
+      );
+      const store = archives.getStore(names[index % names.length] ?? '');
+      try {
+        await archives.run(store.reserve(request));
+        this.admitted += 1;
+      } catch (error) {
+        const isBudgetError = ['tokens_spent', 'limit_reached'].some((kind) =>
+          isErrorOfKind(error, kind as ErrorKind),
+        );
+        assert.ok(isBudgetError, String(error));
+      }
+    }
+  },
+);
+
 Then(
   'at least {int} attempts hold a reservation',
   function (this: BudgetWorld, minCount: number) {
--- a/packages/turns/tests/ledger/ledger_steps.ts
+++ b/packages/turns/tests/ledger/ledger_steps.ts
@@ -23,15 +23,22 @@
 When(
   'archives vote {string} on a program of {string} in {string}',
   function (this: LedgerWorld, votes: string, home: string, own: string) {
-    this.decision = decideReservation(votes.split(', ').map(toVote), {
+    const location = {
       home: toId<DataCentreId>(home),
       own: toId<DataCentreId>(own),
-    });
+    };
+    const read = votes.split(', ').map(toVote);
+    const atHome = read.find(({dataCentre}) => dataCentre === location.home);
+    const counter = atHome ?? read[0];
+    this.decision = decideReservation(
+      read.map((vote) => ({...vote, isCounter: vote === counter})),
+      location,
+    );
   },
 );
 
 Then(
-  /^the reservation is (granted|refused|unavailable|pending)$/,
+  /^the reservation is (granted|contended|refused|unavailable|pending)$/,
   function (this: LedgerWorld, decision: string) {
     assert.equal(this.decision, decision);
   },
@@ -91,6 +98,7 @@
               tokens,
               budgetTokens,
               isForced,
+              counter: 'disk',
             };
             if (ledger.reserve(request, 0).isNew) reserved.set(attempt, tokens);
           }
@@ -103,11 +111,12 @@
   },
 );
 
-function toVote(text: string): ReservationVote {
+function toVote(text: string): Omit<ReservationVote, 'isCounter'> {
   const [dataCentre = '', answer = ''] = text.split(/ (.*)/);
   const answers: Record<string, ReservationVote['answer']> = {
     yes: 'granted',
     late: 'granted',
+    contended: 'granted',
     no: 'refused',
     'no answer': 'failed',
     '?': 'pending',
@@ -117,7 +126,8 @@
   return {
     dataCentre: toId<DataCentreId>(dataCentre),
     answer: vote,
-    isComplete: answer === 'yes',
+    isComplete: answer === 'yes' || answer === 'contended',
+    isExact: answer === 'yes',
   };
 }
 
