--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -211,6 +211,16 @@
   archive_retired: define(3106, 'info', 'An archive was emptied', {
     turns: 'number',
   }),
+  archive_replicas_counted: define(
+    3107,
+    'warn',
+    'Replicas of another archive stopped to count, or count again',
+    {
+      archive: 'string',
+      disk: 'string',
+      areCounted: 'boolean',
+    },
+  ),
 
   // 4000: peers.
   member_changed: define(4001, 'info', 'A daemon changed its state', {
@@ -325,6 +335,10 @@
     'Objects were read from a seed instead of the platform',
     {seed: 'string', prefix: 'string', objects: 'number'},
   ),
+  object_ignored: define(7105, 'warn', 'A malformed object was ignored', {
+    key: 'string',
+    version: 'number',
+  }),
 } as const satisfies Record<string, EventDefinition>;
 
 /** Key of an event in the catalogue. */
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -81,6 +81,9 @@
  */
 export class ArchiveClient {
   private unreachableSinceMs: number | undefined;
+  private lastReplyMs = Number.NEGATIVE_INFINITY;
+  private repliedDisk: DiskId | undefined;
+  private isProbing = true;
 
   private constructor(private readonly options: ArchiveClientOptions) {}
 
@@ -97,6 +100,19 @@
     return this.options.member;
   }
 
+  /**
+   * Disk that the archive named in its last status; until then, the one of its
+   * directory entry, which is behind after the loss of a disk.
+   */
+  get disk(): DiskId {
+    return this.repliedDisk ?? this.member.disk;
+  }
+
+  /** When the archive last replied; `-Infinity` before its first reply. */
+  get repliedAtMs(): number {
+    return this.lastReplyMs;
+  }
+
   /** Data centre in which the archive runs. */
   get dataCentre(): DataCentreId {
     return this.options.member.dataCentre;
@@ -112,6 +128,11 @@
     return this.unreachableSinceMs;
   }
 
+  /** Ends the probes for good, since the archive is no longer registered so. */
+  stopProbes(): void {
+    this.isProbing = false;
+  }
+
   /**
    * Reserves tokens in the archive's ledger.
    * @param reservation - Attempt, its tokens and the program's budget.
@@ -184,19 +205,26 @@
   /**
    * Queries which turns the archive stores.
    * @param turns - Ids of the turns.
+   * @param retainedMs - For each turn, how much longer the archive should retain
+   *   it at least; empty to leave that as it is.
    */
-  async findTurns(turns: readonly TurnId[]): Promise<FoundTurnsReply> {
+  async findTurns(
+    turns: readonly TurnId[],
+    retainedMs: readonly number[] = [],
+  ): Promise<FoundTurnsReply> {
     const reply = await this.sendRequest({
       case: 'findTurns',
-      value: create(FindTurnsSchema, {turns: [...turns]}),
+      value: create(FindTurnsSchema, {
+        turns: [...turns],
+        retainedMs: [...retainedMs],
+      }),
     });
     if (reply.case !== 'foundTurns') throw this.createReplyError(reply);
     const {isHeld, status} = reply.value;
-    return {
-      isHeld,
-      disk: toId<DiskId>(status?.disk ?? ''),
-      isComplete: status?.isComplete ?? false,
-    };
+    if (status === undefined) throw this.createReplyError(reply);
+    const disk = toId<DiskId>(status.disk);
+    this.repliedDisk = disk;
+    return {isHeld, disk, isComplete: status.isComplete};
   }
 
   /**
@@ -228,13 +256,18 @@
     const {daemon, address} = this.member;
     for (;;) {
       await clock.sleep(probeIntervalMs, signal);
+      if (!this.isProbing) return;
       try {
         const value = create(ArchiveProbeSchema);
-        await transport.ask(
+        const reply = await transport.ask(
           {daemon, address},
           {case: 'archiveProbe', value},
           replyTimeoutMs,
         );
+        this.lastReplyMs = clock.nowMs();
+        if (reply.case === 'archiveStatus') {
+          this.repliedDisk = toId<DiskId>(reply.value.disk);
+        }
         if (clock.nowMs() - sinceMs >= minUnreachableMs) break;
       } catch {
         // Still unreachable; the next probe follows.
@@ -260,11 +293,13 @@
       );
     }
     try {
-      return await this.options.transport.ask(
+      const reply = await this.options.transport.ask(
         {daemon, address},
         request,
         replyTimeoutMs,
       );
+      this.lastReplyMs = this.options.clock.nowMs();
+      return reply;
     } catch (error) {
       this.markUnreachable();
       throw error;
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -18,6 +18,11 @@
  * 1 to 2 s, the isolation of a data centre lasts longer.
  */
 const restartMs = 2500;
+/**
+ * Time in which the probes of all archives succeed again after the own VM was
+ * isolated.
+ */
+const reconnectMs = 1000;
 
 /** Directory, transport and callbacks of a pool. */
 export interface ArchivePoolOptions {
@@ -41,6 +46,8 @@
   /** Waits that a return ends; removed with the wait. */
   private readonly returnListeners = new Set<() => void>();
   private returns = 0;
+  /** When an archive became reachable while no other one was. */
+  private isolationEndMs = Number.NEGATIVE_INFINITY;
 
   private constructor(private readonly options: ArchivePoolOptions) {}
 
@@ -65,6 +72,9 @@
     if (this.clients.some((client) => !previous.includes(client))) {
       this.returns += 1;
     }
+    for (const client of previous) {
+      if (!this.clients.includes(client)) client.stopProbes();
+    }
     return this.clients;
   }
 
@@ -92,8 +102,8 @@
 
   /**
    * Waits until an archive becomes reachable again or the directory changes;
-   * `false` if the wait ends before, or if no archive is expected: enough are
-   * registered, and none has become unreachable in the last 2.5 s.
+   * `false` if the wait ends before, or as soon as no archive is expected: enough
+   * are registered, and none has become unreachable in the last 2.5 s.
    * @param wait - Longest wait and what ends it.
    * @param owedCount - Archives that the site must have.
    */
@@ -102,10 +112,11 @@
     owedCount: number,
   ): Promise<boolean> {
     const {clock, directory} = this.options;
-    if (!this.isArchiveExpected(owedCount) || signal.aborted) return false;
+    const expectedMs = this.getExpectedUntilMs(owedCount) - clock.nowMs();
+    if (expectedMs <= 0 || signal.aborted) return false;
     const ended = Deferred.create<boolean>();
     const end = () => ended.resolve(false);
-    const timer = clock.setTimer(maxWaitMs, end);
+    const timer = clock.setTimer(Math.min(maxWaitMs, expectedMs), end);
     signal.addEventListener('abort', end, {once: true});
     const endByChange = () => ended.resolve(true);
     const removeListener = directory.onChange(endByChange);
@@ -130,15 +141,31 @@
     );
   }
 
-  private isArchiveExpected(owedCount: number): boolean {
-    const clients = this.getClients();
-    const sinceMs = this.options.clock.nowMs() - restartMs;
+  /**
+   * Whether an archive has been unreachable for longer than a restart takes, so
+   * that its VM may never return. While the own VM is isolated, and just after
+   * it, the absence of an archive is no sign of that.
+   * @param client - Client of the archive.
+   */
+  isPresumedLost({unreachableAtMs = Infinity}: ArchiveClient): boolean {
+    const nowMs = this.options.clock.nowMs();
     return (
-      clients.length < owedCount ||
-      clients.some(({unreachableAtMs = -Infinity}) => unreachableAtMs > sinceMs)
+      this.hasReachableArchive &&
+      nowMs - unreachableAtMs >= restartMs &&
+      nowMs - this.isolationEndMs >= reconnectMs
     );
   }
 
+  /** Until when an archive is expected to return or to be registered. */
+  private getExpectedUntilMs(owedCount: number): number {
+    const clients = this.getClients();
+    if (clients.length < owedCount) return Infinity;
+    const unreachableAtMs = clients.map(
+      (client) => client.unreachableAtMs ?? -Infinity,
+    );
+    return Math.max(...unreachableAtMs) + restartMs;
+  }
+
   private getOrCreateClient(member: ArchiveMember): ArchiveClient {
     const key = getMemberKey(member);
     const existing = this.clients.find(
@@ -163,6 +190,10 @@
     this.options.onReachabilityChanged?.(member, isReachable);
     if (!isReachable) return;
     this.returns += 1;
+    const reachable = this.clients.filter((client) => client.isReachable);
+    if (reachable.length === 1) {
+      this.isolationEndMs = this.options.clock.nowMs();
+    }
     for (const listener of [...this.returnListeners]) listener();
   }
 }
