Grant nothing at an emptied archive that does not know its peers yet

Callers got tokens beyond a spent budget: an archive whose disk had been lost counted its empty ledger as complete until it had read the list of archives, since it knew no peers whose ledgers it could miss. While the store does not respond, that lasts as long as the outage; an isolated data centre then grants by this ledger alone.

No peers count as none only once the list has been read. The scenario in budget_client.feature failed before: 10 tokens were admitted on a budget of 200 of which 200 were used.

--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -59,6 +59,11 @@
     return new ArchivePool(options);
   }
 
+  /** Whether the list of archives has been read at least once. */
+  get isLoaded(): boolean {
+    return this.options.directory.isLoaded;
+  }
+
   /** Gets one client per registered archive, reachable or not. */
   getClients(): readonly ArchiveClient[] {
     const {directory, ownDaemon} = this.options;
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -91,7 +91,10 @@
 
   /** Whether the ledger includes what peers recorded before this start. */
   get isComplete(): boolean {
-    return this.hasPeerLedgers || this.options.pool.getClients().length === 0;
+    const {pool} = this.options;
+    // Before the list of archives has been read, peers may hold its entries.
+    const hasNoPeers = pool.isLoaded && pool.getClients().length === 0;
+    return this.hasPeerLedgers || hasNoPeers;
   }
 
   /**
--- a/packages/turns/tests/client/budget_client.feature
+++ b/packages/turns/tests/client/budget_client.feature
@@ -90,3 +90,9 @@
     When 8 attempts of 40 tokens of a program of "a" reserve from a budget of 200 one after the other, alternating over "a:1, a:2"
     Then at most 6 attempts hold a reservation
     And at least 5 attempts hold a reservation
+
+  Scenario: An archive that has lost its disk grants nothing by itself before it knows its peers
+    When attempts that reserve 50 tokens and use 50 run sequentially in "a" on a budget of 200
+    And archive "a" loses its disk and restarts without the list of archives
+    And data centre "a" is isolated
+    Then an attempt of a program of "a" in "a:2" fails with archive_unavailable
--- a/packages/turns/tests/client/lost_disk_steps.ts
+++ b/packages/turns/tests/client/lost_disk_steps.ts
@@ -30,6 +30,18 @@
   },
 );
 
+When(
+  'archive {string} loses its disk and restarts without the list of archives',
+  async function (this: DiskWorld, name: string) {
+    const {archives} = this;
+    archives.kill(name);
+    archives.getFolder(name).wipe();
+    archives.withoutList.add(name);
+    await archives.start(name);
+    await archives.clock.advance(1000);
+  },
+);
+
 When(
   'archive {string} loses its disk while all others of {string} lose power',
   async function (this: DiskWorld, wiped: string, names: string) {
