Clear a suspect request by a success of the same target only

Cause: any response below 500 to a later run cleared the crashes recorded so far: also a 404, 413 or 429, which a target may send without having started the request. And a 421, which states that another target now has the address, counted as a response of the registered one, so it showed that a target had outlived a run whose response only the end of its connection had delimited; if that target had crashed, the crash was never counted.

Change: a response of 400 or above clears nothing, and a 421 tells nothing about the target that was meant. A success still clears a suspicion (the scenario of a status call that completes between crashes), so sound requests are not rejected.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -16,7 +16,7 @@
 import type {RequestFingerprint, TrackedRequest} from './tracked_request.js';
 import {UnconfirmedCrashes} from './unconfirmed_crashes.js';
 
-const minServerErrorStatus = 500;
+const minErrorStatus = 400;
 
 /** Dependencies of the tracker. */
 export interface CrashTrackerOptions {
@@ -182,8 +182,8 @@
 
   /**
    * Records that a target responded completely, which clears a suspected
-   * request. A server error clears nothing: a failing target may send it for a
-   * request that it has not started.
+   * request. An error clears nothing: a target may reject a request that it has
+   * not started, and a failing one may send a server error for it.
    * @param request - Request that completed.
    * @param target - Target that responded.
    * @param status - Status of the response.
@@ -206,7 +206,7 @@
     logger: EventLogger,
   ): void {
     const {quarantine, metrics, onChanged} = this.options;
-    if (status >= minServerErrorStatus) return;
+    if (status >= minErrorStatus) return;
     for (const fingerprint of this.findSuspects(fingerprints)) {
       quarantine.recordSurvival(fingerprint);
       metrics.addToCounter('crash_records_total', {event: 'cleared'});
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -17,12 +17,13 @@
 import {isRepeatable, type TargetEntry} from '@marigoldpost/sites';
 import {minRelayedLossSilenceMs} from '../links/loss_detector.js';
 import type {BodyEnd, BodyFields, BodyProof} from '../responses/body_end.js';
-import type {
-  ExchangeOutcome,
-  FailedExchange,
-  NotRunResponse,
-  StartedResponse,
-  TargetRequest,
+import {
+  type ExchangeOutcome,
+  type FailedExchange,
+  isMisdirected,
+  type NotRunResponse,
+  type StartedResponse,
+  type TargetRequest,
 } from '../targets/http_exchange.js';
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
@@ -256,17 +257,14 @@
 
   private recordResponse(
     {target}: TargetLease,
-    {attributes}: StartedResponse | NotRunResponse,
+    outcome: StartedResponse | NotRunResponse,
   ): void {
     const {crashTracker, targetLimits} = this.services;
     const {sentAtMs} = this;
-    crashTracker.recordResponse(target, sentAtMs);
-    targetLimits.recordResponse(target, {
-      limitPerS: attributes.rateLimitPerS,
-      isLeaving: attributes.isLeaving,
-      sentAtMs,
-      isSigned: attributes.isSigned,
-    });
+    if (!isMisdirected(outcome)) crashTracker.recordResponse(target, sentAtMs);
+    const {rateLimitPerS: limitPerS, isLeaving, isSigned} = outcome.attributes;
+    const statement = {limitPerS, isLeaving, sentAtMs, isSigned};
+    targetLimits.recordResponse(target, statement);
   }
 
   /**
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -8,6 +8,8 @@
 
 /** Prefix of the error codes of Node's HTTP parser. */
 const parserErrorPrefix = 'HPE_';
+/** Status of a target that is not the one that the request names. */
+const misdirectedStatus = 421;
 /** Interim (1xx) responses that may precede a response. */
 const maxInterimResponses = 8;
 
@@ -60,6 +62,15 @@
 /** Result of an exchange. */
 export type ExchangeOutcome = StartedResponse | NotRunResponse | FailedExchange;
 
+/**
+ * Checks whether another target has responded, which now has the address of the
+ * one that was meant.
+ * @param outcome - Result of an exchange.
+ */
+export function isMisdirected(outcome: ExchangeOutcome): boolean {
+  return outcome.kind === 'not_run' && outcome.status === misdirectedStatus;
+}
+
 /** Request and limits of an exchange. */
 export interface HttpExchangeOptions {
   readonly codec: CallCodec;
