Write nothing to an archive's log once it is closed

Seen: platform/tests/site/truncated_response.feature failed once on (load of 20): ENOTEMPTY when the archive's folder was removed, and file handles that were closed on garbage collection.

Cause: an entry that was still pending when an archive stopped opened another log file. Writes at that moment were rare until crash records were stored, which follow each broken response.

Change: a closed log rejects entries that are not written yet and opens no further file (entry_log.feature, failed before: the append succeeded). Crash records are written in batches of 100 ms, and their last write ends within the 150 ms in which an archive that stops ends its pending replies.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -29,6 +29,7 @@
 /** Opens the archive, serves peers, repairs replicas and registers itself. */
 export class ArchiveNode extends SiteNode {
   private archive: Archive | undefined;
+  private quarantineLog: QuarantineLog | undefined;
 
   /**
    * Creates a daemon; `start` opens its archive and serves.
@@ -48,6 +49,7 @@
     const service = ArchiveService.create(archive, () => repairer.isComplete);
     const mirror = SiteMirror.create();
     const quarantineLog = this.createQuarantineLog(archive, quarantine);
+    this.quarantineLog = quarantineLog;
     const relay = this.createQuarantineRelay(quarantine, quarantineLog);
     await this.transport.start((sender, request) => {
       if (request.case === 'fetchSite') {
@@ -74,6 +76,8 @@
     const startMs = this.clock.nowMs();
     const {logger} = this.options;
     logger.log('node_stopping', {signal, inFlight: 0});
+    // Its last write ends with the pending replies.
+    this.quarantineLog?.stop();
     await this.clock.sleep(replyDrainMs);
     this.stopSharedServices();
     this.archive?.close();
--- a/packages/nodes/src/archive/quarantine_log.ts
+++ b/packages/nodes/src/archive/quarantine_log.ts
@@ -8,6 +8,8 @@
 
 /** Entries are stored again well before the archive may remove them. */
 const rewriteIntervalMs = quarantineRetentionMs / 2;
+/** One crash concerns many requests, and several entry VMs report it. */
+const batchDelayMs = 100;
 /** Pause before a failed write is retried. */
 const retryDelayMs = 500;
 
@@ -53,17 +55,24 @@
    * @param signal - Stops the log when aborted.
    */
   async run(signal: AbortSignal): Promise<void> {
-    signal.addEventListener('abort', () => (this.isStopped = true));
+    signal.addEventListener('abort', () => this.stop());
     while (!signal.aborted) {
       await this.options.clock.sleep(rewriteIntervalMs, signal);
       this.add(this.options.quarantine.getEntries());
     }
   }
 
+  /** Starts no further write. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
   private async write(): Promise<void> {
     const {archive, clock, onFailed} = this.options;
     this.isWriting = true;
-    while (this.unwritten.size > 0 && !this.isStopped) {
+    while (this.unwritten.size > 0) {
+      await clock.sleep(batchDelayMs);
+      if (this.isStopped) return;
       const entries = [...this.unwritten.values()];
       this.unwritten.clear();
       try {
--- a/packages/turns/src/log/entry_log.ts
+++ b/packages/turns/src/log/entry_log.ts
@@ -48,6 +48,7 @@
 export class EntryLog {
   private pending: PendingEntry[] = [];
   private isWriting = false;
+  private isClosed = false;
   private segment: OpenSegment | undefined;
 
   private constructor(
@@ -117,8 +118,12 @@
     await this.folder.removeFile(toSegmentName(segment));
   }
 
-  /** Closes the current segment; acknowledged entries are durable already. */
+  /**
+   * Closes the current segment; acknowledged entries are durable already. Those
+   * that are not written yet are rejected, and so are later ones.
+   */
   close(): void {
+    this.isClosed = true;
     this.closeSegment();
   }
 
@@ -176,9 +181,14 @@
       if (!isFull && ageMs < segmentLimits.ageMs) return segment;
       this.closeSegment();
     }
+    if (this.isClosed) throw new Error('the log is closed');
     const number = this.nextSegment;
     this.nextSegment += 1;
     const file = await this.folder.createFile(toSegmentName(number));
+    if (this.isClosed) {
+      await file.close();
+      throw new Error('the log is closed');
+    }
     const openedAtMs = this.clock.nowMs();
     this.segment = {number, file, openedAtMs, size: 0};
     return this.segment;
--- a/packages/turns/tests/log/entry_log.feature
+++ b/packages/turns/tests/log/entry_log.feature
@@ -41,6 +41,12 @@
     When the stall of the log's disk ends
     Then the reopened log contains exactly "a, b, c, d"
 
+  Scenario: A closed log writes no further file
+    Given an entry log with entries "a" acknowledged
+    When the log is closed and entry "b" is appended
+    Then the append fails with archive_unavailable
+    And the reopened log contains exactly "a"
+
   Scenario: An empty disk gets a persistent identity
     Given an empty disk for a log
     Then the disk's identity is the same after each restart
--- a/packages/turns/tests/log/entry_log_steps.ts
+++ b/packages/turns/tests/log/entry_log_steps.ts
@@ -97,6 +97,14 @@
   },
 );
 
+When(
+  'the log is closed and entry {string} is appended',
+  async function (this: LogWorld, name: string) {
+    this.entryLog.close();
+    this.failure = await append(this, name).catch((error: unknown) => error);
+  },
+);
+
 When(
   "the log's disk stalls while entries {string} are appended",
   async function (this: LogWorld, names: string) {
