Let no error at an address or a call end a process

A target at a port that cannot be connected to ended entry VMs: their probes and exchanges rejected, and no code awaits some of these promises, on which Node.js ends the process. Any other error in the handling of one call, or in a task that nobody awaits, did the same.

Cause: http.request, net.connect and new URL throw on ports, headers, paths and addresses out of range, before there is a request that could emit an error event. TargetExchange.send and PeerExchange.send, documented never to reject, created the request inside the promise; LinkProber and TargetSender.isPeerRunning opened sockets without a check.

Change: an exchange that cannot create its request fails as unreachable and not sent; a probe that cannot open a socket has not connected. CallHandler logs an unexpected error and resets the client's connection, since the call may have run.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -9,6 +9,7 @@
 import type {CallAttributes, Route, SiteConfig} from '@marigoldpost/sites';
 import {createErrorResponse} from '../responses/error_response.js';
 import {logRejection, writeResponse} from '../responses/write_response.js';
+import {resetSocket} from '../server/reset_socket.js';
 import {readBody} from './body_reader.js';
 import type {CallServices} from './call_services.js';
 import {IncomingCall} from './incoming_call.js';
@@ -86,6 +87,12 @@
     this.requests += 1;
     try {
       await this.processRequest(request, response);
+    } catch (error) {
+      // The call may have run, so that its connection ends without a status.
+      const {kind, message} = toMarigoldpostError(error);
+      const fields = {task: 'call', kind, message};
+      this.services.logger.log('background_failed', fields);
+      resetSocket(request.socket);
     } finally {
       this.requests -= 1;
     }
--- a/packages/gateway/src/calls/target_sender.ts
+++ b/packages/gateway/src/calls/target_sender.ts
@@ -13,7 +13,7 @@
 } from '../targets/http_exchange.js';
 import type {TargetAgents} from '../targets/target_agents.js';
 import {TargetExchange} from '../targets/target_exchange.js';
-import {waitForConnect} from '../targets/wait_for_connect.js';
+import {canConnect} from '../targets/wait_for_connect.js';
 
 /** Entry VMs that one attempt is handed to while none of them sends it. */
 const maxPeers = 3;
@@ -97,9 +97,10 @@
   async isPeerRunning(daemon: DaemonId): Promise<boolean> {
     const peer = this.options.peers.find(daemon);
     if (peer === undefined) return false;
-    const {hostname, port} = new URL(peer.relayAddress);
-    const socket = connect({host: hostname, port: Number(port)});
-    return waitForConnect(socket, this.options.clock);
+    return canConnect(() => {
+      const {hostname, port} = new URL(peer.relayAddress);
+      return connect({host: hostname, port: Number(port)});
+    }, this.options.clock);
   }
 
   private async sendDirectly({
--- a/packages/gateway/src/links/link_prober.ts
+++ b/packages/gateway/src/links/link_prober.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '@marigoldpost/common';
 import type {TargetEntry} from '@marigoldpost/sites';
 import type {TargetAgents} from '../targets/target_agents.js';
-import {waitForConnect} from '../targets/wait_for_connect.js';
+import {canConnect} from '../targets/wait_for_connect.js';
 import type {LinkMonitor} from './link_monitor.js';
 
 /** Pause between two rounds of probes of cut links. */
@@ -135,8 +135,11 @@
     const {clock, links, agents} = this.options;
     const {host, port} = target.address;
     const startMs = clock.nowMs();
-    const socket = agents.get(target).createConnection({host, port});
-    const isConnected = await waitForConnect(socket, clock);
+    const agent = agents.get(target);
+    const isConnected = await canConnect(
+      () => agent.createConnection({host, port}),
+      clock,
+    );
     if (isConnected) links.recordConnected(target, 'a probe connected');
     else links.recordFailedProbe(target, startMs);
     return isConnected;
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -81,7 +81,7 @@
 
   protected constructor(private readonly exchange: HttpExchangeOptions) {}
 
-  /** Creates the request and sends it. */
+  /** Creates the request and sends it; may throw before it is sent. */
   protected abstract createRequest(): http.ClientRequest;
 
   /**
@@ -146,13 +146,25 @@
 
   /** Sends the request and waits for the head; never rejects. */
   protected run(): Promise<ExchangeOutcome> {
-    const {signal, headTimeoutMs} = this.exchange;
-    if (signal.aborted) {
+    if (this.exchange.signal.aborted) {
       const message = 'the call was aborted';
       return Promise.resolve(this.createFailure('cancelled', false, message));
     }
+    let request: http.ClientRequest;
+    try {
+      request = this.createRequest();
+    } catch (error) {
+      // Node.js throws on ports and headers out of range instead of an event.
+      const message = error instanceof Error ? error.message : String(error);
+      const failure = this.createFailure('unreachable', false, message);
+      return Promise.resolve(failure);
+    }
+    return this.waitForHead(request);
+  }
+
+  private waitForHead(request: http.ClientRequest): Promise<ExchangeOutcome> {
+    const {signal, headTimeoutMs} = this.exchange;
     return new Promise((resolve) => {
-      const request = this.createRequest();
       const fail: FailExchange = (reason, message) => {
         const failure = this.createFailure(reason, this.isConnected, message);
         // The connection is still open, so the target has not closed it.
--- a/packages/gateway/src/targets/wait_for_connect.ts
+++ b/packages/gateway/src/targets/wait_for_connect.ts
@@ -30,3 +30,21 @@
   socket.destroy();
   return isConnected;
 }
+
+/**
+ * Finds out whether a connection can be opened; false also if no connection can
+ * be attempted.
+ * @param open - Opens the connection; may throw.
+ * @param clock - Clock of the time-out.
+ */
+export async function canConnect(
+  open: () => Socket,
+  clock: Clock,
+): Promise<boolean> {
+  try {
+    return await waitForConnect(open(), clock);
+  } catch {
+    // Node.js throws on ports out of range instead of an event.
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/calls/call_handler_steps.ts
@@ -0,0 +1,109 @@
+/** Steps for calls whose handling fails unexpectedly. */
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import net, {type AddressInfo} from 'node:net';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {type DaemonId, SystemClock, toId} from '@marigoldpost/common';
+import {
+  CallHandler,
+  type CallServices,
+  GatewayServer,
+} from '@marigoldpost/gateway';
+import {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
+
+interface HandlerWorld extends World {
+  server: GatewayServer;
+  port: number;
+  ends: string[];
+  failures: number;
+}
+
+const host = '127.0.0.1';
+const idHeader = 'x-request-id';
+
+Given(
+  'a server whose codec fails at call {string}',
+  async function (this: HandlerWorld, failing: string) {
+    this.failures = 0;
+    const services = {
+      clock: SystemClock.create(),
+      codec: {
+        decodeCall: (headers: http.IncomingHttpHeaders) => {
+          if (headers[idHeader] === failing) throw new RangeError('no codec');
+          return {requestId: headers[idHeader]};
+        },
+      },
+      // Without a configuration, each call is rejected with 503.
+      site: {currentConfig: undefined, getRoute: () => undefined},
+      metrics: Metrics.create(),
+      logger: EventLogger.create({
+        level: 'error',
+        daemon: toId<DaemonId>('entry-0'),
+        destination: {
+          write: (line) => {
+            if (line.includes('"task":"call"')) this.failures += 1;
+          },
+        },
+      }),
+    };
+    this.server = GatewayServer.create(
+      CallHandler.create(services as unknown as CallServices),
+    );
+    this.port = await findFreePort();
+    await this.server.listen({host, port: this.port});
+    addCleanup(this, () => Promise.resolve(this.server.close()));
+  },
+);
+
+When(
+  'a client sends the calls {string}',
+  async function (this: HandlerWorld, ids: string) {
+    this.ends = [];
+    for (const id of ids.split(', ')) {
+      this.ends.push(await send(this.port, id));
+    }
+  },
+);
+
+Then(
+  'the calls end with {string}',
+  function (this: HandlerWorld, expected: string) {
+    assert.equal(this.ends.join(', '), expected);
+  },
+);
+
+Then(
+  'the failure of {int} calls is logged',
+  function (this: HandlerWorld, count: number) {
+    assert.equal(this.failures, count);
+  },
+);
+
+Then('no call is in flight', function (this: HandlerWorld) {
+  assert.equal(this.server.inFlight, 0);
+});
+
+async function findFreePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, host, resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+function send(port: number, id: string): Promise<string> {
+  return new Promise((resolve) => {
+    const headers = {[idHeader]: id};
+    const sent = http.get({host, port, path: '/', headers, agent: false});
+    sent.once('error', () => resolve('reset'));
+    sent.once('response', (response) => {
+      response.resume();
+      resolve(String(response.statusCode));
+    });
+  });
+}
--- a/packages/gateway/tests/targets/target_exchange_steps.ts
+++ b/packages/gateway/tests/targets/target_exchange_steps.ts
@@ -2,9 +2,11 @@
 import assert from 'node:assert/strict';
 import net, {type AddressInfo} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
-import {Then, When, type World} from '@cucumber/cucumber';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
+  type DaemonId,
   type DataCentreId,
+  SeededRandom,
   type ServiceId,
   SystemClock,
   type TargetId,
@@ -12,13 +14,22 @@
 } from '@marigoldpost/common';
 import {
   type ExchangeOutcome,
+  LinkMonitor,
+  LinkProber,
+  PeerExchange,
+  RelayPeers,
   TargetAgent,
+  TargetAgents,
   TargetExchange,
+  TargetSender,
   waitForConnect,
 } from '@marigoldpost/gateway';
 import type {CallCodec, TargetEntry} from '@marigoldpost/sites';
+import {EventLogger} from '@marigoldpost/telemetry';
 
 interface ExchangeWorld extends World {
+  target: TargetEntry;
+  links: LinkMonitor;
   outcome: ExchangeOutcome;
   elapsedMs: number;
   isConnected: boolean;
@@ -103,6 +114,102 @@
   },
 );
 
+When(
+  /^a (request|relayed request) is sent (to (?!a target (?:that|and)).+|with .+)$/,
+  async function (this: ExchangeWorld, kind: string, problem: string) {
+    const startMs = Date.now();
+    const port = Number(/^to port (.+)$/.exec(problem)?.[1] ?? 1);
+    const common = {
+      codec: {} as CallCodec,
+      request: {
+        method: 'GET',
+        path: problem.includes('its path') ? '/\u20ac' : '/',
+        headers: ['X-Id', problem.includes('line break') ? 'a\r\nb' : 'a'],
+        body: undefined,
+        requestId: 'r1',
+      },
+      headTimeoutMs: longTimeoutMs,
+      signal: new AbortController().signal,
+    };
+    const {id} = createEntry();
+    const relayAddress = problem.includes('that is none')
+      ? 'nowhere'
+      : `http://127.0.0.1:${port}`;
+    this.outcome =
+      kind === 'request'
+        ? await TargetExchange.send({
+            ...common,
+            target: {...createEntry(), address: {host: '127.0.0.1', port}},
+            agent: TargetAgent.create(
+              problem.includes('throws') ? throwError : undefined,
+            ),
+          })
+        : await PeerExchange.send({
+            ...common,
+            sender: toId<DaemonId>('entry-0'),
+            peer: {daemon: toId<DaemonId>('entry-1'), relayAddress},
+            target: id,
+          });
+    this.elapsedMs = Date.now() - startMs;
+  },
+);
+
+Given('a target at port {int}', function (this: ExchangeWorld, port: number) {
+  const address = {host: '127.0.0.1', port};
+  this.target = {...createEntry(), address};
+});
+
+When('it is probed in each way', async function (this: ExchangeWorld) {
+  const clock = SystemClock.create();
+  const logger = EventLogger.createSilent();
+  this.links = LinkMonitor.create({clock, logger});
+  const {links, target} = this;
+  const agents = TargetAgents.create();
+  const prober = LinkProber.create({clock, links, agents});
+  prober.setTargets([target]);
+  await prober.confirm(target);
+  await prober.check(target);
+});
+
+Then(
+  'each probe ends, and the link counts as failing',
+  function (this: ExchangeWorld) {
+    assert.equal(this.links.getState(this.target), 'failing');
+  },
+);
+
+Then(
+  /^an entry VM with a relay address (at port 99999|that is none) does not run$/,
+  async function (problem: string) {
+    const daemon = toId<DaemonId>('entry-1');
+    const relayAddress =
+      problem === 'that is none' ? 'nowhere' : 'http://127.0.0.1:99999';
+    const member = {daemon, relayAddress, dataCentre: createEntry().dataCentre};
+    const clock = SystemClock.create();
+    const links = LinkMonitor.create({
+      clock,
+      logger: EventLogger.createSilent(),
+    });
+    const agents = TargetAgents.create();
+    const sender = TargetSender.create({
+      daemon: toId<DaemonId>('entry-0'),
+      clock,
+      codec: {} as CallCodec,
+      agents,
+      links,
+      prober: LinkProber.create({clock, links, agents}),
+      peers: RelayPeers.create({
+        daemon: toId<DaemonId>('entry-0'),
+        dataCentre: member.dataCentre,
+        clock,
+        random: SeededRandom.create(1),
+        getMembers: () => [member],
+      }),
+    });
+    assert.equal(await sender.isPeerRunning(daemon), false);
+  },
+);
+
 Then('the request is sent', function (this: ExchangeWorld) {
   assert.ok('isSent' in this.outcome);
   assert.equal(this.outcome.isSent, true, this.outcome.message);
@@ -161,3 +268,7 @@
     startedAtMs: 1,
   };
 }
+
+function throwError(): never {
+  throw new Error('the connector failed');
+}
