Leave the calls of an outage of the object API to the prompt watches

While the object API was away, each of the five watches of a daemon repeated its call 2.5 times a second on average.

A watch with longer waits now repeats a failed call only once a watch with the shortest waits has succeeded, or after 2 s; if none of those fails, as before. The watches of configuration and targets have the shortest waits at an entry VM and do not change; what they know of an outage's end stays as exact.

--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -56,6 +56,11 @@
   readonly pauseMs: number;
   /** Longest wait of one call; limits how long a dead connection is used. */
   readonly waitMs?: number;
+  /**
+   * Called before a failed call is repeated, after its delay; resolves when the
+   * call may be repeated.
+   */
+  readonly waitForRetry?: (signal: AbortSignal) => Promise<void>;
 }
 
 /**
@@ -72,7 +77,7 @@
   /** When the last call, and the last one that failed, were sent. */
   private lastSentMs: number;
   private lastFailedSentMs: number;
-  private isFailing = false;
+  private hasFailed = false;
 
   private constructor(private readonly options: ObjectWatcherOptions) {
     this.backoff = Backoff.create(retryBackoff, options.random);
@@ -89,6 +94,11 @@
     return new ObjectWatcher(options);
   }
 
+  /** Whether the last call failed. */
+  get isFailing(): boolean {
+    return this.hasFailed;
+  }
+
   /** Watches until `stop` is called; retries after failures. */
   async run(): Promise<void> {
     const {signal} = this.controller;
@@ -154,8 +164,8 @@
     const outageMs = nowMs - this.lastResponseMs;
     this.lastResponseMs = nowMs;
     this.backoff.reset();
-    if (!this.isFailing) return;
-    this.isFailing = false;
+    if (!this.hasFailed) return;
+    this.hasFailed = false;
     const failedAgoMs = nowMs - this.lastFailedSentMs;
     this.options.listener.onWatchRecovered(outageMs, failedAgoMs);
   }
@@ -168,13 +178,17 @@
     this.lastFailedSentMs = this.lastSentMs;
     // The store's history may no longer have the changes missed meanwhile.
     this.version = undefined;
-    if (!isErrorOfKind(known, 'history_gone') && !this.isFailing) {
-      this.isFailing = true;
+    if (!isErrorOfKind(known, 'history_gone') && !this.hasFailed) {
+      this.hasFailed = true;
       this.options.listener.onWatchFailed(known);
     }
     const waitMs = known.retryAfterMs ?? this.backoff.nextDelayMs();
-    await this.options.clock
-      .sleep(Math.min(waitMs, retryBackoff.maxMs), signal)
-      .catch(() => undefined);
+    const {clock, waitForRetry} = this.options;
+    try {
+      await clock.sleep(Math.min(waitMs, retryBackoff.maxMs), signal);
+      if (this.hasFailed) await waitForRetry?.(signal);
+    } catch {
+      // The watch is being stopped.
+    }
   }
 }
--- a/packages/platform/src/watch/watch_group.ts
+++ b/packages/platform/src/watch/watch_group.ts
@@ -3,6 +3,9 @@
 import type {ObjectStore} from '../store/object_store.js';
 import {type ObjectListener, ObjectWatcher} from './object_watcher.js';
 
+/** Longest time for which a watch leaves the calls of an outage to others. */
+const maxOutageWaitMs = 2000;
+
 /** Object API, clock and randomness of all watches of a group. */
 export interface WatchGroupOptions {
   readonly store: ObjectStore;
@@ -21,10 +24,17 @@
 /**
  * Watches that share the detection of outages: a watch with short waits detects
  * an outage early. When the outage ends, all watches restart their waits, since
- * those with long waits may use dead connections.
+ * those with long waits may use dead connections. While a watch with the
+ * shortest waits fails, the others leave the calls to it: each call is priced,
+ * failed ones too.
  */
 export class WatchGroup {
   private readonly watchers: ObjectWatcher[] = [];
+  /** Watches with the shortest waits. */
+  private promptWatchers: ObjectWatcher[] = [];
+  private shortestWaitMs = Number.POSITIVE_INFINITY;
+  /** Ends the waits for the end of an outage. */
+  private readonly recoveryListeners = new Set<() => void>();
 
   private constructor(private readonly options: WatchGroupOptions) {}
 
@@ -41,9 +51,22 @@
    * @param watch - Prefix, listener and pacing.
    */
   add(watch: GroupedWatch): ObjectWatcher {
-    const listener = this.createListener(watch.listener);
-    const watcher = ObjectWatcher.create({...this.options, ...watch, listener});
+    const {waitMs = Number.POSITIVE_INFINITY} = watch;
+    const watcher: ObjectWatcher = ObjectWatcher.create({
+      ...this.options,
+      ...watch,
+      listener: this.createListener(watch.listener),
+      waitForRetry: (signal) =>
+        this.promptWatchers.includes(watcher)
+          ? Promise.resolve()
+          : this.waitForPromptWatchers(signal),
+    });
     this.watchers.push(watcher);
+    if (waitMs < this.shortestWaitMs) {
+      this.shortestWaitMs = waitMs;
+      this.promptWatchers = [];
+    }
+    if (waitMs === this.shortestWaitMs) this.promptWatchers.push(watcher);
     return watcher;
   }
 
@@ -52,6 +75,24 @@
     for (const watcher of this.watchers) watcher.stop();
   }
 
+  /** Waits while watches with the shortest waits fail, for 2 s at most. */
+  private waitForPromptWatchers(signal: AbortSignal): Promise<void> {
+    if (!this.promptWatchers.some(({isFailing}) => isFailing)) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      const end = () => {
+        timer.cancel();
+        signal.removeEventListener('abort', end);
+        this.recoveryListeners.delete(end);
+        resolve();
+      };
+      const timer = this.options.clock.setTimer(maxOutageWaitMs, end);
+      signal.addEventListener('abort', end, {once: true});
+      this.recoveryListeners.add(end);
+    });
+  }
+
   private createListener(listener: ObjectListener): ObjectListener {
     return {
       replaceObjects: (objects) => listener.replaceObjects(objects),
@@ -61,6 +102,7 @@
         listener.onWatchRecovered(outageMs, failedAgoMs);
         // Calls that began during the outage may never get a response either.
         for (const watcher of this.watchers) watcher.restartWait();
+        for (const end of [...this.recoveryListeners]) end();
       },
     };
   }
