Add the identifiers of a request to log lines without a child logger

Each call created a child of the pino logger, which copies settings and renders its bindings. The identifiers are now fields of the line; its text is the same.

--- a/packages/telemetry/src/events/event_logger.ts
+++ b/packages/telemetry/src/events/event_logger.ts
@@ -31,7 +31,10 @@
  * requests is logged.
  */
 export class EventLogger {
-  private constructor(private readonly logger: Logger) {}
+  private constructor(
+    private readonly logger: Logger,
+    private readonly context: EventContext = {},
+  ) {}
 
   /**
    * Creates a logger.
@@ -51,11 +54,12 @@
   }
 
   /**
-   * Creates a child logger that adds identifiers to its lines.
+   * Creates a logger that adds identifiers to its lines. It shares the writer of
+   * this one, since each request needs one.
    * @param context - Identifiers of a request.
    */
   withContext(context: EventContext): EventLogger {
-    return new EventLogger(this.logger.child({...context}));
+    return new EventLogger(this.logger, {...this.context, ...context});
   }
 
   /**
@@ -65,7 +69,7 @@
    */
   log<Name extends EventName>(name: Name, fields: EventFields<Name>): void {
     const {number, level, message} = eventCatalogue[name];
-    const line: object = {event: number, name, ...fields};
+    const line: object = {...this.context, event: number, name, ...fields};
     this.logger[level](line, message);
   }
 }
