Reserve no tokens before the archives that a site must have are known

A majority now needs at least as many registered archives as store each turn; until then calls wait, then get 503.

--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -39,6 +39,8 @@
   readonly clock: Clock;
   readonly settlements: SettlementSender;
   readonly ownDataCentre: DataCentreId;
+  /** Archives that the site must have; majorities of fewer need not meet. */
+  readonly owedArchives: number;
 }
 
 /** Ledgers of several archives for one program. */
@@ -161,11 +163,12 @@
   private async requestWithWait(
     request: TokenRequest,
   ): Promise<ReservationBallot> {
-    const retries = this.options.pool.createRetries(request);
+    const {pool, owedArchives} = this.options;
+    const retries = pool.createRetries(request);
     for (;;) {
       const ballot = await this.requestReservation(request, false);
       if (ballot.result !== 'unavailable') return ballot;
-      if (!(await retries.waitForReturn())) return ballot;
+      if (!(await retries.waitForReturn(owedArchives))) return ballot;
     }
   }
 
@@ -173,10 +176,11 @@
     request: TokenRequest,
     isForced: boolean,
   ): Promise<ReservationBallot> {
-    const {pool, clock, ownDataCentre} = this.options;
+    const {pool, clock, ownDataCentre, owedArchives} = this.options;
+    const clients = pool.getClients();
     const location = {home: request.home, own: ownDataCentre};
     const ballot = ReservationBallot.create({
-      clients: pool.getClients(),
+      clients: clients.length < owedArchives ? [] : clients,
       clock,
       location,
       reservation: {...request, isForced},
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -46,6 +46,7 @@
       clock,
       settlements,
       ownDataCentre,
+      owedArchives: replicaCount,
     });
     this.chains = ChainReader.create({
       pool,
--- a/packages/turns/tests/client/budget_client.feature
+++ b/packages/turns/tests/client/budget_client.feature
@@ -96,3 +96,17 @@
     And archive "a" loses its disk and restarts without the list of archives
     And data centre "a" is isolated
     Then an attempt of a program of "a" in "a:2" fails with archive_unavailable
+
+  Scenario Outline: Entry VMs that have read of different archives in the first moments of a site keep to a budget
+    Given archives "a, b, c, d" with 2 replicas per turn
+    And entry VM "a:1" has read of archives "<first>" only
+    And entry VM "b:1" has read of archives "<second>" only
+    When 14 attempts of 40 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "a:1, b:1"
+    Then at most 6 attempts hold a reservation
+
+    Examples:
+      | first | second  |
+      | a     | b       |
+      | a     | a, b    |
+      | a, b  | b, c    |
+      | a, b  | b, c, d |
--- a/packages/turns/tests/client/budget_client_steps.ts
+++ b/packages/turns/tests/client/budget_client_steps.ts
@@ -77,6 +77,13 @@
   },
 );
 
+Given(
+  'entry VM {string} has read of archives {string} only',
+  function (this: BudgetWorld, entryVm: string, names: string) {
+    this.archives.limitList(entryVm, names.split(', '));
+  },
+);
+
 When(
   /^(\d+) attempts of (\d+) tokens of a program of "(\w)" reserve from a budget of (\d+) one after the other, alternating over "(.*)"$/,
   async function (
--- a/packages/turns/tests/client/lost_disk_steps.ts
+++ b/packages/turns/tests/client/lost_disk_steps.ts
@@ -1,5 +1,6 @@
 /** Steps for disks that are lost while other archives restart or lose power. */
 import {Given, When, type World} from '@cucumber/cucumber';
+import {ArchiveDirectory} from '@marigoldpost/turns';
 import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
 
 interface DiskWorld extends World {
@@ -36,7 +37,7 @@
     const {archives} = this;
     archives.kill(name);
     archives.getFolder(name).wipe();
-    archives.withoutList.add(name);
+    archives.staleLists.set(name, ArchiveDirectory.create());
     await archives.start(name);
     await archives.clock.advance(1000);
   },
