Count crashes of copies that ran at the same time once their targets are lost

Callers: a request of which several copies run at the same time reached more targets than allowed: five copies that crashed their targets through one entry VM counted as one crash, so two further rounds were sent.

Cause: runs of a request that overlap at an entry VM count once, since one fault of the VM or its network may break all of them.

Two runs at one instance still count once. Fingerprints that several programs share are not counted in this way: one loss of power ends many targets that run the same call.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -132,7 +132,7 @@
     // The callback must not keep the request and its body in memory.
     const {logger} = call;
     this.unconfirmed.add(target, run.runStartedAtMs, () =>
-      this.countCrash(fingerprints, target, run, logger),
+      this.countCrash(fingerprints, target, run, logger, true),
     );
   }
 
@@ -156,7 +156,7 @@
     this.unconfirmed.add(
       target,
       run.runStartedAtMs,
-      () => this.countCrash(fingerprints, target, run, logger),
+      () => this.countCrash(fingerprints, target, run, logger, true),
       () => this.clearSuspicion(fingerprints, target.id, status, logger),
     );
   }
@@ -238,6 +238,7 @@
     entry: TargetEntry,
     run: TargetRun,
     logger: EventLogger,
+    isConfirmed = false,
   ): void {
     const {quarantine, metrics, onChanged} = this.options;
     const {id: target, startedAtMs} = entry;
@@ -249,7 +250,7 @@
     }
     const counted = fingerprints
       .filter(({fingerprint, isShared}) => {
-        const details = {startedAtMs, isShared, ...run};
+        const details = {startedAtMs, isShared, isConfirmed, ...run};
         const [recorded] = quarantine.recordDeath(
           target,
           [fingerprint],
@@ -258,6 +259,7 @@
         return recorded !== undefined;
       })
       .map(({fingerprint}) => fingerprint);
+    if (!isConfirmed) this.awaitLoss(fingerprints, counted, entry, run, logger);
     if (counted.length === 0) {
       const reason = 'a recorded crash explains it';
       logger.log('crash_not_counted', {target, reason, ranMs});
@@ -275,4 +277,25 @@
     }
     this.checkWaiting();
   }
+
+  /**
+   * Counts a crash once its target is lost, if it does not count yet: copies of
+   * a request that break at the same time may all have met one fault of this
+   * daemon or its network.
+   */
+  private awaitLoss(
+    fingerprints: readonly RequestFingerprint[],
+    counted: readonly Fingerprint[],
+    entry: TargetEntry,
+    run: TargetRun,
+    logger: EventLogger,
+  ): void {
+    const uncounted = fingerprints.filter(
+      ({fingerprint, isShared}) => !isShared && !counted.includes(fingerprint),
+    );
+    if (uncounted.length === 0) return;
+    this.unconfirmed.add(entry, run.runStartedAtMs, () =>
+      this.countCrash(uncounted, entry, run, logger, true),
+    );
+  }
 }
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -44,6 +44,11 @@
    * only one after the other, since one fault may break several of them.
    */
   readonly isShared?: boolean;
+  /**
+   * Whether the target is known to be lost, so that no fault of this daemon or
+   * its network has broken the run.
+   */
+  readonly isConfirmed?: boolean;
 }
 
 /** Clock and bounds of a quarantine. */
@@ -292,6 +297,7 @@
       runStartedAtMs,
       runEndedAtMs = this.clock.nowMs(),
       isShared = false,
+      isConfirmed = false,
     }: DeathDetails,
   ): number | undefined {
     const known = this.entries.get(fingerprint);
@@ -300,9 +306,9 @@
       known?.lastRunEndedAtMs ?? Number.NEGATIVE_INFINITY,
       ...(isShared ? (known?.learnedAtMs.values() ?? []) : []),
     );
-    if (runStartedAtMs !== undefined && runStartedAtMs < explainedUntilMs) {
-      return undefined;
-    }
+    const isExplained =
+      runStartedAtMs !== undefined && runStartedAtMs < explainedUntilMs;
+    if (isExplained && (isShared || !isConfirmed)) return undefined;
     const last = deaths
       .filter((death) => isOfInstance(death, target, startedAtMs))
       .reduce((ordinal, death) => Math.max(ordinal, death.ordinal), 0);
