Keep time-outs that no timer can have from firing at once

A time-out beyond 2^31-1 ms in a configuration, a relayed request, or the Keep-Alive header of a target ended what it was to bound after 1 ms: Node.js replaces such delays by 1 ms. A target that states a very long Keep-Alive time-out got a new connection for each request.

Negative time-outs are refused.

--- a/packages/common/src/time/clock.ts
+++ b/packages/common/src/time/clock.ts
@@ -1,5 +1,10 @@
 /** Injected clock; code does not read the time from globals. */
 
+/**
+ * Longest delay of a timer, about 25 days; Node.js replaces longer ones by 1 ms.
+ */
+export const maxTimerDelayMs = 2 ** 31 - 1;
+
 /** A timer that can be cancelled before it fires. */
 export interface Timer {
   /** Cancels the timer; no effect once it has fired or was cancelled. */
--- a/packages/common/src/time/system_clock.ts
+++ b/packages/common/src/time/system_clock.ts
@@ -1,6 +1,6 @@
 /** Clock that reads the system time. */
 import {performance} from 'node:perf_hooks';
-import {Clock, type Timer} from './clock.js';
+import {Clock, maxTimerDelayMs, type Timer} from './clock.js';
 
 /** Clock of the running process; its timers are `setTimeout` timers. */
 export class SystemClock extends Clock {
@@ -18,7 +18,7 @@
   }
 
   override setTimer(delayMs: number, callback: () => void): Timer {
-    const timeout = setTimeout(callback, delayMs);
+    const timeout = setTimeout(callback, Math.min(delayMs, maxTimerDelayMs));
     return {cancel: () => clearTimeout(timeout)};
   }
 }
--- a/packages/gateway/src/relay/relay_codec.ts
+++ b/packages/gateway/src/relay/relay_codec.ts
@@ -1,6 +1,11 @@
 /** Headers with which one entry VM relays a request for another. */
 import type {IncomingHttpHeaders} from 'node:http';
-import {type DaemonId, type TargetId, toId} from '@marigoldpost/common';
+import {
+  type DaemonId,
+  maxTimerDelayMs,
+  type TargetId,
+  toId,
+} from '@marigoldpost/common';
 import type {BodyFraming} from '../responses/body_end.js';
 import type {FailureReason} from '../targets/http_exchange.js';
 
@@ -81,7 +86,7 @@
   return {
     sender: toId<DaemonId>(sender),
     target: toId<TargetId>(target),
-    headTimeoutMs,
+    headTimeoutMs: Math.min(headTimeoutMs, maxTimerDelayMs),
   };
 }
 
--- a/packages/gateway/src/targets/target_agent.ts
+++ b/packages/gateway/src/targets/target_agent.ts
@@ -1,6 +1,7 @@
 /** Pools keep-alive connections to one target. */
 import http from 'node:http';
 import net, {type Socket} from 'node:net';
+import {maxTimerDelayMs} from '@marigoldpost/common';
 
 /** Limit of idle connections; more would be used only in a burst. */
 const maxIdleConnections = 32;
@@ -86,6 +87,7 @@
     const [, seconds] =
       /(?:^|,)\s*timeout=(\d+)/.exec(String(keepAliveHeader ?? '')) ?? [];
     if (seconds === undefined) return defaultIdleMs;
-    return Number(seconds) * millisecondsPerSecond - idleMarginMs;
+    const idleMs = Number(seconds) * millisecondsPerSecond - idleMarginMs;
+    return Math.min(idleMs, maxTimerDelayMs);
   }
 }
--- a/packages/gateway/tests/relay/relay_codec.feature
+++ b/packages/gateway/tests/relay/relay_codec.feature
@@ -15,3 +15,16 @@
       | the current build | an earlier build  | not leaving |
       | an earlier build  | the current build | not leaving |
       | a later build     | the current build | leaving     |
+
+  Scenario Outline: A relayed request whose time-out is "<time-out>" has <decoded>
+    When a relayed request states the time-out "<time-out>"
+    Then it is decoded with <decoded>
+
+    Examples:
+      | time-out   | decoded    |
+      | 100        | 100 ms     |
+      | 1e300      | 2147483647 ms |
+      | Infinity   | 2147483647 ms |
+      | 0          | no parameters |
+      | -1         | no parameters |
+      | soon       | no parameters |
--- a/packages/gateway/tests/relay/relay_codec_steps.ts
+++ b/packages/gateway/tests/relay/relay_codec_steps.ts
@@ -4,14 +4,17 @@
 import {type DaemonId, type TargetId, toId} from '@marigoldpost/common';
 import {
   decodeRelayFailure,
+  decodeRelayParameters,
   encodeRelayFailure,
   encodeRelayParameters,
   omitRelayHeaders,
+  type RelayParameters,
 } from '@marigoldpost/gateway';
 
 interface RelayCodecWorld extends World {
   left: string[];
   refusal: Record<string, string>;
+  parameters: RelayParameters | undefined;
 }
 
 /** Header that builds up to 50811bd neither send nor read. */
@@ -31,6 +34,25 @@
   },
 );
 
+When(
+  'a relayed request states the time-out {string}',
+  function (this: RelayCodecWorld, timeout: string) {
+    this.parameters = decodeRelayParameters({
+      'marigoldpost-relay-sender': 'entry-0',
+      'marigoldpost-relay-target': 'target-0',
+      'marigoldpost-relay-timeout-ms': timeout,
+    });
+  },
+);
+
+Then(
+  /^it is decoded with (?:(\d+) ms|no parameters)$/,
+  function (this: RelayCodecWorld, timeoutMs: string | null) {
+    const expected = timeoutMs === null ? undefined : Number(timeoutMs);
+    assert.equal(this.parameters?.headTimeoutMs, expected);
+  },
+);
+
 Then(
   'only the headers of the client are left',
   function (this: RelayCodecWorld) {
