Refuse crash records whose numbers cannot be sent on

One crash record with a version beyond 64 bits, a fraction or a negative count, in the object of any entry VM, made the exchange of crash records with the archives fail for good: the record was merged, and each later message that held it could not be encoded.

Cause: the records were read with any number, but are sent as uint64 and uint32; BigInt and the encoder throw on others.

Change: the reader of the objects takes such records for those of another format and passes over them; the others of the object hold. The last crash of a record is found without spreading its crashes into arguments.

--- a/packages/nodes/src/entry/quarantine_replicator.ts
+++ b/packages/nodes/src/entry/quarantine_replicator.ts
@@ -40,14 +40,15 @@
 
 const entrySchema = z.object({
   fingerprint: z.string(),
-  version: z.number(),
-  quarantinedDeaths: z.number().default(0),
+  // Entries are sent on in these number types.
+  version: z.int().nonnegative(),
+  quarantinedDeaths: z.uint32().default(0),
   deaths: z.array(
     z.object({
       target: z.string(),
       startedAtMs: z.number().default(0),
       // Daemons of earlier versions do not number deaths.
-      ordinal: z.number().default(1),
+      ordinal: z.uint32().default(1),
       atMs: z.number(),
       isCleared: z.boolean().default(false),
     }),
@@ -168,7 +169,7 @@
 }
 
 function getLastDeathMs({deaths}: QuarantineEntry): number {
-  return Math.max(0, ...deaths.map(({atMs}) => atMs));
+  return deaths.reduce((lastMs, {atMs}) => Math.max(lastMs, atMs), 0);
 }
 
 function getMaxAgeMs({deaths, quarantinedDeaths}: QuarantineEntry): number {
