--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -7,6 +7,7 @@
   toId,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
+import type {QuarantineEntry} from '@marigoldpost/targets';
 import {
   BudgetLedger,
   type LedgerEntry,
@@ -31,6 +32,11 @@
  * turns is retained.
  */
 const ledgerRetentionMs = 120_000;
+/**
+ * How long a quarantine is kept on the disk after it was stored. Entries that
+ * are needed for longer must be stored again within this time.
+ */
+export const quarantineRetentionMs = ledgerRetentionMs;
 const sweepIntervalMs = 5000;
 
 /** Dependencies and callbacks of an archive. */
@@ -40,6 +46,8 @@
   readonly random: Random;
   /** Called after a turn is durable on this disk. */
   readonly onStored?: (turn: IndexedTurn) => void;
+  /** Called for each quarantine on the disk, the oldest one first. */
+  readonly onQuarantineRecovered?: (quarantine: QuarantineEntry) => void;
   /** Called when an expired log segment could not be removed. */
   readonly onSweepFailed?: (error: unknown) => void;
 }
@@ -64,7 +72,7 @@
    * @param options - Log folder, clock and callbacks.
    */
   static async open(options: ArchiveOptions): Promise<Archive> {
-    const {folder, clock, random} = options;
+    const {folder, clock, random, onQuarantineRecovered} = options;
     const index = TurnIndex.create();
     const ledger = BudgetLedger.create();
     const nowMs = clock.nowMs();
@@ -75,7 +83,14 @@
       onRecovered: ({position, bytes}) => {
         const entry = decodeArchiveEntry(bytes);
         index.retainSegment(position.segment, nowMs + ledgerRetentionMs);
-        if (entry?.kind === 'ledger') mergeLedger(ledger, entry.ledger, nowMs);
+        if (entry?.kind === 'ledger') {
+          mergeLedger(ledger, entry.ledger, nowMs);
+          // The log does not tell which reservations were contended.
+          ledger.markContended(entry.ledger.program);
+        }
+        if (entry?.kind === 'quarantine') {
+          onQuarantineRecovered?.(entry.quarantine);
+        }
         if (entry?.kind !== 'turn') return;
         index.add(entry.turn, position, nowMs);
         settleTurn(ledger, entry.turn, nowMs);
@@ -107,6 +122,15 @@
     return this.index.get(id) !== undefined;
   }
 
+  /**
+   * Retains a stored turn longer, since a peer has a turn that continues it.
+   * @param id - Id of the turn.
+   * @param retainedMs - Least time from now.
+   */
+  retainTurn(id: TurnId, retainedMs: number): void {
+    this.index.retainTurn(id, this.nowMs() + retainedMs);
+  }
+
   /**
    * Stores turns; resolves once they are durable. Skips turns that are stored
    * already.
@@ -116,6 +140,24 @@
     await Promise.all(records.map((record) => this.storeTurn(record)));
   }
 
+  /**
+   * Stores quarantines for `quarantineRetentionMs`; resolves once they are
+   * durable.
+   * @param quarantines - Entries that have changed.
+   */
+  async storeQuarantines(
+    quarantines: readonly QuarantineEntry[],
+  ): Promise<void> {
+    await Promise.all(
+      quarantines.map(async (quarantine) => {
+        const entry = encodeArchiveEntry({kind: 'quarantine', quarantine});
+        const {segment} = await this.log.append(entry);
+        const expiresAtMs = this.nowMs() + quarantineRetentionMs;
+        this.index.retainSegment(segment, expiresAtMs);
+      }),
+    );
+  }
+
   /** Whether it stores no further turns, since its VM is about to be removed. */
   get isSealed(): boolean {
     return this.isClosedForTurns;
@@ -149,11 +191,22 @@
   }
 
   /**
-   * Merges ledger entries of an entry VM or of another archive; resolves once
-   * they are durable.
+   * Merges ledger entries of another archive; resolves once they are durable.
    * @param ledgers - Entries by program.
    */
   async mergeLedgers(ledgers: readonly ProgramEntries[]): Promise<void> {
+    const unchecked = ledgers.filter((ledger) => this.hasUnknownEntry(ledger));
+    // Entries are merged into memory at once; the promise waits for the disk.
+    const merged = this.settle(ledgers);
+    for (const {program} of unchecked) this.ledger.markContended(program);
+    await merged;
+  }
+
+  /**
+   * Merges the tokens that attempts used; resolves once they are durable.
+   * @param ledgers - Settled entries by program.
+   */
+  async settle(ledgers: readonly ProgramEntries[]): Promise<void> {
     const nowMs = this.nowMs();
     const changed = ledgers
       .map((ledger) => ({
@@ -271,6 +324,13 @@
     this.options.onStored?.(indexed);
   }
 
+  /** Whether entries include one that this archive has not counted. */
+  private hasUnknownEntry({program, entries}: ProgramEntries): boolean {
+    const known = this.ledger.getEntries(program);
+    const attempts = new Set(known.map(({attempt}) => attempt));
+    return entries.some(({attempt}) => !attempts.has(attempt));
+  }
+
   /** Merges entries; gets those that are not durable yet. */
   private mergeEntries(
     {program, entries}: ProgramEntries,
