--- a/packages/nodes/src/quarantine_settings.ts
+++ b/packages/nodes/src/quarantine_settings.ts
@@ -22,8 +22,8 @@
 ): boolean {
   const {deaths} = entry;
   if (deaths.length === 0) return true;
-  const lastDeathMs = Math.max(...deaths.map(({atMs}) => atMs));
-  return lastDeathMs >= wallTimeMs - getMaxAgeMs(entry);
+  const oldestMs = wallTimeMs - getMaxAgeMs(entry);
+  return deaths.some(({atMs}) => atMs >= oldestMs);
 }
 
 function getMaxAgeMs({deaths, quarantinedDeaths}: QuarantineEntry): number {
