--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -26,7 +26,11 @@
 
 /** Configuration and target changes must take effect within 2 s. */
 const configTiming = {pauseMs: 100, waitMs: promptWaitMs};
-/** Many entry VMs may register at the same time; each call has a cost. */
+/**
+ * Many entry VMs may register or record crashes at the same time; each call has
+ * a cost, and each change wakes every entry VM. Crash records arrive through the
+ * archives as well, twice a second.
+ */
 const entryTiming = {...relaxedTiming, pauseMs: 1000};
 const targetTiming = {pauseMs: 400, waitMs: promptWaitMs};
 /** Part of the grace period that is reserved for the exit of the process. */
@@ -151,7 +155,7 @@
     );
     this.watch(archivePrefix, relaxedTiming, this.archiveDirectory);
     this.watch(entryPrefix, entryTiming, this.fleet.directory);
-    this.watch(crashPrefix, relaxedTiming, this.quarantineReplicator);
+    this.watch(crashPrefix, entryTiming, this.quarantineReplicator);
     const reader = this.createSeedReader(configPrefix, configUpdater);
     this.tasks.run('seeds', (signal) => reader.run(signal));
     this.tasks.run('crash records', (signal) =>
