--- a/packages/platform/tests/http/http_channel.feature
+++ b/packages/platform/tests/http/http_channel.feature
@@ -32,6 +32,16 @@
       | reset | 0     | cut     |
       | reset | 20    | cut     |
 
+  Scenario Outline: A response that a <end> ends inside its head is no response
+    Given an HTTP server that ends each response by a <end> one byte later in its head
+    When the HTTP channel sends a request for each byte of the head
+    Then each of these requests has failed
+
+    Examples:
+      | end   |
+      | close |
+      | reset |
+
   Scenario Outline: Responses whose <part> does not end stay within the memory of all channels
     Given 4 HTTP channels with a common budget of 4 megabytes to a server whose <part> does not end
     When 40 requests of these channels are <how>
