Decide token budgets without archives that others have superseded

Programs of their home data centre alone were served before the reservations were made safe; now none were.

An archive that an entry VM has not reached for 6 s, while it reaches another one of the same data centre, takes no part in its reservations any more. Majorities of such entry VMs meet those of others that still count one lost archive; with several, they meet as long as no VM gets the votes of those that look lost to another.

turn_store.feature, 'Budgets are counted after every first archive has been replaced' failed before.

--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -24,6 +24,12 @@
  */
 const reconnectMs = 1000;
 
+/**
+ * An archive that is unreachable for this long is superseded by another one of
+ * its data centre: longer than a restart, a freeze or a stalled disk.
+ */
+const supersededMs = 6000;
+
 /** Directory, transport and callbacks of a pool. */
 export interface ArchivePoolOptions {
   readonly directory: ArchiveDirectory;
@@ -83,6 +89,25 @@
     return this.clients;
   }
 
+  /**
+   * Gets the clients of the archives that decide on token budgets: all but those
+   * that are superseded. Nothing removes the registration of a VM that never
+   * returns, and a few of them would leave no majority. Another archive that is
+   * reachable in the same data centre shows that it is not the link to it that
+   * is cut.
+   */
+  getVoters(): readonly ArchiveClient[] {
+    const clients = this.getClients();
+    const sinceMs = this.options.clock.nowMs() - supersededMs;
+    return clients.filter(
+      ({unreachableAtMs = Infinity, dataCentre}) =>
+        unreachableAtMs > sinceMs ||
+        !clients.some(
+          (other) => other.isReachable && other.dataCentre === dataCentre,
+        ),
+    );
+  }
+
   /** Whether at least one archive is reachable. */
   get hasReachableArchive(): boolean {
     return this.getClients().some((client) => client.isReachable);
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -177,10 +177,10 @@
     isForced: boolean,
   ): Promise<ReservationBallot> {
     const {pool, clock, ownDataCentre, owedArchives} = this.options;
-    const clients = pool.getClients();
+    const isListKnown = pool.getClients().length >= owedArchives;
     const location = {home: request.home, own: ownDataCentre};
     const ballot = ReservationBallot.create({
-      clients: clients.length < owedArchives ? [] : clients,
+      clients: isListKnown ? pool.getVoters() : [],
       clock,
       location,
       reservation: {...request, isForced},
