Word the steps of unsendable requests so that they match no others

The whole set of steps has to match each sentence once: 'a request is sent to the silent target' of the daemon's features matched the new step of the gateway's as well, so its scenarios were ambiguous.

--- a/packages/gateway/tests/targets/target_exchange.feature
+++ b/packages/gateway/tests/targets/target_exchange.feature
@@ -13,7 +13,7 @@
     Then the probe has connected
 
   Scenario Outline: A <request> that cannot be created fails as unreachable and not sent
-    When a <request> is sent <problem>
+    When the <request> of an exchange goes <problem>
     Then within 500 ms it fails as unreachable and not sent
 
     Examples:
--- a/packages/gateway/tests/targets/target_exchange_steps.ts
+++ b/packages/gateway/tests/targets/target_exchange_steps.ts
@@ -115,7 +115,7 @@
 );
 
 When(
-  /^a (request|relayed request) is sent (to (?!a target (?:that|and)).+|with .+)$/,
+  /^the (request|relayed request) of an exchange goes (to .+|with .+)$/,
   async function (this: ExchangeWorld, kind: string, problem: string) {
     const startMs = Date.now();
     const port = Number(/^to port (.+)$/.exec(problem)?.[1] ?? 1);
