Forget idle connections to targets when they close

Cause: TargetAgent cleared the timer of an idle connection when it was used again or when the timer ran out, not when the connection closed. Evidence: a diagnostic report of the waiting process shows one referenced timer, created in keepSocketAlive with ms.

The timer now ends with the connection. The new scenario failed before; the 27 scenarios of targets and silent_targets.feature now end by themselves, before the process was ended after 100 s.

--- a/packages/gateway/src/targets/target_agent.ts
+++ b/packages/gateway/src/targets/target_agent.ts
@@ -19,6 +19,7 @@
   private readonly idleTimers = new Map<Socket, NodeJS.Timeout>();
   private isRetired = false;
   private readonly onUnexpectedData: (this: Socket) => void;
+  private readonly onIdleClose: (this: Socket) => void;
 
   private constructor(private readonly connector: TargetConnector) {
     super({
@@ -30,6 +31,10 @@
     this.onUnexpectedData = function () {
       this.destroy();
     };
+    const clearIdleTimer = this.clearIdleTimer.bind(this);
+    this.onIdleClose = function () {
+      clearIdleTimer(this);
+    };
   }
 
   /**
@@ -61,17 +66,16 @@
     if (idleMs <= 0) return false;
     socket.setKeepAlive(true, millisecondsPerSecond);
     socket.on('data', this.onUnexpectedData);
-    const timer = setTimeout(() => {
-      this.idleTimers.delete(socket);
-      socket.destroy();
-    }, idleMs);
+    const timer = setTimeout(() => socket.destroy(), idleMs);
     this.idleTimers.set(socket, timer);
+    socket.once('close', this.onIdleClose);
     return true;
   }
 
   override reuseSocket(socket: Socket, request: http.ClientRequest): void {
     this.clearIdleTimer(socket);
     socket.removeListener('data', this.onUnexpectedData);
+    socket.removeListener('close', this.onIdleClose);
     super.reuseSocket(socket, request);
   }
 
--- a/packages/gateway/tests/targets/target_agent.feature
+++ b/packages/gateway/tests/targets/target_agent.feature
@@ -12,3 +12,7 @@
       | timeout=1                    | new        |
       | timeout=0                    | new        |
       | max=7                        | same       |
+
+  Scenario: A connection that its target closes while it is idle is not kept until its idle timeout
+    When a target that states "timeout=2" closes an idle connection
+    Then its idle timeout does not run out
