--- a/tools/run_tests.js
+++ b/tools/run_tests.js
@@ -13,6 +13,8 @@
 ];
 const knownRedPath = 'KNOWN-RED.txt';
 const testLinePrefix = 'test: ';
+/** Time after the last scenario in which the process is expected to end. */
+const exitTimeoutMs = 10_000;
 /** Prefix of a scenario that fails in some runs only. */
 const unsteadyTestLinePrefix = 'unsteady test: ';
 
@@ -103,3 +105,8 @@
 if (!success && failed === 0 && knownRedCount === 0) failed += 1;
 console.log(`${passed} passed, ${failed} failed`);
 process.exitCode = failed === 0 ? 0 : 1;
+setTimeout(() => {
+  const resources = process.getActiveResourcesInfo().join(', ');
+  console.error(`Exits with open resources: ${resources}`);
+  process.exit();
+}, exitTimeoutMs).unref();
