Count crashes against the instance that a relaying entry VM has sent to

Callers could send a crashing request to a fourth and further targets. An entry VM whose list of targets lags sends a request to the address of an instance that has just crashed; refused, it relays the request to another entry VM, which already lists the instance that has taken its place, and that one crashes too. The crash was compared with the former one by the own list entry and put down to it (crash_not_counted, "the target had crashed before the run").

A relaying entry VM now states when the instance started, by its list, with each response and failure. Crashes, silences and responses count for that instance; without the statement, as from earlier builds, for the own entry as before.

--- a/packages/gateway/src/calls/plain_call.ts
+++ b/packages/gateway/src/calls/plain_call.ts
@@ -115,8 +115,8 @@
   }
   attempts.recordBrokenResponse(lease, problem, getBodyFields(end));
   if (end.proof !== 'truncated' || answer.body.isOversized) return;
-  if (signal.aborted) attempts.recordSilence(lease);
-  else attempts.recordCrash(lease, end);
+  if (signal.aborted) attempts.recordSilence();
+  else attempts.recordCrash(end);
 }
 
 /** Finds why a response must not be forwarded; `undefined` if it may be. */
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -73,12 +73,12 @@
     attempts.complete(started.lease, {status, proof, latencySampleMs});
   } else if (call.signal.aborted) {
     attempts.release(started.lease, {result: 'cancelled'});
-    attempts.recordSilence(started.lease);
+    attempts.recordSilence();
   } else {
     attempts.recordBrokenResponse(started.lease, result.message, fields);
-    if (result.isLost) attempts.recordSilence(started.lease);
+    if (result.isLost) attempts.recordSilence();
     else if (!targetBody.isOversized) {
-      attempts.recordCrash(started.lease, result.end);
+      attempts.recordCrash(result.end);
     }
   }
   return {...result, target};
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -87,6 +87,8 @@
   private hasTimedOut = false;
   /** Entry VM that relayed the last attempt; `undefined` if none did. */
   private peer: DaemonId | undefined;
+  /** Target of the last attempt, as the instance that received it. */
+  private receiver!: TargetEntry;
   private readonly trackedRequest: TrackedRequest;
 
   private constructor(
@@ -140,7 +142,7 @@
       this.sentAtMs = this.services.clock.nowMs();
       const outcome = await this.send(lease);
       if (outcome.kind !== 'failed') {
-        this.recordResponse(lease, outcome);
+        this.recordResponse(outcome);
       }
       if (outcome.kind === 'answer') {
         this.attempts += 1;
@@ -169,23 +171,21 @@
 
   /**
    * Records that a connection was closed while a target ran the request.
-   * @param lease - Lease of the attempt.
    * @param end - How the response ended.
    */
-  recordCrash({target}: TargetLease, {silentMs}: BodyEnd): void {
-    const {crashTracker} = this.services;
+  recordCrash({silentMs}: BodyEnd): void {
+    const {receiver: target, services} = this;
+    const {crashTracker} = services;
     if (this.peer === undefined) {
       crashTracker.recordCrash(this.trackedRequest, target, this.getRun());
     } else void this.recordRelayedCrash(target, this.peer, silentMs);
   }
 
-  /**
-   * Records that a target was running the request and has not responded.
-   * @param lease - Lease of the attempt.
-   */
-  recordSilence({target}: TargetLease): void {
+  /** Records that a target was running the request and has not responded. */
+  recordSilence(): void {
     const {crashTracker} = this.services;
-    crashTracker.recordSilence(this.trackedRequest, target, this.getRun());
+    const run = this.getRun();
+    crashTracker.recordSilence(this.trackedRequest, this.receiver, run);
   }
 
   /**
@@ -223,7 +223,7 @@
   ): void {
     const {crashTracker} = this.services;
     const {trackedRequest} = this;
-    const {target} = lease;
+    const target = this.receiver;
     if (proof === 'complete') {
       this.release(lease, {result: 'answered', latencySampleMs});
       crashTracker.recordCompletion(trackedRequest, target.id, status);
@@ -255,11 +255,9 @@
     });
   }
 
-  private recordResponse(
-    {target}: TargetLease,
-    outcome: StartedResponse | NotRunResponse,
-  ): void {
-    const {crashTracker, targetLimits} = this.services;
+  private recordResponse(outcome: StartedResponse | NotRunResponse): void {
+    const {receiver: target, services} = this;
+    const {crashTracker, targetLimits} = services;
     const {sentAtMs} = this;
     if (!isMisdirected(outcome)) crashTracker.recordResponse(target, sentAtMs);
     const {rateLimitPerS: limitPerS, isLeaving, isSigned} = outcome.attributes;
@@ -361,7 +359,7 @@
   }
 
   private async send({target}: TargetLease): Promise<ExchangeOutcome> {
-    const {outcome, peer} = await this.services.sender.send({
+    const {outcome, peer, receiver} = await this.services.sender.send({
       target,
       createRequest: () => this.createTargetRequest(target),
       getHeadTimeoutMs: () => this.getHeadTimeoutMs(target, this.wholeLeftMs),
@@ -369,6 +367,7 @@
       onRelay: (relay) => this.logRelay(target, relay),
     });
     this.peer = peer;
+    this.receiver = receiver;
     return outcome;
   }
 
@@ -451,8 +450,8 @@
       const {crashTracker} = this.services;
       if (reason === 'broken' && !isPeerFault) {
         const run = this.getRun();
-        crashTracker.recordCrash(this.trackedRequest, lease.target, run);
-      } else if (isSent) this.recordSilence(lease);
+        crashTracker.recordCrash(this.trackedRequest, this.receiver, run);
+      } else if (isSent) this.recordSilence();
     }
     if (reason === 'silent') this.services.agents.get(lease.target).closeIdle();
     if (isSent) this.attempts += 1;
--- a/packages/gateway/src/calls/target_sender.ts
+++ b/packages/gateway/src/calls/target_sender.ts
@@ -55,6 +55,8 @@
   readonly outcome: ExchangeOutcome;
   /** Entry VM that relayed it; `undefined` if it went directly. */
   readonly peer: DaemonId | undefined;
+  /** The target as the instance that received it, where its list entry lags. */
+  readonly receiver: TargetEntry;
 }
 
 /** Decides by which way a request goes; sends it on one way only. */
@@ -82,7 +84,7 @@
       const outcome = await this.sendDirectly(attempt);
       if (!isUnreachable(outcome)) {
         if (outcome.kind !== 'failed') links.recordReached(target);
-        return {outcome, peer: undefined};
+        return {outcome, peer: undefined, receiver: target};
       }
       links.recordConnectFailure(target, outcome.message);
       failure = outcome;
@@ -160,13 +162,16 @@
         peers.recordSuccess(peer.daemon);
         links.recordReachedByPeer(target, peer.daemon);
       }
-      return {outcome, peer: peer.daemon};
+      const startedAtMs = outcome.targetStartedAtMs ?? target.startedAtMs;
+      const receiver = {...target, startedAtMs};
+      return {outcome, peer: peer.daemon, receiver};
     }
     // One alone may have lost its own link without knowing it yet.
     const [last] = unreached.slice(-1);
     if (last !== undefined) links.recordUnreachedByPeer(target, last);
     const message = `no entry VM of ${excluded.size} reaches the target`;
-    return {outcome: failure ?? createFailure(message), peer: undefined};
+    const outcome = failure ?? createFailure(message);
+    return {outcome, peer: undefined, receiver: target};
   }
 
   private async sendThroughPeer(
--- a/packages/gateway/src/relay/peer_exchange.ts
+++ b/packages/gateway/src/relay/peer_exchange.ts
@@ -13,6 +13,7 @@
 import {
   decodeRelayFailure,
   decodeRelayFraming,
+  decodeRelayInstance,
   encodeRelayParameters,
   omitRelayHeaders,
 } from './relay_codec.js';
@@ -79,6 +80,7 @@
     const {codec, request, peer} = this.options;
     const {headers, statusCode: status = 0} = response;
     const failure = decodeRelayFailure(headers);
+    const targetStartedAtMs = decodeRelayInstance(headers);
     if (failure !== undefined) {
       response.resume();
       const {reason, isSent, isPeerFault, isLeaving} = failure;
@@ -93,6 +95,7 @@
         message,
         failedPeer,
         leavingSource,
+        ...(targetStartedAtMs === undefined ? {} : {targetStartedAtMs}),
       });
       return;
     }
@@ -103,7 +106,8 @@
       fail('broken', `${peer.daemon} sent a response of another protocol`);
       return;
     }
-    this.settleResponse(body, codec.decodeResponse(status, headers));
+    const attributes = codec.decodeResponse(status, headers);
+    this.settleResponse(body, attributes, targetStartedAtMs);
   }
 
   protected override createFailure(
--- a/packages/gateway/src/relay/relay_codec.ts
+++ b/packages/gateway/src/relay/relay_codec.ts
@@ -18,6 +18,7 @@
   sent: 'marigoldpost-relay-sent',
   fault: 'marigoldpost-relay-fault',
   leaving: 'marigoldpost-relay-leaving',
+  startedAt: 'marigoldpost-relay-target-started-ms',
 } as const;
 /** Prefix of all headers of the relay, also of those that a later build adds. */
 const namePrefix = 'marigoldpost-relay-';
@@ -124,6 +125,26 @@
   return framings.includes(framing) ? (framing as BodyFraming) : undefined;
 }
 
+/**
+ * Encodes which instance of a target received a request.
+ * @param startedAtMs - When the instance started, by its list entry.
+ */
+export function encodeRelayInstance(startedAtMs: number): string[] {
+  return [names.startedAt, String(startedAtMs)];
+}
+
+/**
+ * Decodes when the instance that received a request started; `undefined` if the
+ * response does not state it, as those of earlier builds.
+ * @param headers - Headers of the response.
+ */
+export function decodeRelayInstance(
+  headers: IncomingHttpHeaders,
+): number | undefined {
+  const startedAtMs = Number(headers[names.startedAt] ?? Number.NaN);
+  return Number.isFinite(startedAtMs) ? startedAtMs : undefined;
+}
+
 /**
  * Encodes a failure, as alternating names and values.
  * @param failure - Failure of the exchange with the target.
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -27,6 +27,7 @@
   decodeRelayParameters,
   encodeRelayFailure,
   encodeRelayFraming,
+  encodeRelayInstance,
   omitRelayHeaders,
   type RelayFailure,
   type RelayParameters,
@@ -155,7 +156,7 @@
       if (reason === 'unreachable') links.recordConnectFailure(target, message);
       const fault = {isPeerFault: false, isLeaving: false};
       const failure = {reason, isSent, ...fault};
-      this.sendFailure(response, failure);
+      this.sendFailure(response, failure, target);
       this.logOutcome(request, parameters, message);
       return;
     }
@@ -164,7 +165,12 @@
       await this.forward(outcome, response, target, signal);
       return;
     }
-    const headers = [...encodeRelayFraming('none'), 'Content-Length', '0'];
+    const headers = [
+      ...encodeRelayFraming('none'),
+      ...encodeRelayInstance(target.startedAtMs),
+      'Content-Length',
+      '0',
+    ];
     response.writeHead(outcome.status, [
       ...this.getHeaders(outcome.rawHeaders),
       ...headers,
@@ -237,6 +243,7 @@
       headers.push('Content-Length', length);
     }
     headers.push(...encodeRelayFraming(framing));
+    headers.push(...encodeRelayInstance(target.startedAtMs));
     response.writeHead(source.statusCode ?? failureStatus, headers);
     response.flushHeaders();
     const findLoss = (silentMs: number) =>
@@ -264,8 +271,15 @@
     return this.options.codec.encodeForClient(rawHeaders);
   }
 
-  private sendFailure(response: ServerResponse, failure: RelayFailure): void {
+  private sendFailure(
+    response: ServerResponse,
+    failure: RelayFailure,
+    target?: TargetEntry,
+  ): void {
     const headers = [...encodeRelayFailure(failure), 'Content-Length', '0'];
+    if (target !== undefined) {
+      headers.push(...encodeRelayInstance(target.startedAtMs));
+    }
     response.writeHead(failureStatus, headers);
     response.end();
     const {metrics} = this.options;
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -30,6 +30,8 @@
   readonly response: http.IncomingMessage;
   readonly body: TargetBody;
   readonly attributes: ResponseAttributes;
+  /** Start of the instance that responded, if another entry VM states it. */
+  readonly targetStartedAtMs?: number;
 }
 
 /** A response which guarantees that the target did not run the request. */
@@ -39,6 +41,8 @@
   /** Alternating names and values. */
   readonly rawHeaders: readonly string[];
   readonly attributes: ResponseAttributes;
+  /** Start of the instance that responded, if another entry VM states it. */
+  readonly targetStartedAtMs?: number;
 }
 
 /** Why an exchange has no usable response. */
@@ -55,6 +59,8 @@
   readonly isMalformed?: boolean;
   /** Relaying entry VM that failed itself, so that the target is not at fault. */
   readonly failedPeer?: DaemonId;
+  /** Start of the instance that received it, if another entry VM states it. */
+  readonly targetStartedAtMs?: number;
   /** Entry VM that did not relay the request, since the target is leaving. */
   readonly leavingSource?: DaemonId;
 }
@@ -126,19 +132,28 @@
    * Ends the exchange with a target's response.
    * @param body - Body of the response.
    * @param attributes - Decoded headers of the response.
+   * @param targetStartedAtMs - Start of the instance, if it is stated.
    */
   protected settleResponse(
     body: TargetBody,
     attributes: ResponseAttributes,
+    targetStartedAtMs?: number,
   ): void {
     const {response} = body;
+    const instance = targetStartedAtMs === undefined ? {} : {targetStartedAtMs};
     if (!attributes.isNotRun) {
-      this.settle({kind: 'answer', response, body, attributes});
+      this.settle({kind: 'answer', response, body, attributes, ...instance});
       return;
     }
     body.discard();
     const {statusCode: status = 0, rawHeaders} = response;
-    this.settle({kind: 'not_run', status, rawHeaders, attributes});
+    this.settle({
+      kind: 'not_run',
+      status,
+      rawHeaders,
+      attributes,
+      ...instance,
+    });
   }
 
   /**
