Keep the ledger entries of programs that go on in the log of archives

Callers could get tokens beyond a spent budget after a loss of power of all archives: an archive removed a log segment 120 s after its last entry, so a program that had been active for longer kept its early attempts in memory only.

The archive now knows which segments contain ledger entries of each program that it keeps, turns included, whose tokens are on the disk as part of the turn only. Before an expired segment is removed, the complete ledgers of these programs are written to the current one; while that fails, the segment stays. A program that is idle for 120 s, twice the retention of a turn on all sites, is dropped as before, so the disk does not grow.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -14,6 +14,7 @@
   type Reservation,
   type ReservationResult,
 } from '../ledger/budget_ledger.js';
+import {LedgerSegments} from '../ledger/ledger_segments.js';
 import {UnwrittenEntries} from '../ledger/unwritten_entries.js';
 import {type DiskId, readDiskIdentity} from '../log/disk_identity.js';
 import {EntryLog, type EntryPosition} from '../log/entry_log.js';
@@ -27,9 +28,9 @@
 import {type IndexedTurn, TurnIndex} from './turn_index.js';
 
 /**
- * How long a program's ledger is kept after its last change. It is twice the
- * longest retention of a turn, since a program can resume while one of its
- * turns is retained.
+ * How long a program's ledger is kept after its last change, in memory and on
+ * the disk. It is twice the longest retention of a turn, since a program can
+ * resume while one of its turns is retained.
  */
 const ledgerRetentionMs = 120_000;
 /**
@@ -63,6 +64,7 @@
     private readonly log: EntryLog,
     private readonly index: TurnIndex,
     private readonly ledger: BudgetLedger,
+    private readonly ledgerSegments: LedgerSegments,
     /** Identity of the disk's contents; changes when the disk is wiped. */
     readonly disk: DiskId,
   ) {}
@@ -75,6 +77,7 @@
     const {folder, clock, random, onQuarantineRecovered} = options;
     const index = TurnIndex.create();
     const ledger = BudgetLedger.create();
+    const ledgerSegments = LedgerSegments.create();
     const nowMs = clock.nowMs();
     const disk = await readDiskIdentity(folder, random);
     const log = await EntryLog.open({
@@ -87,6 +90,7 @@
           mergeLedger(ledger, entry.ledger, nowMs);
           // The log does not tell which reservations were contended.
           ledger.markContended(entry.ledger.program);
+          ledgerSegments.add(entry.ledger.program, position.segment);
         }
         if (entry?.kind === 'quarantine') {
           onQuarantineRecovered?.(entry.quarantine);
@@ -94,9 +98,10 @@
         if (entry?.kind !== 'turn') return;
         index.add(entry.turn, position, nowMs);
         settleTurn(ledger, entry.turn, nowMs);
+        ledgerSegments.add(entry.turn.program, position.segment);
       },
     });
-    return new Archive(options, log, index, ledger, disk);
+    return new Archive(options, log, index, ledger, ledgerSegments, disk);
   }
 
   /** Number of turns in the index. */
@@ -288,20 +293,41 @@
   private async removeExpired(): Promise<void> {
     const nowMs = this.nowMs();
     this.ledger.removeIdle(nowMs - ledgerRetentionMs);
-    this.unwritten.removePrograms(
-      (program) => this.ledger.getEntries(program).length > 0,
-    );
+    const isKept = (program: ProgramId) => this.ledger.has(program);
+    this.unwritten.removePrograms(isKept);
+    this.ledgerSegments.removePrograms(isKept);
     const current = this.log.currentSegment;
     for (const segment of this.index.removeExpired(nowMs)) {
       if (segment === current) continue;
       try {
+        await this.rewriteLedgers(segment);
         await this.log.removeSegment(segment);
+        this.index.forgetSegment(segment);
       } catch (error) {
         this.options.onSweepFailed?.(error);
       }
     }
   }
 
+  /** Writes the ledgers again that have entries in an expired segment. */
+  private async rewriteLedgers(segment: number): Promise<void> {
+    for (const program of this.ledgerSegments.findPrograms(segment)) {
+      const former = this.ledgerSegments.take(program);
+      const ledger = this.getLedger(program);
+      try {
+        const entry = encodeArchiveEntry({kind: 'ledger', ledger});
+        const position = await this.log.append(entry);
+        this.retainSegment(position);
+        this.ledgerSegments.add(program, position.segment);
+      } catch (error) {
+        for (const unreplaced of former) {
+          this.ledgerSegments.add(program, unreplaced);
+        }
+        throw error;
+      }
+    }
+  }
+
   private storeTurn(record: TurnRecord): Promise<void> {
     const {id} = record;
     if (this.hasTurn(id)) return Promise.resolve();
@@ -320,6 +346,7 @@
     const nowMs = this.nowMs();
     this.retainSegment(position);
     settleTurn(this.ledger, record, nowMs);
+    this.ledgerSegments.add(record.program, position.segment);
     const indexed = this.index.add(record, position, nowMs);
     this.options.onStored?.(indexed);
   }
@@ -346,7 +373,9 @@
     const {program, entries} = ledger;
     const entry = encodeArchiveEntry({kind: 'ledger', ledger});
     this.unwritten.add(program, entries);
-    this.retainSegment(await this.log.append(entry));
+    const position = await this.log.append(entry);
+    this.retainSegment(position);
+    this.ledgerSegments.add(program, position.segment);
     this.unwritten.remove(program, entries);
   }
 
--- a/packages/turns/src/archive/turn_index.ts
+++ b/packages/turns/src/archive/turn_index.ts
@@ -102,13 +102,17 @@
     for (const [id, turn] of this.turns) {
       if (turn.expiresAtMs < nowMs) this.turns.delete(id);
     }
-    const expired: number[] = [];
-    for (const [segment, expiryMs] of this.segmentExpiryMs) {
-      if (expiryMs >= nowMs) continue;
-      this.segmentExpiryMs.delete(segment);
-      expired.push(segment);
-    }
-    return expired;
+    return [...this.segmentExpiryMs]
+      .filter(([, expiryMs]) => expiryMs < nowMs)
+      .map(([segment]) => segment);
+  }
+
+  /**
+   * Forgets a log segment whose file has been removed.
+   * @param segment - Segment number.
+   */
+  forgetSegment(segment: number): void {
+    this.segmentExpiryMs.delete(segment);
   }
 
   private extendAncestors(turn: IndexedTurn): void {
--- a/packages/turns/src/ledger/budget_ledger.ts
+++ b/packages/turns/src/ledger/budget_ledger.ts
@@ -122,6 +122,14 @@
     return [...(this.budgets.get(program)?.entries.values() ?? [])];
   }
 
+  /**
+   * Whether the ledger has entries of a program.
+   * @param program - Id of the program.
+   */
+  has(program: ProgramId): boolean {
+    return this.budgets.has(program);
+  }
+
   /** Gets the ids of all programs with entries. */
   getPrograms(): ProgramId[] {
     return [...this.budgets.keys()];
