Count an emptied archive only once it has the ledgers that every quorum meets

Callers got tokens beyond a spent budget after a lost disk: the emptied archive counted its ledger as complete once it had merged those of the peers that it reached, although another archive, which had recorded the program's attempts with it, was away for more than 1.2 s. So did one that restarted after it had merged a part of the ledgers only, since a disk with programs on it was taken for complete, and two emptied archives took each other's empty ledgers for complete.

The ledger is now complete once as many peers with complete ledgers have sent theirs as each majority that the lost disk may have been part of has one among, one of the own data centre included, whose archives decide by themselves while it is isolated. If too few are up, it waits until each peer has sent its ledger or has been away for 6 s, the time after which entry VMs decide without a superseded archive, so a peer that is gone for good stops nothing for longer. A file on the disk marks a complete ledger; an archive that restarts without programs no longer waits. An archive registers once it has read the list, which tells a new one from an emptied one.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -153,7 +153,6 @@
   private createRepairer(archive: Archive): ArchiveRepairer {
     const {settings, clock, logger} = this.options;
     const pool = this.createArchivePool();
-    const isDiskNew = archive.programCount === 0 && !settings.isFirstStart;
     return ArchiveRepairer.create({
       archive,
       pool,
@@ -161,7 +160,7 @@
       daemon: settings.daemon,
       dataCentre: settings.dataCentre,
       replicaCount: settings.toleratedDisks + 1,
-      isDiskNew,
+      isFirstStart: settings.isFirstStart,
       onFailed: (task, error) => this.tasks.logFailure(task, error),
       onReplicasCounted: ({daemon, disk}, areCounted) =>
         logger.log('archive_replicas_counted', {
@@ -196,7 +195,8 @@
     const address = `http://${ip}:${peerPort}`;
     const {disk} = archive;
     const member = {daemon, address, dataCentre, disk};
-    while (!retirement.isLoaded) {
+    // The repairer has to know whether this daemon was registered before.
+    while (!retirement.isLoaded || !this.archiveDirectory.isLoaded) {
       await this.clock.sleep(registrationRetryMs, signal);
     }
     while (!signal.aborted && !retirement.isRequested) {
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -18,6 +18,7 @@
 import {UnwrittenEntries} from '../ledger/unwritten_entries.js';
 import {type DiskId, readDiskIdentity} from '../log/disk_identity.js';
 import {EntryLog, type EntryPosition} from '../log/entry_log.js';
+import {hasLedgerMarker, writeLedgerMarker} from '../log/ledger_marker.js';
 import type {LogFolder} from '../log/log_folder.js';
 import {
   decodeArchiveEntry,
@@ -67,6 +68,7 @@
     private readonly ledgerSegments: LedgerSegments,
     /** Identity of the disk's contents; changes when the disk is wiped. */
     readonly disk: DiskId,
+    private isMarkedComplete: boolean,
   ) {}
 
   /**
@@ -80,6 +82,7 @@
     const ledgerSegments = LedgerSegments.create();
     const nowMs = clock.nowMs();
     const disk = await readDiskIdentity(folder, random);
+    const isMarked = await hasLedgerMarker(folder);
     const log = await EntryLog.open({
       folder,
       clock,
@@ -101,7 +104,15 @@
         ledgerSegments.add(entry.turn.program, position.segment);
       },
     });
-    return new Archive(options, log, index, ledger, ledgerSegments, disk);
+    return new Archive(
+      options,
+      log,
+      index,
+      ledger,
+      ledgerSegments,
+      disk,
+      isMarked,
+    );
   }
 
   /** Number of turns in the index. */
@@ -114,6 +125,21 @@
     return this.ledger.size;
   }
 
+  /**
+   * Whether the disk is marked as one whose ledgers include all that the archive
+   * has granted. A disk that has been lost and replaced is not.
+   */
+  get hasCompleteLedgers(): boolean {
+    return this.isMarkedComplete;
+  }
+
+  /** Marks the ledgers as complete; resolves once that is durable. */
+  async markLedgersComplete(): Promise<void> {
+    if (this.isMarkedComplete) return;
+    await writeLedgerMarker(this.options.folder);
+    this.isMarkedComplete = true;
+  }
+
   /** Gets every indexed turn, in the order in which they were stored. */
   getTurns(): IterableIterator<IndexedTurn> {
     return this.index.getAll();
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -55,7 +55,17 @@
   /** When an archive became reachable while no other one was. */
   private isolationEndMs = Number.NEGATIVE_INFINITY;
 
-  private constructor(private readonly options: ArchivePoolOptions) {}
+  /** Whether the first list of archives named the own daemon. */
+  private isOwnRegistered: boolean | undefined;
+
+  private constructor(private readonly options: ArchivePoolOptions) {
+    const {directory} = options;
+    this.readOwnRegistration();
+    const removeListener = directory.onChange(() => {
+      this.readOwnRegistration();
+      if (directory.isLoaded) removeListener();
+    });
+  }
 
   /**
    * Creates a pool that follows the directory.
@@ -70,6 +80,14 @@
     return this.options.directory.isLoaded;
   }
 
+  /**
+   * Whether an archive of the own daemon was registered before this start;
+   * `undefined` before the list of archives has been read.
+   */
+  get wasRegistered(): boolean | undefined {
+    return this.isOwnRegistered;
+  }
+
   /** Gets one client per registered archive, reachable or not. */
   getClients(): readonly ArchiveClient[] {
     const {directory, ownDaemon} = this.options;
@@ -186,6 +204,12 @@
     );
   }
 
+  private readOwnRegistration(): void {
+    const {directory, ownDaemon} = this.options;
+    if (!directory.isLoaded || ownDaemon === undefined) return;
+    this.isOwnRegistered ??= directory.getMember(ownDaemon) !== undefined;
+  }
+
   /** Until when an archive is expected to return or to be registered. */
   private getExpectedUntilMs(owedCount: number): number {
     const clients = this.getClients();
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -12,6 +12,7 @@
 import type {ArchivePool} from '../client/archive_pool.js';
 import {orderCandidates} from '../client/replica_placement.js';
 import type {ArchiveMember} from '../directory/archive_directory.js';
+import {getMajority} from '../ledger/reservation_quorum.js';
 import type {DiskId} from '../log/disk_identity.js';
 
 /** Pause between two repair rounds. */
@@ -36,6 +37,11 @@
  * with time for a reply.
  */
 const commonRestartMs = 1200;
+/**
+ * A peer that is unreachable for this long is presumed lost with its ledgers:
+ * longer than a restart, a freeze or a stalled disk.
+ */
+const lostPeerMs = 6000;
 /** Limit of the turns queried or sent in one message; bounds its size. */
 const maxBatchTurns = 64;
 
@@ -49,10 +55,10 @@
   /** Disks that must store each turn, including the own one. */
   readonly replicaCount: number;
   /**
-   * Whether the disk was empty at start although the site had run before; the
-   * ledger is then incomplete until peers have sent theirs.
+   * Whether the site starts for the first time, so that no ledger can lack what
+   * was granted before.
    */
-  readonly isDiskNew: boolean;
+  readonly isFirstStart: boolean;
   readonly onFailed: (task: string, error: Error) => void;
   /** Called when the replicas of a peer stop to count or count again. */
   readonly onReplicasCounted?: (
@@ -71,6 +77,8 @@
   private readonly verifiedDisks = new Map<TurnId, Map<DiskId, number>>();
   /** Peers whose ledger was merged since they last became reachable. */
   private readonly mergedPeers = new Set<ArchiveClient>();
+  /** Those of them whose ledger was complete before it was merged. */
+  private readonly mergedCompletePeers = new Set<ArchiveClient>();
   /** Reachable peers that stored no turns when last asked, as if retired. */
   private readonly refusingPeers = new WeakSet<ArchiveClient>();
   /** Peers whose replicas do not count, as of the last round. */
@@ -79,14 +87,15 @@
   /** Disks whose replicas count, as of the last round. */
   private countedDisks = new Set<DiskId>();
 
-  /** Whether the ledgers of all peers that restart meanwhile were merged too. */
+  /** Whether the ledger includes what every possible quorum has recorded. */
   private hasPeerLedgers: boolean;
   /** Replicas that must exist on peer disks. */
   private requiredPeerReplicas: number;
 
   private constructor(private readonly options: ArchiveRepairerOptions) {
     this.requiredPeerReplicas = options.replicaCount - 1;
-    this.hasPeerLedgers = !options.isDiskNew;
+    const {archive, isFirstStart} = options;
+    this.hasPeerLedgers = isFirstStart || archive.hasCompleteLedgers;
   }
 
   /**
@@ -178,25 +187,73 @@
   }
 
   private async mergePeerLedgers(): Promise<void> {
-    const clients = this.options.pool.getClients();
+    const {pool, archive} = this.options;
+    const clients = pool.getClients();
     for (const client of this.mergedPeers) {
       if (!client.isReachable || !clients.includes(client)) {
         this.mergedPeers.delete(client);
+        this.mergedCompletePeers.delete(client);
       }
     }
     for (const client of clients) {
-      if (!client.isReachable || this.mergedPeers.has(client)) continue;
-      await this.options.archive.mergeLedgers(await client.fetchLedgers());
-      this.mergedPeers.add(client);
+      if (client.isReachable) await this.mergePeerLedger(client);
+    }
+    this.hasPeerLedgers ||= this.hasAllLedgers || this.hasQuorumLedgers;
+    if (this.hasPeerLedgers) await archive.markLedgersComplete();
+  }
+
+  /** Merges the ledger of a peer, again if it was incomplete and is no more. */
+  private async mergePeerLedger(client: ArchiveClient): Promise<void> {
+    const isMerged = this.mergedPeers.has(client);
+    let isPeerComplete = false;
+    if (!this.hasPeerLedgers && !this.mergedCompletePeers.has(client)) {
+      ({isComplete: isPeerComplete} = await client.findTurns([]));
     }
-    this.hasPeerLedgers ||=
+    if (isMerged && !isPeerComplete) return;
+    await this.options.archive.mergeLedgers(await client.fetchLedgers());
+    this.mergedPeers.add(client);
+    if (isPeerComplete) this.mergedCompletePeers.add(client);
+  }
+
+  /** Whether each peer has sent its ledger or is presumed lost. */
+  private get hasAllLedgers(): boolean {
+    return (
       this.mergedPeers.size > 0 &&
-      clients.every(
-        (client) =>
-          this.mergedPeers.has(client) ||
-          // Peers that are permanently lost stay registered.
-          this.hasBeenAwayFor(client, commonRestartMs),
-      );
+      this.isEveryPeerMergedOrAway(lostPeerMs, this.options.pool.getClients())
+    );
+  }
+
+  /**
+   * Whether enough peers with complete ledgers have sent theirs: each quorum
+   * that an archive of this daemon may have taken part in has one of them, and
+   * so has each quorum of its data centre while that was isolated.
+   */
+  private get hasQuorumLedgers(): boolean {
+    const {pool, dataCentre} = this.options;
+    const voters = pool.getVoters();
+    const merged = voters.filter((client) =>
+      this.mergedCompletePeers.has(client),
+    );
+    // A new archive has taken part in none.
+    const quorumVoters = voters.length + (pool.wasRegistered === false ? 0 : 1);
+    const requiredCount = quorumVoters - getMajority(quorumVoters) + 1;
+    const isHome = (client: ArchiveClient) => client.dataCentre === dataCentre;
+    return (
+      pool.isLoaded &&
+      merged.length >= requiredCount &&
+      (merged.some(isHome) || !voters.some(isHome)) &&
+      this.isEveryPeerMergedOrAway(commonRestartMs, voters)
+    );
+  }
+
+  private isEveryPeerMergedOrAway(
+    awayMs: number,
+    clients: readonly ArchiveClient[],
+  ): boolean {
+    return clients.every(
+      (client) =>
+        this.mergedPeers.has(client) || this.hasBeenAwayFor(client, awayMs),
+    );
   }
 
   private hasBeenAwayFor(
--- /dev/null
+++ b/packages/turns/tests/client/emptied_archive.feature
@@ -0,0 +1,65 @@
+Feature: Reservations beside an archive that has lost its disk
+  Another archive, which has recorded attempts with the lost disk, is away for
+  longer than a restart.
+
+  Scenario: An emptied archive grants nothing while another one that may have recorded attempts with it is away
+    Given archives "a, b, c" with 2 replicas per turn
+    And entry VM "a:1" reaches only archives "a, b"
+    When attempts that reserve 50 tokens and use 50 run sequentially in "a:1" on a budget of 200
+    And archive "a" restarts on an empty disk with "b" down for 5500 ms
+    And 1500 ms pass
+    Then an attempt of a program of "a" in "a:2" fails with archive_unavailable
+    When 3000 ms pass
+    Then another attempt of 50 tokens in "a:2" fails with tokens_spent
+
+  Scenario: An emptied archive of a home that decided by itself grants nothing while the other one there is away
+    Given archives "a1, a2, b, c" with 2 replicas per turn
+    And data centre "a" is isolated
+    When 4 attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "a"
+    And archive "a1" restarts on an empty disk with "a2" down for 5500 ms
+    And the isolation ends and 1500 ms pass
+    Then an attempt of a program of "a" in "a:2" fails with archive_unavailable
+    When 3000 ms pass
+    Then another attempt of 50 tokens in "a:2" fails with tokens_spent
+
+  Scenario: An emptied archive takes the ledger of another emptied one for incomplete
+    Given archives "a, b, c, d, e" with 3 replicas per turn
+    And entry VM "a:1" reaches only archives "a, b, c"
+    When attempts that reserve 50 tokens and use 50 run sequentially in "a:1" on a budget of 200
+    And archives "a, c" restart on empty disks with "b" down for 5500 ms
+    And 1500 ms pass
+    Then an attempt of a program of "a" in "a:2" fails with archive_unavailable
+    When 3000 ms pass
+    Then another attempt of 50 tokens in "a:2" fails with tokens_spent
+
+  Scenario: An emptied archive that restarts before it has read all ledgers grants nothing
+    Given archives "a, b, c" with 2 replicas per turn
+    And entry VM "a:1" reaches only archives "a, b"
+    When attempts that reserve 50 tokens and use 50 run sequentially in "a:1" on a budget of 200
+    And archive "c" alone knows of another program
+    And archive "a" restarts on an empty disk with "b" down for 4500 ms
+    And archive "a" is killed
+    And archive "a" restarts
+    And 500 ms pass
+    Then an attempt of a program of "a" in "a:2" fails with archive_unavailable
+    When 3500 ms pass
+    Then another attempt of 50 tokens in "a:2" fails with tokens_spent
+
+  Scenario: Archives that restart without programs grant at once
+    Given archives "a, b, c" with 2 replicas per turn
+    When archive "b" is killed
+    And archive "a" is killed
+    And archive "a" restarts
+    Then an attempt of a program of "a" is admitted in "a" within 1000 ms
+
+  Scenario: An emptied archive grants as soon as those that are up have sent the ledgers of every quorum
+    Given archives "a, b, c, d, e" with 2 replicas per turn
+    When archive "a" restarts on an empty disk with "b" down for 60000 ms
+    And 1000 ms pass
+    Then an attempt of a program of "a" is admitted in "a"
+
+  Scenario: An emptied archive grants although another one is gone for good
+    Given archives "a, b, c" with 2 replicas per turn
+    When archive "a" restarts on an empty disk with "b" down for 600000 ms
+    And 6000 ms pass
+    Then an attempt of a program of "a" is admitted in "a"
--- a/packages/turns/tests/client/lost_disk_steps.ts
+++ b/packages/turns/tests/client/lost_disk_steps.ts
@@ -1,5 +1,7 @@
 /** Steps for disks that are lost while other archives restart or lose power. */
 import {Given, When, type World} from '@cucumber/cucumber';
+import {type ProgramId, toId} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
 import {ArchiveDirectory} from '@marigoldpost/turns';
 import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
 
@@ -75,3 +77,31 @@
     await archives.clock.advance(1000);
   },
 );
+
+When(
+  'archives {string} restart on empty disks with {string} down for {int} ms',
+  async function (
+    this: DiskWorld,
+    names: string,
+    down: string,
+    downMs: number,
+  ) {
+    const {archives} = this;
+    const emptied = names.split(', ');
+    for (const name of [...emptied, down]) archives.kill(name);
+    for (const name of emptied) archives.getFolder(name).wipe();
+    archives.clock.setTimer(downMs, () => void archives.start(down));
+    for (const name of emptied) await archives.start(name);
+    await archives.clock.advance(1000);
+  },
+);
+
+When(
+  'archive {string} alone knows of another program',
+  async function (this: DiskWorld, name: string) {
+    const program = toId<ProgramId>('another program');
+    const attempt = toId<TurnId>('its attempt');
+    const entry = {attempt, tokens: 10, isSettled: true};
+    await this.archives.mergeLedger(name, program, entry);
+  },
+);
