Count crashes of copies of a request without a program that ran at the same time

A request under which three targets had crashed was sent to further ones: copies of it that ran at the same time through one VM counted as one crash if it had no program, since its fingerprint is shared and one fault may break runs of several requests. For requests of programs such crashes count once the targets are lost.

They now count for shared fingerprints too, unless the request has completed since the run began, as this VM or another one has seen: a sound request that runs on targets which another one crashes is retried and completes before the targets are known to be lost. Silent runs of shared fingerprints count as before.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -27,6 +27,12 @@
   readonly onChanged: (fingerprint: Fingerprint) => void;
 }
 
+/**
+ * What shows that a run has crashed its target: its connection `broke`, the
+ * target was `lost` after a run without a proven end, or both.
+ */
+type CrashEvidence = 'broke' | 'lost' | 'broke_and_lost';
+
 /** A request that waits for a target. */
 interface WaitingRequest {
   readonly request: TrackedRequest;
@@ -115,7 +121,7 @@
     target: TargetEntry,
     run: TargetRun,
   ): void {
-    this.countCrash(fingerprints, target, run, call.logger);
+    this.countCrash(fingerprints, target, run, call.logger, 'broke');
   }
 
   /**
@@ -132,7 +138,7 @@
     // The callback must not keep the request and its body in memory.
     const {logger} = call;
     this.unconfirmed.add(target, run.runStartedAtMs, () =>
-      this.countCrash(fingerprints, target, run, logger, true),
+      this.countCrash(fingerprints, target, run, logger, 'lost'),
     );
   }
 
@@ -156,7 +162,7 @@
     this.unconfirmed.add(
       target,
       run.runStartedAtMs,
-      () => this.countCrash(fingerprints, target, run, logger, true),
+      () => this.countCrash(fingerprints, target, run, logger, 'lost'),
       () => this.clearSuspicion(fingerprints, target.id, status, logger),
     );
   }
@@ -238,7 +244,7 @@
     entry: TargetEntry,
     run: TargetRun,
     logger: EventLogger,
-    isConfirmed = false,
+    evidence: CrashEvidence,
   ): void {
     const {quarantine, metrics, onChanged} = this.options;
     const {id: target, startedAtMs} = entry;
@@ -250,6 +256,9 @@
     }
     const counted = fingerprints
       .filter(({fingerprint, isShared}) => {
+        // Silent runs of different requests may have met one fault.
+        const isConfirmed =
+          evidence === 'broke_and_lost' || (evidence === 'lost' && !isShared);
         const details = {startedAtMs, isShared, isConfirmed, ...run};
         const [recorded] = quarantine.recordDeath(
           target,
@@ -259,7 +268,9 @@
         return recorded !== undefined;
       })
       .map(({fingerprint}) => fingerprint);
-    if (!isConfirmed) this.awaitLoss(fingerprints, counted, entry, run, logger);
+    if (evidence === 'broke') {
+      this.awaitLoss(fingerprints, counted, entry, run, logger);
+    }
     if (counted.length === 0) {
       const reason = 'a recorded crash explains it';
       logger.log('crash_not_counted', {target, reason, ranMs});
@@ -291,11 +302,11 @@
     logger: EventLogger,
   ): void {
     const uncounted = fingerprints.filter(
-      ({fingerprint, isShared}) => !isShared && !counted.includes(fingerprint),
+      ({fingerprint}) => !counted.includes(fingerprint),
     );
     if (uncounted.length === 0) return;
     this.unconfirmed.add(entry, run.runStartedAtMs, () =>
-      this.countCrash(uncounted, entry, run, logger, true),
+      this.countCrash(uncounted, entry, run, logger, 'broke_and_lost'),
     );
   }
 }
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -41,7 +41,8 @@
   readonly runEndedAtMs?: number;
   /**
    * Whether different requests may have the same fingerprint. Their deaths count
-   * only one after the other, since one fault may break several of them.
+   * only one after the other, since one fault may break several of them, unless
+   * they are confirmed and the request has not completed since.
    */
   readonly isShared?: boolean;
   /**
@@ -70,6 +71,8 @@
   readonly learnedAtMs: ReadonlyMap<string, number>;
   /** When the last run ended of which this daemon detected a death itself. */
   readonly lastRunEndedAtMs: number;
+  /** When this daemon last learned that the suspect request had completed. */
+  readonly lastSurvivedAtMs: number;
 }
 
 const defaultMaxEntries = 10_000;
@@ -159,7 +162,9 @@
       const isCleared = false;
       const death = {target, startedAtMs, ordinal, atMs, isCleared};
       const deaths = mergeDeaths(entry.deaths, [death]);
-      this.putEntry(this.markQuarantined({...entry, deaths}), runEndedAtMs);
+      this.putEntry(this.markQuarantined({...entry, deaths}), {
+        lastRunEndedAtMs: runEndedAtMs,
+      });
       return true;
     });
   }
@@ -173,7 +178,8 @@
     if (!this.isSuspect(fingerprint)) return;
     const entry = this.getEntryOrEmpty(fingerprint);
     const deaths = entry.deaths.map((death) => ({...death, isCleared: true}));
-    this.putEntry({...entry, deaths});
+    const lastSurvivedAtMs = this.clock.nowMs();
+    this.putEntry({...entry, deaths}, {lastSurvivedAtMs});
   }
 
   /**
@@ -280,7 +286,9 @@
       const own = this.getEntry(received.fingerprint);
       const merged = mergeEntry(own, received);
       if (merged === own) return [];
-      this.putEntry(merged);
+      const isCleared = countCleared(merged) > countCleared(own);
+      const lastSurvivedAtMs = isCleared ? this.clock.nowMs() : undefined;
+      this.putEntry(merged, {lastSurvivedAtMs});
       return [merged];
     });
   }
@@ -308,7 +316,11 @@
     );
     const isExplained =
       runStartedAtMs !== undefined && runStartedAtMs < explainedUntilMs;
-    if (isExplained && (isShared || !isConfirmed)) return undefined;
+    const isSurvived =
+      isShared &&
+      runStartedAtMs !== undefined &&
+      runStartedAtMs <= (known?.lastSurvivedAtMs ?? Number.NEGATIVE_INFINITY);
+    if (isExplained && (isSurvived || !isConfirmed)) return undefined;
     const last = deaths
       .filter((death) => isOfInstance(death, target, startedAtMs))
       .reduce((ordinal, death) => Math.max(ordinal, death.ordinal), 0);
@@ -337,7 +349,10 @@
 
   private putEntry(
     changed: QuarantineEntry,
-    runEndedAtMs = Number.NEGATIVE_INFINITY,
+    {
+      lastRunEndedAtMs = Number.NEGATIVE_INFINITY,
+      lastSurvivedAtMs = Number.NEGATIVE_INFINITY,
+    }: {lastRunEndedAtMs?: number; lastSurvivedAtMs?: number | undefined} = {},
   ): void {
     const {fingerprint, deaths} = changed;
     const known = this.entries.get(fingerprint);
@@ -356,9 +371,13 @@
         }),
       ),
       lastRunEndedAtMs: Math.max(
-        runEndedAtMs,
+        lastRunEndedAtMs,
         known?.lastRunEndedAtMs ?? Number.NEGATIVE_INFINITY,
       ),
+      lastSurvivedAtMs: Math.max(
+        lastSurvivedAtMs,
+        known?.lastSurvivedAtMs ?? Number.NEGATIVE_INFINITY,
+      ),
     });
     this.removeExpiredSuspicions();
     if (this.entries.size > this.maxEntries) this.evictOldest();
@@ -418,6 +437,10 @@
     .map(([, death]) => death);
 }
 
+function countCleared(entry: QuarantineEntry | undefined): number {
+  return (entry?.deaths ?? []).filter(({isCleared}) => isCleared).length;
+}
+
 function getDeathKey({
   target,
   startedAtMs,
