Count a crash of a target that had just broken another request and gone on

A request under which three targets had crashed was sent to further ones: a broken run that begins within a second of another break of the same target was taken for a result of the first, although the target may have gone on and then crashed under the second request, if it had sent no response in between.

A target that has crashed resets connections at once. So a run that lasted 200 ms or more before it broke now counts once the target is lost.

crashing_request.feature, 'A crash counts although its target has just broken another request': failed before (0 crashes recorded); the scenario for a request that is reset at once passes on both. 54 scenarios of crashing_request and quarantine.feature pass.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -249,9 +249,13 @@
     const {quarantine, metrics, onChanged} = this.options;
     const {id: target, startedAtMs} = entry;
     const ranMs = Math.round(run.runEndedAtMs - run.runStartedAtMs);
-    if (this.recentCrashes.explains(entry, run)) {
+    const isLateBreak =
+      evidence !== 'lost' && this.recentCrashes.mayHaveCrashed(run);
+    const isKnownCrash = isLateBreak && evidence === 'broke_and_lost';
+    if (!isKnownCrash && this.recentCrashes.explains(entry, run)) {
       const reason = 'the target had crashed before the run';
       logger.log('crash_not_counted', {target, reason, ranMs});
+      if (isLateBreak) this.awaitLoss(fingerprints, [], entry, run, logger);
       return;
     }
     const counted = fingerprints
--- a/packages/gateway/src/calls/recent_crashes.ts
+++ b/packages/gateway/src/calls/recent_crashes.ts
@@ -9,6 +9,9 @@
 /** Shorter than the time that a crashed target takes to come back. */
 const minRestartMs = 1000;
 
+/** Longer than a target that has crashed takes to reset a connection. */
+const maxResetMs = 200;
+
 /** Start and end of a run, on the daemon's clock. */
 export interface TargetRun {
   readonly runStartedAtMs: number;
@@ -71,6 +74,15 @@
     );
   }
 
+  /**
+   * Whether a target broke a run too late to have crashed before it; whether it
+   * has crashed under it is known once it is lost.
+   * @param run - Start and end of the broken run.
+   */
+  mayHaveCrashed({runStartedAtMs, runEndedAtMs}: TargetRun): boolean {
+    return runEndedAtMs - runStartedAtMs >= maxResetMs;
+  }
+
   private removeExpired(): void {
     const oldestMs = this.clock.nowMs() - minRestartMs;
     for (const [key, crashedAtMs] of this.crashedAtMs) {
