Keep suspect requests on the disks of archives as long as in memory

A request that had crashed targets was sent to further ones after a loss of power of all VMs: an archive kept a suspicion in memory for 10 min, but wrote it again only while it was announced, for 60 s after its last change, and other entries let its log segment expire 120 s after the last write.

What is read after a restart is still limited by the age of its crashes.

quarantine_log.feature with an archive that stores other entries: 4 scenarios failed before (free in place of suspect, or of quarantined after a further crash). All of the file pass.

--- a/packages/nodes/src/archive/quarantine_log.ts
+++ b/packages/nodes/src/archive/quarantine_log.ts
@@ -51,14 +51,14 @@
   }
 
   /**
-   * Stores the entries that are still announced again, before they expire.
+   * Stores the entries that the quarantine keeps again, before they expire.
    * @param signal - Stops the log when aborted.
    */
   async run(signal: AbortSignal): Promise<void> {
     signal.addEventListener('abort', () => this.stop());
     while (!signal.aborted) {
       await this.options.clock.sleep(rewriteIntervalMs, signal);
-      this.add(this.options.quarantine.getEntries());
+      this.add(this.options.quarantine.getKeptEntries());
     }
   }
 
--- a/packages/nodes/tests/archive/quarantine_log.feature
+++ b/packages/nodes/tests/archive/quarantine_log.feature
@@ -31,6 +31,33 @@
     When 3600 s pass at the archive
     Then its disk contains at most 4 log files and 10 crash records
 
+  Scenario Outline: Crash records of an archive that stores other entries outlive a power loss as long as they are kept in memory (<state>)
+    Given an archive that has received <crashes> crashes of a request
+    When <elapsed> s pass at the archive, which stores other entries
+    And the archive restarts after 1 s
+    Then the request is <state> at the archive
+
+    Examples:
+      | crashes | elapsed | state       |
+      | 1       | 300     | suspect     |
+      | 2       | 550     | suspect     |
+      | 2       | 700     | free        |
+      | 3       | 300     | quarantined |
+
+  Scenario: A crash counts together with those that were reported minutes before the archive lost power
+    Given an archive that has received 2 crashes of a request
+    When 400 s pass at the archive, which stores other entries
+    And the archive restarts after 1 s
+    And another crash is reported
+    Then the request is quarantined at the archive
+
+  Scenario: The disk of an archive with old suspicions does not grow, and they expire
+    Given an archive that has received 2 crashes of a request
+    When 590 s pass at the archive, which stores other entries
+    Then its disk contains at most 16 log files and 10 crash records
+    When 210 s pass at the archive, which stores other entries
+    Then its disk contains no crash records
+
   Scenario: An archive passes over log entries of a kind that only later builds know
     Given an archive that has received 3 crashes of a request
     When its log gets an entry of an unknown kind
--- a/packages/nodes/tests/archive/quarantine_log_steps.ts
+++ b/packages/nodes/tests/archive/quarantine_log_steps.ts
@@ -30,6 +30,7 @@
   folder: MemoryLogFolder;
   quarantine: Quarantine;
   relay: QuarantineRelay;
+  archive: Archive;
   controller: AbortController;
   reported: number;
 }
@@ -37,6 +38,8 @@
 const fingerprint = toId<Fingerprint>('same');
 const deathsToQuarantine = 3;
 const msPerSecond = 1000;
+/** Pause between two other entries; each then starts a new log segment. */
+const writeIntervalS = 10;
 /** Message with one field, of the number 99, which holds the byte 0. */
 const unknownEntry = Uint8Array.of(0x9a, 0x06, 0x01, 0x00);
 /** Above the time to write a batch and the pause before a retry. */
@@ -80,6 +83,10 @@
   await this.clock.advance(writeMs);
 });
 
+When('another crash is reported', async function (this: LogWorld) {
+  await reportCrash(this);
+});
+
 When(
   '{int} s pass at the archive',
   async function (this: LogWorld, elapsedS: number) {
@@ -87,6 +94,16 @@
   },
 );
 
+When(
+  '{int} s pass at the archive, which stores other entries',
+  async function (this: LogWorld, elapsedS: number) {
+    for (let passedS = 0; passedS < elapsedS; passedS += writeIntervalS) {
+      await this.archive.checkDisk();
+      await this.clock.advance(writeIntervalS * msPerSecond);
+    }
+  },
+);
+
 When(
   'its log gets an entry of an unknown kind',
   async function (this: LogWorld) {
@@ -138,6 +155,11 @@
   },
 );
 
+Then('its disk contains no crash records', async function (this: LogWorld) {
+  const kinds = await readEntryKinds(this);
+  assert.ok(!kinds.includes('quarantine'));
+});
+
 async function startArchive(world: LogWorld): Promise<void> {
   const {clock, folder} = world;
   const quarantine = Quarantine.create({clock, deathsToQuarantine});
@@ -156,6 +178,7 @@
     clock,
     onFailed: () => undefined,
   });
+  world.archive = archive;
   world.quarantine = quarantine;
   world.relay = QuarantineRelay.create({
     quarantine,
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -276,6 +276,15 @@
       .map(({entry}) => entry);
   }
 
+  /**
+   * Gets all entries that are kept: quarantined ones, and suspicions until they
+   * expire, announced or not.
+   */
+  getKeptEntries(): readonly QuarantineEntry[] {
+    this.removeExpiredSuspicions();
+    return [...this.entries.values()].map(({entry}) => entry);
+  }
+
   /**
    * Merges another daemon's entries; commutative and idempotent. Returns the
    * merged entries that have changed.
