Let no entry VM be ready before it has read crash records

A quarantined request was sent to targets by an entry VM that had just started: it was ready once no archive had replied for 2 s, although it had read none of the objects with crash records either.

That time now counts only once the objects have been read. An entry VM that reaches neither has no source of its configuration either, unless both fail after it has read that.

quarantine_exchange.feature: two rows failed before (loaded after 2 s, with the records read after 6 s). All of the file pass.

--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -319,6 +319,7 @@
       receiver: this.quarantineReceiver,
       limits: this.fleet.limits,
       logger,
+      areObjectsLoaded: () => this.quarantineReplicator.isLoaded,
     });
   }
 
--- a/packages/nodes/src/entry/quarantine_exchange.ts
+++ b/packages/nodes/src/entry/quarantine_exchange.ts
@@ -44,6 +44,8 @@
   readonly receiver: QuarantineReceiver;
   readonly limits: TargetLimits;
   readonly logger: EventLogger;
+  /** Whether the objects with the records of all entry VMs have been read. */
+  readonly areObjectsLoaded: () => boolean;
 }
 
 /** Progress of the exchange with one archive. */
@@ -70,7 +72,8 @@
   private readonly changes = new Map<Fingerprint, number>();
   private lastChange = 0;
   private readonly states = new WeakMap<ArchiveClient, ExchangeState>();
-  private hasLoaded = false;
+  private hasReply = false;
+  private isLate = false;
   private wake = Deferred.create<void>();
 
   private constructor(private readonly options: QuarantineExchangeOptions) {}
@@ -84,11 +87,12 @@
   }
 
   /**
-   * Whether an archive has sent its records, or none has replied for 2 s.
-   * Archives that start at the same time may not serve yet.
+   * Whether an archive has sent its records, or none has replied for 2 s and the
+   * objects have been read. Archives that start at the same time may not serve
+   * yet.
    */
   get isLoaded(): boolean {
-    return this.hasLoaded;
+    return this.hasReply || (this.isLate && this.options.areObjectsLoaded());
   }
 
   /**
@@ -116,9 +120,9 @@
     while (!signal.aborted) {
       this.removeExpiredChanges();
       const hasReply = await this.exchangeWithArchives(pool.getClients());
-      const isLate = clock.nowMs() - startMs >= maxLoadMs;
-      this.hasLoaded ||= hasReply || isLate;
-      const pauseMs = this.hasLoaded ? pollMs : initialPollMs;
+      this.hasReply ||= hasReply;
+      this.isLate ||= clock.nowMs() - startMs >= maxLoadMs;
+      const pauseMs = this.isLoaded ? pollMs : initialPollMs;
       await this.waitForChange(pauseMs, signal);
       await clock.sleep(batchDelayMs, signal);
     }
--- a/packages/nodes/tests/entry/quarantine_exchange.feature
+++ b/packages/nodes/tests/entry/quarantine_exchange.feature
@@ -18,3 +18,14 @@
       | 0      | 0      |
       | 700    | 700    |
       | 100000 | 2000   |
+
+  Scenario Outline: An entry VM without an archive waits for the objects with crash records (<reply>, <read>)
+    When an exchange starts whose archive replies after <reply> ms, and whose objects are read after <read> ms
+    Then the exchange has loaded after <loaded> ms, and not before
+
+    Examples:
+      | reply  | read   | loaded |
+      | 100000 | 500    | 2000   |
+      | 100000 | 6000   | 6000   |
+      | 700    | 100000 | 700    |
+      | 6000   | 100000 | 6000   |
--- a/packages/nodes/tests/entry/quarantine_exchange_steps.ts
+++ b/packages/nodes/tests/entry/quarantine_exchange_steps.ts
@@ -71,6 +71,7 @@
       receiver: {receive: () => undefined},
       limits,
       logger: EventLogger.createSilent(),
+      areObjectsLoaded: () => true,
     } as unknown as QuarantineExchangeOptions);
     void exchange.run(this.controller.signal).catch(() => undefined);
     await clock.advance(exchangeMs);
@@ -113,6 +114,7 @@
       clock,
       quarantine,
       logger: EventLogger.createSilent(),
+      areObjectsLoaded: () => true,
     } as unknown as QuarantineExchangeOptions);
     const controller = new AbortController();
     const {signal} = controller;
@@ -139,8 +141,14 @@
 );
 
 When(
-  'an exchange starts whose archive replies after {int} ms',
-  async function (this: ExchangeWorld, replyAfterMs: number) {
+  /^an exchange starts whose archive replies after (\d+) ms(?:, and whose objects are read after (\d+) ms)?$/,
+  async function (
+    this: ExchangeWorld,
+    replyAfter: string,
+    readAfter: string | null,
+  ) {
+    const replyAfterMs = Number(replyAfter);
+    const readAfterMs = Number(readAfter ?? 0);
     const clock = VirtualClock.create();
     const limits = TargetLimits.create({clock, onChanged: () => undefined});
     const client = {
@@ -162,6 +170,7 @@
       receiver: {receive: () => undefined},
       limits,
       logger: EventLogger.createSilent(),
+      areObjectsLoaded: () => clock.nowMs() >= readAfterMs,
     } as unknown as QuarantineExchangeOptions);
     const controller = new AbortController();
     const run = exchange.run(controller.signal).catch(() => undefined);
