Take no target with a malformed entry for lost

Sound requests could be rejected with 422: when another writer replaced the entry of a live target by a malformed one, the target counted as lost, so silent and cut runs on it were confirmed as crashes.

The directory no longer lists such a target, but keeps its last registration. It is lost once its entry is removed, other than during an outage of the object API, or names a later start.

target_directory.feature, 'A target whose entry is malformed for a while is not lost': failed before. All of the file pass.

--- a/packages/nodes/src/targets/target_directory.ts
+++ b/packages/nodes/src/targets/target_directory.ts
@@ -56,6 +56,8 @@
 /** Lists targets from a watch, and holds missing entries after outages. */
 export class TargetDirectory implements ObjectListener {
   private readonly targets = new Map<string, ListedTarget>();
+  /** Last registrations of targets whose entries are malformed now. */
+  private readonly unknown = new Map<string, TargetEntry>();
   /** End of holds of entries that were removed during the last outage. */
   private outageHoldUntilMs = Number.NEGATIVE_INFINITY;
   /** End of holds of entries that were removed after the last outage. */
@@ -108,6 +110,12 @@
       this.outageHoldUntilMs = this.options.clock.nowMs() + maxHoldMs;
     }
     for (const key of missing) this.removeKey(key, 0, isFromOutage);
+    for (const [key, entry] of this.unknown) {
+      if (keys.has(key)) continue;
+      this.unknown.delete(key);
+      // An entry that lapsed in an outage does not show the loss of its target.
+      if (!isFromOutage) this.notifyLost(entry);
+    }
     for (const object of objects) this.putObject(object);
     this.notifyChanged();
   }
@@ -151,17 +159,20 @@
     const entry = this.decoder.decode(object);
     const existing = this.targets.get(object.key);
     if (entry === undefined) {
-      // The entry is not missing, so it is not held: its target is unknown.
+      // The entry is not missing, so it is not held: its target is unknown, but
+      // not lost.
       if (existing !== undefined) {
-        this.unlist(object.key, existing.entry, object.version);
+        this.unknown.set(object.key, existing.entry);
+        this.targets.delete(object.key);
+        this.logUnlisted(existing.entry, object.version);
       }
       return;
     }
+    const last = existing?.entry ?? this.unknown.get(object.key);
+    this.unknown.delete(object.key);
     this.targets.set(object.key, {entry});
     if (existing !== undefined && isSameEntry(existing.entry, entry)) return;
-    if (existing?.entry.startedAtMs !== entry.startedAtMs) {
-      this.notifyLost(existing?.entry);
-    }
+    if (last?.startedAtMs !== entry.startedAtMs) this.notifyLost(last);
     this.options.logger.log('target_listed', {
       target: entry.id,
       service: entry.service,
@@ -172,6 +183,8 @@
   }
 
   private removeKey(key: string, version: number, isFromOutage = false): void {
+    this.notifyLost(this.unknown.get(key));
+    this.unknown.delete(key);
     const existing = this.targets.get(key);
     if (existing === undefined || existing.hold !== undefined) return;
     const {entry} = existing;
@@ -232,7 +245,11 @@
 
   private unlist(key: string, entry: TargetEntry, version: number): void {
     this.deleteTarget(key, entry);
-    const fields = {target: entry.id, isHeld: false, version};
+    this.logUnlisted(entry, version);
+  }
+
+  private logUnlisted({id}: TargetEntry, version: number): void {
+    const fields = {target: id, isHeld: false, version};
     this.options.logger.log('target_unlisted', fields);
   }
 
--- a/packages/nodes/tests/targets/target_directory.feature
+++ b/packages/nodes/tests/targets/target_directory.feature
@@ -117,6 +117,22 @@
     When the registry entry of target "a" is malformed
     Then requests may go to "b"
 
+  Scenario: A target whose entry is malformed for a while is not lost
+    When the registry entry of target "a" is malformed
+    Then no target is lost
+    When target "a" is registered again after 100 ms
+    Then no target is lost
+
+  Scenario: A target whose entry is malformed and then removed is lost
+    When the registry entry of target "a" is malformed
+    And target "a" is removed from the registry
+    Then target "a" is lost
+
+  Scenario: A target that returns with a later start after its entry was malformed is lost
+    When the registry entry of target "a" is malformed
+    And target "a" is registered with a later start
+    Then target "a" is lost
+
   Scenario: The log names at most 1000 malformed entries
     When the registry entries of 5000 other targets are malformed
     Then requests may go to "a, b"
--- a/packages/nodes/tests/targets/target_directory_steps.ts
+++ b/packages/nodes/tests/targets/target_directory_steps.ts
@@ -19,6 +19,7 @@
   directory: TargetDirectory;
   registered: string[];
   usable: string[];
+  lost: string[];
   lines: LogLine[];
 }
 
@@ -34,6 +35,7 @@
   function (this: TargetDirectoryWorld, names: string) {
     this.clock = VirtualClock.create();
     this.lines = [];
+    this.lost = [];
     this.directory = TargetDirectory.create({
       clock: this.clock,
       logger: EventLogger.create({
@@ -49,6 +51,7 @@
       onChanged: (targets) => {
         this.usable = targets.map(({id}) => id);
       },
+      onLost: ({id}) => this.lost.push(id),
     });
     this.registered = names.split(', ');
     list(this);
@@ -69,6 +72,13 @@
   },
 );
 
+When(
+  'target {string} is registered with a later start',
+  function (this: TargetDirectoryWorld, name: string) {
+    put(this, name, 'restarted');
+  },
+);
+
 When(
   'the registry entry of target {string} makes the decoder throw',
   function (this: TargetDirectoryWorld, name: string) {
@@ -179,6 +189,17 @@
   },
 );
 
+Then('no target is lost', function (this: TargetDirectoryWorld) {
+  assert.deepEqual(this.lost, []);
+});
+
+Then(
+  'target {string} is lost',
+  function (this: TargetDirectoryWorld, name: string) {
+    assert.deepEqual(this.lost, [name]);
+  },
+);
+
 Then('requests may go to no target', function (this: TargetDirectoryWorld) {
   assert.deepEqual(this.usable, []);
 });
@@ -222,6 +243,6 @@
     dataCentre: toId<DataCentreId>('north'),
     slots: 1,
     isDraining: value === 'draining',
-    startedAtMs: 1,
+    startedAtMs: value === 'restarted' ? 2 : 1,
   };
 }
