Count no votes of an archive that is being retired

Callers got tokens beyond a budget while an archive was replaced: an entry VM that had not read of the retirement found a majority of the old list with the retired archive, another one a majority of the new list with the one that replaced it, and the two need not meet.

A retired archive now replies as incomplete once its registration is removed, so majorities of the old list consist of archives that stay, and meet those of the new list. Programs of its home go on with the new list.

--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -89,6 +89,7 @@
 
   /** Whether the ledger includes what every possible quorum has recorded. */
   private hasPeerLedgers: boolean;
+  private isRetiring = false;
   /** Replicas that must exist on peer disks. */
   private requiredPeerReplicas: number;
 
@@ -106,8 +107,13 @@
     return new ArchiveRepairer(options);
   }
 
-  /** Whether the ledger includes what peers recorded before this start. */
+  /**
+   * Whether the ledger includes what peers recorded before this start, and the
+   * archive is not being retired: entry VMs that have read of that decide
+   * without it.
+   */
   get isComplete(): boolean {
+    if (this.isRetiring) return false;
     const {pool} = this.options;
     // Before the list of archives has been read, peers may hold its entries.
     const hasNoPeers = pool.isLoaded && pool.getClients().length === 0;
@@ -121,6 +127,7 @@
    * @param signal - Ends the wait when aborted.
    */
   async retire(signal: AbortSignal): Promise<void> {
+    this.isRetiring = true;
     this.requiredPeerReplicas = this.options.replicaCount;
     while (!this.isFullyReplicated || !(await this.trySeal())) {
       await this.options.clock.sleep(retirementPollMs, signal);
--- /dev/null
+++ b/packages/turns/tests/client/replaced_archive.feature
@@ -0,0 +1,16 @@
+Feature: Reservations while an archive is replaced
+  An entry VM whose list of archives is behind still asks a retired archive.
+
+  Scenario: Entry VMs that know the archive before and after a replacement keep to a budget
+    Given archives "a, b, c" with 2 replicas per turn
+    And entry VM "b:1" has read of archives "a, b, c" only
+    And entry VM "b:1" reaches only archives "a, b"
+    When archive "d" replaces archive "a", which retires and still replies
+    And entry VM "b:2" reaches only archives "c, d"
+    And 14 attempts of 40 tokens of a program of "e" reserve from a budget of 200 one after the other, some in vain, alternating over "b:1, b:2"
+    Then at most 6 attempts hold a reservation
+
+  Scenario: A program whose home has lost its archive to a retirement goes on
+    Given archives "a, b, c" with 2 replicas per turn
+    When archive "d" replaces archive "a", which retires and still replies
+    Then an attempt of a program of "a" is admitted in "a"
--- a/packages/turns/tests/repair/retirement_steps.ts
+++ b/packages/turns/tests/repair/retirement_steps.ts
@@ -11,6 +11,9 @@
   archives: ArchiveFleet;
 }
 
+/** Time in which a new archive reads the ledgers of its peers. */
+const joinMs = 2000;
+
 When(
   'archive {string} retires within {int} ms and is removed',
   async function (this: RetirementWorld, name: string, withinMs: number) {
@@ -23,6 +26,16 @@
   },
 );
 
+When(
+  'archive {string} replaces archive {string}, which retires and still replies',
+  async function (this: RetirementWorld, added: string, retired: string) {
+    const {archives} = this;
+    await archives.run(archives.retire(retired, false));
+    await archives.add(added);
+    await archives.clock.advance(joinMs);
+  },
+);
+
 When(
   'archive {string} retires without notice to others',
   async function (this: RetirementWorld, name: string) {
