Start background tasks again that fail, and show it in readiness

Callers could be served by a VM that no longer followed its configuration, targets, budgets or crash records: a background loop that rejected was logged and never started again, and readiness did not show it.

Entry VMs are not ready meanwhile if the task is one they cannot serve rightly without: a watch, or the exchange of crash records. No such rejection has been seen; each loop handles the failures that are known.

--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -158,8 +158,10 @@
     this.watch(crashPrefix, entryTiming, this.quarantineReplicator);
     const reader = this.createSeedReader(configPrefix, configUpdater);
     this.tasks.run('seeds', (signal) => reader.run(signal));
-    this.tasks.run('crash records', (signal) =>
-      this.quarantineExchange.run(signal),
+    this.tasks.run(
+      'crash records',
+      (signal) => this.quarantineExchange.run(signal),
+      {isRequired: true},
     );
     await this.fleet.start();
     await this.listen();
@@ -365,6 +367,8 @@
     if (config === undefined) return 'no configuration';
     if (!this.targetDirectory.isLoaded) return 'no list of targets';
     if (!this.hasCrashRecords) return 'no crash records';
+    const [failedTask] = this.tasks.failedTasks;
+    if (failedTask !== undefined) return `task "${failedTask}" has failed`;
     const keepsTurns = config.routes.some(
       ({retentionMs}) => retentionMs !== undefined,
     );
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -13,3 +13,4 @@
 export * from './quarantine_settings.js';
 export * from './site_node.js';
 export * from './targets/target_directory.js';
+export * from './utils/background_tasks.js';
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -50,7 +50,7 @@
     this.watches = WatchGroup.create({store, clock, random});
     this.currentSettings = settings;
     this.clock = clock;
-    this.tasks = BackgroundTasks.create(logger);
+    this.tasks = BackgroundTasks.create(logger, clock);
     this.archiveDirectory = ArchiveDirectory.create({
       onIgnored: createIgnoredObjectLog(logger),
     });
@@ -162,7 +162,7 @@
     listener: ObjectListener,
   ): void {
     const watcher = this.watches.add({prefix, listener, ...timing});
-    this.tasks.run(`watch ${prefix}`, () => watcher.run());
+    this.tasks.run(`watch ${prefix}`, () => watcher.run(), {isRequired: true});
   }
 
   private async reportGauges(signal: AbortSignal): Promise<void> {
