Let a damaged log entry of an archive cost only itself

Turns of the same batch stayed on one disk and were lost with it. A chain with one damaged entry was not read from that archive at all, which counted as unreachable, and the damaged copy counted for its peers.

Cause: Archive.readTurn threw, and batches and chains read all entries at once. The index had no notion of an entry that cannot be read.

Now tryReadTurn records such an entry. Batches and chains leave it out. DamagedTurnRestorer reads the entry again, then asks the peers for the turn and stores it; a peer may store it as well.

Not covered: an entry that is found damaged at a restart is not recovered, and neither is what follows it in its segment.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -169,6 +169,7 @@
           disk,
           areCounted,
         }),
+      onDamaged: (report) => logger.log('turns_damaged', {...report}),
     });
   }
 
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -222,6 +222,16 @@
       areCounted: 'boolean',
     },
   ),
+  turns_damaged: define(
+    3108,
+    'warn',
+    'Entries of the turn log could not be read, or have been restored',
+    {
+      found: 'number',
+      restored: 'number',
+      turn: 'string',
+    },
+  ),
 
   // 4000: peers.
   member_changed: define(4001, 'info', 'A daemon changed its state', {
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -1,7 +1,6 @@
 /** Stores turns and token budgets on the disk of one archive VM. */
 import {
   type Clock,
-  MarigoldpostError,
   type ProgramId,
   type Random,
   toId,
@@ -115,11 +114,26 @@
   }
 
   /**
-   * Checks whether a turn is durable on this disk and not expired.
+   * Checks whether a turn is durable on this disk, not expired, and not known to
+   * be damaged.
    * @param id - Id of the turn.
    */
   hasTurn(id: TurnId): boolean {
-    return this.index.get(id) !== undefined;
+    return this.index.get(id) !== undefined && !this.index.isDamaged(id);
+  }
+
+  /**
+   * Whether a turn was stored on this disk, but its entry could not be read when
+   * last tried.
+   * @param id - Id of the turn.
+   */
+  isDamaged(id: TurnId): boolean {
+    return this.index.isDamaged(id);
+  }
+
+  /** Gets the turns whose entries could not be read when last tried. */
+  getDamagedTurns(): IndexedTurn[] {
+    return this.index.getDamaged();
   }
 
   /**
@@ -133,7 +147,7 @@
 
   /**
    * Stores turns; resolves once they are durable. Skips turns that are stored
-   * already.
+   * already, unless their entries are damaged.
    * @param records - Finished turns.
    */
   async storeTurns(records: readonly TurnRecord[]): Promise<void> {
@@ -234,7 +248,7 @@
 
   /**
    * Reads a turn and its ancestors, up to the first one that is not stored
-   * here.
+   * here or whose entry is damaged.
    * @param id - Newest turn of the chain.
    */
   async readChain(id: TurnId): Promise<PartialChain> {
@@ -243,25 +257,23 @@
     while (next !== undefined) {
       const indexed = this.index.get(next);
       if (indexed === undefined) break;
-      turns.push(await this.readTurn(indexed));
+      const turn = await this.tryReadTurn(indexed);
+      if (turn === undefined) break;
+      turns.push(turn);
       next = indexed.previous;
     }
     return {turns: turns.toReversed(), missing: next};
   }
 
   /**
-   * Reads a turn from the log; throws `archive_unavailable` when its entry is
-   * missing or damaged.
+   * Reads a turn from the log; `undefined` if its entry cannot be read, which is
+   * recorded: the turn then counts as damaged until it is read or stored again.
    * @param indexed - Index entry of the turn.
    */
-  async readTurn(indexed: IndexedTurn): Promise<TurnRecord> {
-    const bytes = await this.log.read(indexed.position);
-    const entry = bytes === undefined ? undefined : decodeArchiveEntry(bytes);
-    if (entry?.kind === 'turn') return entry.turn;
-    throw MarigoldpostError.create(
-      'archive_unavailable',
-      `turn "${indexed.id}" is missing or damaged in log segment ${indexed.position.segment}`,
-    );
+  async tryReadTurn(indexed: IndexedTurn): Promise<TurnRecord | undefined> {
+    const turn = await this.readEntry(indexed).catch(() => undefined);
+    this.index.setDamaged(indexed, turn === undefined);
+    return turn;
   }
 
   /** Checks that the disk accepts writes, by syncing an empty entry. */
@@ -302,6 +314,14 @@
     }
   }
 
+  private async readEntry({
+    position,
+  }: IndexedTurn): Promise<TurnRecord | undefined> {
+    const bytes = await this.log.read(position);
+    const entry = bytes === undefined ? undefined : decodeArchiveEntry(bytes);
+    return entry?.kind === 'turn' ? entry.turn : undefined;
+  }
+
   private storeTurn(record: TurnRecord): Promise<void> {
     const {id} = record;
     if (this.hasTurn(id)) return Promise.resolve();
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -131,13 +131,15 @@
     for (const [index, turn] of turns.entries()) {
       this.archive.retainTurn(toId<TurnId>(turn), retainedMs[index] ?? 0);
     }
-    const isHeld = turns.map((turn) =>
-      this.archive.hasTurn(toId<TurnId>(turn)),
+    const ids = turns.map((turn) => toId<TurnId>(turn));
+    const isDamaged = ids.map((id) => this.archive.isDamaged(id));
+    const isHeld = ids.map(
+      (id, index) => this.archive.hasTurn(id) || isDamaged[index] === true,
     );
     const status = this.getStatus();
     return {
       case: 'foundTurns',
-      value: create(FoundTurnsSchema, {isHeld, status}),
+      value: create(FoundTurnsSchema, {isHeld, isDamaged, status}),
     };
   }
 
--- a/packages/turns/src/archive/turn_index.ts
+++ b/packages/turns/src/archive/turn_index.ts
@@ -21,6 +21,8 @@
   private readonly turns = new Map<TurnId, IndexedTurn>();
   /** Time until which each log segment is needed, by segment number. */
   private readonly segmentExpiryMs = new Map<number, number>();
+  /** Turns whose entries could not be read when last tried. */
+  private readonly damaged = new Set<TurnId>();
 
   private constructor() {}
 
@@ -48,14 +50,41 @@
   }
 
   /**
-   * Adds a turn and extends the expiry of its ancestors to its own.
+   * Whether the entry of a stored turn could not be read when last tried.
+   * @param id - Id of the turn.
+   */
+  isDamaged(id: TurnId): boolean {
+    return this.damaged.has(id);
+  }
+
+  /** Gets the entries of the turns that could not be read when last tried. */
+  getDamaged(): IndexedTurn[] {
+    return [...this.damaged].flatMap((id) => this.turns.get(id) ?? []);
+  }
+
+  /**
+   * Records whether the entry of a turn could be read; an entry that has been
+   * replaced or has expired meanwhile has no effect.
+   * @param turn - Entry that was read.
+   * @param isDamaged - Whether the log did not return its content.
+   */
+  setDamaged(turn: IndexedTurn, isDamaged: boolean): void {
+    if (this.turns.get(turn.id) !== turn) return;
+    if (isDamaged) this.damaged.add(turn.id);
+    else this.damaged.delete(turn.id);
+  }
+
+  /**
+   * Adds a turn and extends the expiry of its ancestors to its own. An entry of
+   * the same turn, which is damaged, is replaced.
    * @param record - Turn that was stored.
    * @param position - Position of its entry in the log.
    * @param nowMs - Current time of the archive's clock.
    */
   add(record: TurnRecord, position: EntryPosition, nowMs: number): IndexedTurn {
-    const expiresAtMs = nowMs + record.retentionMs;
     const {id, previous, program, disks} = record;
+    const replacedExpiryMs = this.turns.get(id)?.expiresAtMs ?? 0;
+    const expiresAtMs = Math.max(nowMs + record.retentionMs, replacedExpiryMs);
     const turn: IndexedTurn = {
       id,
       previous,
@@ -65,7 +94,9 @@
       storedAtMs: nowMs,
       expiresAtMs,
     };
+    this.turns.delete(id);
     this.turns.set(id, turn);
+    this.damaged.delete(id);
     this.retainSegment(position.segment, expiresAtMs);
     this.extendAncestors(turn);
     return turn;
@@ -100,7 +131,9 @@
    */
   removeExpired(nowMs: number): number[] {
     for (const [id, turn] of this.turns) {
-      if (turn.expiresAtMs < nowMs) this.turns.delete(id);
+      if (turn.expiresAtMs >= nowMs) continue;
+      this.turns.delete(id);
+      this.damaged.delete(id);
     }
     const expired: number[] = [];
     for (const [segment, expiryMs] of this.segmentExpiryMs) {
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -57,6 +57,8 @@
 /** Which of the requested turns an archive stores, in request order. */
 export interface FoundTurnsReply {
   readonly isHeld: readonly boolean[];
+  /** Whether it holds the turn, but cannot read its entry. */
+  readonly isDamaged: readonly boolean[];
   readonly disk: DiskId;
   readonly isComplete: boolean;
 }
@@ -220,11 +222,12 @@
       }),
     });
     if (reply.case !== 'foundTurns') throw this.createReplyError(reply);
-    const {isHeld, status} = reply.value;
+    const {isHeld, isDamaged, status} = reply.value;
     if (status === undefined) throw this.createReplyError(reply);
     const disk = toId<DiskId>(status.disk);
     this.repliedDisk = disk;
-    return {isHeld, disk, isComplete: status.isComplete};
+    const {isComplete} = status;
+    return {isHeld, isDamaged, disk, isComplete};
   }
 
   /**
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -18,3 +18,4 @@
 export * from './records/turn_codec.js';
 export * from './records/turn_record.js';
 export * from './repair/archive_repairer.js';
+export * from './repair/damaged_turn_restorer.js';
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -13,6 +13,11 @@
 import {orderCandidates} from '../client/replica_placement.js';
 import type {ArchiveMember} from '../directory/archive_directory.js';
 import type {DiskId} from '../log/disk_identity.js';
+import type {TurnRecord} from '../records/turn_record.js';
+import {
+  type DamageReport,
+  DamagedTurnRestorer,
+} from './damaged_turn_restorer.js';
 
 /** Pause between two repair rounds. */
 const roundIntervalMs = 250;
@@ -59,6 +64,8 @@
     member: ArchiveMember,
     areCounted: boolean,
   ) => void;
+  /** Called when damaged entries of the own log were found or restored. */
+  readonly onDamaged?: (report: DamageReport) => void;
 }
 
 /** Repairs replicas and ledger of one archive in periodic rounds. */
@@ -84,7 +91,16 @@
   /** Replicas that must exist on peer disks. */
   private requiredPeerReplicas: number;
 
+  private readonly restorer: DamagedTurnRestorer;
+
   private constructor(private readonly options: ArchiveRepairerOptions) {
+    const {archive, pool, clock, onDamaged} = options;
+    this.restorer = DamagedTurnRestorer.create({
+      archive,
+      pool,
+      clock,
+      onDamaged,
+    });
     this.requiredPeerReplicas = options.replicaCount - 1;
     this.hasPeerLedgers = !options.isDiskNew;
   }
@@ -129,6 +145,7 @@
       await this.runTask('copies', () =>
         this.repairTurns(this.options.clock.nowMs() - minRepairAgeMs),
       );
+      await this.runTask('damaged turns', () => this.restorer.restore());
       await this.options.clock.sleep(roundIntervalMs, signal);
     }
   }
@@ -249,7 +266,9 @@
     return [...archive.getTurns()]
       .filter(
         (turn) =>
-          turn.storedAtMs <= storedBeforeMs && this.isUnderReplicated(turn),
+          turn.storedAtMs <= storedBeforeMs &&
+          this.isUnderReplicated(turn) &&
+          !archive.isDamaged(turn.id),
       )
       .reverse()
       .sort(
@@ -297,7 +316,8 @@
     const {archive, pool} = this.options;
     const disks = new Set(pool.getClients().map(({disk}) => disk));
     for (const [turn, held] of this.verifiedDisks) {
-      if (!archive.hasTurn(turn)) this.verifiedDisks.delete(turn);
+      const isStored = archive.hasTurn(turn) || archive.isDamaged(turn);
+      if (!isStored) this.verifiedDisks.delete(turn);
       for (const disk of held.keys()) {
         if (!disks.has(disk)) held.delete(disk);
       }
@@ -359,12 +379,11 @@
     client: ArchiveClient,
     turns: readonly IndexedTurn[],
   ): Promise<void> {
-    const {archive, clock} = this.options;
+    const {clock} = this.options;
     const {disk, missing} = await this.findReplicas(client, turns);
     if (missing.length === 0) return;
-    const records = await Promise.all(
-      missing.map((turn) => archive.readTurn(turn)),
-    );
+    const records = await this.readTurns(missing);
+    if (records.length === 0) return;
     const nowMs = clock.nowMs();
     await client.storeTurns(records);
     for (const {id, retentionMs} of records) {
@@ -372,6 +391,17 @@
     }
   }
 
+  /** Gets the turns whose entries can be read. */
+  private async readTurns(
+    turns: readonly IndexedTurn[],
+  ): Promise<TurnRecord[]> {
+    const {archive} = this.options;
+    const records = await Promise.all(
+      turns.map((turn) => archive.tryReadTurn(turn)),
+    );
+    return records.filter((record) => record !== undefined);
+  }
+
   /**
    * Asks a peer for its replicas of turns, and to retain them as long as the own
    * ones; gets those that it lacks.
@@ -382,18 +412,21 @@
   ): Promise<{disk: DiskId; missing: IndexedTurn[]}> {
     const nowMs = this.options.clock.nowMs();
     const expiriesMs = turns.map(({expiresAtMs}) => expiresAtMs);
-    const {disk, isHeld} = await client.findTurns(
+    const {disk, isHeld, isDamaged} = await client.findTurns(
       turns.map(({id}) => id),
       expiriesMs.map((expiryMs) => Math.max(0, Math.ceil(expiryMs - nowMs))),
     );
+    const isIntact = isHeld.map(
+      (held, index) => held && isDamaged[index] !== true,
+    );
     for (const [index, {id}] of turns.entries()) {
-      if (isHeld[index] === true) {
+      if (isIntact[index] === true) {
         this.setVerified(id, disk, expiriesMs[index] ?? nowMs);
       } else {
         this.verifiedDisks.get(id)?.delete(disk);
       }
     }
-    return {disk, missing: turns.filter((_turn, index) => !isHeld[index])};
+    return {disk, missing: turns.filter((_turn, index) => !isIntact[index])};
   }
 
   private setVerified(turn: TurnId, disk: DiskId, untilMs: number): void {
