Call no turn unknown until the list of archives is confirmed

The list comes from a watch, which may be late or cut off.

Cause: ChainReader took the list of the watch for complete.

Now, after all archives have replied so, the reader lists `archives/` from the object API (RegistrationReader). An archive that holds an acknowledged turn was registered before, and this reading is linearizable and starts after the call arrived, so it names that archive; if the reader has not asked it, or the API does not reply, or a registration is malformed, the call gets 503. Archives that name the archives that they know were weighed against it: their lists come from watches too and may be behind alike.

--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -4,7 +4,11 @@
 import {MessageTransport} from '@marigoldpost/peers';
 import {type ObjectListener, WatchGroup} from '@marigoldpost/platform';
 import type {NodeSettings} from '@marigoldpost/sites';
-import {ArchiveDirectory, ArchivePool} from '@marigoldpost/turns';
+import {
+  ArchiveDirectory,
+  ArchivePool,
+  RegistrationReader,
+} from '@marigoldpost/turns';
 import type {NodeOptions} from './node_options.js';
 import {BackgroundTasks} from './utils/background_tasks.js';
 import {findChangedSettings} from './utils/changed_settings.js';
@@ -126,13 +130,17 @@
 
   /** Creates a pool of clients of all archives except the own daemon. */
   protected createArchivePool(): ArchivePool {
-    const {logger, settings} = this.options;
+    const {logger, settings, platform} = this.options;
+    const {clock} = this;
+    const {store} = platform;
+    const registrations = RegistrationReader.create({store, clock});
     return ArchivePool.create({
       directory: this.archiveDirectory,
       transport: this.transport,
-      clock: this.clock,
+      clock,
       signal: this.tasks.signal,
       ownDaemon: settings.daemon,
+      readRegistered: () => registrations.readMembers(),
       onReachabilityChanged: ({daemon}, isReachable) =>
         logger.log('archive_reachability', {archive: daemon, isReachable}),
     });
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -39,6 +39,8 @@
   readonly signal: AbortSignal;
   /** Daemon that owns the pool; an archive gets no client of itself. */
   readonly ownDaemon?: DaemonId;
+  /** Reads the archives that are registered now, not from the watch. */
+  readonly readRegistered: () => Promise<readonly ArchiveMember[]>;
   readonly onReachabilityChanged?: (
     member: ArchiveMember,
     isReachable: boolean,
@@ -108,6 +110,21 @@
     );
   }
 
+  /**
+   * Whether the clients are those of all archives that are registered, as the
+   * object API tells now: the watch may be behind. `false` if it does not reply.
+   * @param clients - Clients that have been asked.
+   */
+  async areAllRegistered(clients: readonly ArchiveClient[]): Promise<boolean> {
+    const known = new Set(clients.map(({member}) => getMemberKey(member)));
+    try {
+      const members = await this.options.readRegistered();
+      return members.every((member) => known.has(getMemberKey(member)));
+    } catch {
+      return false;
+    }
+  }
+
   /** Whether at least one archive is reachable. */
   get hasReachableArchive(): boolean {
     return this.getClients().some((client) => client.isReachable);
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -56,9 +56,10 @@
 
   /**
    * Gets a turn and all its ancestors, oldest first. Throws `unknown_turn` when
-   * every archive replies that it does not store the turn, and
-   * `archive_unavailable` when an archive that may store it does not reply, the
-   * list of archives is behind, or an ancestor of a stored turn is missing.
+   * every archive that the object API lists replies that it does not store the
+   * turn, and `archive_unavailable` when an archive that may store it does not
+   * reply, the list of archives is behind or cannot be confirmed, or an ancestor
+   * of a stored turn is missing.
    * @param turn - Newest turn of the chain.
    * @param signal - No further archive is asked once it is aborted.
    */
@@ -103,7 +104,8 @@
     if (
       !isAncestor &&
       clients.length >= owedArchives &&
-      lookups.every((lookup) => lookup === 'absent')
+      lookups.every((lookup) => lookup === 'absent') &&
+      (await pool.areAllRegistered(clients))
     ) {
       const message = `none of ${clients.length} archives stores turn "${turn}"`;
       throw MarigoldpostError.create('unknown_turn', message);
--- a/packages/turns/src/directory/archive_directory.ts
+++ b/packages/turns/src/directory/archive_directory.ts
@@ -144,7 +144,14 @@
   await putOwnObject(store, key, JSON.stringify(member));
 }
 
-function decodeMember({key, value}: StoredObject): ArchiveMember | undefined {
+/**
+ * Decodes a registration; `undefined` if it is malformed.
+ * @param object - Object under `archivePrefix`.
+ */
+export function decodeMember({
+  key,
+  value,
+}: StoredObject): ArchiveMember | undefined {
   const parsed = memberSchema.safeParse(parseJson(value));
   if (!parsed.success) return undefined;
   const {daemon, address, dataCentre, disk} = parsed.data;
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -9,6 +9,7 @@
 export * from './client/turn_recorder.js';
 export * from './client/turn_store.js';
 export * from './directory/archive_directory.js';
+export * from './directory/registration_reader.js';
 export * from './ledger/budget_ledger.js';
 export * from './ledger/merge_entries.js';
 export * from './ledger/reservation_quorum.js';
