Keep a retiring archive listed until its turns are elsewhere

Callers could get 404, which is final for them, for a kept turn: a retiring archive first removed its registration and then replicated its turns. A turn that it alone stored (stored while its data centre was isolated) was then on no listed archive, for as long as the archive reached the object API and no peer. Found by reading, with the confirmed list of archives in mind.

Cause: the registration stands for "may store turns", and was removed first so that entry VMs choose other archives.

Now ArchiveRepairer.retire first replicates the turns stored so far to as many other disks as required, then removes the registration, then goes on as before (turns stored meanwhile, seal, all copies asked for again).

Evidence: a new scenario in retirement.feature; with the former order it fails (unknown_turn). The other scenarios of retirement.feature pass with both.

--- a/packages/nodes/src/archive/retirement_task.ts
+++ b/packages/nodes/src/archive/retirement_task.ts
@@ -69,8 +69,9 @@
     );
     // Entry VMs stop choosing this archive once it is unregistered.
     const key = `${archivePrefix}${daemon}`;
-    await this.retryUntilDone(signal, () => platform.store.removeObject(key));
-    await repairer.retire(signal);
+    await repairer.retire(signal, () =>
+      this.retryUntilDone(signal, () => platform.store.removeObject(key)),
+    );
     await this.retryUntilDone(signal, () =>
       platform.reportRetirement(daemon, 'complete'),
     );
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -126,11 +126,20 @@
    * once peers have replied that they hold every turn on enough disks; the
    * archive stores no further turns from then on.
    * @param signal - Ends the wait when aborted.
+   * @param leave - Removes the registration; called once every turn stored so
+   *   far is on enough other disks, since a turn that no registered archive
+   *   stores is called unknown.
    */
-  async retire(signal: AbortSignal): Promise<void> {
+  async retire(signal: AbortSignal, leave: () => Promise<void>): Promise<void> {
+    const {clock} = this.options;
     this.requiredPeerReplicas = this.options.replicaCount;
+    const startMs = clock.nowMs();
+    while (this.findUnderReplicated(startMs).length > 0) {
+      await clock.sleep(retirementPollMs, signal);
+    }
+    await leave();
     while (!this.isFullyReplicated || !(await this.trySeal())) {
-      await this.options.clock.sleep(retirementPollMs, signal);
+      await clock.sleep(retirementPollMs, signal);
     }
   }
 
--- a/packages/turns/tests/repair/retirement.feature
+++ b/packages/turns/tests/repair/retirement.feature
@@ -41,3 +41,15 @@
       | a       |
       | c       |
       | d       |
+
+  Scenario: A turn on one disk is not called unknown while its archive retires
+    Given data centre "a" is isolated
+    And 3000 ms pass
+    When turn "t1" finishes in "a" within 100 ms
+    And the retirement of archive "a" begins
+    And 3000 ms pass
+    Then reading turn "t1" in "b" fails with archive_unavailable
+    When the isolation ends and 4000 ms pass
+    Then the retirement is complete
+    And turn "t1" is on at least 3 disks
+    And a new entry VM in "b" reads the chain "t1"
--- a/packages/turns/tests/repair/retirement_steps.ts
+++ b/packages/turns/tests/repair/retirement_steps.ts
@@ -9,6 +9,7 @@
 
 interface RetirementWorld extends World {
   archives: ArchiveFleet;
+  isRetired: boolean;
 }
 
 When(
@@ -30,6 +31,20 @@
   },
 );
 
+When(
+  'the retirement of archive {string} begins',
+  function (this: RetirementWorld, name: string) {
+    this.isRetired = false;
+    void this.archives.retire(name, false).then(() => {
+      this.isRetired = true;
+    });
+  },
+);
+
+Then('the retirement is complete', function (this: RetirementWorld) {
+  assert.ok(this.isRetired);
+});
+
 When(
   'the archive of the other disk with turn {string} goes down and its disk is lost',
   function (this: RetirementWorld, id: string) {
