Retain the turns of a chain on different disks together

Cause: TurnIndex extended the earlier turns that the same archive stores only, and FindTurns extended the named turn without those before it.

Now an archive keeps which turns it lacks that are continued by one of its own, with the time until which they are needed, and asks each peer to retain them: within 2 s, again when a later turn extends them, and every 10 s a peer that does not hold them. A peer extends the turns before them as well, and one that stores such a turn later keeps it as long as needed.

Evidence: a new scenario of replica_repair.feature; with the former turn_index.ts, archive.ts and archive_repairer.ts it fails (the first turn of the chain is missing 95 s after it was stored, 45 s after the second one). Another one bounds the requests that this costs: at most 12 more in 10 s among four archives.

Not covered: an earlier turn that expires before its archives can be asked, as when they are cut off at the end of its retention.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -137,7 +137,16 @@
   }
 
   /**
-   * Retains a stored turn longer, since a peer has a turn that continues it.
+   * Gets the turns that are not stored here, but continued by one that is, each
+   * with the time until which it is needed.
+   */
+  getMissingAncestors(): ReadonlyMap<TurnId, number> {
+    return this.index.getMissingAncestors();
+  }
+
+  /**
+   * Retains a stored turn and its ancestors longer, since a peer has a turn that
+   * continues it.
    * @param id - Id of the turn.
    * @param retainedMs - Least time from now.
    */
--- a/packages/turns/src/archive/turn_index.ts
+++ b/packages/turns/src/archive/turn_index.ts
@@ -21,6 +21,11 @@
   private readonly turns = new Map<TurnId, IndexedTurn>();
   /** Time until which each log segment is needed, by segment number. */
   private readonly segmentExpiryMs = new Map<number, number>();
+  /**
+   * Turns that are not stored here, but continued by one that is, each with the
+   * time until which it is needed.
+   */
+  private readonly missingAncestors = new Map<TurnId, number>();
   /** Turns whose entries could not be read when last tried. */
   private readonly damaged = new Set<TurnId>();
 
@@ -84,7 +89,11 @@
   add(record: TurnRecord, position: EntryPosition, nowMs: number): IndexedTurn {
     const {id, previous, program, disks} = record;
     const replacedExpiryMs = this.turns.get(id)?.expiresAtMs ?? 0;
-    const expiresAtMs = Math.max(nowMs + record.retentionMs, replacedExpiryMs);
+    const expiresAtMs = Math.max(
+      nowMs + record.retentionMs,
+      replacedExpiryMs,
+      this.missingAncestors.get(id) ?? 0,
+    );
     const turn: IndexedTurn = {
       id,
       previous,
@@ -97,21 +106,31 @@
     this.turns.delete(id);
     this.turns.set(id, turn);
     this.damaged.delete(id);
+    this.missingAncestors.delete(id);
     this.retainSegment(position.segment, expiresAtMs);
-    this.extendAncestors(turn);
+    this.retainAncestors(turn);
     return turn;
   }
 
   /**
-   * Retains a turn at least until a time, if it is stored here.
+   * Retains a turn and its ancestors at least until a time, if it is stored
+   * here.
    * @param id - Id of the turn.
    * @param untilMs - Expiry on the archive's clock.
    */
   retainTurn(id: TurnId, untilMs: number): void {
     const turn = this.turns.get(id);
     if (turn === undefined || turn.expiresAtMs >= untilMs) return;
-    turn.expiresAtMs = untilMs;
-    this.retainSegment(turn.position.segment, untilMs);
+    this.setExpiry(turn, untilMs);
+    this.retainAncestors(turn);
+  }
+
+  /**
+   * Gets the turns that are not stored here, but continued by one that is, each
+   * with the time until which it is needed.
+   */
+  getMissingAncestors(): ReadonlyMap<TurnId, number> {
+    return this.missingAncestors;
   }
 
   /**
@@ -135,6 +154,9 @@
       this.turns.delete(id);
       this.damaged.delete(id);
     }
+    for (const [id, untilMs] of this.missingAncestors) {
+      if (untilMs < nowMs) this.missingAncestors.delete(id);
+    }
     const expired: number[] = [];
     for (const [segment, expiryMs] of this.segmentExpiryMs) {
       if (expiryMs >= nowMs) continue;
@@ -144,14 +166,23 @@
     return expired;
   }
 
-  private extendAncestors(turn: IndexedTurn): void {
-    let {previous} = turn;
-    while (previous !== undefined) {
-      const ancestor = this.turns.get(previous);
-      if (ancestor === undefined) return;
-      if (ancestor.expiresAtMs >= turn.expiresAtMs) return;
-      this.retainTurn(ancestor.id, turn.expiresAtMs);
-      previous = ancestor.previous;
+  private retainAncestors({previous, expiresAtMs}: IndexedTurn): void {
+    let next = previous;
+    while (next !== undefined) {
+      const ancestor = this.turns.get(next);
+      if (ancestor === undefined) {
+        const neededMs = this.missingAncestors.get(next) ?? 0;
+        this.missingAncestors.set(next, Math.max(neededMs, expiresAtMs));
+        return;
+      }
+      if (ancestor.expiresAtMs >= expiresAtMs) return;
+      this.setExpiry(ancestor, expiresAtMs);
+      next = ancestor.previous;
     }
   }
+
+  private setExpiry(turn: IndexedTurn, untilMs: number): void {
+    turn.expiresAtMs = untilMs;
+    this.retainSegment(turn.position.segment, untilMs);
+  }
 }
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -82,6 +82,11 @@
   private readonly refusingPeers = new WeakSet<ArchiveClient>();
   /** Peers whose replicas do not count, as of the last round. */
   private lostPeers = new Set<ArchiveClient>();
+  /**
+   * Peer disks that were asked to retain turns which are not stored here, but
+   * continued by one that is, each with the time until which it is settled.
+   */
+  private readonly retainedAncestors = new Map<TurnId, Map<DiskId, number>>();
   private nextRenewalMs = 0;
   /** Disks whose replicas count, as of the last round. */
   private countedDisks = new Set<DiskId>();
@@ -348,6 +353,39 @@
         const batch = expiring.slice(start, start + maxBatchTurns);
         await this.findReplicas(client, batch);
       }
+      await this.renewAncestors(client);
+    }
+  }
+
+  /**
+   * Asks a peer to retain the turns that are continued by one that is stored
+   * here, if that was stored on other disks than they.
+   */
+  private async renewAncestors(client: ArchiveClient): Promise<void> {
+    const {archive, clock} = this.options;
+    const needed = archive.getMissingAncestors();
+    for (const id of this.retainedAncestors.keys()) {
+      if (!needed.has(id)) this.retainedAncestors.delete(id);
+    }
+    const renewBeforeMs = clock.nowMs() + renewalMs;
+    const due = [...needed].filter(([id, neededMs]) => {
+      const untilMs = this.retainedAncestors.get(id)?.get(client.disk) ?? 0;
+      return untilMs < renewBeforeMs && untilMs < neededMs - expirySlackMs;
+    });
+    for (let start = 0; start < due.length; start += maxBatchTurns) {
+      const batch = due.slice(start, start + maxBatchTurns);
+      const nowMs = clock.nowMs();
+      const {disk, isHeld} = await client.findTurns(
+        batch.map(([id]) => id),
+        batch.map(([, untilMs]) => Math.max(0, Math.ceil(untilMs - nowMs))),
+      );
+      for (const [index, [id, neededMs]] of batch.entries()) {
+        // A peer that lacks the turn may get it later.
+        const untilMs = isHeld[index] ? neededMs : nowMs + 2 * renewalMs;
+        const disks =
+          this.retainedAncestors.get(id) ?? new Map<DiskId, number>();
+        this.retainedAncestors.set(id, disks.set(disk, untilMs));
+      }
     }
   }
 
--- a/packages/turns/tests/repair/replica_repair.feature
+++ b/packages/turns/tests/repair/replica_repair.feature
@@ -82,3 +82,23 @@
     And the isolation ends and 40000 ms pass
     And the disk of the archive "a" is lost and 3000 ms pass
     Then a new entry VM in "b" reads the chain "t1, t2"
+
+  Scenario: The turns of a chain on different disks are kept as long as its last turn
+    When turn "t1" finishes in "a"
+    And 50000 ms pass
+    And turn "t2" after "t1" finishes in "e" while the archives with "t1" do not reply to its entry VM
+    Then turns "t1" and "t2" are on no common disk
+    When 45000 ms pass
+    Then a new entry VM in "d" reads the chain "t1, t2"
+    When turn "t3" after "t2" finishes in "e"
+    And 45000 ms pass
+    Then a new entry VM in "d" reads the chain "t1, t2, t3"
+    When the disk of the archive "a" is lost and 10000 ms pass
+    Then a new entry VM in "d" reads the chain "t1, t2, t3"
+
+  Scenario: Archives ask each other seldom to keep turns of chains on different disks
+    Given the requests to archives are counted for 10000 ms
+    When turn "t1" finishes in "a"
+    And turn "t2" after "t1" finishes in "e" while the archives with "t1" do not reply to its entry VM
+    And 10000 ms pass
+    Then at most 12 requests more are sent to archives in 10000 ms
--- a/packages/turns/tests/repair/replica_repair_steps.ts
+++ b/packages/turns/tests/repair/replica_repair_steps.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {type ProgramId, toId} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
 import {
   type ArchiveFleet,
   createTurn,
@@ -11,6 +12,7 @@
 interface RepairWorld extends World {
   archives: ArchiveFleet;
   turnIds: string[];
+  idleRequests: number;
 }
 
 Given(
@@ -101,9 +103,73 @@
   },
 );
 
+When(
+  'turn {string} after {string} finishes in {string} while the archives with {string} do not reply to its entry VM',
+  async function (
+    this: RepairWorld,
+    id: string,
+    previous: string,
+    dataCentre: string,
+    held: string,
+  ) {
+    const {archives} = this;
+    const store = archives.getStore(dataCentre);
+    const {signal} = new AbortController();
+    const read = store.readChain(toId<TurnId>(previous), signal);
+    const disks = (await archives.run(read)).at(-1)?.disks ?? [];
+    const links = archives
+      .findHolders(held)
+      .map((name) => `${dataCentre} ${name}`);
+    for (const link of links) archives.brokenLinks.add(link);
+    // The first request without a reply marks the archives unreachable.
+    const probe = store.readChain(toId<TurnId>('probe'), signal);
+    await archives.run(probe.catch(() => undefined));
+    const wait = {maxWaitMs: unlimitedWaitMs, signal};
+    const turn = createTurn(id, previous);
+    await archives.run(store.record(turn, disks, wait));
+    for (const link of links) archives.brokenLinks.delete(link);
+  },
+);
+
+Then(
+  'turns {string} and {string} are on no common disk',
+  function (this: RepairWorld, left: string, right: string) {
+    const holders = this.archives.findHolders(right);
+    const common = this.archives
+      .findHolders(left)
+      .filter((name) => holders.includes(name));
+    assert.deepEqual(common, []);
+  },
+);
+
+Given(
+  'the requests to archives are counted for {int} ms',
+  async function (this: RepairWorld, forMs: number) {
+    this.idleRequests = await countRequests(this.archives, forMs);
+  },
+);
+
+Then(
+  'at most {int} requests more are sent to archives in {int} ms',
+  async function (this: RepairWorld, most: number, forMs: number) {
+    const sent = await countRequests(this.archives, forMs);
+    const text = `${sent} requests, ${this.idleRequests} without turns`;
+    assert.ok(sent - this.idleRequests <= most, text);
+  },
+);
+
 Then(
   'archive {string} has sent no turns',
   function (this: RepairWorld, name: string) {
     assert.equal(this.archives.sentTurnCounts.get(name) ?? 0, 0);
   },
 );
+
+async function countRequests(
+  archives: ArchiveFleet,
+  forMs: number,
+): Promise<number> {
+  const before = archives.requestCount;
+  await archives.clock.advance(forMs);
+  return archives.requestCount - before;
+}
