Store no turns on an archive that restarts after its retirement

Cause: the seal was in memory only, and a task that read a complete retirement at its start sealed nothing.

Now the archive creates the file `retired` in its log folder before it reports "complete", and opens sealed if the file is there, which needs no object API. A complete retirement that is read at the start (of an earlier build, without the file) seals it too. If the file cannot be created, the retirement goes on.

Sealing by a retirement that an earlier build completed has no test of its own.

--- a/packages/nodes/src/archive/retirement_task.ts
+++ b/packages/nodes/src/archive/retirement_task.ts
@@ -55,11 +55,13 @@
   }
 
   private putObject(object: StoredObject): void {
-    const {daemon, platform, start} = this.options;
+    const {daemon, platform, repairer, start} = this.options;
     const request = platform.decodeRetirement(object);
     if (request.daemon !== daemon || this.hasStarted) return;
     this.hasStarted = true;
-    if (!request.isComplete) start((signal) => this.retire(signal));
+    start((signal) =>
+      request.isComplete ? repairer.seal() : this.retire(signal),
+    );
   }
 
   private async retire(signal: AbortSignal): Promise<void> {
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -37,6 +37,8 @@
  */
 export const quarantineRetentionMs = ledgerRetentionMs;
 const sweepIntervalMs = 5000;
+/** File that marks the disk of an archive whose retirement is complete. */
+const retiredFileName = 'retired';
 
 /** Dependencies and callbacks of an archive. */
 export interface ArchiveOptions {
@@ -55,7 +57,7 @@
 export class Archive {
   private readonly pendingStores = new Map<TurnId, Promise<void>>();
   private readonly unwritten = UnwrittenEntries.create();
-  private isClosedForTurns = false;
+  private isClosedForTurns: boolean;
 
   private constructor(
     private readonly options: ArchiveOptions,
@@ -64,7 +66,10 @@
     private readonly ledger: BudgetLedger,
     /** Identity of the disk's contents; changes when the disk is wiped. */
     readonly disk: DiskId,
-  ) {}
+    isRetired: boolean,
+  ) {
+    this.isClosedForTurns = isRetired;
+  }
 
   /**
    * Opens the archive and recovers its state from the log on the disk.
@@ -95,7 +100,8 @@
         settleTurn(ledger, entry.turn, nowMs);
       },
     });
-    return new Archive(options, log, index, ledger, disk);
+    const isRetired = (await folder.listFiles()).includes(retiredFileName);
+    return new Archive(options, log, index, ledger, disk, isRetired);
   }
 
   /** Number of turns in the index. */
@@ -192,6 +198,17 @@
     await Promise.allSettled(this.pendingStores.values());
   }
 
+  /**
+   * Records on the disk that the archive is retired, so that it stores no turns
+   * after a restart either; resolves once that is durable.
+   */
+  async recordRetirement(): Promise<void> {
+    const {folder} = this.options;
+    if ((await folder.listFiles()).includes(retiredFileName)) return;
+    const file = await folder.createFile(retiredFileName);
+    await file.close();
+  }
+
   /** Stores turns again. */
   unseal(): void {
     this.isClosedForTurns = false;
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -148,6 +148,11 @@
     }
   }
 
+  /** Stores no further turns, since the retirement was complete at the start. */
+  async seal(): Promise<void> {
+    await this.options.archive.seal();
+  }
+
   /**
    * Runs repair rounds until aborted.
    * @param signal - Stops the rounds when aborted.
@@ -181,7 +186,14 @@
     await this.runTask('retirement', () =>
       this.repairTurns(Number.POSITIVE_INFINITY),
     );
-    if (this.isFullyReplicated) return true;
+    if (this.isFullyReplicated) {
+      try {
+        await archive.recordRetirement();
+        return true;
+      } catch (error) {
+        this.options.onFailed('retirement', toMarigoldpostError(error));
+      }
+    }
     archive.unseal();
     return false;
   }
--- a/packages/turns/tests/repair/retirement.feature
+++ b/packages/turns/tests/repair/retirement.feature
@@ -53,3 +53,16 @@
     Then the retirement is complete
     And turn "t1" is on at least 3 disks
     And a new entry VM in "b" reads the chain "t1"
+
+  Scenario Outline: An archive that restarts once its retirement is complete stores no further turns
+    When archive "a" retires without notice to others
+    And archive "a" is killed
+    And archive "a" <returns>
+    And turn "t1" finishes in "a" within 200 ms
+    Then turn "t1" is on 2 disks
+    And archive "a" does not hold turn "t1"
+
+    Examples:
+      | returns                  |
+      | restarts                 |
+      | loses power and restarts |
--- a/packages/turns/tests/repair/retirement_steps.ts
+++ b/packages/turns/tests/repair/retirement_steps.ts
@@ -41,6 +41,15 @@
   },
 );
 
+When(
+  'archive {string} loses power and restarts',
+  async function (this: RetirementWorld, name: string) {
+    const {archives} = this;
+    archives.getFolder(name).losePower('missing');
+    await archives.start(name);
+  },
+);
+
 Then('the retirement is complete', function (this: RetirementWorld) {
   assert.ok(this.isRetired);
 });
