--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -168,6 +168,7 @@
           disk,
           areCounted,
         }),
+      onDamaged: (report) => logger.log('turns_damaged', {...report}),
     });
   }
 
--- a/packages/nodes/src/archive/retirement_task.ts
+++ b/packages/nodes/src/archive/retirement_task.ts
@@ -55,11 +55,13 @@
   }
 
   private putObject(object: StoredObject): void {
-    const {daemon, platform, start} = this.options;
+    const {daemon, platform, repairer, start} = this.options;
     const request = platform.decodeRetirement(object);
     if (request.daemon !== daemon || this.hasStarted) return;
     this.hasStarted = true;
-    if (!request.isComplete) start((signal) => this.retire(signal));
+    start((signal) =>
+      request.isComplete ? repairer.seal() : this.retire(signal),
+    );
   }
 
   private async retire(signal: AbortSignal): Promise<void> {
@@ -69,8 +71,9 @@
     );
     // Entry VMs stop choosing this archive once it is unregistered.
     const key = `${archivePrefix}${daemon}`;
-    await this.retryUntilDone(signal, () => platform.store.removeObject(key));
-    await repairer.retire(signal);
+    await repairer.retire(signal, () =>
+      this.retryUntilDone(signal, () => platform.store.removeObject(key)),
+    );
     await this.retryUntilDone(signal, () =>
       platform.reportRetirement(daemon, 'complete'),
     );
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -1,7 +1,6 @@
 /** Stores turns and token budgets on the disk of one archive VM. */
 import {
   type Clock,
-  MarigoldpostError,
   type ProgramId,
   type Random,
   toId,
@@ -40,6 +39,8 @@
  */
 export const quarantineRetentionMs = ledgerRetentionMs;
 const sweepIntervalMs = 5000;
+/** File that marks the disk of an archive whose retirement is complete. */
+const retiredFileName = 'retired';
 
 /** Dependencies and callbacks of an archive. */
 export interface ArchiveOptions {
@@ -58,7 +59,7 @@
 export class Archive {
   private readonly pendingStores = new Map<TurnId, Promise<void>>();
   private readonly unwritten = UnwrittenEntries.create();
-  private isClosedForTurns = false;
+  private isClosedForTurns: boolean;
 
   private constructor(
     private readonly options: ArchiveOptions,
@@ -69,7 +70,10 @@
     /** Identity of the disk's contents; changes when the disk is wiped. */
     readonly disk: DiskId,
     private isMarkedComplete: boolean,
-  ) {}
+    isRetired: boolean,
+  ) {
+    this.isClosedForTurns = isRetired;
+  }
 
   /**
    * Opens the archive and recovers its state from the log on the disk.
@@ -104,6 +108,7 @@
         ledgerSegments.add(entry.turn.program, position.segment);
       },
     });
+    const isRetired = (await folder.listFiles()).includes(retiredFileName);
     return new Archive(
       options,
       log,
@@ -112,6 +117,7 @@
       ledgerSegments,
       disk,
       isMarked,
+      isRetired,
     );
   }
 
@@ -146,15 +152,39 @@
   }
 
   /**
-   * Checks whether a turn is durable on this disk and not expired.
+   * Checks whether a turn is durable on this disk, not expired, and not known to
+   * be damaged.
    * @param id - Id of the turn.
    */
   hasTurn(id: TurnId): boolean {
-    return this.index.get(id) !== undefined;
+    return this.index.get(id) !== undefined && !this.index.isDamaged(id);
   }
 
   /**
-   * Retains a stored turn longer, since a peer has a turn that continues it.
+   * Whether a turn was stored on this disk, but its entry could not be read when
+   * last tried.
+   * @param id - Id of the turn.
+   */
+  isDamaged(id: TurnId): boolean {
+    return this.index.isDamaged(id);
+  }
+
+  /** Gets the turns whose entries could not be read when last tried. */
+  getDamagedTurns(): IndexedTurn[] {
+    return this.index.getDamaged();
+  }
+
+  /**
+   * Gets the turns that are not stored here, but continued by one that is, each
+   * with the time until which it is needed.
+   */
+  getMissingAncestors(): ReadonlyMap<TurnId, number> {
+    return this.index.getMissingAncestors();
+  }
+
+  /**
+   * Retains a stored turn and its ancestors longer, since a peer has a turn that
+   * continues it.
    * @param id - Id of the turn.
    * @param retainedMs - Least time from now.
    */
@@ -164,7 +194,7 @@
 
   /**
    * Stores turns; resolves once they are durable. Skips turns that are stored
-   * already.
+   * already, unless their entries are damaged.
    * @param records - Finished turns.
    */
   async storeTurns(records: readonly TurnRecord[]): Promise<void> {
@@ -200,6 +230,17 @@
     await Promise.allSettled(this.pendingStores.values());
   }
 
+  /**
+   * Records on the disk that the archive is retired, so that it stores no turns
+   * after a restart either; resolves once that is durable.
+   */
+  async recordRetirement(): Promise<void> {
+    const {folder} = this.options;
+    if ((await folder.listFiles()).includes(retiredFileName)) return;
+    const file = await folder.createFile(retiredFileName);
+    await file.close();
+  }
+
   /** Stores turns again. */
   unseal(): void {
     this.isClosedForTurns = false;
@@ -265,7 +306,7 @@
 
   /**
    * Reads a turn and its ancestors, up to the first one that is not stored
-   * here.
+   * here or whose entry is damaged.
    * @param id - Newest turn of the chain.
    */
   async readChain(id: TurnId): Promise<PartialChain> {
@@ -274,25 +315,23 @@
     while (next !== undefined) {
       const indexed = this.index.get(next);
       if (indexed === undefined) break;
-      turns.push(await this.readTurn(indexed));
+      const turn = await this.tryReadTurn(indexed);
+      if (turn === undefined) break;
+      turns.push(turn);
       next = indexed.previous;
     }
     return {turns: turns.toReversed(), missing: next};
   }
 
   /**
-   * Reads a turn from the log; throws `archive_unavailable` when its entry is
-   * missing or damaged.
+   * Reads a turn from the log; `undefined` if its entry cannot be read, which is
+   * recorded: the turn then counts as damaged until it is read or stored again.
    * @param indexed - Index entry of the turn.
    */
-  async readTurn(indexed: IndexedTurn): Promise<TurnRecord> {
-    const bytes = await this.log.read(indexed.position);
-    const entry = bytes === undefined ? undefined : decodeArchiveEntry(bytes);
-    if (entry?.kind === 'turn') return entry.turn;
-    throw MarigoldpostError.create(
-      'archive_unavailable',
-      `turn "${indexed.id}" is missing or damaged in log segment ${indexed.position.segment}`,
-    );
+  async tryReadTurn(indexed: IndexedTurn): Promise<TurnRecord | undefined> {
+    const turn = await this.readEntry(indexed).catch(() => undefined);
+    this.index.setDamaged(indexed, turn === undefined);
+    return turn;
   }
 
   /** Checks that the disk accepts writes, by syncing an empty entry. */
@@ -354,6 +393,14 @@
     }
   }
 
+  private async readEntry({
+    position,
+  }: IndexedTurn): Promise<TurnRecord | undefined> {
+    const bytes = await this.log.read(position);
+    const entry = bytes === undefined ? undefined : decodeArchiveEntry(bytes);
+    return entry?.kind === 'turn' ? entry.turn : undefined;
+  }
+
   private storeTurn(record: TurnRecord): Promise<void> {
     const {id} = record;
     if (this.hasTurn(id)) return Promise.resolve();
--- a/packages/turns/src/archive/turn_index.ts
+++ b/packages/turns/src/archive/turn_index.ts
@@ -21,6 +21,13 @@
   private readonly turns = new Map<TurnId, IndexedTurn>();
   /** Time until which each log segment is needed, by segment number. */
   private readonly segmentExpiryMs = new Map<number, number>();
+  /**
+   * Turns that are not stored here, but continued by one that is, each with the
+   * time until which it is needed.
+   */
+  private readonly missingAncestors = new Map<TurnId, number>();
+  /** Turns whose entries could not be read when last tried. */
+  private readonly damaged = new Set<TurnId>();
 
   private constructor() {}
 
@@ -48,14 +55,45 @@
   }
 
   /**
-   * Adds a turn and extends the expiry of its ancestors to its own.
+   * Whether the entry of a stored turn could not be read when last tried.
+   * @param id - Id of the turn.
+   */
+  isDamaged(id: TurnId): boolean {
+    return this.damaged.has(id);
+  }
+
+  /** Gets the entries of the turns that could not be read when last tried. */
+  getDamaged(): IndexedTurn[] {
+    return [...this.damaged].flatMap((id) => this.turns.get(id) ?? []);
+  }
+
+  /**
+   * Records whether the entry of a turn could be read; an entry that has been
+   * replaced or has expired meanwhile has no effect.
+   * @param turn - Entry that was read.
+   * @param isDamaged - Whether the log did not return its content.
+   */
+  setDamaged(turn: IndexedTurn, isDamaged: boolean): void {
+    if (this.turns.get(turn.id) !== turn) return;
+    if (isDamaged) this.damaged.add(turn.id);
+    else this.damaged.delete(turn.id);
+  }
+
+  /**
+   * Adds a turn and extends the expiry of its ancestors to its own. An entry of
+   * the same turn, which is damaged, is replaced.
    * @param record - Turn that was stored.
    * @param position - Position of its entry in the log.
    * @param nowMs - Current time of the archive's clock.
    */
   add(record: TurnRecord, position: EntryPosition, nowMs: number): IndexedTurn {
-    const expiresAtMs = nowMs + record.retentionMs;
     const {id, previous, program, disks} = record;
+    const replacedExpiryMs = this.turns.get(id)?.expiresAtMs ?? 0;
+    const expiresAtMs = Math.max(
+      nowMs + record.retentionMs,
+      replacedExpiryMs,
+      this.missingAncestors.get(id) ?? 0,
+    );
     const turn: IndexedTurn = {
       id,
       previous,
@@ -65,22 +103,34 @@
       storedAtMs: nowMs,
       expiresAtMs,
     };
+    this.turns.delete(id);
     this.turns.set(id, turn);
+    this.damaged.delete(id);
+    this.missingAncestors.delete(id);
     this.retainSegment(position.segment, expiresAtMs);
-    this.extendAncestors(turn);
+    this.retainAncestors(turn);
     return turn;
   }
 
   /**
-   * Retains a turn at least until a time, if it is stored here.
+   * Retains a turn and its ancestors at least until a time, if it is stored
+   * here.
    * @param id - Id of the turn.
    * @param untilMs - Expiry on the archive's clock.
    */
   retainTurn(id: TurnId, untilMs: number): void {
     const turn = this.turns.get(id);
     if (turn === undefined || turn.expiresAtMs >= untilMs) return;
-    turn.expiresAtMs = untilMs;
-    this.retainSegment(turn.position.segment, untilMs);
+    this.setExpiry(turn, untilMs);
+    this.retainAncestors(turn);
+  }
+
+  /**
+   * Gets the turns that are not stored here, but continued by one that is, each
+   * with the time until which it is needed.
+   */
+  getMissingAncestors(): ReadonlyMap<TurnId, number> {
+    return this.missingAncestors;
   }
 
   /**
@@ -100,7 +150,12 @@
    */
   removeExpired(nowMs: number): number[] {
     for (const [id, turn] of this.turns) {
-      if (turn.expiresAtMs < nowMs) this.turns.delete(id);
+      if (turn.expiresAtMs >= nowMs) continue;
+      this.turns.delete(id);
+      this.damaged.delete(id);
+    }
+    for (const [id, untilMs] of this.missingAncestors) {
+      if (untilMs < nowMs) this.missingAncestors.delete(id);
     }
     return [...this.segmentExpiryMs]
       .filter(([, expiryMs]) => expiryMs < nowMs)
@@ -115,14 +170,23 @@
     this.segmentExpiryMs.delete(segment);
   }
 
-  private extendAncestors(turn: IndexedTurn): void {
-    let {previous} = turn;
-    while (previous !== undefined) {
-      const ancestor = this.turns.get(previous);
-      if (ancestor === undefined) return;
-      if (ancestor.expiresAtMs >= turn.expiresAtMs) return;
-      this.retainTurn(ancestor.id, turn.expiresAtMs);
-      previous = ancestor.previous;
+  private retainAncestors({previous, expiresAtMs}: IndexedTurn): void {
+    let next = previous;
+    while (next !== undefined) {
+      const ancestor = this.turns.get(next);
+      if (ancestor === undefined) {
+        const neededMs = this.missingAncestors.get(next) ?? 0;
+        this.missingAncestors.set(next, Math.max(neededMs, expiresAtMs));
+        return;
+      }
+      if (ancestor.expiresAtMs >= expiresAtMs) return;
+      this.setExpiry(ancestor, expiresAtMs);
+      next = ancestor.previous;
     }
   }
+
+  private setExpiry(turn: IndexedTurn, untilMs: number): void {
+    turn.expiresAtMs = untilMs;
+    this.retainSegment(turn.position.segment, untilMs);
+  }
 }
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -14,6 +14,17 @@
 import type {ArchiveMember} from '../directory/archive_directory.js';
 import {getMajority} from '../ledger/reservation_quorum.js';
 import type {DiskId} from '../log/disk_identity.js';
+import type {TurnRecord} from '../records/turn_record.js';
+import {
+  AncestorRetention,
+  expirySlackMs,
+  maxBatchTurns,
+  renewalMs,
+} from './ancestor_retention.js';
+import {
+  type DamageReport,
+  DamagedTurnRestorer,
+} from './damaged_turn_restorer.js';
 
 /** Pause between two repair rounds. */
 const roundIntervalMs = 250;
@@ -23,15 +34,8 @@
 const retirementPollMs = 200;
 /** A peer that has not replied for this long is probed. */
 const silenceMs = 500;
-/**
- * Time before a replica's expiry at which the peer is asked to retain it for
- * longer; more than the time between two sweeps of an archive.
- */
-const renewalMs = 10_000;
 /** Pause between two searches for such replicas, which look at every turn. */
 const renewalIntervalMs = 2000;
-/** Differences of expiry that are left alone. */
-const expirySlackMs = 1000;
 /**
  * Archives that stop at the same moment are back within a second of each other;
  * with time for a reply.
@@ -42,8 +46,6 @@
  * longer than a restart, a freeze or a stalled disk.
  */
 const lostPeerMs = 6000;
-/** Limit of the turns queried or sent in one message; bounds its size. */
-const maxBatchTurns = 64;
 
 /** Archive, peers and replica count of a repairer. */
 export interface ArchiveRepairerOptions {
@@ -65,6 +67,8 @@
     member: ArchiveMember,
     areCounted: boolean,
   ) => void;
+  /** Called when damaged entries of the own log were found or restored. */
+  readonly onDamaged?: (report: DamageReport) => void;
 }
 
 /** Repairs replicas and ledger of one archive in periodic rounds. */
@@ -93,9 +97,19 @@
   /** Replicas that must exist on peer disks. */
   private requiredPeerReplicas: number;
 
+  private readonly restorer: DamagedTurnRestorer;
+  private readonly ancestorRetention: AncestorRetention;
+
   private constructor(private readonly options: ArchiveRepairerOptions) {
+    const {archive, pool, clock, isFirstStart, onDamaged} = options;
+    this.restorer = DamagedTurnRestorer.create({
+      archive,
+      pool,
+      clock,
+      onDamaged,
+    });
+    this.ancestorRetention = AncestorRetention.create(archive, clock);
     this.requiredPeerReplicas = options.replicaCount - 1;
-    const {archive, isFirstStart} = options;
     this.hasPeerLedgers = isFirstStart || archive.hasCompleteLedgers;
   }
 
@@ -125,15 +139,29 @@
    * once peers have replied that they hold every turn on enough disks; the
    * archive stores no further turns from then on.
    * @param signal - Ends the wait when aborted.
+   * @param leave - Removes the registration; called once every turn stored so
+   *   far is on enough other disks, since a turn that no registered archive
+   *   stores is called unknown.
    */
-  async retire(signal: AbortSignal): Promise<void> {
+  async retire(signal: AbortSignal, leave: () => Promise<void>): Promise<void> {
+    const {clock} = this.options;
     this.isRetiring = true;
     this.requiredPeerReplicas = this.options.replicaCount;
+    const startMs = clock.nowMs();
+    while (this.findUnderReplicated(startMs).length > 0) {
+      await clock.sleep(retirementPollMs, signal);
+    }
+    await leave();
     while (!this.isFullyReplicated || !(await this.trySeal())) {
-      await this.options.clock.sleep(retirementPollMs, signal);
+      await clock.sleep(retirementPollMs, signal);
     }
   }
 
+  /** Stores no further turns, since the retirement was complete at the start. */
+  async seal(): Promise<void> {
+    await this.options.archive.seal();
+  }
+
   /**
    * Runs repair rounds until aborted.
    * @param signal - Stops the rounds when aborted.
@@ -145,6 +173,7 @@
       await this.runTask('copies', () =>
         this.repairTurns(this.options.clock.nowMs() - minRepairAgeMs),
       );
+      await this.runTask('damaged turns', () => this.restorer.restore());
       await this.options.clock.sleep(roundIntervalMs, signal);
     }
   }
@@ -166,7 +195,14 @@
     await this.runTask('retirement', () =>
       this.repairTurns(Number.POSITIVE_INFINITY),
     );
-    if (this.isFullyReplicated) return true;
+    if (this.isFullyReplicated) {
+      try {
+        await archive.recordRetirement();
+        return true;
+      } catch (error) {
+        this.options.onFailed('retirement', toMarigoldpostError(error));
+      }
+    }
     archive.unseal();
     return false;
   }
@@ -313,7 +349,9 @@
     return [...archive.getTurns()]
       .filter(
         (turn) =>
-          turn.storedAtMs <= storedBeforeMs && this.isUnderReplicated(turn),
+          turn.storedAtMs <= storedBeforeMs &&
+          this.isUnderReplicated(turn) &&
+          !archive.isDamaged(turn.id),
       )
       .reverse()
       .sort(
@@ -361,7 +399,8 @@
     const {archive, pool} = this.options;
     const disks = new Set(pool.getClients().map(({disk}) => disk));
     for (const [turn, held] of this.verifiedDisks) {
-      if (!archive.hasTurn(turn)) this.verifiedDisks.delete(turn);
+      const isStored = archive.hasTurn(turn) || archive.isDamaged(turn);
+      if (!isStored) this.verifiedDisks.delete(turn);
       for (const disk of held.keys()) {
         if (!disks.has(disk)) held.delete(disk);
       }
@@ -383,6 +422,7 @@
         const batch = expiring.slice(start, start + maxBatchTurns);
         await this.findReplicas(client, batch);
       }
+      await this.ancestorRetention.renew(client);
     }
   }
 
@@ -423,12 +463,11 @@
     client: ArchiveClient,
     turns: readonly IndexedTurn[],
   ): Promise<void> {
-    const {archive, clock} = this.options;
+    const {clock} = this.options;
     const {disk, missing} = await this.findReplicas(client, turns);
     if (missing.length === 0) return;
-    const records = await Promise.all(
-      missing.map((turn) => archive.readTurn(turn)),
-    );
+    const records = await this.readTurns(missing);
+    if (records.length === 0) return;
     const nowMs = clock.nowMs();
     await client.storeTurns(records);
     for (const {id, retentionMs} of records) {
@@ -436,6 +475,17 @@
     }
   }
 
+  /** Gets the turns whose entries can be read. */
+  private async readTurns(
+    turns: readonly IndexedTurn[],
+  ): Promise<TurnRecord[]> {
+    const {archive} = this.options;
+    const records = await Promise.all(
+      turns.map((turn) => archive.tryReadTurn(turn)),
+    );
+    return records.filter((record) => record !== undefined);
+  }
+
   /**
    * Asks a peer for its replicas of turns, and to retain them as long as the own
    * ones; gets those that it lacks.
@@ -446,18 +496,21 @@
   ): Promise<{disk: DiskId; missing: IndexedTurn[]}> {
     const nowMs = this.options.clock.nowMs();
     const expiriesMs = turns.map(({expiresAtMs}) => expiresAtMs);
-    const {disk, isHeld} = await client.findTurns(
+    const {disk, isHeld, isDamaged} = await client.findTurns(
       turns.map(({id}) => id),
       expiriesMs.map((expiryMs) => Math.max(0, Math.ceil(expiryMs - nowMs))),
     );
+    const isIntact = isHeld.map(
+      (held, index) => held && isDamaged[index] !== true,
+    );
     for (const [index, {id}] of turns.entries()) {
-      if (isHeld[index] === true) {
+      if (isIntact[index] === true) {
         this.setVerified(id, disk, expiriesMs[index] ?? nowMs);
       } else {
         this.verifiedDisks.get(id)?.delete(disk);
       }
     }
-    return {disk, missing: turns.filter((_turn, index) => !isHeld[index])};
+    return {disk, missing: turns.filter((_turn, index) => !isIntact[index])};
   }
 
   private setVerified(turn: TurnId, disk: DiskId, untilMs: number): void {
--- a/packages/turns/tests/repair/retirement_steps.ts
+++ b/packages/turns/tests/repair/retirement_steps.ts
@@ -9,6 +9,7 @@
 
 interface RetirementWorld extends World {
   archives: ArchiveFleet;
+  isRetired: boolean;
 }
 
 /** Time in which a new archive reads the ledgers of its peers. */
@@ -43,6 +44,29 @@
   },
 );
 
+When(
+  'the retirement of archive {string} begins',
+  function (this: RetirementWorld, name: string) {
+    this.isRetired = false;
+    void this.archives.retire(name, false).then(() => {
+      this.isRetired = true;
+    });
+  },
+);
+
+When(
+  'archive {string} loses power and restarts',
+  async function (this: RetirementWorld, name: string) {
+    const {archives} = this;
+    archives.getFolder(name).losePower('missing');
+    await archives.start(name);
+  },
+);
+
+Then('the retirement is complete', function (this: RetirementWorld) {
+  assert.ok(this.isRetired);
+});
+
 When(
   'the archive of the other disk with turn {string} goes down and its disk is lost',
   function (this: RetirementWorld, id: string) {
