Replace connections to peers whose first attempt was lost

Calls whose last try fell into that time failed.

A probe opens a connection. If its SYN is lost, TCP sends the next one after 1 s, but the probe times out after 0.4 s, and the next one starts 0.2 s later. So a network that works again is seen up to 0.65 s late. MessageLink now replaces a connection that is not open after 150 ms and sends the requests over the new one; they can't have left the first. The check follows the poll phase of the event loop, so that a stall of the own process doesn't replace open connections.

message_transport.feature: 10 of 10 pass; with the replacement switched off (150 ms set to 1,000 s in the built module) 'Requests reach a peer although the first attempts to connect are lost' fails.

--- a/packages/peers/src/messages/message_link.ts
+++ b/packages/peers/src/messages/message_link.ts
@@ -1,5 +1,5 @@
 /** TCP connection to one peer for requests with exactly one reply. */
-import {connect, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {create} from '@bufbuild/protobuf';
 import {
   type Clock,
@@ -18,21 +18,32 @@
 } from '../transport/peer_transport.js';
 import {MessageFramer} from './message_framer.js';
 
+/**
+ * Time after which a connection that has not opened is replaced. TCP repeats a
+ * lost attempt after 1 s only, and another one succeeds at once when the network
+ * works again.
+ */
+const connectTimeoutMs = 150;
 /** Interval of the check for timed-out requests. */
 const timeoutCheckIntervalMs = 50;
 
 interface PendingRequest {
+  readonly body: PeerRequestBody;
   readonly sentAtMs: number;
   readonly dueAtMs: number;
   readonly resolve: (reply: PeerReplyBody) => void;
   readonly reject: (error: MarigoldpostError) => void;
 }
 
+/** Opens a connection to a host and port. */
+export type ConnectPeer = (address: {host: string; port: number}) => Socket;
+
 /** Endpoints and clock of a link. */
 export interface MessageLinkOptions {
   readonly sender: DaemonId;
   readonly peer: PeerAddress;
   readonly clock: Clock;
+  readonly connect: ConnectPeer;
 }
 
 /**
@@ -70,10 +81,8 @@
       this.nextExchangeNumber += 1n;
       const sentAtMs = this.options.clock.nowMs();
       const dueAtMs = sentAtMs + timeoutMs;
-      this.pending.set(number, {sentAtMs, dueAtMs, resolve, reject});
-      const {sender} = this.options;
-      const value = create(PeerRequestSchema, {sender, body});
-      framer.send(number, {case: 'request', value});
+      this.pending.set(number, {body, sentAtMs, dueAtMs, resolve, reject});
+      this.send(framer, number, body);
       this.check();
     });
   }
@@ -91,9 +100,26 @@
     socket.destroy();
   }
 
+  private send(
+    framer: MessageFramer,
+    number: bigint,
+    body: PeerRequestBody,
+  ): void {
+    const {sender} = this.options;
+    const value = create(PeerRequestSchema, {sender, body});
+    framer.send(number, {case: 'request', value});
+  }
+
   private open(): MessageFramer {
-    const {hostname, port} = new URL(this.options.peer.address);
+    const {peer, clock, connect} = this.options;
+    const {hostname, port} = new URL(peer.address);
     const socket = connect({host: hostname, port: Number(port)});
+    const timer = clock.setTimer(connectTimeoutMs, () => {
+      // After a stall of the event loop, the connection may just have opened.
+      setImmediate(() => this.reopen(socket));
+    });
+    socket.once('connect', () => timer.cancel());
+    socket.once('close', () => timer.cancel());
     const framer = MessageFramer.attach(socket, (frame) =>
       this.handleFrame(frame),
     );
@@ -107,6 +133,16 @@
     return framer;
   }
 
+  /** Sends the requests over another connection, as none has left this one. */
+  private reopen(socket: Socket): void {
+    if (this.socket !== socket || !socket.connecting) return;
+    const framer = this.open();
+    socket.destroy();
+    for (const [number, {body}] of this.pending) {
+      this.send(framer, number, body);
+    }
+  }
+
   private handleFrame({exchange, body}: PeerFrame): void {
     this.lastReceivedMs = this.options.clock.nowMs();
     const pending = this.pending.get(exchange);
--- a/packages/peers/src/messages/message_transport.ts
+++ b/packages/peers/src/messages/message_transport.ts
@@ -3,7 +3,7 @@
  * They use about a fifth of the CPU time of a Connect stream, which the small
  * VMs of a site cannot provide (docs/design/platform.md).
  */
-import {createServer, type Server, type Socket} from 'node:net';
+import {connect, createServer, type Server, type Socket} from 'node:net';
 import {create} from '@bufbuild/protobuf';
 import {type Clock, type DaemonId, toId} from '@marigoldpost/common';
 import {
@@ -18,7 +18,7 @@
   PeerRequestBody,
 } from '../transport/peer_transport.js';
 import {MessageFramer} from './message_framer.js';
-import {MessageLink} from './message_link.js';
+import {type ConnectPeer, MessageLink} from './message_link.js';
 
 /** Answers a peer's request; a thrown error is sent to the requester. */
 export type MessageHandler = (
@@ -50,6 +50,8 @@
   /** Port to listen on; 0 selects a free one. */
   readonly port: number;
   readonly clock: Clock;
+  /** Opens connections to peers; by default over TCP. */
+  readonly connect?: ConnectPeer;
 }
 
 /** Serves requests of peers and sends requests over one link for each peer. */
@@ -86,8 +88,13 @@
     const key = `${peer.daemon} ${peer.address}`;
     let link = this.links.get(key);
     if (link === undefined) {
-      const {daemon: sender, clock} = this.options;
-      link = MessageLink.create({sender, peer, clock});
+      const {daemon: sender, clock, connect: connectPeer} = this.options;
+      link = MessageLink.create({
+        sender,
+        peer,
+        clock,
+        connect: connectPeer ?? connect,
+      });
       this.links.set(key, link);
     }
     return link.ask(request, timeoutMs);
--- a/packages/peers/tests/messages/message_transport.feature
+++ b/packages/peers/tests/messages/message_transport.feature
@@ -28,3 +28,15 @@
     Given a message peer that replies with 5000000 bytes
     When a message request is sent with a time limit of 5000 ms
     Then the reply of the message peer has 5000000 bytes
+
+  Scenario: Requests reach a peer although the first attempts to connect are lost
+    Given a message peer to which the first 2 connection attempts are lost
+    When 3 message requests are sent at once, with a time limit of 900 ms
+    Then each message request has its own reply
+    And 3 connections were attempted
+
+  Scenario: A request whose attempts to connect are all lost fails in its time
+    Given a message peer to which the first 1000 connection attempts are lost
+    When a message request is sent with a time limit of 400 ms
+    Then the message request fails with peer_lost
+    And no connection is attempted in the next 300 ms
--- a/packages/peers/tests/messages/message_transport_steps.ts
+++ b/packages/peers/tests/messages/message_transport_steps.ts
@@ -1,6 +1,6 @@
 /** Steps for the message transport, against real sockets. */
 import assert from 'node:assert/strict';
-import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {type AddressInfo, connect, createServer, Socket} from 'node:net';
 import {create} from '@bufbuild/protobuf';
 import {After, Given, Then, When, type World} from '@cucumber/cucumber';
 import {
@@ -27,6 +27,7 @@
   cleanups: Array<() => void>;
   replies: PeerReplyBody[];
   results: Array<PromiseSettledResult<PeerReplyBody>>;
+  attemptCount: number;
 }
 
 const host = '127.0.0.1';
@@ -111,6 +112,56 @@
   },
 );
 
+Given(
+  'a message peer to which the first {int} connection attempts are lost',
+  async function (this: MessageWorld, lostCount: number) {
+    await serve(this, (_sender, request) =>
+      Promise.resolve(toReply(getNumber(request))),
+    );
+    this.attemptCount = 0;
+    this.client = MessageTransport.create({
+      daemon: toId<DaemonId>('client'),
+      host,
+      port: 0,
+      clock,
+      connect: (address) => {
+        this.attemptCount += 1;
+        if (this.attemptCount > lostCount) return connect(address);
+        // Buffers what is written, as a socket whose attempt was lost.
+        return Object.assign(new Socket(), {connecting: true});
+      },
+    });
+    this.cleanups.push(() => this.client.stop());
+  },
+);
+
+When(
+  '{int} message requests are sent at once, with a time limit of {int} ms',
+  async function (this: MessageWorld, count: number, timeoutMs: number) {
+    this.replies = await Promise.all(
+      Array.from({length: count}, (_none, index) =>
+        ask(this, index, timeoutMs),
+      ),
+    );
+  },
+);
+
+Then(
+  '{int} connections were attempted',
+  function (this: MessageWorld, count: number) {
+    assert.equal(this.attemptCount, count);
+  },
+);
+
+Then(
+  'no connection is attempted in the next {int} ms',
+  async function (this: MessageWorld, elapsedMs: number) {
+    const {attemptCount} = this;
+    await clock.sleep(elapsedMs);
+    assert.equal(this.attemptCount, attemptCount);
+  },
+);
+
 When(
   '{int} message requests are sent at once',
   async function (this: MessageWorld, count: number) {
