End a turn within 1.9 s although archives hang

Cause: the wait bounds when an attempt begins, nothing bounded when it ends.

Now an attempt ends 1.9 s after the start, or with the call's time, once one disk stores the turn; the missing copy is added later, as for any such turn. Without a disk the attempt goes on, since the call would fail.

Evidence: a new scenario of turn_recorder.feature; with the former turn_recorder.ts and archive_retries.ts it fails.

--- a/packages/turns/src/client/archive_retries.ts
+++ b/packages/turns/src/client/archive_retries.ts
@@ -10,6 +10,12 @@
 /** Time for a last attempt at an archive that hangs, and to end the call. */
 const lastAttemptMs = 500;
 
+/**
+ * Longest time of a request that can end well without its last attempt; shorter
+ * than the 2 s after which clients abandon a stream without events.
+ */
+const longestOptionalMs = 1900;
+
 /** How long a request waits for archives that are unreachable. */
 export interface ArchiveWait {
   /** Longest wait, in milliseconds. */
@@ -25,6 +31,11 @@
   private readonly endMs: number;
   /** End of waits of a request that can do without another attempt. */
   private readonly optionalEndMs: number;
+  /**
+   * When a request ends that can do without its last attempt, also while that
+   * attempt is running.
+   */
+  readonly optionalAttemptEndMs: number;
   private returnCount: number;
 
   private constructor(
@@ -36,6 +47,8 @@
     this.endMs = clock.nowMs() + Math.min(maxWaitMs, longestWaitMs);
     const optionalWaitMs = Math.min(maxWaitMs - lastAttemptMs, longestWaitMs);
     this.optionalEndMs = clock.nowMs() + optionalWaitMs;
+    this.optionalAttemptEndMs =
+      clock.nowMs() + Math.min(maxWaitMs, longestOptionalMs);
     this.returnCount = pool.returnCount;
   }
 
--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -56,7 +56,8 @@
    * Stores a turn; resolves once `replicaCount` archives have it. While fewer
    * are registered or some have just become unreachable, waits up to 1.5 s for
    * more; after that, or at once if none is expected, one replica is enough:
-   * others are added later, by that archive and by this recorder. Throws `archive_unavailable` when no
+   * others are added later, by that archive and by this recorder. Archives that
+   * hang end it after 1.9 s, once one disk stores the turn. Throws `archive_unavailable` when no
    * archive stored it.
    * @param turn - Finished turn.
    * @param chainDisks - Disks of the previous turn.
@@ -71,7 +72,8 @@
     const retries = pool.createRetries(wait);
     const holders: TurnHolders = new Map();
     for (;;) {
-      const record = await this.storeMissing(turn, chainDisks, holders);
+      const endMs = retries.optionalAttemptEndMs;
+      const record = await this.storeMissing(turn, chainDisks, holders, endMs);
       if (holders.size >= replicaCount) return record;
       const isStored = holders.size > 0;
       if (await retries.waitForReturn(replicaCount, isStored)) continue;
@@ -101,11 +103,15 @@
     });
   }
 
-  /** Writes a turn to further archives until enough of them hold it. */
+  /**
+   * Writes a turn to further archives until enough of them hold it, or one does
+   * at the end of its time.
+   */
   private async storeMissing(
     turn: NewTurn,
     chainDisks: readonly DiskId[],
     holders: TurnHolders,
+    endMs = Infinity,
   ): Promise<TurnRecord> {
     const {pool, ownDataCentre, replicaCount} = this.options;
     const clients = pool.getClients();
@@ -123,7 +129,9 @@
       .slice(0, replicaCount)
       .map(({member}) => member.disk);
     const record = {...turn, disks};
-    await TurnReplication.create(record, others, holders, this.options).run();
+    await TurnReplication.create(record, others, holders, this.options).run(
+      endMs,
+    );
     return record;
   }
 }
@@ -133,6 +141,7 @@
   private readonly done = Deferred.create<void>();
   private nextClientIndex = 0;
   private inFlightCount = 0;
+  private isOverdue = false;
 
   private constructor(
     private readonly record: TurnRecord,
@@ -150,20 +159,34 @@
     return new TurnReplication(record, clients, holders, options);
   }
 
-  /** Resolves once enough archives hold the turn or no candidate is left. */
-  async run(): Promise<void> {
+  /**
+   * Resolves once enough archives hold the turn or no candidate is left; after
+   * its end, once one archive holds the turn.
+   * @param endMs - Time on the clock; `Infinity` for no end.
+   */
+  async run(endMs: number): Promise<void> {
+    const {clock} = this.options;
     this.startMissingWrites();
-    const timer = this.options.clock.setTimer(hedgeDelayMs, () =>
-      this.startMissingWrites(),
-    );
+    const timers = [
+      clock.setTimer(hedgeDelayMs, () => this.startMissingWrites()),
+    ];
+    if (endMs !== Infinity) {
+      const leftMs = Math.max(0, endMs - clock.nowMs());
+      timers.push(clock.setTimer(leftMs, () => this.handleEnd()));
+    }
     this.check();
     try {
       await this.done.promise;
     } finally {
-      timer.cancel();
+      for (const timer of timers) timer.cancel();
     }
   }
 
+  private handleEnd(): void {
+    this.isOverdue = true;
+    this.check();
+  }
+
   private startMissingWrites(): void {
     const missing = this.options.replicaCount - this.holders.size;
     for (let copy = 0; copy < missing; copy++) this.startNextWrite();
@@ -191,6 +214,7 @@
 
   private check(): void {
     const isStored = this.holders.size >= this.options.replicaCount;
-    if (isStored || this.inFlightCount === 0) this.done.resolve();
+    const isOver = this.isOverdue && this.holders.size > 0;
+    if (isStored || isOver || this.inFlightCount === 0) this.done.resolve();
   }
 }
--- a/packages/turns/tests/client/turn_recorder.feature
+++ b/packages/turns/tests/client/turn_recorder.feature
@@ -90,3 +90,13 @@
   Scenario: A turn waits for archives no longer than its call lasts
     Given archives "a, b, c, d" are down for 10000 ms
     Then turn "t1" that finishes in "a" with a call that ends after 600 ms fails with archive_unavailable within 610 ms
+
+  Scenario: A turn on one disk ends within 2 s although all other archives return late and hang
+    Given archives "a, b, c, d, e, f, g" with 2 replicas per turn
+    And archives "c, d, e, f, g" do not reply to entry VM "a" for another 1000 ms
+    And archives "b, c, d, e, f, g" hang when they store turns
+    When turn "t1" finishes in "a" within 1950 ms
+    Then turn "t1" is on 1 disks, among them "a"
+    When archives "b, c, d, e, f, g" store turns again
+    And 2000 ms pass
+    Then turn "t1" is on at least 2 disks
--- a/packages/turns/tests/client/turn_recorder_steps.ts
+++ b/packages/turns/tests/client/turn_recorder_steps.ts
@@ -1,7 +1,8 @@
 /** Steps for turns that finish while archives restart. */
 import assert from 'node:assert/strict';
-import {Then, When, type World} from '@cucumber/cucumber';
-import {type ErrorKind, isErrorOfKind} from '@marigoldpost/common';
+import {Given, Then, When, type World} from '@cucumber/cucumber';
+import {type ErrorKind, isErrorOfKind, toId} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
 import {
   type ArchiveFleet,
   createTurn,
@@ -21,6 +22,40 @@
   },
 );
 
+Given(
+  'archives {string} do not reply to entry VM {string} for another {int} ms',
+  async function (
+    this: RecorderWorld,
+    names: string,
+    entryVm: string,
+    forMs: number,
+  ) {
+    const {archives} = this;
+    const links = names.split(', ').map((name) => `${entryVm} ${name}`);
+    for (const link of links) archives.brokenLinks.add(link);
+    // The first request without a reply marks the archives unreachable.
+    const {signal} = new AbortController();
+    const probe = archives
+      .getStore(entryVm)
+      .readChain(toId<TurnId>('probe'), signal);
+    await archives.run(probe.catch(() => undefined));
+    archives.clock.setTimer(forMs, () => {
+      for (const link of links) archives.brokenLinks.delete(link);
+    });
+  },
+);
+
+When(
+  /^archives "(.*)" (hang when they store turns|store turns again)$/,
+  function (this: RecorderWorld, names: string, state: string) {
+    const {hangingStores} = this.archives;
+    for (const name of names.split(', ')) {
+      if (state === 'store turns again') hangingStores.delete(name);
+      else hangingStores.add(name);
+    }
+  },
+);
+
 Then(
   /^turn "(\w+)" that finishes in "(\w)"(?: with a call that ends after (\d+) ms)? fails with (\w+) within (\d+) ms$/,
   async function (
