Shorten the time for which an emptied archive waits for lost peers

Most calls of turns were rejected for 5 to 6 s after the loss of a disk on a site where storage VMs had been lost for good before ("too few archives granted"), and those of a data centre for as long after each replacement of a storage VM there.

Cause: since an emptied archive waits until each peer has sent its ledger or has been away for 6 s, and a new one for the archive of its data centre that it replaces. Two registrations of lost VMs leave a majority of three of five, so the emptied archive is needed.

It now presumes a peer lost after 2.5 s, as entry VMs do, since a restart takes 1 to 2 s; a new archive does not wait for the one that it replaces, whose grants in isolation went with its disk.

--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -42,10 +42,10 @@
  */
 const commonRestartMs = 1200;
 /**
- * A peer that is unreachable for this long is presumed lost with its ledgers:
- * longer than a restart, a freeze or a stalled disk.
+ * A peer that is unreachable for this long is presumed lost with its ledgers: a
+ * restart takes 1 to 2 s.
  */
-const lostPeerMs = 6000;
+const lostPeerMs = 2500;
 
 /** Archive, peers and replica count of a repairer. */
 export interface ArchiveRepairerOptions {
@@ -269,7 +269,8 @@
   /**
    * Whether enough peers with complete ledgers have sent theirs: each quorum
    * that an archive of this daemon may have taken part in has one of them, and
-   * so has each quorum of its data centre while that was isolated.
+   * so has each quorum of its data centre while that was isolated. A new archive
+   * does not wait for the one that it replaces there.
    */
   private get hasQuorumLedgers(): boolean {
     const {pool, dataCentre} = this.options;
@@ -278,13 +279,14 @@
       this.mergedCompletePeers.has(client),
     );
     // A new archive has taken part in none.
-    const quorumVoters = voters.length + (pool.wasRegistered === false ? 0 : 1);
+    const isNew = pool.wasRegistered === false;
+    const quorumVoters = voters.length + (isNew ? 0 : 1);
     const requiredCount = quorumVoters - getMajority(quorumVoters) + 1;
     const isHome = (client: ArchiveClient) => client.dataCentre === dataCentre;
     return (
       pool.isLoaded &&
       merged.length >= requiredCount &&
-      (merged.some(isHome) || !voters.some(isHome)) &&
+      (isNew || merged.some(isHome) || !voters.some(isHome)) &&
       this.isEveryPeerMergedOrAway(commonRestartMs, voters)
     );
   }
