Take the ledgers on disks of earlier builds for complete

After a loss of power of all VMs that was followed by a start of this build on the disks of an earlier one, turns were rejected for a moment (503, too few archives granted).

Cause: since a disk without the file ledgers-complete counts as emptied until peers have sent their ledgers, and earlier builds write no such file. An archive now marks the disk that it finds empty (ledgers-emptied), so only such a one waits; ledgers-complete ends that as before.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -85,8 +85,8 @@
     const ledger = BudgetLedger.create();
     const ledgerSegments = LedgerSegments.create();
     const nowMs = clock.nowMs();
-    const disk = await readDiskIdentity(folder, random);
     const isMarked = await hasLedgerMarker(folder);
+    const disk = await readDiskIdentity(folder, random);
     const log = await EntryLog.open({
       folder,
       clock,
--- a/packages/turns/src/log/ledger_marker.ts
+++ b/packages/turns/src/log/ledger_marker.ts
@@ -6,13 +6,20 @@
 import type {LogFolder} from './log_folder.js';
 
 const markerName = 'ledgers-complete';
+/** File of a disk that was empty; builds before the marker write none. */
+const emptiedName = 'ledgers-emptied';
 
 /**
  * Whether the ledgers on a disk are complete.
- * @param folder - Log folder on the disk.
+ * @param folder - Log folder on the disk, before its archive is opened.
  */
 export async function hasLedgerMarker(folder: LogFolder): Promise<boolean> {
-  return (await folder.listFiles()).includes(markerName);
+  const names = await folder.listFiles();
+  if (names.includes(markerName)) return true;
+  if (names.length > 0) return !names.includes(emptiedName);
+  const file = await folder.createFile(emptiedName);
+  await file.close();
+  return false;
 }
 
 /**
