Let entry VMs follow the object API through the archives of their data centre

Cause: each entry VM kept five watches of its own, two of them with waits of 3.5 s, so calls to the object API grew with the fleet.

Change: an archive keeps the recent changes of what it watches and answers requests that wait for them (FetchChanges). Both sides count the store's own versions, so an entry VM goes on at the object API without a listing when no archive of its data centre replies or is in contact. An archive shows contact by calls that may read stale data. Crash records, which merge as sets, are watched with stale reads. The time-out check of a message link runs when a request is due, not 20 times a second while one waits.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -1,5 +1,6 @@
 /** Process of an archive VM: stores turns and budgets on its disk. */
 import {MarigoldpostError} from '@marigoldpost/common';
+import type {ObjectListener, ObjectWatcher} from '@marigoldpost/platform';
 import type {NodeSettings} from '@marigoldpost/sites';
 import {
   Archive,
@@ -13,16 +14,47 @@
 import {entryPrefix} from '../entry/entry_directory.js';
 import type {NodeOptions} from '../node_options.js';
 import {deathsToQuarantine, isCurrentEntry} from '../quarantine_settings.js';
-import {promptWaitMs, relaxedTiming, SiteNode} from '../site_node.js';
-import {getKindPrefix, combineSinks} from '../utils/object_sink.js';
+import {
+  promptWaitMs,
+  relaxedTiming,
+  SiteNode,
+  type WatchTiming,
+} from '../site_node.js';
+import {
+  combineListeners,
+  combineSinks,
+  createLoggingListener,
+  getKindPrefix,
+  type ObjectSink,
+} from '../utils/object_sink.js';
+import {ChangeRelay} from './change_relay.js';
 import {QuarantineLog} from './quarantine_log.js';
 import {QuarantineRelay} from './quarantine_relay.js';
 import {RetirementTask} from './retirement_task.js';
 import {SiteMirror} from './site_mirror.js';
 
-const archiveTiming = {pauseMs: 250, waitMs: promptWaitMs};
+/** Changes that entry VMs follow; each call has a cost. */
+const relayTiming = {pauseMs: 250, waitMs: promptWaitMs};
+/** Changes of entry VMs are not urgent. */
+const entryRelayTiming = {pauseMs: 1000, waitMs: relaxedTiming.waitMs};
+/**
+ * Calls that only show whether the object API responds. They may read stale
+ * data, so they cost little.
+ */
+const contactTiming = {pauseMs: 1000, waitMs: 1000};
+/**
+ * Time after which an archive whose calls get no response counts as out of
+ * contact: the wait of a call and its time-out.
+ */
+const maxContactAgeMs = 1700;
 /** Pause before a failed registration is retried. */
 const registrationRetryMs = 300;
+const ignoringListener: ObjectListener = {
+  replaceObjects: () => undefined,
+  applyChange: () => undefined,
+  onWatchFailed: () => undefined,
+  onWatchRecovered: () => undefined,
+};
 /** Time to finish pending replies at stop; a disk sync takes far less. */
 const replyDrainMs = 150;
 
@@ -30,6 +62,8 @@
 export class ArchiveNode extends SiteNode {
   private archive: Archive | undefined;
   private quarantineLog: QuarantineLog | undefined;
+  /** Watch that shows whether the object API responds. */
+  private contact: ObjectWatcher | undefined;
 
   /**
    * Creates a daemon; `start` opens its archive and serves.
@@ -48,6 +82,7 @@
     const repairer = this.createRepairer(archive);
     const service = ArchiveService.create(archive, () => repairer.isComplete);
     const mirror = SiteMirror.create();
+    const changes = this.createChangeRelay();
     const quarantineLog = this.createQuarantineLog(archive, quarantine);
     this.quarantineLog = quarantineLog;
     const relay = this.createQuarantineRelay(quarantine, quarantineLog);
@@ -55,13 +90,14 @@
       if (request.case === 'fetchSite') {
         return Promise.resolve(mirror.createReply());
       }
+      if (request.case === 'fetchChanges') return changes.answer(request.value);
       return request.case === 'exchangeQuarantines'
         ? Promise.resolve(relay.answer(sender, request.value))
         : service.answer(request);
     });
     const retirement = this.createRetirement(repairer);
     const {retirementPrefix} = this.options.platform.keys;
-    this.watchSite(mirror);
+    this.watchSite(mirror, changes);
     this.watch(retirementPrefix, relaxedTiming, retirement);
     this.tasks.run('register', (signal) =>
       this.register(archive, retirement, signal),
@@ -90,15 +126,38 @@
     this.archive?.close();
   }
 
-  private watchSite(mirror: SiteMirror): void {
-    const {keys} = this.options.platform;
+  private createChangeRelay(): ChangeRelay {
+    const {clock} = this;
+    return ChangeRelay.create({
+      clock,
+      isInContact: () => {
+        const {contact} = this;
+        if (contact === undefined || contact.isFailing) return false;
+        return clock.nowMs() - contact.lastReadMs <= maxContactAgeMs;
+      },
+    });
+  }
+
+  private watchSite(mirror: SiteMirror, changes: ChangeRelay): void {
+    const {keys, store} = this.options.platform;
+    const configPrefix = getKindPrefix(keys.config);
+    const relay = (prefix: string, timing: WatchTiming, sink: ObjectSink) => {
+      const logging = createLoggingListener(prefix, this.options.logger, sink);
+      const listener = combineListeners(logging, changes.addPrefix(prefix));
+      this.watchWithListener(prefix, timing, listener);
+    };
     const mirrorSink = mirror.getSink(archivePrefix);
-    const sink = combineSinks(this.archiveDirectory, mirrorSink);
-    this.watch(archivePrefix, archiveTiming, sink);
-    const prefixes = [getKindPrefix(keys.config), keys.targetPrefix];
-    for (const prefix of [...prefixes, entryPrefix]) {
-      this.watch(prefix, relaxedTiming, mirror.getSink(prefix));
-    }
+    const archiveSink = combineSinks(this.archiveDirectory, mirrorSink);
+    relay(archivePrefix, relayTiming, archiveSink);
+    relay(configPrefix, relayTiming, mirror.getSink(configPrefix));
+    relay(keys.targetPrefix, relayTiming, mirror.getSink(keys.targetPrefix));
+    relay(entryPrefix, entryRelayTiming, mirror.getSink(entryPrefix));
+    this.contact = this.watchWithListener(
+      configPrefix,
+      contactTiming,
+      ignoringListener,
+      {store: store.getStaleReader()},
+    );
   }
 
   private createQuarantineLog(
--- /dev/null
+++ b/packages/nodes/src/archive/change_history.ts
@@ -0,0 +1,96 @@
+/** Recent changes of the objects under one prefix, in the order of versions. */
+import type {ObjectChange, ObjectChanges} from '@marigoldpost/platform';
+
+/** Changes that are kept; a follower that is further behind reads for itself. */
+const maxChanges = 256;
+
+interface RecordedChange {
+  readonly change: ObjectChange;
+  /**
+   * Latest version that the change may have. The event of a removal need not
+   * tell its version, only that it lies between those of its neighbours.
+   */
+  readonly latestVersion: number;
+}
+
+/** Changes since a complete set, for followers that know an earlier version. */
+export class ChangeHistory {
+  private readonly changes: RecordedChange[] = [];
+  /** Changes since the last recorded version. */
+  private batch: ObjectChange[] = [];
+  /** Version from which on all changes are kept. */
+  private startVersion: number | undefined;
+  private endVersion = 0;
+
+  private constructor() {}
+
+  /** Creates a history that knows nothing yet. */
+  static create(): ChangeHistory {
+    return new ChangeHistory();
+  }
+
+  /** Whether a complete set has been read since the last `clear`. */
+  get isLoaded(): boolean {
+    return this.startVersion !== undefined;
+  }
+
+  /** Forgets everything, since changes may have been missed. */
+  clear(): void {
+    this.changes.length = 0;
+    this.batch = [];
+    this.startVersion = undefined;
+  }
+
+  /**
+   * Starts with a complete set of objects.
+   * @param version - Version of the set.
+   */
+  start(version: number): void {
+    this.clear();
+    this.startVersion = version;
+    this.endVersion = version;
+  }
+
+  /**
+   * Adds a change; `recordVersion` makes it available.
+   * @param change - Next change of the prefix.
+   */
+  add(change: ObjectChange): void {
+    this.batch.push(change);
+  }
+
+  /**
+   * Records that all changes up to a version have been added.
+   * @param version - Version that the source has reached.
+   */
+  recordVersion(version: number): void {
+    let latestVersion = Math.max(version, this.endVersion);
+    const recorded: RecordedChange[] = [];
+    for (const change of this.batch.toReversed()) {
+      const isRemoval = change.object === undefined;
+      if (!isRemoval) latestVersion = change.version;
+      recorded.unshift({change, latestVersion});
+      if (!isRemoval) latestVersion -= 1;
+    }
+    this.batch = [];
+    this.changes.push(...recorded);
+    this.endVersion = Math.max(version, this.endVersion);
+    while (this.changes.length > maxChanges) {
+      this.startVersion = this.changes.shift()?.latestVersion;
+    }
+  }
+
+  /**
+   * Gets the changes that a follower lacks; `undefined` if some of them are no
+   * longer kept.
+   * @param version - Version up to which the follower knows all changes.
+   */
+  getSince(version: number): ObjectChanges | undefined {
+    const {startVersion, endVersion} = this;
+    if (startVersion === undefined || version < startVersion) return undefined;
+    const changes = this.changes
+      .filter(({latestVersion}) => latestVersion > version)
+      .map(({change}) => change);
+    return {changes, version: Math.max(version, endVersion)};
+  }
+}
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -22,6 +22,8 @@
 import {QuarantineExchange} from './quarantine_exchange.js';
 import {QuarantineReceiver} from './quarantine_receiver.js';
 import {QuarantineReplicator, crashPrefix} from './quarantine_replicator.js';
+import {ArchiveChangeSource} from './archive_change_source.js';
+import {ChangeReaders} from './change_readers.js';
 import {SeedReader} from './seed_reader.js';
 
 /** Configuration and target changes must take effect within 2 s. */
@@ -33,6 +35,10 @@
  */
 const entryTiming = {...relaxedTiming, pauseMs: 1000};
 const targetTiming = {pauseMs: 400, waitMs: promptWaitMs};
+/** Wait of one request for changes that must take effect within 2 s. */
+const promptPollMs = 800;
+/** Wait of one request for changes that are not urgent. */
+const relaxedPollMs = 5000;
 /** Part of the grace period that is reserved for the exit of the process. */
 const exitMarginMs = 800;
 const drainPollMs = 50;
@@ -147,15 +153,26 @@
       apply: (config) => this.applyConfig(config),
     });
     const configPrefix = getKindPrefix(keys.config);
-    this.watch(configPrefix, configTiming, configUpdater);
+    const readers = this.createChangeReaders();
+    const prompt = {
+      changeSource: this.createChangeSource(readers, promptPollMs),
+    };
+    const relaxed = {
+      changeSource: this.createChangeSource(readers, relaxedPollMs),
+    };
+    this.watch(configPrefix, configTiming, configUpdater, prompt);
     this.watchWithListener(
       keys.targetPrefix,
       targetTiming,
       this.targetDirectory,
+      prompt,
     );
-    this.watch(archivePrefix, relaxedTiming, this.archiveDirectory);
-    this.watch(entryPrefix, entryTiming, this.fleet.directory);
-    this.watch(crashPrefix, entryTiming, this.quarantineReplicator);
+    this.watch(archivePrefix, relaxedTiming, this.archiveDirectory, relaxed);
+    this.watch(entryPrefix, entryTiming, this.fleet.directory, relaxed);
+    // Crash records merge as sets, so older ones do no harm.
+    this.watch(crashPrefix, entryTiming, this.quarantineReplicator, {
+      store: platform.store.getStaleReader(),
+    });
     const reader = this.createSeedReader(configPrefix, configUpdater);
     this.tasks.run('seeds', (signal) => reader.run(signal));
     this.tasks.run(
@@ -232,6 +249,32 @@
     });
   }
 
+  private createChangeReaders(): ChangeReaders {
+    const {daemon, dataCentre} = this.settings;
+    return ChangeReaders.create({
+      daemon,
+      dataCentre,
+      clock: this.clock,
+      getArchives: () => this.archiveDirectory.getMembers(),
+    });
+  }
+
+  private createChangeSource(
+    readers: ChangeReaders,
+    pollMs: number,
+  ): ArchiveChangeSource {
+    const {transport} = this;
+    const {platform, logger} = this.options;
+    const {store} = platform;
+    return ArchiveChangeSource.create({
+      readers,
+      transport,
+      store,
+      pollMs,
+      logger,
+    });
+  }
+
   private createTargetDirectory(): TargetDirectory {
     const {clock, logger, platform, settings} = this.options;
     return TargetDirectory.create({
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -1,7 +1,11 @@
 /** Daemons of a site, for entry VMs and archive VMs. */
 export * from './archive/archive_node.js';
+export * from './archive/change_history.js';
+export * from './archive/change_relay.js';
 export * from './archive/quarantine_log.js';
 export * from './archive/quarantine_relay.js';
+export * from './entry/archive_change_source.js';
+export * from './entry/change_readers.js';
 export * from './entry/site_config_updater.js';
 export * from './entry/entry_directory.js';
 export * from './entry/entry_node.js';
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -2,7 +2,13 @@
 import type {Clock} from '@marigoldpost/common';
 import {PageServer} from '@marigoldpost/gateway';
 import {MessageTransport} from '@marigoldpost/peers';
-import {type ObjectListener, WatchGroup} from '@marigoldpost/platform';
+import {
+  type ChangeSource,
+  type ObjectListener,
+  type ObjectStore,
+  type ObjectWatcher,
+  WatchGroup,
+} from '@marigoldpost/platform';
 import type {NodeSettings} from '@marigoldpost/sites';
 import {
   ArchiveDirectory,
@@ -27,6 +33,12 @@
   readonly waitMs: number;
 }
 
+/** Where a watch reads; by default at the object API. */
+export interface WatchSources {
+  readonly store?: ObjectStore;
+  readonly changeSource?: ChangeSource;
+}
+
 /**
  * Wait of watches whose changes must take effect within a bound. Each call has
  * a cost, so only these watches detect dead connections by a short wait; the
@@ -151,11 +163,17 @@
    * @param prefix - Key prefix of the objects.
    * @param timing - Pauses and waits of the calls.
    * @param sink - Consumer of the objects.
+   * @param sources - Where the watch reads.
    */
-  protected watch(prefix: string, timing: WatchTiming, sink: ObjectSink): void {
+  protected watch(
+    prefix: string,
+    timing: WatchTiming,
+    sink: ObjectSink,
+    sources: WatchSources = {},
+  ): void {
     const {logger} = this.options;
     const listener = createLoggingListener(prefix, logger, sink);
-    this.watchWithListener(prefix, timing, listener);
+    this.watchWithListener(prefix, timing, listener, sources);
   }
 
   /**
@@ -163,14 +181,18 @@
    * @param prefix - Key prefix of the objects.
    * @param timing - Pauses and waits of the calls.
    * @param listener - Consumer of the objects and of outages.
+   * @param sources - Where the watch reads.
    */
   protected watchWithListener(
     prefix: string,
     timing: WatchTiming,
     listener: ObjectListener,
-  ): void {
-    const watcher = this.watches.add({prefix, listener, ...timing});
+    sources: WatchSources = {},
+  ): ObjectWatcher {
+    const watch = {prefix, listener, ...timing, ...sources};
+    const watcher = this.watches.add(watch);
     this.tasks.run(`watch ${prefix}`, () => watcher.run(), {isRequired: true});
+    return watcher;
   }
 
   private async reportGauges(signal: AbortSignal): Promise<void> {
--- a/packages/nodes/src/utils/object_sink.ts
+++ b/packages/nodes/src/utils/object_sink.ts
@@ -53,6 +53,30 @@
   };
 }
 
+/**
+ * Creates a listener that forwards objects and outages to two others.
+ * @param first - Listener that is called first.
+ * @param second - Listener that is called second.
+ */
+export function combineListeners(
+  first: ObjectListener,
+  second: ObjectListener,
+): ObjectListener {
+  const both = [first, second];
+  return {
+    ...combineSinks(first, second),
+    onVersionRead: (version, isComplete) => {
+      for (const one of both) one.onVersionRead?.(version, isComplete);
+    },
+    onWatchFailed: (error) => {
+      for (const one of both) one.onWatchFailed(error);
+    },
+    onWatchRecovered: (outageMs, failedAgoMs) => {
+      for (const one of both) one.onWatchRecovered(outageMs, failedAgoMs);
+    },
+  };
+}
+
 /**
  * Gets the key prefix of a kind: the key up to and including its last slash.
  * @param key - Key of the form `<kind>/<name>`.
--- a/packages/peers/src/messages/message_link.ts
+++ b/packages/peers/src/messages/message_link.ts
@@ -5,6 +5,7 @@
   type Clock,
   type DaemonId,
   MarigoldpostError,
+  type Timer,
 } from '@marigoldpost/common';
 import {
   type PeerFrame,
@@ -24,8 +25,8 @@
  * works again.
  */
 const connectTimeoutMs = 150;
-/** Interval of the check for timed-out requests. */
-const timeoutCheckIntervalMs = 50;
+/** Shortest time between two checks for timed-out requests. */
+const minTimeoutCheckMs = 50;
 
 interface PendingRequest {
   readonly body: PeerRequestBody;
@@ -35,6 +36,12 @@
   readonly reject: (error: MarigoldpostError) => void;
 }
 
+/** Timer that fails the requests that are due. */
+interface TimeoutCheck {
+  readonly atMs: number;
+  readonly timer: Timer;
+}
+
 /** Opens a connection to a host and port. */
 export type ConnectPeer = (address: {host: string; port: number}) => Socket;
 
@@ -56,7 +63,7 @@
   private framer: MessageFramer | undefined;
   private nextExchangeNumber = 1n;
   private lastReceivedMs = 0;
-  private isTimeoutCheckScheduled = false;
+  private timeoutCheck: TimeoutCheck | undefined;
 
   private constructor(private readonly options: MessageLinkOptions) {}
 
@@ -83,7 +90,7 @@
       const dueAtMs = sentAtMs + timeoutMs;
       this.pending.set(number, {body, sentAtMs, dueAtMs, resolve, reject});
       this.send(framer, number, body);
-      this.check();
+      this.scheduleTimeoutCheck(dueAtMs);
     });
   }
 
@@ -154,14 +161,24 @@
     } else pending.reject(this.createPeerLostError('sent no reply'));
   }
 
-  private check(): void {
-    if (this.isTimeoutCheckScheduled) return;
-    this.isTimeoutCheckScheduled = true;
-    this.options.clock.setTimer(timeoutCheckIntervalMs, () => {
-      this.isTimeoutCheckScheduled = false;
+  /** Checks for timed-out requests at a time, or earlier. */
+  private scheduleTimeoutCheck(dueAtMs: number): void {
+    if (this.timeoutCheck !== undefined) {
+      if (this.timeoutCheck.atMs <= dueAtMs) return;
+      this.timeoutCheck.timer.cancel();
+    }
+    const {clock} = this.options;
+    const nowMs = clock.nowMs();
+    const atMs = Math.max(dueAtMs, nowMs + minTimeoutCheckMs);
+    const timer = clock.setTimer(Math.ceil(atMs - nowMs), () => {
+      this.timeoutCheck = undefined;
       this.failTimedOutRequests();
-      if (this.pending.size > 0) this.check();
+      const dueTimes = [...this.pending.values()].map(
+        (request) => request.dueAtMs,
+      );
+      if (dueTimes.length > 0) this.scheduleTimeoutCheck(Math.min(...dueTimes));
     });
+    this.timeoutCheck = {atMs, timer};
   }
 
   private failTimedOutRequests(): void {
--- a/packages/platform/src/store/object_store.ts
+++ b/packages/platform/src/store/object_store.ts
@@ -33,6 +33,24 @@
   readonly version: number;
 }
 
+/** Source of the changes of objects. */
+export interface ChangeSource {
+  /**
+   * Waits until an object of a prefix changes or the wait expires. May
+   * throw `history_gone` when the source no longer has the changes.
+   * @param prefix - Prefix of the keys.
+   * @param sinceVersion - Only changes after this version are reported.
+   * @param signal - Aborts the wait.
+   * @param waitMs - Longest wait; the source's default if omitted.
+   */
+  waitForChanges(
+    prefix: string,
+    sinceVersion: number,
+    signal: AbortSignal,
+    waitMs?: number,
+  ): Promise<ObjectChanges>;
+}
+
 /** Start and size of a page of objects. */
 export interface ListOptions {
   /** Returns only keys after this one. */
@@ -46,7 +64,7 @@
  * method may throw `store_unavailable` (the call had no effect); writes may
  * also throw `store_ambiguous` (the call may have taken effect).
  */
-export abstract class ObjectStore {
+export abstract class ObjectStore implements ChangeSource {
   /**
    * Gets an object; undefined when it does not exist.
    * @param key - Key of the object.
@@ -90,14 +108,6 @@
     options?: ListOptions,
   ): Promise<StoredObject[]>;
 
-  /**
-   * Waits until an object of a prefix changes or the wait expires. May
-   * throw `history_gone` when the store no longer has the changes.
-   * @param prefix - Prefix of the keys.
-   * @param sinceVersion - Only changes after this version are reported.
-   * @param signal - Aborts the wait.
-   * @param waitMs - Longest wait; the client's default if omitted.
-   */
   abstract waitForChanges(
     prefix: string,
     sinceVersion: number,
@@ -105,6 +115,14 @@
     waitMs?: number,
   ): Promise<ObjectChanges>;
 
+  /**
+   * Gets a client of the same store whose reads may return data that is seconds
+   * old, which some stores serve at a lower cost.
+   */
+  getStaleReader(): ObjectStore {
+    return this;
+  }
+
   /**
    * Reads all objects of a prefix, page by page.
    * @param prefix - Prefix of the keys.
--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -7,6 +7,7 @@
   toMarigoldpostError,
 } from '@marigoldpost/common';
 import type {
+  ChangeSource,
   ObjectChange,
   ObjectChanges,
   ObjectStore,
@@ -30,6 +31,14 @@
    */
   applyChange(change: ObjectChange): void;
 
+  /**
+   * Called after each successful call, once its objects or changes have been
+   * passed on.
+   * @param version - Version up to which all changes have been passed on.
+   * @param isComplete - Whether the call returned a complete set.
+   */
+  onVersionRead?(version: number, isComplete: boolean): void;
+
   /**
    * Called when a call fails after successful ones.
    * @param error - Error of the first failed call.
@@ -48,6 +57,8 @@
 /** Prefix to watch, listener and pacing of the calls. */
 export interface ObjectWatcherOptions {
   readonly store: ObjectStore;
+  /** Where to wait for changes; the store if omitted. */
+  readonly changeSource?: ChangeSource;
   readonly prefix: string;
   readonly listener: ObjectListener;
   readonly clock: Clock;
@@ -99,6 +110,14 @@
     return this.hasFailed;
   }
 
+  /**
+   * When the last response arrived, on the watcher's clock; before the first
+   * one, when the watcher was created.
+   */
+  get lastReadMs(): number {
+    return this.lastResponseMs;
+  }
+
   /** Watches until `stop` is called; retries after failures. */
   async run(): Promise<void> {
     const {signal} = this.controller;
@@ -131,6 +150,7 @@
       this.recordResponse();
       listener.replaceObjects(snapshot.objects);
       this.version = snapshot.version;
+      listener.onVersionRead?.(snapshot.version, true);
       return;
     }
     const result = await this.waitForChanges(this.version);
@@ -139,6 +159,7 @@
     this.recordResponse();
     for (const change of changes) listener.applyChange(change);
     this.version = version;
+    listener.onVersionRead?.(version, false);
     if (changes.length > 0) await clock.sleep(pauseMs, signal);
   }
 
@@ -146,11 +167,11 @@
   private async waitForChanges(
     version: number,
   ): Promise<ObjectChanges | undefined> {
-    const {store, prefix, waitMs} = this.options;
+    const {store, changeSource = store, prefix, waitMs} = this.options;
     this.wait = new AbortController();
     const {signal} = this.wait;
     try {
-      return await store.waitForChanges(prefix, version, signal, waitMs);
+      return await changeSource.waitForChanges(prefix, version, signal, waitMs);
     } catch (error) {
       if (signal.aborted) return undefined;
       throw error;
--- a/packages/platform/src/watch/watch_group.ts
+++ b/packages/platform/src/watch/watch_group.ts
@@ -1,6 +1,6 @@
 /** All watches of one daemon on one object API. */
 import type {Clock, Random} from '@marigoldpost/common';
-import type {ObjectStore} from '../store/object_store.js';
+import type {ChangeSource, ObjectStore} from '../store/object_store.js';
 import {type ObjectListener, ObjectWatcher} from './object_watcher.js';
 
 /** Longest time for which a watch leaves the calls of an outage to others. */
@@ -19,6 +19,9 @@
   readonly listener: ObjectListener;
   readonly pauseMs: number;
   readonly waitMs?: number;
+  /** Client of the object API; the one of the group if omitted. */
+  readonly store?: ObjectStore;
+  readonly changeSource?: ChangeSource;
 }
 
 /**
@@ -97,6 +100,8 @@
     return {
       replaceObjects: (objects) => listener.replaceObjects(objects),
       applyChange: (change) => listener.applyChange(change),
+      onVersionRead: (version, isComplete) =>
+        listener.onVersionRead?.(version, isComplete),
       onWatchFailed: (error) => listener.onWatchFailed(error),
       onWatchRecovered: (outageMs, failedAgoMs) => {
         listener.onWatchRecovered(outageMs, failedAgoMs);
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -346,6 +346,12 @@
     'Objects were read from a seed instead of the platform',
     {seed: 'string', prefix: 'string', objects: 'number'},
   ),
+  change_source_changed: define(
+    7106,
+    'info',
+    'Changes of objects are read from another place',
+    {prefix: 'string', source: 'string', reason: 'string'},
+  ),
   object_ignored: define(7105, 'warn', 'A malformed object was ignored', {
     key: 'string',
     version: 'number',
