Answer all pipelined requests that have been read while an entry VM drains

Cause: while an entry VM drains, each response said that the connection closes, and Node.js closes it after the first such response. Requests that had been read behind it, and passed on, were cut without an answer.

Change: only the response to the last request that has been read closes the connection.

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -80,6 +80,16 @@
     return true;
   }
 
+  /**
+   * Whether no other request has been read from a request's connection after it.
+   * Only the response to the last one may close the connection.
+   * @param request - Request that has not been answered.
+   */
+  isLastRead(request: IncomingMessage): boolean {
+    const {openRequests} = this.getState(request.socket);
+    return [...openRequests].at(-1) === request;
+  }
+
   /** Stops listening; resolves once all connections are closed. */
   stopListening(): Promise<void> {
     return new Promise((resolve) => {
--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -79,14 +79,17 @@
    * Handles one request until its response ends; never throws.
    * @param request - Request whose head has been read.
    * @param response - Response to the request; nothing has been sent.
+   * @param isLastRead - Whether no later request has been read from the
+   *   connection; a response that closes it would cut the others.
    */
   async handle(
     request: IncomingMessage,
     response: ServerResponse,
+    isLastRead: () => boolean,
   ): Promise<void> {
     this.requests += 1;
     try {
-      await this.processRequest(request, response);
+      await this.processRequest(request, response, isLastRead);
     } catch (error) {
       // The call may have run, so that its connection ends without a status.
       const {kind, message} = toMarigoldpostError(error);
@@ -101,6 +104,7 @@
   private async processRequest(
     request: IncomingMessage,
     response: ServerResponse,
+    isLastRead: () => boolean,
   ): Promise<void> {
     const {clock, codec, site} = this.services;
     const arrivedAtMs = clock.nowMs();
@@ -116,7 +120,10 @@
       route === undefined
     ) {
       const error = requestError ?? createNoRouteError(request);
-      this.rejectUnrouted(response, attributes, error);
+      // Requests behind it in the same packet are read first.
+      if (this.isDraining) await Promise.resolve();
+      const isClosing = this.isDraining && isLastRead();
+      this.rejectUnrouted(response, attributes, error, isClosing);
       return;
     }
     const {requestId} = attributes;
@@ -131,7 +138,8 @@
       logger: this.services.logger.withContext({requestId}),
       // If no archive is reachable from here, the client's next connection
       // may go to a daemon that can reach one.
-      isClosing: () => this.isDraining || !this.services.turns.isReachable,
+      isClosing: () =>
+        isLastRead() && (this.isDraining || !this.services.turns.isReachable),
     });
     this.calls.add(call);
     await this.serveOrReject(call);
@@ -211,9 +219,10 @@
     response: ServerResponse,
     {requestId}: CallAttributes,
     error: MarigoldpostError,
+    isClosing: boolean,
   ): void {
     const errorResponse = createErrorResponse(error);
-    writeResponse(response, errorResponse, this.isDraining);
+    writeResponse(response, errorResponse, isClosing);
     const logger = this.services.logger.withContext({requestId});
     const {status} = errorResponse;
     logRejection(logger, {route: '', status, error, elapsedMs: 0});
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -37,7 +37,8 @@
     // The call's deadline, at most the route's timeout, bounds the body.
     this.server.requestTimeout = 0;
     this.server.on('request', (request, response) => {
-      void handler.handle(request, response);
+      const isLastRead = () => this.connections.isLastRead(request);
+      void handler.handle(request, response, isLastRead);
     });
     this.connections = ClientConnections.create(this.server);
     this.server.on(
--- a/packages/gateway/tests/calls/call_handler_steps.ts
+++ b/packages/gateway/tests/calls/call_handler_steps.ts
@@ -56,6 +56,40 @@
   },
 );
 
+Given('the server drains', function (this: HandlerWorld) {
+  this.server.drain(0);
+});
+
+When(
+  'a client sends {int} calls in one packet',
+  async function (this: HandlerWorld, count: number) {
+    const lines = ['GET / HTTP/1.1', 'Host: calls', `${idHeader}: call`];
+    const request = [...lines, '', ''].join('\r\n');
+    const socket = net.connect({host, port: this.port});
+    let text = '';
+    socket.on('data', (chunk: Buffer) => {
+      text += chunk.toString('latin1');
+    });
+    socket.write(request.repeat(count));
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    this.ends = text.split('HTTP/1.1 ').slice(1);
+  },
+);
+
+Then(
+  'the client gets {int} responses with status {int}, of which the last closes the connection',
+  function (this: HandlerWorld, count: number, status: number) {
+    assert.equal(this.ends.length, count);
+    for (const [index, response] of this.ends.entries()) {
+      assert.ok(response.startsWith(`${status} `), response);
+      const isClosing = /\r\nconnection: close\r\n/i.test(response);
+      assert.equal(isClosing, index === count - 1, response);
+    }
+  },
+);
+
 When(
   'a client sends the calls {string}',
   async function (this: HandlerWorld, ids: string) {
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -1,6 +1,5 @@
 /** Process of an archive VM: stores turns and budgets on its disk. */
 import {MarigoldpostError} from '@marigoldpost/common';
-import type {ObjectListener, ObjectWatcher} from '@marigoldpost/platform';
 import type {NodeSettings} from '@marigoldpost/sites';
 import {
   Archive,
@@ -14,12 +13,7 @@
 import {entryPrefix} from '../entry/entry_directory.js';
 import type {NodeOptions} from '../node_options.js';
 import {deathsToQuarantine, isCurrentEntry} from '../quarantine_settings.js';
-import {
-  promptWaitMs,
-  relaxedTiming,
-  SiteNode,
-  type WatchTiming,
-} from '../site_node.js';
+import {relaxedTiming, SiteNode, type WatchTiming} from '../site_node.js';
 import {
   combineListeners,
   combineSinks,
@@ -32,29 +26,17 @@
 import {QuarantineRelay} from './quarantine_relay.js';
 import {RetirementTask} from './retirement_task.js';
 import {SiteMirror} from './site_mirror.js';
+import {contactTiming, StoreContact} from './store_contact.js';
 
-/** Changes that entry VMs follow; each call has a cost. */
-const relayTiming = {pauseMs: 250, waitMs: promptWaitMs};
-/** Changes of entry VMs are not urgent. */
-const entryRelayTiming = {pauseMs: 1000, waitMs: relaxedTiming.waitMs};
-/**
- * Calls that only show whether the object API responds. They may read stale
- * data, so they cost little.
- */
-const contactTiming = {pauseMs: 1000, waitMs: 1000};
 /**
- * Time after which an archive whose calls get no response counts as out of
- * contact: the wait of a call and its time-out.
+ * Changes that entry VMs follow; each call has a cost. Dead connections are
+ * found by the stale reads, so the waits may be long.
  */
-const maxContactAgeMs = 1700;
+const relayTiming = {pauseMs: 250, waitMs: 10_000};
+/** Changes of entry VMs are not urgent. */
+const entryRelayTiming = {pauseMs: 1000, waitMs: relaxedTiming.waitMs};
 /** Pause before a failed registration is retried. */
 const registrationRetryMs = 300;
-const ignoringListener: ObjectListener = {
-  replaceObjects: () => undefined,
-  applyChange: () => undefined,
-  onWatchFailed: () => undefined,
-  onWatchRecovered: () => undefined,
-};
 /** Time to finish pending replies at stop; a disk sync takes far less. */
 const replyDrainMs = 150;
 
@@ -62,8 +44,6 @@
 export class ArchiveNode extends SiteNode {
   private archive: Archive | undefined;
   private quarantineLog: QuarantineLog | undefined;
-  /** Watch that shows whether the object API responds. */
-  private contact: ObjectWatcher | undefined;
 
   /**
    * Creates a daemon; `start` opens its archive and serves.
@@ -82,7 +62,11 @@
     const repairer = this.createRepairer(archive);
     const service = ArchiveService.create(archive, () => repairer.isComplete);
     const mirror = SiteMirror.create();
-    const changes = this.createChangeRelay();
+    const contact = StoreContact.create(clock);
+    const changes = ChangeRelay.create({
+      clock,
+      isInContact: () => contact.isEstablished,
+    });
     const quarantineLog = this.createQuarantineLog(archive, quarantine);
     this.quarantineLog = quarantineLog;
     const relay = this.createQuarantineRelay(quarantine, quarantineLog);
@@ -97,7 +81,7 @@
     });
     const retirement = this.createRetirement(repairer);
     const {retirementPrefix} = this.options.platform.keys;
-    this.watchSite(mirror, changes);
+    this.watchSite(mirror, changes, contact);
     this.watch(retirementPrefix, relaxedTiming, retirement);
     this.tasks.run('register', (signal) =>
       this.register(archive, retirement, signal),
@@ -126,38 +110,32 @@
     this.archive?.close();
   }
 
-  private createChangeRelay(): ChangeRelay {
-    const {clock} = this;
-    return ChangeRelay.create({
-      clock,
-      isInContact: () => {
-        const {contact} = this;
-        if (contact === undefined || contact.isFailing) return false;
-        return clock.nowMs() - contact.lastReadMs <= maxContactAgeMs;
-      },
-    });
-  }
-
-  private watchSite(mirror: SiteMirror, changes: ChangeRelay): void {
+  private watchSite(
+    mirror: SiteMirror,
+    changes: ChangeRelay,
+    contact: StoreContact,
+  ): void {
     const {keys, store} = this.options.platform;
     const configPrefix = getKindPrefix(keys.config);
     const relay = (prefix: string, timing: WatchTiming, sink: ObjectSink) => {
       const logging = createLoggingListener(prefix, this.options.logger, sink);
       const listener = combineListeners(logging, changes.addPrefix(prefix));
-      this.watchWithListener(prefix, timing, listener);
+      return this.watchWithListener(prefix, timing, listener);
     };
     const mirrorSink = mirror.getSink(archivePrefix);
     const archiveSink = combineSinks(this.archiveDirectory, mirrorSink);
     relay(archivePrefix, relayTiming, archiveSink);
-    relay(configPrefix, relayTiming, mirror.getSink(configPrefix));
-    relay(keys.targetPrefix, relayTiming, mirror.getSink(keys.targetPrefix));
     relay(entryPrefix, entryRelayTiming, mirror.getSink(entryPrefix));
-    this.contact = this.watchWithListener(
-      configPrefix,
-      contactTiming,
-      ignoringListener,
-      {store: store.getStaleReader()},
-    );
+    for (const prefix of [configPrefix, keys.targetPrefix]) {
+      const watcher = relay(prefix, relayTiming, mirror.getSink(prefix));
+      const reader = this.watchWithListener(
+        prefix,
+        contactTiming,
+        contact.createListener(watcher),
+        {store: store.getStaleReader()},
+      );
+      contact.addReader(reader);
+    }
   }
 
   private createQuarantineLog(
--- a/packages/nodes/src/archive/change_history.ts
+++ b/packages/nodes/src/archive/change_history.ts
@@ -1,5 +1,9 @@
 /** Recent changes of the objects under one prefix, in the order of versions. */
-import type {ObjectChange, ObjectChanges} from '@marigoldpost/platform';
+import type {
+  ObjectChange,
+  ObjectChanges,
+  StoredObject,
+} from '@marigoldpost/platform';
 
 /** Changes that are kept; a follower that is further behind reads for itself. */
 const maxChanges = 256;
@@ -21,6 +25,8 @@
   /** Version from which on all changes are kept. */
   private startVersion: number | undefined;
   private endVersion = 0;
+  /** Versions of the objects that exist, by key. */
+  private readonly known = new Map<string, number>();
 
   private constructor() {}
 
@@ -29,26 +35,21 @@
     return new ChangeHistory();
   }
 
-  /** Whether a complete set has been read since the last `clear`. */
-  get isLoaded(): boolean {
-    return this.startVersion !== undefined;
-  }
-
-  /** Forgets everything, since changes may have been missed. */
-  clear(): void {
-    this.changes.length = 0;
-    this.batch = [];
-    this.startVersion = undefined;
-  }
-
   /**
-   * Starts with a complete set of objects.
-   * @param version - Version of the set.
+   * Adds what differs from a complete set of objects; `recordVersion` makes it
+   * available.
+   * @param objects - All objects of the prefix.
    */
-  start(version: number): void {
-    this.clear();
-    this.startVersion = version;
-    this.endVersion = version;
+  addSet(objects: readonly StoredObject[]): void {
+    const keys = new Set(objects.map(({key}) => key));
+    this.batch = objects
+      .filter(({key, version}) => this.known.get(key) !== version)
+      .toSorted((left, right) => left.version - right.version)
+      .map((object) => ({key: object.key, object, version: object.version}));
+    for (const [key, version] of this.known) {
+      if (keys.has(key)) continue;
+      this.batch.push({key, object: undefined, version});
+    }
   }
 
   /**
@@ -64,6 +65,7 @@
    * @param version - Version that the source has reached.
    */
   recordVersion(version: number): void {
+    if (this.startVersion === undefined) this.startVersion = version;
     let latestVersion = Math.max(version, this.endVersion);
     const recorded: RecordedChange[] = [];
     for (const change of this.batch.toReversed()) {
@@ -72,6 +74,10 @@
       recorded.unshift({change, latestVersion});
       if (!isRemoval) latestVersion -= 1;
     }
+    for (const {key, object} of this.batch) {
+      if (object === undefined) this.known.delete(key);
+      else this.known.set(key, object.version);
+    }
     this.batch = [];
     this.changes.push(...recorded);
     this.endVersion = Math.max(version, this.endVersion);
--- a/packages/nodes/src/archive/change_relay.ts
+++ b/packages/nodes/src/archive/change_relay.ts
@@ -31,6 +31,8 @@
 /** A prefix that the archive watches. */
 interface RelayedPrefix {
   readonly history: ChangeHistory;
+  /** Whether the last call of the watch succeeded. */
+  isRead: boolean;
   /** Ends the waits of requests. */
   readonly waits: Set<() => void>;
 }
@@ -56,21 +58,21 @@
   addPrefix(prefix: string): ObjectListener {
     const history = ChangeHistory.create();
     const waits = new Set<() => void>();
-    this.prefixes.set(prefix, {history, waits});
+    const relayed: RelayedPrefix = {history, waits, isRead: false};
+    this.prefixes.set(prefix, relayed);
     const endWaits = () => {
       for (const end of [...waits]) end();
     };
     return {
-      // The history starts with the version of the set.
-      replaceObjects: () => history.clear(),
+      replaceObjects: (objects) => history.addSet(objects),
       applyChange: (change) => history.add(change),
-      onVersionRead: (version, isComplete) => {
-        if (isComplete) history.start(version);
-        else history.recordVersion(version);
+      onVersionRead: (version) => {
+        history.recordVersion(version);
+        relayed.isRead = true;
         endWaits();
       },
       onWatchFailed: () => {
-        history.clear();
+        relayed.isRead = false;
         endWaits();
       },
       onWatchRecovered: () => undefined,
@@ -99,8 +101,10 @@
     relayed: RelayedPrefix | undefined,
     version: number,
   ): ObjectChanges | undefined {
-    if (!this.options.isInContact()) return undefined;
-    return relayed?.history.getSince(version);
+    if (relayed?.isRead !== true || !this.options.isInContact()) {
+      return undefined;
+    }
+    return relayed.history.getSince(version);
   }
 
   private waitForRead({waits}: RelayedPrefix, waitMs: number): Promise<void> {
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -10,6 +10,7 @@
 } from '@marigoldpost/gateway';
 import type {SiteConfig} from '@marigoldpost/sites';
 import {type ArchivePool, archivePrefix, TurnStore} from '@marigoldpost/turns';
+import type {ChangeSource} from '@marigoldpost/platform';
 import {Quarantine} from '@marigoldpost/targets';
 import type {NodeOptions} from '../node_options.js';
 import {deathsToQuarantine} from '../quarantine_settings.js';
@@ -160,6 +161,12 @@
     const relaxed = {
       changeSource: this.createChangeSource(readers, relaxedPollMs),
     };
+    // An older list of entry VMs does no harm.
+    const staleStore = platform.store.getStaleReader();
+    const stale = {
+      store: staleStore,
+      changeSource: this.createChangeSource(readers, relaxedPollMs, staleStore),
+    };
     this.watch(configPrefix, configTiming, configUpdater, prompt);
     this.watchWithListener(
       keys.targetPrefix,
@@ -168,10 +175,10 @@
       prompt,
     );
     this.watch(archivePrefix, relaxedTiming, this.archiveDirectory, relaxed);
-    this.watch(entryPrefix, entryTiming, this.fleet.directory, relaxed);
+    this.watch(entryPrefix, entryTiming, this.fleet.directory, stale);
     // Crash records merge as sets, so older ones do no harm.
     this.watch(crashPrefix, entryTiming, this.quarantineReplicator, {
-      store: platform.store.getStaleReader(),
+      store: staleStore,
     });
     const reader = this.createSeedReader(configPrefix, configUpdater);
     this.tasks.run('seeds', (signal) => reader.run(signal));
@@ -262,10 +269,10 @@
   private createChangeSource(
     readers: ChangeReaders,
     pollMs: number,
+    store: ChangeSource = this.options.platform.store,
   ): ArchiveChangeSource {
     const {transport} = this;
-    const {platform, logger} = this.options;
-    const {store} = platform;
+    const {logger} = this.options;
     return ArchiveChangeSource.create({
       readers,
       transport,
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -3,6 +3,7 @@
 export * from './archive/change_history.js';
 export * from './archive/change_relay.js';
 export * from './archive/quarantine_log.js';
+export * from './archive/store_contact.js';
 export * from './archive/quarantine_relay.js';
 export * from './entry/archive_change_source.js';
 export * from './entry/change_readers.js';
--- a/packages/nodes/src/utils/object_sink.ts
+++ b/packages/nodes/src/utils/object_sink.ts
@@ -65,8 +65,8 @@
   const both = [first, second];
   return {
     ...combineSinks(first, second),
-    onVersionRead: (version, isComplete) => {
-      for (const one of both) one.onVersionRead?.(version, isComplete);
+    onVersionRead: (version) => {
+      for (const one of both) one.onVersionRead?.(version);
     },
     onWatchFailed: (error) => {
       for (const one of both) one.onWatchFailed(error);
--- a/packages/nodes/tests/entry/followed_changes.feature
+++ b/packages/nodes/tests/entry/followed_changes.feature
@@ -16,6 +16,7 @@
       | is cut from the entry VMs           | 2000  |
       | is refused by the object API        | 2000  |
       | gets no response of the object API  | 3000  |
+      | loses its next response             | 3000  |
 
   Scenario Outline: A change is known in time although all readers <fault> at that moment
     Given 6 entry VMs that follow "targets/" through 2 archives
@@ -40,6 +41,13 @@
     And object "targets/b" is written as they wake up
     Then each entry VM knows object "targets/b" within 500 ms
 
+  Scenario: Entry VMs need no listing when the object API discards its history
+    Given 6 entry VMs that follow "targets/" through 2 archives
+    When the object API discards its history after objects "targets/a" and "targets/b" are written and "targets/a" is removed
+    Then each entry VM knows object "targets/b" within 2000 ms
+    And each entry VM knows object "targets/a" within 2000 ms
+    And the object API received at most 8 calls since
+
   Scenario: Calls to the object API do not grow with the entry VMs
     Given 4 entry VMs that follow "targets/" through 2 archives
     When the site has run for 60000 ms
--- a/packages/nodes/tests/entry/followed_changes_steps.ts
+++ b/packages/nodes/tests/entry/followed_changes_steps.ts
@@ -38,6 +38,9 @@
   'is refused by the object API': (reader) => {
     reader.access = 'refused';
   },
+  'loses its next response': (reader) => {
+    reader.store.lostResponses = 1;
+  },
   'get no response of the object API': (reader) => {
     reader.access = 'silent';
   },
@@ -83,7 +86,7 @@
 
 function applyFault(world: FollowedWorld, fault: string, key: string): void {
   const readers =
-    fault in singularFaults || fault.startsWith('is ')
+    fault in singularFaults || /^(is|loses) /.test(fault)
       ? [world.site.getFirstReader()]
       : world.site.readers;
   const apply = faults[singularFaults[fault] ?? fault];
@@ -94,7 +97,7 @@
 }
 
 When(
-  /^(?:the reader of the first entry VM|all readers) (dies?|freezes?|is cut from the entry VMs|is refused by the object API|gets? no response of the object API) and object "(.*)" is written$/,
+  /^(?:the reader of the first entry VM|all readers) (dies?|freezes?|is cut from the entry VMs|is refused by the object API|loses its next response|gets? no response of the object API) and object "(.*)" is written$/,
   function (this: FollowedWorld, fault: string, key: string) {
     applyFault(this, fault, key);
   },
@@ -120,6 +123,27 @@
   this.site.store.change(key, 'written');
 });
 
+When(
+  'the object API discards its history after objects {string} and {string} are written and {string} is removed',
+  async function (
+    this: FollowedWorld,
+    first: string,
+    second: string,
+    removed: string,
+  ) {
+    const {store} = this.site;
+    this.callsBefore = store.callsMs.length;
+    store.isQuiet = true;
+    store.change(first, 'written');
+    store.change(second, 'written');
+    store.change(removed, undefined);
+    store.isQuiet = false;
+    store.historyStart = store.version;
+    store.endWaits();
+    await this.clock.advance(0);
+  },
+);
+
 async function measureUntilKnown(
   {clock, site}: FollowedWorld,
   key: string,
@@ -196,6 +220,7 @@
   const random = SeededRandom.create(seed);
   const {site, clock} = world;
   const kinds = ['freeze', 'is refused by the object API'];
+  kinds.push('loses its next response');
   kinds.push('get no response of the object API', 'is cut from the entry VMs');
   for (let round = 0; round < 40; round++) {
     const reader = site.readers[Math.floor(random.next() * 3)];
@@ -220,6 +245,7 @@
   reader.isFrozen = false;
   reader.isCut = false;
   reader.access = 'served';
+  reader.store.lostResponses = 0;
 }
 
 When(
--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -35,9 +35,8 @@
    * Called after each successful call, once its objects or changes have been
    * passed on.
    * @param version - Version up to which all changes have been passed on.
-   * @param isComplete - Whether the call returned a complete set.
    */
-  onVersionRead?(version: number, isComplete: boolean): void;
+  onVersionRead?(version: number): void;
 
   /**
    * Called when a call fails after successful ones.
@@ -118,6 +117,14 @@
     return this.lastResponseMs;
   }
 
+  /**
+   * Version up to which all changes have been passed on; `undefined` until the
+   * next listing.
+   */
+  get readVersion(): number | undefined {
+    return this.version;
+  }
+
   /** Watches until `stop` is called; retries after failures. */
   async run(): Promise<void> {
     const {signal} = this.controller;
@@ -150,7 +157,7 @@
       this.recordResponse();
       listener.replaceObjects(snapshot.objects);
       this.version = snapshot.version;
-      listener.onVersionRead?.(snapshot.version, true);
+      listener.onVersionRead?.(snapshot.version);
       return;
     }
     const result = await this.waitForChanges(this.version);
@@ -159,7 +166,7 @@
     this.recordResponse();
     for (const change of changes) listener.applyChange(change);
     this.version = version;
-    listener.onVersionRead?.(version, false);
+    listener.onVersionRead?.(version);
     if (changes.length > 0) await clock.sleep(pauseMs, signal);
   }
 
--- a/packages/platform/src/watch/watch_group.ts
+++ b/packages/platform/src/watch/watch_group.ts
@@ -100,8 +100,7 @@
     return {
       replaceObjects: (objects) => listener.replaceObjects(objects),
       applyChange: (change) => listener.applyChange(change),
-      onVersionRead: (version, isComplete) =>
-        listener.onVersionRead?.(version, isComplete),
+      onVersionRead: (version) => listener.onVersionRead?.(version),
       onWatchFailed: (error) => listener.onWatchFailed(error),
       onWatchRecovered: (outageMs, failedAgoMs) => {
         listener.onWatchRecovered(outageMs, failedAgoMs);
