Count the delay of hedged requests from the first reply of an archive

Cause: a reservation asked all archives 30 ms after it was sent, and a turn was written to further ones after 80 ms.

Change: further archives are asked some time after the first reply, or after a longer time without any.

--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -1,10 +1,5 @@
 /** Requests one reservation from archives until their votes decide it. */
-import {
-  type Clock,
-  Deferred,
-  getHashNumber,
-  type Timer,
-} from '@marigoldpost/common';
+import {type Clock, Deferred, getHashNumber} from '@marigoldpost/common';
 import type {Reservation} from '../ledger/budget_ledger.js';
 import {
   decideReservation,
@@ -15,9 +10,13 @@
   type ReservationVote,
 } from '../ledger/reservation_quorum.js';
 import type {ArchiveClient} from './archive_client.js';
+import {HedgeTimer} from './hedge_timer.js';
 
-/** Delay after which the remaining archives are asked too (hedging). */
-const hedgeDelayMs = 30;
+/**
+ * Delays after which the remaining archives are asked too: after the first reply,
+ * and if there is none.
+ */
+const hedgeDelays = {afterReplyMs: 30, silentMs: 500};
 
 /**
  * Outcome of a ballot; `spent` if attempts that have ended leave too few tokens,
@@ -46,7 +45,7 @@
   private readonly requests: Promise<void>[] = [];
   private outcome: BallotResult = 'pending';
   private highestSettledTokens = 0;
-  private timer: Timer | undefined;
+  private timer: HedgeTimer | undefined;
   private unaskedIndexes: number[];
   /** Archive whose count of the program is relied on, if any is registered. */
   private readonly counter: ArchiveClient | undefined;
@@ -75,9 +74,11 @@
   /** Requests votes until they decide on the reservation. */
   async run(): Promise<void> {
     const {clients, clock} = this.options;
-    this.timer = clock.setTimer(hedgeDelayMs, () =>
-      this.requestVotes(clients.length),
-    );
+    this.timer = HedgeTimer.start({
+      ...hedgeDelays,
+      clock,
+      onDue: () => this.requestVotes(clients.length),
+    });
     this.requestVotes(getMajority(clients.length));
     this.decide();
     try {
@@ -156,6 +157,7 @@
     const counter = this.counter?.member.disk ?? '';
     try {
       const reply = await client.reserve({...reservation, counter});
+      this.timer?.recordReply();
       const answer = reply.isGranted ? 'granted' : 'refused';
       this.highestSettledTokens = Math.max(
         this.highestSettledTokens,
--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -10,11 +10,15 @@
 import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveWait} from './archive_retries.js';
+import {HedgeTimer} from './hedge_timer.js';
 import {ReplicaCompletion} from './replica_completion.js';
 import {orderCandidates} from './replica_placement.js';
 
-/** Delay after which further archives are written to as well (hedging). */
-const hedgeDelayMs = 80;
+/**
+ * Delays after which further archives are written to as well: after the first
+ * copy, and if there is none.
+ */
+const hedgeDelays = {afterReplyMs: 80, silentMs: 300};
 
 /** Archives and replica count of a recorder. */
 export interface TurnRecorderOptions {
@@ -142,6 +146,7 @@
   private nextClientIndex = 0;
   private inFlightCount = 0;
   private isOverdue = false;
+  private hedge: HedgeTimer | undefined;
 
   private constructor(
     private readonly record: TurnRecord,
@@ -167,9 +172,12 @@
   async run(endMs: number): Promise<void> {
     const {clock} = this.options;
     this.startMissingWrites();
-    const timers = [
-      clock.setTimer(hedgeDelayMs, () => this.startMissingWrites()),
-    ];
+    this.hedge = HedgeTimer.start({
+      ...hedgeDelays,
+      clock,
+      onDue: () => this.startMissingWrites(),
+    });
+    const timers: {cancel(): void}[] = [this.hedge];
     if (endMs !== Infinity) {
       const leftMs = Math.max(0, endMs - clock.nowMs());
       timers.push(clock.setTimer(leftMs, () => this.handleEnd()));
@@ -204,6 +212,7 @@
     try {
       await client.storeTurns([this.record]);
       this.holders.set(client, client.disk);
+      this.hedge?.recordReply();
     } catch {
       // The pool reports the unreachable archive; the next candidate is tried.
       this.startNextWrite();
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -6,6 +6,7 @@
 export * from './client/archive_pool.js';
 export * from './client/archive_retries.js';
 export * from './client/budget_client.js';
+export * from './client/reservation_ballot.js';
 export * from './client/turn_recorder.js';
 export * from './client/turn_store.js';
 export * from './directory/archive_directory.js';
