Start from the latest list that an archive knows, not from the first one

Cause: an entry VM that starts while the object API is away took the objects of the first seed that replied. An archive that has lost the object API long ago still lists targets that have left since.

Change: archives tell the version up to which they know each prefix; all seeds are asked at once, and the latest objects of each prefix are used.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -72,7 +72,7 @@
     const relay = this.createQuarantineRelay(quarantine, quarantineLog);
     await this.transport.start((sender, request) => {
       if (request.case === 'fetchSite') {
-        return Promise.resolve(mirror.createReply());
+        return Promise.resolve(mirror.createReply(changes.getVersions()));
       }
       if (request.case === 'fetchChanges') return changes.answer(request.value);
       return request.case === 'exchangeQuarantines'
--- a/packages/nodes/src/archive/change_history.ts
+++ b/packages/nodes/src/archive/change_history.ts
@@ -35,6 +35,14 @@
     return new ChangeHistory();
   }
 
+  /**
+   * Version up to which all changes have been recorded; `undefined` before the
+   * first complete set.
+   */
+  get version(): number | undefined {
+    return this.startVersion === undefined ? undefined : this.endVersion;
+  }
+
   /**
    * Adds what differs from a complete set of objects; `recordVersion` makes it
    * available.
--- a/packages/nodes/src/archive/change_relay.ts
+++ b/packages/nodes/src/archive/change_relay.ts
@@ -79,6 +79,15 @@
     };
   }
 
+  /** Gets the version up to which the objects of each prefix are known. */
+  getVersions(): Map<string, number> {
+    const versions = new Map<string, number>();
+    for (const [prefix, {history}] of this.prefixes) {
+      if (history.version !== undefined) versions.set(prefix, history.version);
+    }
+    return versions;
+  }
+
   /**
    * Answers once there is a change, after the requested wait, or as soon as the
    * archive no longer knows the current objects.
--- a/packages/nodes/src/archive/site_mirror.ts
+++ b/packages/nodes/src/archive/site_mirror.ts
@@ -7,6 +7,7 @@
   type PeerReplyBody,
   SiteObjectSchema,
   SiteObjectsSchema,
+  SiteVersionSchema,
 } from '@marigoldpost/peers';
 import type {ObjectChange, StoredObject} from '@marigoldpost/platform';
 import type {ObjectSink} from '../utils/object_sink.js';
@@ -33,12 +34,18 @@
     };
   }
 
-  /** Creates the reply to a `fetchSite` request: all mirrored objects. */
-  createReply(): PeerReplyBody {
+  /**
+   * Creates the reply to a `fetchSite` request: all mirrored objects.
+   * @param known - Version up to which the objects of each prefix are known.
+   */
+  createReply(known: ReadonlyMap<string, number>): PeerReplyBody {
     const objects = [...this.objects.values()].map(({key, value, version}) =>
       create(SiteObjectSchema, {key, value, version: BigInt(version)}),
     );
-    const value = create(SiteObjectsSchema, {objects});
+    const versions = [...known].map(([prefix, version]) =>
+      create(SiteVersionSchema, {prefix, version: BigInt(version)}),
+    );
+    const value = create(SiteObjectsSchema, {objects, versions});
     return {case: 'siteObjects', value};
   }
 
--- a/packages/nodes/src/entry/seed_reader.ts
+++ b/packages/nodes/src/entry/seed_reader.ts
@@ -36,7 +36,15 @@
   readonly parts: readonly SeedPart[];
 }
 
-/** Asks the seeds in turn until every part is loaded. */
+/** What one seed knows. */
+interface SeedReply {
+  readonly seed: string;
+  readonly objects: readonly StoredObject[];
+  /** Version up to which the seed knows the objects of each prefix. */
+  readonly versions: ReadonlyMap<string, number>;
+}
+
+/** Asks all seeds until every part is loaded. */
 export class SeedReader {
   private constructor(private readonly options: SeedReaderOptions) {}
 
@@ -56,9 +64,10 @@
     const {clock, seeds} = this.options;
     await clock.sleep(initialDelayMs, signal);
     while (!this.isDone && !signal.aborted) {
-      for (const seed of seeds) {
-        if (!this.isDone) await this.fetchFromSeed(seed);
-      }
+      const replies = await Promise.all(
+        seeds.map((seed) => this.fetchFromSeed(seed)),
+      );
+      this.apply(replies.filter((reply) => reply !== undefined));
       await clock.sleep(roundIntervalMs, signal);
     }
   }
@@ -67,7 +76,10 @@
     return this.options.parts.every(({isLoaded}) => isLoaded());
   }
 
-  private async fetchFromSeed({host, port}: NetworkAddress): Promise<void> {
+  private async fetchFromSeed({
+    host,
+    port,
+  }: NetworkAddress): Promise<SeedReply | undefined> {
     const {transport, logger} = this.options;
     const address = `http://${host}:${port}`;
     // Seeds have no daemon id; this one identifies the peer in the transport.
@@ -76,25 +88,44 @@
     try {
       const request = {case: 'fetchSite', value} as const;
       const reply = await transport.ask(peer, request, replyTimeoutMs);
-      if (reply.case !== 'siteObjects') return;
+      if (reply.case !== 'siteObjects') return undefined;
       const objects = reply.value.objects.map((object) => ({
         key: object.key,
         value: object.value,
         version: Number(object.version),
       }));
-      this.apply(objects, address);
+      const versions = new Map(
+        reply.value.versions.map(({prefix, version}) => [
+          prefix,
+          Number(version),
+        ]),
+      );
+      return {seed: address, objects, versions};
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       logger.log('seed_failed', {seed: address, message});
+      return undefined;
     }
   }
 
-  private apply(objects: readonly StoredObject[], seed: string): void {
+  /**
+   * Uses the latest objects of each part: a seed may have lost the object API
+   * long ago and still list targets that have left since.
+   */
+  private apply(replies: readonly SeedReply[]): void {
     for (const {prefix, sink, isLoaded} of this.options.parts) {
-      const matching = objects.filter(({key}) => key.startsWith(prefix));
-      if (isLoaded() || matching.length === 0) continue;
-      sink.replaceObjects(matching);
-      const fields = {seed, prefix, objects: matching.length};
+      const latest = replies
+        .map(({seed, objects, versions}) => ({
+          seed,
+          objects: objects.filter(({key}) => key.startsWith(prefix)),
+          version: versions.get(prefix) ?? 0,
+        }))
+        .filter(({objects}) => objects.length > 0)
+        .toSorted((left, right) => right.version - left.version)[0];
+      if (latest === undefined || isLoaded()) continue;
+      const {seed, objects} = latest;
+      sink.replaceObjects(objects);
+      const fields = {seed, prefix, objects: objects.length};
       this.options.logger.log('site_read_from_seed', fields);
     }
   }
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -7,6 +7,7 @@
 export * from './archive/quarantine_relay.js';
 export * from './entry/archive_change_source.js';
 export * from './entry/change_readers.js';
+export * from './entry/seed_reader.js';
 export * from './entry/site_config_updater.js';
 export * from './entry/entry_directory.js';
 export * from './entry/entry_node.js';
