Leave a prefix to the object API once its archive has missed a change

Cause: an archive to which the object API responds to stale reads only passed for one in contact, while its watch waited up to 10.7 s.

Change: a change that a stale read shows and the watch has not returned within 0.3 s suspends the answers for that prefix until the watch reads again.

Test: followed_changes.feature, the row failed before (3,010 ms, bound 3,000).

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -131,7 +131,7 @@
       const reader = this.watchWithListener(
         prefix,
         contactTiming,
-        contact.createListener(watcher),
+        contact.createListener(watcher, () => changes.suspend(prefix)),
         {store: store.getStaleReader()},
       );
       contact.addReader(reader);
--- a/packages/nodes/src/archive/change_relay.ts
+++ b/packages/nodes/src/archive/change_relay.ts
@@ -31,7 +31,7 @@
 /** A prefix that the archive watches. */
 interface RelayedPrefix {
   readonly history: ChangeHistory;
-  /** Whether the last call of the watch succeeded. */
+  /** Whether the watch has missed no change and its last call succeeded. */
   isRead: boolean;
   /** Ends the waits of requests. */
   readonly waits: Set<() => void>;
@@ -79,6 +79,17 @@
     };
   }
 
+  /**
+   * Leaves requests for a prefix to the object API until its watch reads again.
+   * @param prefix - Prefix of which a change has been missed.
+   */
+  suspend(prefix: string): void {
+    const relayed = this.prefixes.get(prefix);
+    if (relayed === undefined) return;
+    relayed.isRead = false;
+    for (const end of [...relayed.waits]) end();
+  }
+
   /** Gets the version up to which the objects of each prefix are known. */
   getVersions(): Map<string, number> {
     const versions = new Map<string, number>();
--- a/packages/nodes/src/archive/store_contact.ts
+++ b/packages/nodes/src/archive/store_contact.ts
@@ -54,10 +54,12 @@
 
   /**
    * Creates the listener of a reader. It repeats the wait of a watch that has
-   * not returned a change: the response may have been lost.
+   * not returned a change: the response may have been lost, or the object API
+   * responds to stale reads only.
    * @param watcher - Watch of the same prefix.
+   * @param onMissed - Called before the wait is repeated.
    */
-  createListener(watcher: ObjectWatcher): ObjectListener {
+  createListener(watcher: ObjectWatcher, onMissed: () => void): ObjectListener {
     let hasChanged = false;
     return {
       replaceObjects: () => {
@@ -67,7 +69,7 @@
         hasChanged = true;
       },
       onVersionRead: (version) => {
-        if (hasChanged) this.checkLater(watcher, version);
+        if (hasChanged) this.checkLater(watcher, version, onMissed);
         hasChanged = false;
       },
       onWatchFailed: () => undefined,
@@ -75,12 +77,16 @@
     };
   }
 
-  private checkLater(watcher: ObjectWatcher, version: number): void {
+  private checkLater(
+    watcher: ObjectWatcher,
+    version: number,
+    onMissed: () => void,
+  ): void {
     this.clock.setTimer(missedChangeMs, () => {
       const {readVersion} = watcher;
-      if (readVersion !== undefined && readVersion < version) {
-        watcher.restartWait();
-      }
+      if (readVersion === undefined || readVersion >= version) return;
+      onMissed();
+      watcher.restartWait();
     });
   }
 }
--- a/packages/nodes/tests/entry/followed_changes.feature
+++ b/packages/nodes/tests/entry/followed_changes.feature
@@ -17,6 +17,7 @@
       | is refused by the object API        | 2000  |
       | gets no response of the object API  | 3000  |
       | loses its next response             | 3000  |
+      | gets responses to stale reads only  | 3000  |
 
   Scenario Outline: A change is known in time although all readers <fault> at that moment
     Given 6 entry VMs that follow "targets/" through 2 archives
--- a/packages/nodes/tests/entry/followed_changes_steps.ts
+++ b/packages/nodes/tests/entry/followed_changes_steps.ts
@@ -38,6 +38,9 @@
   'is refused by the object API': (reader) => {
     reader.access = 'refused';
   },
+  'gets responses to stale reads only': (reader) => {
+    reader.access = 'stale_only';
+  },
   'loses its next response': (reader) => {
     reader.store.lostResponses = 1;
   },
@@ -46,6 +49,7 @@
   },
 };
 const singularFaults: Record<string, string> = {
+  'gets responses to stale reads only': 'gets responses to stale reads only',
   dies: 'die',
   freezes: 'freeze',
   'gets no response of the object API': 'get no response of the object API',
@@ -97,7 +101,7 @@
 }
 
 When(
-  /^(?:the reader of the first entry VM|all readers) (dies?|freezes?|is cut from the entry VMs|is refused by the object API|loses its next response|gets? no response of the object API) and object "(.*)" is written$/,
+  /^(?:the reader of the first entry VM|all readers) (dies?|freezes?|is cut from the entry VMs|is refused by the object API|loses its next response|gets responses to stale reads only|gets? no response of the object API) and object "(.*)" is written$/,
   function (this: FollowedWorld, fault: string, key: string) {
     applyFault(this, fault, key);
   },
