--- a/packages/nodes/tests/entry/followed_changes.feature
+++ b/packages/nodes/tests/entry/followed_changes.feature
@@ -49,6 +49,11 @@
     And each entry VM knows object "targets/a" within 2000 ms
     And the object API received at most 8 calls since
 
+  Scenario: Stale reads that are older than the history are repeated at a moderate rate
+    Given 6 entry VMs that follow "targets/" through 2 archives
+    When stale listings are older than the history for 10000 ms
+    Then the readers sent at most 80 stale calls since
+
   Scenario: Calls to the object API do not grow with the entry VMs
     Given 4 entry VMs that follow "targets/" through 2 archives
     When the site has run for 60000 ms
--- a/packages/nodes/tests/entry/followed_changes_steps.ts
+++ b/packages/nodes/tests/entry/followed_changes_steps.ts
@@ -148,6 +148,26 @@
   },
 );
 
+When(
+  'stale listings are older than the history for {int} ms',
+  async function (this: FollowedWorld, forMs: number) {
+    const {store} = this.site;
+    store.staleVersion = store.version;
+    store.change(`${followedPrefix}a`, 'written');
+    store.historyStart = store.version;
+    this.callsBefore = store.staleCallsMs.length;
+    await this.clock.advance(forMs);
+  },
+);
+
+Then(
+  'the readers sent at most {int} stale calls since',
+  function (this: FollowedWorld, most: number) {
+    const calls = this.site.store.staleCallsMs.length - this.callsBefore;
+    assert.ok(calls <= most, `${calls} calls`);
+  },
+);
+
 async function measureUntilKnown(
   {clock, site}: FollowedWorld,
   key: string,
--- a/packages/platform/src/store/object_store.ts
+++ b/packages/platform/src/store/object_store.ts
@@ -115,6 +115,11 @@
     waitMs?: number,
   ): Promise<ObjectChanges>;
 
+  /** Whether reads may return data that is seconds old. */
+  get mayReadStale(): boolean {
+    return false;
+  }
+
   /**
    * Gets a client of the same store whose reads may return data that is seconds
    * old, which some stores serve at a lower cost.
--- a/packages/platform/src/watch/object_watcher.ts
+++ b/packages/platform/src/watch/object_watcher.ts
@@ -16,6 +16,8 @@
 
 /** Delays between failed calls; short enough to see changes within 2 s. */
 const retryBackoff = {baseMs: 100, maxMs: 800};
+/** Pause while stale listings are too old to be continued. */
+const staleListingPauseMs = 1000;
 
 /** Receives the objects, changes and outages of a watch. */
 export interface ObjectListener {
@@ -88,6 +90,8 @@
   private lastSentMs: number;
   private lastFailedSentMs: number;
   private hasFailed = false;
+  /** Listings since the last wait that could not be continued. */
+  private goneInRow = 0;
 
   private constructor(private readonly options: ObjectWatcherOptions) {
     this.backoff = Backoff.create(retryBackoff, options.random);
@@ -164,6 +168,7 @@
     if (result === undefined) return;
     const {changes, version} = result;
     this.recordResponse();
+    this.goneInRow = 0;
     for (const change of changes) listener.applyChange(change);
     this.version = version;
     listener.onVersionRead?.(version);
@@ -206,14 +211,20 @@
     this.lastFailedSentMs = this.lastSentMs;
     // The store's history may no longer have the changes missed meanwhile.
     this.version = undefined;
-    if (!isErrorOfKind(known, 'history_gone') && !this.hasFailed) {
+    const isGone = isErrorOfKind(known, 'history_gone');
+    this.goneInRow = isGone ? this.goneInRow + 1 : 0;
+    if (!isGone && !this.hasFailed) {
       this.hasFailed = true;
       this.options.listener.onWatchFailed(known);
     }
-    const waitMs = known.retryAfterMs ?? this.backoff.nextDelayMs();
+    const backoffMs = known.retryAfterMs ?? this.backoff.nextDelayMs();
+    const waitMs =
+      this.goneInRow > 1 && this.options.store.mayReadStale
+        ? staleListingPauseMs
+        : Math.min(backoffMs, retryBackoff.maxMs);
     const {clock, waitForRetry} = this.options;
     try {
-      await clock.sleep(Math.min(waitMs, retryBackoff.maxMs), signal);
+      await clock.sleep(waitMs, signal);
       if (this.hasFailed) await waitForRetry?.(signal);
     } catch {
       // The watch is being stopped.
