List objects again when their archive no longer knows them

Cause: an entry VM whose archive was out of contact went on at the object API from the version that it had. The object API had discarded the history since and left the wait without an answer, so a configuration took effect after 3.6 s.

Change: leaving an archive for the object API begins with a listing, as after any failed call.

Test: followed_changes.feature, the new scenario took more than 2,010 ms before.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -13,7 +13,12 @@
 import {entryPrefix} from '../entry/entry_directory.js';
 import type {NodeOptions} from '../node_options.js';
 import {deathsToQuarantine, isCurrentEntry} from '../quarantine_settings.js';
-import {relaxedTiming, SiteNode, type WatchTiming} from '../site_node.js';
+import {
+  promptWaitMs,
+  relaxedTiming,
+  SiteNode,
+  type WatchTiming,
+} from '../site_node.js';
 import {
   combineListeners,
   combineSinks,
@@ -28,11 +33,10 @@
 import {SiteMirror} from './site_mirror.js';
 import {contactTiming, StoreContact} from './store_contact.js';
 
-/**
- * Changes that entry VMs follow; each call has a cost. Dead connections are
- * found by the stale reads, so the waits may be long.
- */
-const relayTiming = {pauseMs: 250, waitMs: 10_000};
+/** Changes that must take effect within a bound at entry VMs. */
+const relayTiming = {pauseMs: 250, waitMs: promptWaitMs};
+/** Changes of archives; stale reads find dead connections for this watch. */
+const archiveTiming = {pauseMs: 250, waitMs: 10_000};
 /** Changes of entry VMs are not urgent. */
 const entryRelayTiming = {pauseMs: 1000, waitMs: relaxedTiming.waitMs};
 /** Pause before a failed registration is retried. */
@@ -124,7 +128,7 @@
     };
     const mirrorSink = mirror.getSink(archivePrefix);
     const archiveSink = combineSinks(this.archiveDirectory, mirrorSink);
-    relay(archivePrefix, relayTiming, archiveSink);
+    relay(archivePrefix, archiveTiming, archiveSink);
     relay(entryPrefix, entryRelayTiming, mirror.getSink(entryPrefix));
     for (const prefix of [configPrefix, keys.targetPrefix]) {
       const watcher = relay(prefix, relayTiming, mirror.getSink(prefix));
--- a/packages/nodes/src/entry/archive_change_source.ts
+++ b/packages/nodes/src/entry/archive_change_source.ts
@@ -1,8 +1,8 @@
 /**
  * Waits for changes of the site's objects at an archive of the own data centre,
  * or at the object API while no archive there knows the current objects. Both
- * count versions of the same store, so a wait goes on at the other one without a
- * new listing.
+ * count versions of the same store, so a wait goes on at another archive without
+ * a new listing.
  */
 import {create} from '@bufbuild/protobuf';
 import {MarigoldpostError} from '@marigoldpost/common';
@@ -81,7 +81,12 @@
         break;
       }
     }
-    this.recordSource(prefix, storeName, reason);
+    const isLeavingArchive = this.recordSource(prefix, storeName, reason);
+    if (isLeavingArchive) {
+      // What the archive has missed may no longer be in the store's history,
+      // and the store may leave a wait from before it without an answer.
+      throw MarigoldpostError.create('history_gone', reason);
+    }
     return store.waitForChanges(prefix, sinceVersion, signal, waitMs);
   }
 
@@ -107,11 +112,18 @@
     return {version: Number(version), changes: changes.map(fromChangeMessage)};
   }
 
-  private recordSource(prefix: string, source: string, reason: string): void {
-    if (this.sources.get(prefix) === source) return;
+  /** Returns whether the source was an archive before and is another one. */
+  private recordSource(
+    prefix: string,
+    source: string,
+    reason: string,
+  ): boolean {
+    const previous = this.sources.get(prefix);
+    if (previous === source) return false;
     this.sources.set(prefix, source);
     const fields = {prefix, source, reason};
     this.options.logger.log('change_source_changed', fields);
+    return previous !== undefined && previous !== storeName;
   }
 }
 
--- a/packages/nodes/tests/entry/followed_changes.feature
+++ b/packages/nodes/tests/entry/followed_changes.feature
@@ -49,6 +49,12 @@
     And each entry VM knows object "targets/a" within 2000 ms
     And the object API received at most 8 calls since
 
+  Scenario: A change of which the object API has discarded the history is known when the readers lose contact
+    Given 6 entry VMs that follow "targets/" through 2 archives
+    When the object API leaves waits from before its history without an answer
+    And all readers are refused by the object API and object "targets/a" is written and discarded from the history
+    Then each entry VM knows object "targets/a" within 2000 ms
+
   Scenario: Stale reads that are older than the history are repeated at a moderate rate
     Given 6 entry VMs that follow "targets/" through 2 archives
     When stale listings are older than the history for 10000 ms
--- a/packages/nodes/tests/entry/followed_changes_steps.ts
+++ b/packages/nodes/tests/entry/followed_changes_steps.ts
@@ -148,6 +148,25 @@
   },
 );
 
+When(
+  'the object API leaves waits from before its history without an answer',
+  function (this: FollowedWorld) {
+    this.site.store.leavesOldWaits = true;
+  },
+);
+
+When(
+  'all readers are refused by the object API and object {string} is written and discarded from the history',
+  async function (this: FollowedWorld, key: string) {
+    const {readers, store} = this.site;
+    for (const reader of readers) reader.access = 'refused';
+    store.isQuiet = true;
+    store.change(key, 'written');
+    store.historyStart = store.version;
+    await this.clock.advance(0);
+  },
+);
+
 When(
   'stale listings are older than the history for {int} ms',
   async function (this: FollowedWorld, forMs: number) {
