--- a/packages/nodes/src/entry/archive_change_source.ts
+++ b/packages/nodes/src/entry/archive_change_source.ts
@@ -5,7 +5,7 @@
  * a new listing.
  */
 import {create} from '@bufbuild/protobuf';
-import {MarigoldpostError} from '@marigoldpost/common';
+import {MarigoldpostError, waitUnlessAborted} from '@marigoldpost/common';
 import {
   FetchChangesSchema,
   type PeerRequester,
@@ -64,9 +64,10 @@
     let reason = 'no archive of the data centre is reachable';
     for (const reader of readers.getOrdered().slice(0, maxReaders)) {
       try {
-        const changes = await abortable(
+        const changes = await waitUnlessAborted(
           this.ask(reader, prefix, sinceVersion),
           signal,
+          createAbortedError,
         );
         if (changes !== undefined) {
           this.recordSource(prefix, reader.daemon, '');
@@ -127,22 +128,6 @@
   }
 }
 
-/** Rejects as soon as a signal is aborted; the promise goes on unobserved. */
-function abortable<Value>(
-  promise: Promise<Value>,
-  signal: AbortSignal,
-): Promise<Value> {
-  return new Promise((resolve, reject) => {
-    const onAbort = () =>
-      reject(MarigoldpostError.create('store_unavailable', 'wait aborted'));
-    if (signal.aborted) onAbort();
-    signal.addEventListener('abort', onAbort, {once: true});
-    promise
-      .then(resolve, reject)
-      .finally(() => signal.removeEventListener('abort', onAbort));
-  });
-}
-
 function fromChangeMessage({key, object, version}: SiteChange): ObjectChange {
   return {
     key,
@@ -153,3 +138,8 @@
         : {key, value: object.value, version: Number(object.version)},
   };
 }
+
+function createAbortedError(): MarigoldpostError {
+  const message = 'the wait for changes was aborted';
+  return MarigoldpostError.create('store_unavailable', message);
+}
