Play the larger burst of reservations, which still fails, and list it

With 30, the first replies are read after more than 0.5 s, all archives are asked, and reservations take 1,214 ms ever after (bound 100 ms).

--- a/packages/turns/tests/client/hedge_timer.feature
+++ b/packages/turns/tests/client/hedge_timer.feature
@@ -8,6 +8,11 @@
     Then the reservations of the last second take at most 100 ms
     And at most 5 archives are asked for each reservation of the last second
 
+  Scenario: A burst whose replies wait for more than half a second passes as well
+    Given an entry VM whose processor needs 2.5 ms for each message to or from 7 archives
+    When 30 reservations arrive at once, then one every 32 ms for 4000 ms
+    Then the reservations of the last second take at most 100 ms
+
   Scenario: A single archive that is silent delays a reservation only a little
     Given an entry VM whose processor needs 0 ms for each message to or from 7 archives
     And the first 1 archives that are asked are silent
