--- a/packages/nodes/tests/entry/followed_changes.feature
+++ b/packages/nodes/tests/entry/followed_changes.feature
@@ -67,6 +67,6 @@
     Then the second site sent no more than 40 calls more than the first
 
   Scenario: No entry VM goes back to an earlier version
-    When entry VMs follow random changes through readers that fail at random, with seeds 1 to 12
+    When entry VMs follow random changes through readers that fail at random, with seeds 1 to 30
     Then no entry VM saw an earlier version after a later one
     And each entry VM knew the final objects 6000 ms after the last fault
