--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -97,6 +97,13 @@
       return;
     }
     await sleep(workMs);
+    const isUnframed = this.options.unframed === true;
+    if (isUnframed) {
+      // Without a length or chunks: it ends with its connection.
+      response.useChunkedEncodingByDefault = false;
+      delete headers['Keep-Alive'];
+      headers.Connection = 'close';
+    }
     response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
     for (let event = 1; event <= events; event += 1) {
       if (response.destroyed) return;
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -221,7 +221,9 @@
   }
 
   /** Starts the store, the runners and all processes; waits until ready. */
-  async start({engines = 3, tools = 2, events = 8, pauseMs = 30} = {}) {
+  async start(options = {}) {
+    const {engines = 3, tools = 2, events = 8, pauseMs = 30} = options;
+    const {unframed = false} = options;
     for (const zone of this.zones) await this.addView(zone);
     this.putConfig(1);
     const onRun = (run) => {
@@ -236,7 +238,7 @@
       this.runners.push(runner);
     };
     for (let index = 0; index < engines; index += 1) {
-      await add(`i-llm${index}`, 'llm', index, {events, pauseMs});
+      await add(`i-llm${index}`, 'llm', index, {events, pauseMs, unframed});
     }
     for (let index = 0; index < tools; index += 1) {
       await add(`i-app${index}`, 'app', index, {});
