Let any majority reserve tokens while no archive of the home counts

Cause: a majority without the home was accepted at the home only, since an isolated home could grant at the same time and nobody saw both. Both now write their reservations to the object API and read those of all others, so they meet there.

--- a/packages/turns/src/ledger/reservation_quorum.ts
+++ b/packages/turns/src/ledger/reservation_quorum.ts
@@ -3,8 +3,10 @@
  *
  * Reservations of one program are recorded at sets of archives that meet: a
  * majority that includes an archive of the program's home, or, while the home
- * data centre is isolated, all archives there. So of two entry VMs that reserve
- * concurrently at least one sees the other's reservation.
+ * data centre is isolated, all archives there. While no archive of the home
+ * counts, any majority records them. An isolated home and such a majority need
+ * not meet, so what they record is also written to the object API. So of two
+ * entry VMs that reserve concurrently at least one sees the other's reservation.
  *
  * That alone does not bound the sum of many reservations, since each archive
  * counts a part of them only. One archive, the counter, is therefore part of
@@ -101,10 +103,8 @@
   const homeVotes = votes.filter(({dataCentre}) => dataCentre === home);
   const grants = votes.filter(isCompleteGrant);
   if (grants.length >= getMajority(votes.length)) {
-    // The home data centre may be isolated and grant by itself, which takes all
-    // archives there; so one of them must take part elsewhere.
     if (homeVotes.length === 0 || homeVotes.some(isCompleteGrant)) return true;
-    return home === own && homeVotes.every(({answer}) => answer === 'failed');
+    return homeVotes.every(isWithoutCount);
   }
   const isIsolated = votes.every(
     ({answer}) => answer === 'granted' || answer === 'failed',
@@ -117,6 +117,11 @@
   );
 }
 
+/** Whether an archive takes part in no quorum now. */
+function isWithoutCount({answer, isComplete}: ReservationVote): boolean {
+  return answer === 'failed' || (answer === 'granted' && !isComplete);
+}
+
 function isCompleteGrant({answer, isComplete}: ReservationVote): boolean {
   return answer === 'granted' && isComplete;
 }
--- a/packages/turns/tests/client/turn_store.feature
+++ b/packages/turns/tests/client/turn_store.feature
@@ -175,6 +175,13 @@
     Then an attempt of a program of "a" is admitted in "a"
     And an attempt of a program of "b" in "a" fails with archive_unavailable
 
+  Scenario: While a data centre is isolated from the object API as well, only others grant reservations to its programs
+    Given data centre "a" is isolated
+    And the object API is away from "a"
+    Then an attempt of a program of "a" in "a" fails with archive_unavailable
+    And an attempt of a program of "b" in "a" fails with archive_unavailable
+    And an attempt of a program of "a" is admitted in "b"
+
   Scenario: While a data centre is isolated and the object API is away, nobody grants reservations to its programs
     Given data centre "a" is isolated
     And the object API is away
--- a/packages/turns/tests/objects/reservation_objects.feature
+++ b/packages/turns/tests/objects/reservation_objects.feature
@@ -67,3 +67,15 @@
     When 12 attempts of 50 tokens of a program of "a" reserve from a budget of 200 one after the other, some in vain, alternating over "a, b, c"
     Then at most 4 attempts hold a reservation
     And at least 4 attempts hold a reservation
+
+  Scenario: A program goes on through other data centres while its home is isolated
+    Given data centre "a" is isolated
+    When 4 attempts of 50 tokens of a program of "a" reserve from a budget of 200 one after the other, some in vain, alternating over "b, c"
+    Then at least 4 attempts hold a reservation
+
+  Scenario: A program goes on through other data centres once the archive of its home is gone for good
+    When 1 attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "a"
+    And archive "a" is killed
+    And 3000 ms pass
+    And 3 further attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "b"
+    Then at least 3 attempts hold a reservation
