Count budgets on more disks than may be lost, or in the object API as well

Seen in a test: with three archives, of which two disks may be lost, a budget was granted by a majority of two; both disks lost, 50 further tokens of a spent budget of 200 were granted.

Cause: a majority is more than Tolerate disks only while at least twice Tolerate archives are registered. Archives that are gone or superseded leave fewer.

Change: a grant of such a majority is recorded in the object API like those without the home.

--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -85,7 +85,7 @@
     if (this.isKnownAsSpent(request)) throw createTokensSpentError(request);
     const ballot = await this.requestWithWait(request);
     const result = ballot?.result;
-    if (result === 'granted' && ballot?.isAtHomeMajority === true) return;
+    if (result === 'granted' && this.isOnEnoughDisks(ballot)) return;
     if (result === 'spent') throw createTokensSpentError(request);
     const failure =
       ballot === undefined
@@ -172,8 +172,7 @@
   }
 
   /**
-   * Records a reservation in the object API unless a majority that includes the
-   * home has recorded it; gets what all entry VMs have recorded of its program.
+   * Records a reservation in the object API unless enough disks have; gets what all entry VMs have recorded of its program.
    * `undefined` if the object API has not acknowledged it.
    */
   private async recordInObjects(
@@ -181,7 +180,7 @@
     ballot: ReservationBallot,
   ): Promise<LedgerEntry[][] | undefined> {
     const {objects, probe} = this.options;
-    if (ballot.isAtHomeMajority) return [];
+    if (this.isOnEnoughDisks(ballot)) return [];
     // Its reply time-out is shorter than that of a write.
     if (!(await probe.check())) return undefined;
     try {
@@ -209,16 +208,25 @@
   }
 
   /**
-   * Whether no archive that returns is needed for a decision: a reservation that
-   * no majority with the home has recorded needs the object API instead.
+   * Whether no archive that returns is needed for a decision: the object API
+   * takes the place of archives that are missing.
    */
   private async isDecided(ballot: ReservationBallot): Promise<boolean> {
-    const {result, isAtHomeMajority} = ballot;
+    const {result} = ballot;
     if (result === 'unavailable') return false;
-    if (result === 'spent' || isAtHomeMajority) return true;
+    if (result === 'spent' || this.isOnEnoughDisks(ballot)) return true;
     return result === 'refused' || this.options.probe.check();
   }
 
+  /**
+   * Whether a majority that includes the home has recorded a reservation, on more
+   * disks than may be lost. Another one needs the object API.
+   */
+  private isOnEnoughDisks(ballot: ReservationBallot | undefined): boolean {
+    if (ballot?.isAtHomeMajority !== true) return false;
+    return ballot.grantingClients.length >= this.options.owedArchives;
+  }
+
   private async requestReservation(
     request: TokenRequest,
     isForced: boolean,
--- a/packages/turns/tests/objects/reservation_objects.feature
+++ b/packages/turns/tests/objects/reservation_objects.feature
@@ -79,3 +79,13 @@
     And 3000 ms pass
     And 3 further attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "b"
     Then at least 3 attempts hold a reservation
+
+  Scenario: A budget that no more disks have counted than may be lost holds without them
+    Given archives "a, b, c" with 3 replicas per turn
+    And entry VM "a:1" reaches only archives "a, b"
+    When 4 attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "a:1"
+    Then at least 4 attempts hold a reservation
+    When all entry VMs are killed
+    And archives "a, b" restart on empty disks with "c" down for 100 ms
+    And 4000 ms pass
+    Then another attempt of 50 tokens in "b" fails with tokens_spent
