Wait for absent archives before an emptied one counts budgets, for 30 s

An absent peer was presumed lost with its ledger after 2.5 s, a restart's time.

Change: 30 s, longer than the cuts and restarts of a site. Meanwhile majorities without the emptied archive decide, where there are any; else service is suspended.

Test: three rows of emptied_archive.feature, which admitted attempts with 2.5 s. "Gone for good" asserted the unsafe side after 6 s; it asks for the same after 31 s now, since until then the archive may return with the only ledger. What remains: a peer that returns after 30 s.

--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -12,10 +12,11 @@
  */
 const commonRestartMs = 1200;
 /**
- * A peer that is unreachable for this long is presumed lost with its ledgers: a
- * restart takes 1 to 2 s.
+ * A peer that is unreachable for this long is presumed lost with its ledgers:
+ * longer than restarts, cuts and the recovery of a site, since a peer that returns
+ * may alone have recorded what the lost disk had recorded as well.
  */
-const lostPeerMs = 2500;
+const lostPeerMs = 30_000;
 
 /** Archive and peers of a recovery. */
 export interface LedgerRecoveryOptions {
--- a/packages/turns/tests/client/emptied_archive.feature
+++ b/packages/turns/tests/client/emptied_archive.feature
@@ -63,5 +63,23 @@
   Scenario: An emptied archive grants although another one is gone for good
     Given archives "a, b, c" with 2 replicas per turn
     When archive "a" restarts on an empty disk with "b" down for 600000 ms
-    And 6000 ms pass
+    And 31000 ms pass
     Then an attempt of a program of "a" is admitted in "a"
+
+  # Guards against budgets that are spent again since an absent archive was presumed lost.
+  Scenario Outline: An archive that may alone know of a budget is waited for while it is away for long
+    Given archives "a, b, c" with 2 replicas per turn
+    And entry VM "a:1" reaches only archives "a, b"
+    When attempts that reserve 50 tokens and use 50 run sequentially in "a:1" on a budget of 200
+    And all entry VMs are killed
+    And archive "<emptied>" restarts on an empty disk with "<away>" down for 20000 ms
+    And 10000 ms pass
+    Then an attempt of a program of "a" in "<entry>" fails with archive_unavailable
+    When 14000 ms pass
+    Then another attempt of 50 tokens in "<entry>" fails with tokens_spent
+
+    Examples:
+      | emptied | away | entry |
+      | a       | b    | a:2   |
+      | a       | b    | c:2   |
+      | b       | a    | c:2   |
