Drop turns whose calls have ended from the queue of the object API

Cause: a turn that was given up stayed in the writer's queue. Its call's signal now drops it. The scenario of turn_objects.feature fails without that (700 ms).

--- a/packages/turns/src/client/turn_recorder.ts
+++ b/packages/turns/src/client/turn_recorder.ts
@@ -98,7 +98,7 @@
     );
     const inObject = isShort.promise.then(async () => {
       const record = {...turn, disks: [...holders.values()]};
-      await objects.write(record);
+      await objects.write(record, controller.signal);
       return {record, disks: holders.size, isInObject: true};
     });
     const stored = Promise.any([onDisks, inObject]).catch(() => {
--- a/packages/turns/src/objects/turn_object_writer.ts
+++ b/packages/turns/src/objects/turn_object_writer.ts
@@ -10,6 +10,7 @@
   type DaemonId,
   Deferred,
   isErrorOfKind,
+  MarigoldpostError,
   toMarigoldpostError,
 } from '@marigoldpost/common';
 import type {ObjectStore} from '@marigoldpost/platform';
@@ -46,6 +47,7 @@
 interface WaitingTurn {
   readonly record: TurnRecord;
   readonly written: Deferred<void>;
+  readonly signal: AbortSignal;
 }
 
 /** Writes batches of turns, one at a time. */
@@ -69,10 +71,11 @@
    * Writes a turn; resolves once the object API has acknowledged it. Throws the
    * error of the last attempt.
    * @param record - Finished turn.
+   * @param signal - Drops the turn, if its write has not started, when aborted.
    */
-  write(record: TurnRecord): Promise<void> {
+  write(record: TurnRecord, signal: AbortSignal): Promise<void> {
     const written = Deferred.create<void>();
-    this.waiting.push({record, written});
+    this.waiting.push({record, written, signal});
     if (!this.isRunning) void this.run();
     return written.promise;
   }
@@ -84,7 +87,9 @@
       const pauseMs = this.nextStartMs - clock.nowMs();
       if (pauseMs > 0) await clock.sleep(pauseMs);
       this.nextStartMs = clock.nowMs() + getIntervalMs();
+      this.dropAborted();
       const turns = this.takeBatch();
+      if (turns.length === 0) continue;
       try {
         await this.writeBatch(turns.map(({record}) => record));
         for (const {written} of turns) written.resolve();
@@ -96,6 +101,16 @@
     this.isRunning = false;
   }
 
+  /** Drops turns whose calls have ended, so that they delay no others. */
+  private dropAborted(): void {
+    for (const {signal, written, record} of this.waiting) {
+      if (!signal.aborted) continue;
+      const message = `the write of turn "${record.id}" was not started in time`;
+      written.reject(MarigoldpostError.create('store_unavailable', message));
+    }
+    this.waiting = this.waiting.filter(({signal}) => !signal.aborted);
+  }
+
   private takeBatch(): WaitingTurn[] {
     let bytes = 0;
     const count = this.waiting.findIndex(({record}, index) => {
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -91,6 +91,27 @@
   },
 );
 
+When(
+  '{int} turns of {int} bytes fail in {string}',
+  async function (
+    this: ObjectWorld,
+    count: number,
+    bytes: number,
+    dataCentre: string,
+  ) {
+    const {archives} = this;
+    const store = archives.getStore(dataCentre);
+    const recorded = Array.from({length: count}, (_, index) => {
+      const turn = createTurn(`failed-${index}`, undefined);
+      const {signal} = new AbortController();
+      const wait = {maxWaitMs: unlimitedWaitMs, signal};
+      return store.record({...turn, input: Buffer.alloc(bytes)}, [], wait);
+    });
+    const results = await archives.run(Promise.allSettled(recorded));
+    assert.ok(results.every(({status}) => status === 'rejected'));
+  },
+);
+
 Then(
   'the object API was written to at most {int} times',
   function (this: ObjectWorld, most: number) {
--- a/packages/turns/tests/objects/turn_objects.feature
+++ b/packages/turns/tests/objects/turn_objects.feature
@@ -109,3 +109,10 @@
     And archives "b, c" are down for 900 ms
     When turn "t0" finishes in "a" within 1500 ms
     Then a turn is accepted in "a" within 10 ms
+
+  Scenario: Turns whose calls have ended do not delay others once the object API is back
+    Given data centre "a" is isolated
+    And the object API is away
+    When 200 turns of 100000 bytes fail in "a"
+    And the object API is back
+    Then turn "t1" finishes in "a" within 700 ms
