Keep archives superseded while their data centre is cut off, and import objects one by one

From the review, by reading: one object that cannot be removed no longer keeps an archive from importing the others; objects are removed only once the own disk is registered; late replies of a slow object API count; a site with one data centre is never "isolated".

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -46,6 +46,8 @@
 const archiveTiming = {pauseMs: 250, waitMs: 10_000};
 /** Changes of entry VMs are not urgent. */
 const entryRelayTiming = {pauseMs: 1000, waitMs: relaxedTiming.waitMs};
+/** Changes of turns and reservations, which come in series. */
+const objectTiming = {pauseMs: 500, waitMs: relaxedTiming.waitMs};
 /** Pause before a failed registration is retried. */
 const registrationRetryMs = 300;
 /** Time to finish pending replies at stop; a disk sync takes far less. */
@@ -107,7 +109,7 @@
     this.watchSite(mirror, changes, contact);
     this.watch(retirementPrefix, relaxedTiming, retirement);
     for (const prefix of [turnObjectPrefix, reservationPrefix]) {
-      this.watch(prefix, relaxedTiming, {
+      this.watch(prefix, objectTiming, {
         replaceObjects: (objects) => importer.replaceObjects(prefix, objects),
         applyChange: (change) => importer.applyChange(change),
       });
--- a/packages/nodes/src/entry/create_turn_store.ts
+++ b/packages/nodes/src/entry/create_turn_store.ts
@@ -11,8 +11,8 @@
  * may lack archives at the same time, and archives remove what was written.
  */
 const storeWriteShare = 0.25;
-/** Least pause between two writes of one kind; several times their latency. */
-const minWriteIntervalMs = 20;
+/** Least pause between two writes of one kind: each call has a cost. */
+const minWriteIntervalMs = 50;
 const millisecondsPerSecond = 1000;
 const bytesPerMb = 2 ** 20;
 
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -10,6 +10,7 @@
   ArchiveDirectory,
   ArchiveMember,
 } from '../directory/archive_directory.js';
+import type {DiskId} from '../log/disk_identity.js';
 import {ArchiveClient} from './archive_client.js';
 import {ArchiveRetries, type ArchiveWait} from './archive_retries.js';
 
@@ -61,6 +62,8 @@
   /** Waits that a network split may end; removed with the wait. */
   private readonly silenceListeners = new Set<() => void>();
   private returns = 0;
+  /** Archives that others of their data centre have taken the place of. */
+  private readonly superseded = new WeakSet<ArchiveClient>();
   /** When an archive became reachable while no other one was. */
   private isolationEndMs = Number.NEGATIVE_INFINITY;
 
@@ -97,6 +100,17 @@
     return this.isOwnRegistered;
   }
 
+  /**
+   * Whether the list of archives has the own daemon with a disk.
+   * @param disk - Identity of the own disk.
+   */
+  isOwnDiskRegistered(disk: DiskId): boolean {
+    const {directory, ownDaemon} = this.options;
+    return (
+      ownDaemon !== undefined && directory.getMember(ownDaemon)?.disk === disk
+    );
+  }
+
   /** Gets one client per registered archive, reachable or not. */
   getClients(): readonly ArchiveClient[] {
     const {directory, ownDaemon} = this.options;
@@ -121,18 +135,22 @@
    * that are superseded. Nothing removes the registration of a VM that never
    * returns, and a few of them would leave no majority. Another archive that is
    * reachable in the same data centre shows that it is not the link to it that
-   * is cut.
+   * is cut; it stays superseded until it replies, also when that link is cut later.
    */
   getVoters(): readonly ArchiveClient[] {
     const clients = this.getClients();
     const sinceMs = this.options.clock.nowMs() - supersededMs;
-    return clients.filter(
-      ({unreachableAtMs = Infinity, dataCentre}) =>
-        unreachableAtMs > sinceMs ||
-        !clients.some(
+    for (const client of clients) {
+      const {isReachable, unreachableAtMs = Infinity, dataCentre} = client;
+      if (isReachable) this.superseded.delete(client);
+      const isSuperseded =
+        unreachableAtMs <= sinceMs &&
+        clients.some(
           (other) => other.isReachable && other.dataCentre === dataCentre,
-        ),
-    );
+        );
+      if (isSuperseded) this.superseded.add(client);
+    }
+    return clients.filter((client) => !this.superseded.has(client));
   }
 
   /**
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -138,6 +138,7 @@
     return (
       !this.hasEnoughArchives &&
       this.probe.hasFailed &&
+      elsewhere.length > 0 &&
       elsewhere.every(({isReachable}) => !isReachable)
     );
   }
--- a/packages/turns/src/objects/object_importer.ts
+++ b/packages/turns/src/objects/object_importer.ts
@@ -2,7 +2,12 @@
  * Stores on the own disk what entry VMs have written to the object API, and
  * removes the objects once enough disks have it.
  */
-import {type Clock, type DaemonId, getHashNumber} from '@marigoldpost/common';
+import {
+  type Clock,
+  type DaemonId,
+  getHashNumber,
+  toMarigoldpostError,
+} from '@marigoldpost/common';
 import type {
   ObjectChange,
   ObjectStore,
@@ -116,12 +121,18 @@
    * @param isReplicated - Whether enough disks store a turn, the own one included.
    */
   async run(isReplicated: (turn: TurnId) => boolean): Promise<void> {
-    for (const [key, reservations] of this.reservations) {
-      await this.importReservations(key, reservations);
-    }
+    const failures: unknown[] = [];
+    // A failure of one object must not keep the others from being imported.
+    const tryImport = async (work: Promise<void>) => {
+      await work.catch((error: unknown) => failures.push(error));
+    };
     for (const [name, batch] of this.batches) {
-      await this.importBatch(name, batch, isReplicated);
+      await tryImport(this.importBatch(name, batch, isReplicated));
+    }
+    for (const [key, reservations] of this.reservations) {
+      await tryImport(this.importReservations(key, reservations));
     }
+    if (failures.length > 0) throw toMarigoldpostError(failures[0]);
   }
 
   private putObject(object: StoredObject): void {
@@ -190,7 +201,12 @@
       this.options.onImported?.(name, batch.records.length);
       batch.records = undefined;
     }
-    const isNeeded = batch.ids.length === 0 || !batch.ids.every(isReplicated);
+    const {pool} = this.options;
+    // Until its disk is registered, nobody asks this archive for a turn.
+    const isNeeded =
+      batch.ids.length === 0 ||
+      !batch.ids.every(isReplicated) ||
+      !pool.isOwnDiskRegistered(archive.disk);
     if (!isNeeded && ageMs >= rank * precedenceMs) {
       await this.removeBatch(name, batch);
     }
--- a/packages/turns/src/objects/store_probe.ts
+++ b/packages/turns/src/objects/store_probe.ts
@@ -68,16 +68,21 @@
   private async call(): Promise<boolean> {
     const {store, clock} = this.options;
     const replied = store.getObject(probedKey).then(
-      () => true,
+      () => {
+        // Counts also if it is late: a slow object API accepts writes.
+        this.isFailing = false;
+        this.lastReplyMs = clock.nowMs();
+        return true;
+      },
       () => false,
     );
     const timedOut = clock.sleep(replyTimeoutMs).then(() => false);
     const result = await Promise.race([replied, timedOut]);
-    this.isFailing = !result;
-    if (result) this.lastReplyMs = clock.nowMs();
-    else if (!this.isStopped) {
+    if (result) return true;
+    this.isFailing = true;
+    if (!this.isStopped) {
       this.timer = clock.setTimer(retryPauseMs, () => void this.call());
     }
-    return result;
+    return false;
   }
 }
--- a/packages/turns/tests/client/replaced_archive.feature
+++ b/packages/turns/tests/client/replaced_archive.feature
@@ -20,3 +20,14 @@
     Given archives "a, b, c, d" with 2 replicas per turn
     And archive "b" restarts on an empty disk with "d" down for 5500 ms
     Then an attempt of a program of "a" is admitted in "a"
+
+  # Guards against 503s in all data centres while the one of a replaced archive is isolated.
+  Scenario: An archive that another one has taken the place of gets no vote while their data centre is isolated
+    Given archives "a1, a2, b, c" with 2 replicas per turn
+    And archive "a1" is killed
+    Then an attempt of a program of "a" is admitted in "c"
+    When 7000 ms pass
+    Then an attempt of a program of "a" is admitted in "c"
+    When data centre "a" is isolated
+    Then an attempt of a program of "a" is admitted in "c"
+    And an attempt of a program of "b" is admitted in "c"
