Refuse turns for 1 s after a write to the object API has failed

Cause: whether a turn can be kept was decided by reads of the object API only. A failed write now tells more for 1 s, for turns and reservations; then some try again.

Test: the last scenario of turn_objects.feature; without the change the second turn is accepted. Other answers that are lost keep a batch for up to 0.8 s and may truncate turns (not mended).

--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -182,10 +182,11 @@
     const {objects, probe} = this.options;
     if (this.isOnEnoughDisks(ballot)) return [];
     // Its reply time-out is shorter than that of a write.
-    if (!(await probe.check())) return undefined;
+    if (!(await probe.checkWrites())) return undefined;
     try {
       return await objects.record(request);
     } catch {
+      probe.recordFailedWrite();
       // The attempt is rejected, and settled with 0 tokens.
       return undefined;
     }
@@ -215,7 +216,7 @@
     const {result} = ballot;
     if (result === 'unavailable') return false;
     if (result === 'spent' || this.isOnEnoughDisks(ballot)) return true;
-    return result === 'refused' || this.options.probe.check();
+    return result === 'refused' || this.options.probe.checkWrites();
   }
 
   /**
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -108,6 +108,7 @@
       objects: TurnObjectWriter.create({
         ...writing,
         onWritten: options.onTurnsWritten,
+        onFailed: () => this.probe.recordFailedWrite(),
       }),
     });
   }
@@ -164,7 +165,7 @@
     const {pool, replicaCount} = this.options;
     if (this.hasEnoughArchives) return;
     const retries = pool.createRetries(wait);
-    while (!this.hasEnoughArchives && !(await this.probe.check())) {
+    while (!this.hasEnoughArchives && !(await this.probe.checkWrites())) {
       const hasReturned =
         !this.isIsolated && (await retries.waitForReturn(replicaCount, true));
       if (hasReturned) continue;
--- a/packages/turns/src/objects/store_probe.ts
+++ b/packages/turns/src/objects/store_probe.ts
@@ -5,6 +5,8 @@
 
 /** Time for which a reply is relied on. */
 const resultMs = 500;
+/** Time for which a write that failed tells more than reads that succeed. */
+const failedWriteMs = 1000;
 /** Pause before a call that had no reply is repeated. */
 const retryPauseMs = 250;
 /** Reply time-out; far above the latency of the object API. */
@@ -27,6 +29,7 @@
   private running: Promise<boolean> | undefined;
   private isFailing = false;
   private lastReplyMs = Number.NEGATIVE_INFINITY;
+  private lastFailedWriteMs = Number.NEGATIVE_INFINITY;
   private timer: Timer | undefined;
   private isStopped = false;
 
@@ -59,6 +62,20 @@
     return this.running;
   }
 
+  /**
+   * Whether the object API replies, and no write has failed within 1 s. It may
+   * serve reads and refuse writes.
+   */
+  checkWrites(): Promise<boolean> {
+    const elapsedMs = this.options.clock.nowMs() - this.lastFailedWriteMs;
+    return elapsedMs < failedWriteMs ? Promise.resolve(false) : this.check();
+  }
+
+  /** Records that a write has failed. */
+  recordFailedWrite(): void {
+    this.lastFailedWriteMs = this.options.clock.nowMs();
+  }
+
   /** Ends the calls in the background. */
   stop(): void {
     this.isStopped = true;
--- a/packages/turns/src/objects/turn_object_writer.ts
+++ b/packages/turns/src/objects/turn_object_writer.ts
@@ -34,6 +34,8 @@
   /** Gets the least pause between the starts of two writes. */
   readonly getIntervalMs: () => number;
   readonly onWritten?: (batch: WrittenBatch) => void;
+  /** Called when a batch could not be written. */
+  readonly onFailed: () => void;
 }
 
 /** A batch of turns that is durable in the object API. */
@@ -94,6 +96,7 @@
         await this.writeBatch(turns.map(({record}) => record));
         for (const {written} of turns) written.resolve();
       } catch (error) {
+        this.options.onFailed();
         const failure = toMarigoldpostError(error);
         for (const {written} of turns) written.reject(failure);
       }
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -22,6 +22,10 @@
   this.archives.killEntry(name);
 });
 
+Given('the object API loses writes', function (this: ObjectWorld) {
+  this.archives.objects.areWritesLost = true;
+});
+
 Given(
   'the object API is away from {string}',
   function (this: ObjectWorld, dataCentre: string) {
--- a/packages/turns/tests/objects/turn_objects.feature
+++ b/packages/turns/tests/objects/turn_objects.feature
@@ -116,3 +116,9 @@
     When 200 turns of 100000 bytes fail in "a"
     And the object API is back
     Then turn "t1" finishes in "a" within 700 ms
+
+  Scenario: Turns are refused before they run while the object API replies to reads only
+    Given data centre "a" is isolated
+    And the object API loses writes
+    Then turn "t1" that finishes in "a" fails with archive_unavailable within 2000 ms
+    And a turn is refused in "a" with archive_unavailable within 10 ms
