--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -12,11 +12,12 @@
  */
 const commonRestartMs = 1200;
 /**
- * A peer that is unreachable for this long is presumed lost with its ledgers:
- * longer than restarts, cuts and the recovery of a site, since a peer that returns
- * may alone have recorded what the lost disk had recorded as well.
+ * A peer that is unreachable for this long is presumed lost with its ledgers. An
+ * emptied archive waits longer than restarts, cuts and the recovery of a site: the
+ * peer may alone have recorded what the lost disk had recorded as well. A new one
+ * has recorded nothing, and waits for a restart.
  */
-const lostPeerMs = 30_000;
+const lostPeerMs = {emptied: 30_000, new: 2500};
 
 /** Archive and peers of a recovery. */
 export interface LedgerRecoveryOptions {
@@ -110,9 +111,11 @@
 
   /** Whether each peer has sent its ledger or is presumed lost. */
   private get hasAllLedgers(): boolean {
+    const {pool} = this.options;
+    const awayMs = this.isNew ? lostPeerMs.new : lostPeerMs.emptied;
     return (
       this.mergedPeers.size > 0 &&
-      this.isEveryPeerMergedOrAway(lostPeerMs, this.options.pool.getClients())
+      this.isEveryPeerMergedOrAway(awayMs, pool.getClients())
     );
   }
 
@@ -128,8 +131,7 @@
     const merged = voters.filter((client) =>
       this.mergedCompletePeers.has(client),
     );
-    // A new archive has taken part in none.
-    const isNew = pool.wasRegistered === false;
+    const {isNew} = this;
     const quorumVoters = voters.length + (isNew ? 0 : 1);
     const requiredCount = quorumVoters - getMajority(quorumVoters) + 1;
     const isHome = (client: ArchiveClient) => client.dataCentre === dataCentre;
@@ -141,6 +143,11 @@
     );
   }
 
+  /** Whether the archive has taken part in no quorum. */
+  private get isNew(): boolean {
+    return this.options.pool.wasRegistered === false;
+  }
+
   private isEveryPeerMergedOrAway(
     awayMs: number,
     clients: readonly ArchiveClient[],
