Do not wait for archives that others have taken the place of

After the final fault the emptied archive waited for two that had been replaced before; took new archives for the cause, which they are not.

Change: a peer is waited for 2.5 s if its data centre has another archive that replies, or is the own one, and else for 30 s. The last scenario of emptied_archive.feature fails with 30 s for both.

--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -12,12 +12,13 @@
  */
 const commonRestartMs = 1200;
 /**
- * A peer that is unreachable for this long is presumed lost with its ledgers. An
- * emptied archive waits longer than restarts, cuts and the recovery of a site: the
- * peer may alone have recorded what the lost disk had recorded as well. A new one
- * has recorded nothing, and waits for a restart.
+ * A peer that is unreachable for this long is presumed lost with its ledgers:
+ * longer than restarts, cuts and the recovery of a site, since the peer may alone
+ * have recorded what a lost disk had recorded as well. One whose data centre has
+ * another archive was probably replaced by it, and is waited for as long as a
+ * restart takes.
  */
-const lostPeerMs = {emptied: 30_000, new: 2500};
+const lostPeerMs = {alone: 30_000, replaced: 2500};
 
 /** Archive and peers of a recovery. */
 export interface LedgerRecoveryOptions {
@@ -111,11 +112,14 @@
 
   /** Whether each peer has sent its ledger or is presumed lost. */
   private get hasAllLedgers(): boolean {
-    const {pool} = this.options;
-    const awayMs = this.isNew ? lostPeerMs.new : lostPeerMs.emptied;
+    const clients = this.options.pool.getClients();
     return (
       this.mergedPeers.size > 0 &&
-      this.isEveryPeerMergedOrAway(awayMs, pool.getClients())
+      clients.every(
+        (client) =>
+          this.mergedPeers.has(client) ||
+          this.hasBeenAwayFor(client, this.getLostPeerMs(client)),
+      )
     );
   }
 
@@ -131,7 +135,8 @@
     const merged = voters.filter((client) =>
       this.mergedCompletePeers.has(client),
     );
-    const {isNew} = this;
+    // A new archive has taken part in none.
+    const isNew = pool.wasRegistered === false;
     const quorumVoters = voters.length + (isNew ? 0 : 1);
     const requiredCount = quorumVoters - getMajority(quorumVoters) + 1;
     const isHome = (client: ArchiveClient) => client.dataCentre === dataCentre;
@@ -143,9 +148,12 @@
     );
   }
 
-  /** Whether the archive has taken part in no quorum. */
-  private get isNew(): boolean {
-    return this.options.pool.wasRegistered === false;
+  private getLostPeerMs({dataCentre}: ArchiveClient): number {
+    const {pool, dataCentre: ownDataCentre} = this.options;
+    const isReplaced =
+      dataCentre === ownDataCentre ||
+      pool.getReachableClients(dataCentre).length > 0;
+    return isReplaced ? lostPeerMs.replaced : lostPeerMs.alone;
   }
 
   private isEveryPeerMergedOrAway(
--- a/packages/turns/tests/client/emptied_archive.feature
+++ b/packages/turns/tests/client/emptied_archive.feature
@@ -83,3 +83,11 @@
       | a       | b    | a:2   |
       | a       | b    | c:2   |
       | b       | a    | c:2   |
+
+  # Guards against a site that is suspended for as long as replaced archives stay registered.
+  Scenario: Archives that others have taken the place of are not waited for
+    Given archives "a, b1, b2, c1, c2" with 2 replicas per turn
+    And archive "b1" is killed
+    When archive "a" restarts on an empty disk with "c1" down for 60000 ms
+    And 2500 ms pass
+    Then an attempt of a program of "a" is admitted in "a" within 1000 ms
