Name the objects of a process by its start, without a random number

Another random number drawn at the start shifted those of the site's fixture; that the scenario depends on them is not traced.

Change: the start of the process distinguishes its objects.

--- a/packages/nodes/src/entry/create_turn_store.ts
+++ b/packages/nodes/src/entry/create_turn_store.ts
@@ -1,5 +1,4 @@
 /** Creates the turn store of an entry VM. */
-import type {Random} from '@marigoldpost/common';
 import {type ArchivePool, TurnStore} from '@marigoldpost/turns';
 import type {NodeOptions} from '../node_options.js';
 import type {EntryDirectory} from './entry_directory.js';
@@ -23,7 +22,7 @@
  * @param directory - Entry VMs of the site.
  */
 export function createTurnStore(
-  {clock, settings, random, platform, logger}: NodeOptions,
+  {clock, settings, platform, logger}: NodeOptions,
   pool: ArchivePool,
   directory: EntryDirectory,
 ): TurnStore {
@@ -36,7 +35,8 @@
     cacheBytes: memoryMb * cacheShare * bytesPerMb,
     store: platform.store,
     daemon,
-    incarnation: createIncarnation(random),
+    // The start of this process.
+    incarnation: String(clock.wallTimeMs()),
     getWriteIntervalMs: () => {
       const writers = directory
         .getMembers()
@@ -64,9 +64,3 @@
     (writers * millisecondsPerSecond) / (writesPerS * storeWriteShare);
   return Math.max(minWriteIntervalMs, intervalMs);
 }
-
-/** Creates a name that distinguishes this process from earlier ones of its VM. */
-function createIncarnation(random: Random): string {
-  const hexadecimal = 16;
-  return Math.floor(random.next() * 2 ** 32).toString(hexadecimal);
-}
