Acknowledge no turn by an object of another process

An entry VM names its objects by its start on the wall clock. If the clock is set back before a restart, a new process may use a name again while the old object exists.

Cause: `object_exists` was taken as the acknowledgement of an earlier attempt, whatever the object holds. The turn was acknowledged and stood nowhere but on the disks that were too few.

Change: an object that exists is read, and counts if it holds what was to be written. It costs a read where the answer of a write was lost.

Test: "A turn whose object has the name of another one is not acknowledged" (turn_objects.feature) fails without the change (the turn is acknowledged).

--- a/packages/turns/src/objects/turn_object_writer.ts
+++ b/packages/turns/src/objects/turn_object_writer.ts
@@ -145,17 +145,28 @@
     value: string,
     endMs: number,
   ): Promise<void> {
-    const {store, clock} = this.options;
+    const {clock} = this.options;
     for (;;) {
       try {
-        await store.createObject(key, value);
+        await this.tryCreateObject(key, value);
         return;
       } catch (error) {
-        // The key is unique, so an earlier attempt took effect.
-        if (isErrorOfKind(error, 'object_exists')) return;
         if (clock.nowMs() + retryPauseMs >= endMs) throw error;
         await clock.sleep(retryPauseMs);
       }
     }
   }
+
+  /** Creates an object, unless an earlier attempt has taken effect. */
+  private async tryCreateObject(key: string, value: string): Promise<void> {
+    const {store} = this.options;
+    try {
+      await store.createObject(key, value);
+    } catch (error) {
+      if (!isErrorOfKind(error, 'object_exists')) throw error;
+      // A process before a clock that was set back may have used the same name.
+      const stored = await store.getObject(key);
+      if (stored?.value !== value) throw error;
+    }
+  }
 }
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -80,6 +80,21 @@
   },
 );
 
+Given(
+  'objects with the names of those that {string} writes next exist',
+  async function (this: ObjectWorld, dataCentre: string) {
+    const {archives} = this;
+    const {byKey} = archives.objects;
+    await recordTurns(archives, [createTurn('first', undefined)], dataCentre);
+    const [first] = byKey.values();
+    assert.ok(first !== undefined);
+    for (let batch = 2; batch < 10; batch++) {
+      const key = first.key.replace(/\.1\.0$/, `.${batch}.0`);
+      byKey.set(key, {...first, key, value: 'of another process'});
+    }
+  },
+);
+
 When(
   '{int} turns finish at a time in {string} within {int} ms',
   async function (
@@ -182,7 +197,7 @@
   archives: ArchiveFleet,
   turns: ReturnType<typeof createTurn>[],
   dataCentre: string,
-  withinMs: number,
+  withinMs = Infinity,
 ): Promise<void> {
   const startMs = archives.clock.nowMs();
   const store = archives.getStore(dataCentre);
--- a/packages/turns/tests/objects/turn_objects.feature
+++ b/packages/turns/tests/objects/turn_objects.feature
@@ -122,3 +122,9 @@
     And the object API loses writes
     Then turn "t1" that finishes in "a" fails with archive_unavailable within 2000 ms
     And a turn is refused in "a" with archive_unavailable within 10 ms
+
+  # Guards against a turn that an object of another process stands for.
+  Scenario: A turn whose object has the name of another one is not acknowledged
+    Given data centre "a" is isolated
+    And objects with the names of those that "a" writes next exist
+    Then turn "t1" that finishes in "a" fails with archive_unavailable within 2000 ms
