Keep the objects of turns as long as an archive retains them

A chain that goes on for minutes beside one archive stands on its disk and in the object API. Archives removed each object 240 s after it was written, so the oldest turns were left on one disk.

Cause: the age of the object decided, not whether its turns are retained; descendants retain their ancestors for longer.

Change: an object that is old is removed once the archive has imported it and retains none of its turns.

Test: "A chain that goes on beside one disk for minutes survives its loss" (turn_objects.feature) fails without the change ("turn t0 not found, but a stored turn continues it").

--- a/packages/turns/src/objects/object_importer.ts
+++ b/packages/turns/src/objects/object_importer.ts
@@ -28,8 +28,8 @@
 /** Time for which an archive leaves a batch to the one that precedes it. */
 const precedenceMs = 300;
 /**
- * Time after which an object that has not changed is removed: twice the time for
- * which turns and ledgers are kept.
+ * Time after which an object that has not changed is removed, unless its turns
+ * are retained for longer: twice the time for which ledgers are kept.
  */
 const maxAgeMs = 240_000;
 
@@ -190,7 +190,7 @@
   ): Promise<void> {
     const {archive, clock} = this.options;
     const ageMs = clock.nowMs() - batch.seenAtMs;
-    if (ageMs > maxAgeMs) {
+    if (ageMs > maxAgeMs && !this.isRetained(batch)) {
       await this.removeBatch(name, batch);
       return;
     }
@@ -212,6 +212,15 @@
     }
   }
 
+  /**
+   * Whether the own disk lacks turns of a batch, or retains them, as ancestors of
+   * a chain that goes on.
+   */
+  private isRetained({records, ids}: Batch): boolean {
+    const {archive} = this.options;
+    return records !== undefined || ids.some((id) => archive.hasTurn(id));
+  }
+
   private async removeBatch(name: string, batch: Batch): Promise<void> {
     const {store, onRemoved} = this.options;
     for (const key of [...batch.parts.keys()]) {
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -95,6 +95,25 @@
   },
 );
 
+When(
+  'a chain of {int} turns after {string} finishes in {string}, with {int} ms between them',
+  async function (
+    this: ObjectWorld,
+    count: number,
+    first: string,
+    dataCentre: string,
+    pauseMs: number,
+  ) {
+    let previous = first;
+    for (let index = 1; index <= count; index++) {
+      await this.archives.clock.advance(pauseMs);
+      const turn = createTurn(`t${index}`, previous);
+      await recordTurns(this.archives, [turn], dataCentre);
+      previous = turn.id;
+    }
+  },
+);
+
 When(
   '{int} turns finish at a time in {string} within {int} ms',
   async function (
--- a/packages/turns/tests/objects/turn_objects.feature
+++ b/packages/turns/tests/objects/turn_objects.feature
@@ -128,3 +128,13 @@
     Given data centre "a" is isolated
     And objects with the names of those that "a" writes next exist
     Then turn "t1" that finishes in "a" fails with archive_unavailable within 2000 ms
+
+  # Guards against ancestors that the object API drops before their chain ends.
+  Scenario: A chain that goes on beside one disk for minutes survives its loss
+    Given archives "b, c" are down for 280000 ms
+    When turn "t0" finishes in "a" within 2000 ms
+    And a chain of 6 turns after "t0" finishes in "a", with 45000 ms between them
+    And all entry VMs are killed
+    And archive "a" restarts on an empty disk
+    And 20000 ms pass
+    Then a new entry VM in "b" reads the chain "t0, t1, t2, t3, t4, t5, t6"
