Send callers of an isolated data centre elsewhere as soon as the balancer does

Until the balancer has noticed that the VM is not ready, a retry meets the next VM of the same data centre; after that it could be served at once, but waits all the same, and the client's open connections stay where no turn can be kept.

Change: IsolationDetector (taken out of TurnStore) knows since when the data centre is isolated. The delay is the time until the balancer has noticed (the bound that a stop goes by), 50 ms from then on. Responses of such a VM close their connections, as those of a VM that reaches no archive do.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -58,6 +58,15 @@
     this.drainEndMs = endMs;
   }
 
+  /**
+   * Whether the client's next connection may go to a daemon that can store turns
+   * while this one cannot.
+   */
+  private get isBetterServedElsewhere(): boolean {
+    const {turns} = this.services;
+    return !turns.isReachable || turns.isIsolated;
+  }
+
   private get isDraining(): boolean {
     return this.drainEndMs !== undefined;
   }
@@ -136,10 +145,8 @@
       clock,
       arrivedAtMs,
       logger: this.services.logger.withContext({requestId}),
-      // If no archive is reachable from here, the client's next connection
-      // may go to a daemon that can reach one.
       isClosing: () =>
-        isLastRead() && (this.isDraining || !this.services.turns.isReachable),
+        isLastRead() && (this.isDraining || this.isBetterServedElsewhere),
     });
     this.calls.add(call);
     await this.serveOrReject(call);
--- a/packages/nodes/src/entry/create_turn_store.ts
+++ b/packages/nodes/src/entry/create_turn_store.ts
@@ -32,6 +32,7 @@
     clock,
     ownDataCentre: dataCentre,
     replicaCount: toleratedDisks + 1,
+    balancerNoticeMs: settings.bounds.balancerNoticeMs,
     cacheBytes: memoryMb * cacheShare * bytesPerMb,
     store: platform.store,
     daemon,
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -15,7 +15,6 @@
 import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveWait} from './archive_retries.js';
-import {getArchiveRetryAfterMs} from './chain_reader.js';
 import {ReservationBallot} from './reservation_ballot.js';
 import type {SettlementSender} from './settlement_sender.js';
 
@@ -47,6 +46,8 @@
   /** Records the reservations that no majority with the home has recorded. */
   readonly objects: Pick<ReservationObjects, 'record'>;
   readonly probe: StoreProbe;
+  /** Gets the retry delay for a call that needs an unreachable archive. */
+  readonly getRetryAfterMs: () => number;
 }
 
 /** Ledgers of several archives for one program. */
@@ -253,7 +254,7 @@
     return MarigoldpostError.create(
       'archive_unavailable',
       `too few archives granted ${tokens} tokens to program "${program}"`,
-      {retryAfterMs: getArchiveRetryAfterMs(this.options.pool)},
+      {retryAfterMs: this.options.getRetryAfterMs()},
     );
   }
 }
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -12,29 +12,6 @@
 import type {ArchivePool} from './archive_pool.js';
 import type {TurnCache} from './turn_cache.js';
 
-/**
- * Retry delay sent to callers while some archives are unreachable. Network
- * outages last for seconds; callers wait at most a third of their deadline,
- * which is about 4 s.
- */
-const unreachableArchiveRetryMs = 1200;
-/**
- * Retry delay while this daemon reaches no archive at all. It is short, since
- * another entry VM may be able to serve the call at once.
- */
-const noReachableArchiveRetryMs = 50;
-
-/**
- * Gets the retry delay, in milliseconds, for a caller whose turn needs an
- * unreachable archive.
- * @param pool - Archives and their reachability.
- */
-export function getArchiveRetryAfterMs(pool: ArchivePool): number {
-  return pool.hasReachableArchive
-    ? unreachableArchiveRetryMs
-    : noReachableArchiveRetryMs;
-}
-
 /** Archives and cache that a reader uses. */
 export interface ChainReaderOptions {
   readonly pool: ArchivePool;
@@ -45,6 +22,8 @@
   /** Finds turns in the object API, which too few disks store. */
   readonly objects: Pick<TurnObjectReader, 'findTurn'>;
   readonly probe: StoreProbe;
+  /** Gets the retry delay for a call that needs an unreachable archive. */
+  readonly getRetryAfterMs: () => number;
 }
 
 /**
@@ -143,7 +122,7 @@
     return MarigoldpostError.create(
       'archive_unavailable',
       `turn "${turn}" not found, but a stored turn continues it, or a VM that may have it did not reply or is not known yet`,
-      {retryAfterMs: getArchiveRetryAfterMs(this.options.pool)},
+      {retryAfterMs: this.options.getRetryAfterMs()},
     );
   }
 }
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -21,7 +21,8 @@
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveWait} from './archive_retries.js';
 import {BudgetClient, type TokenRequest} from './budget_client.js';
-import {ChainReader, getArchiveRetryAfterMs} from './chain_reader.js';
+import {ChainReader} from './chain_reader.js';
+import {IsolationDetector} from './isolation_detector.js';
 import {SettlementSender} from './settlement_sender.js';
 import {TurnCache} from './turn_cache.js';
 import {type DurableTurn, type NewTurn, TurnRecorder} from './turn_recorder.js';
@@ -42,6 +43,8 @@
   readonly incarnation: string;
   /** Gets the least pause between two writes of one kind to the object API. */
   readonly getWriteIntervalMs: () => number;
+  /** Time after which the balancer sends clients of a VM that is not ready elsewhere. */
+  readonly balancerNoticeMs: number;
   /** Called when turns are durable in the object API. */
   readonly onTurnsWritten?: (batch: WrittenBatch) => void;
   /** Called when reservations are durable in the object API. */
@@ -59,6 +62,7 @@
   private readonly cache: TurnCache;
   private readonly reservations: ReservationObjects;
   private readonly probe: StoreProbe;
+  private readonly isolation: IsolationDetector;
   private readonly settlements: SettlementSender;
   private readonly budgets: BudgetClient;
   private readonly chains: ChainReader;
@@ -77,7 +81,16 @@
       onWritten: options.onReservationsWritten,
     });
     this.probe = StoreProbe.create({store: store.getStaleReader(), clock});
-    const {cache, reservations} = this;
+    const {cache, reservations, probe} = this;
+    this.isolation = IsolationDetector.create({
+      pool,
+      probe,
+      clock,
+      ownDataCentre,
+      replicaCount,
+      balancerNoticeMs: options.balancerNoticeMs,
+    });
+    const getRetryAfterMs = () => this.isolation.getRetryAfterMs();
     this.settlements = SettlementSender.create({
       pool,
       objects: reservations,
@@ -90,7 +103,8 @@
       ownDataCentre,
       owedArchives: replicaCount,
       objects: reservations,
-      probe: this.probe,
+      probe,
+      getRetryAfterMs,
     });
     this.chains = ChainReader.create({
       pool,
@@ -98,7 +112,8 @@
       ownDataCentre,
       owedArchives: replicaCount,
       objects: TurnObjectReader.create({store, clock}),
-      probe: this.probe,
+      probe,
+      getRetryAfterMs,
     });
     this.recorder = TurnRecorder.create({
       pool,
@@ -108,7 +123,7 @@
       objects: TurnObjectWriter.create({
         ...writing,
         onWritten: options.onTurnsWritten,
-        onFailed: () => this.probe.recordFailedWrite(),
+        onFailed: () => probe.recordFailedWrite(),
       }),
     });
   }
@@ -128,20 +143,10 @@
 
   /**
    * Whether this VM can make no turn durable since its data centre seems to be
-   * isolated: too few archives are reachable, none of them elsewhere, and the
-   * object API does not reply either.
+   * isolated; see `IsolationDetector`.
    */
   get isIsolated(): boolean {
-    const {pool, ownDataCentre} = this.options;
-    const elsewhere = pool
-      .getClients()
-      .filter(({dataCentre}) => dataCentre !== ownDataCentre);
-    return (
-      !this.hasEnoughArchives &&
-      this.probe.hasFailed &&
-      elsewhere.length > 0 &&
-      elsewhere.every(({isReachable}) => !isReachable)
-    );
+    return this.isolation.checkIsolation();
   }
 
   /**
@@ -150,7 +155,8 @@
    */
   async watchStore(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (!this.hasEnoughArchives) await this.probe.check();
+      if (!this.isolation.hasEnoughArchives) await this.probe.check();
+      this.isolation.checkIsolation();
       await this.options.clock.sleep(probeIntervalMs, signal);
     }
   }
@@ -163,9 +169,10 @@
    */
   async requireDurability(wait: ArchiveWait): Promise<void> {
     const {pool, replicaCount} = this.options;
-    if (this.hasEnoughArchives) return;
+    const {isolation} = this;
+    if (isolation.hasEnoughArchives) return;
     const retries = pool.createRetries(wait);
-    while (!this.hasEnoughArchives && !(await this.probe.checkWrites())) {
+    while (!isolation.hasEnoughArchives && !(await this.probe.checkWrites())) {
       const hasReturned =
         !this.isIsolated && (await retries.waitForReturn(replicaCount, true));
       if (hasReturned) continue;
@@ -252,14 +259,8 @@
     return stored;
   }
 
-  private get hasEnoughArchives(): boolean {
-    const {pool, replicaCount} = this.options;
-    const reachable = pool.getClients().filter(({isReachable}) => isReachable);
-    return reachable.length >= replicaCount;
-  }
-
   private createAbortError(message: string): MarigoldpostError {
-    const retryAfterMs = getArchiveRetryAfterMs(this.options.pool);
+    const retryAfterMs = this.isolation.getRetryAfterMs();
     return MarigoldpostError.create('archive_unavailable', message, {
       retryAfterMs,
     });
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -1,7 +1,12 @@
 /** Steps for what the object API holds while too few disks store it. */
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
-import {type ErrorKind, isErrorOfKind, toId} from '@marigoldpost/common';
+import {
+  type ErrorKind,
+  isErrorOfKind,
+  toId,
+  toMarigoldpostError,
+} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import {turnObjectPrefix} from '@marigoldpost/turns';
 import {
@@ -212,6 +217,30 @@
   },
 );
 
+Then(
+  /^a turn is refused in "(\w)" for a retry after (\d+) to (\d+) ms$/,
+  async function (
+    this: ObjectWorld,
+    dataCentre: string,
+    leastMs: string,
+    mostMs: string,
+  ) {
+    const {archives} = this;
+    const {signal} = new AbortController();
+    const wait = {maxWaitMs: unlimitedWaitMs, signal};
+    const check = archives.getStore(dataCentre).requireDurability(wait);
+    const error = toMarigoldpostError(
+      await archives.run(check).catch((thrown: unknown) => thrown),
+    );
+    assert.equal(error.kind, 'archive_unavailable');
+    const {retryAfterMs = -1} = error;
+    assert.ok(
+      retryAfterMs >= Number(leastMs) && retryAfterMs <= Number(mostMs),
+      `${retryAfterMs} ms`,
+    );
+  },
+);
+
 async function recordTurns(
   archives: ArchiveFleet,
   turns: ReturnType<typeof createTurn>[],
--- a/packages/turns/tests/objects/turn_objects.feature
+++ b/packages/turns/tests/objects/turn_objects.feature
@@ -98,6 +98,21 @@
     And a turn is refused in "a" with archive_unavailable within 10 ms
     And a turn is accepted in "b" within 10 ms
 
+  # Guards against callers that wait although their next connection is served elsewhere.
+  Scenario: Callers of an isolated data centre return once the balancer sends them elsewhere
+    Given data centre "a" is isolated
+    And the object API is away from "a"
+    When 1000 ms pass
+    Then a turn is refused in "a" for a retry after 1250 to 2300 ms
+    When 1300 ms pass
+    Then a turn is refused in "a" for a retry after 50 to 1000 ms
+    When 1000 ms pass
+    Then a turn is refused in "a" for a retry after 50 to 50 ms
+    When the isolation ends and 1000 ms pass
+    And data centre "a" is isolated
+    And 1000 ms pass
+    Then a turn is refused in "a" for a retry after 1250 to 2300 ms
+
   Scenario: A turn of an isolated data centre that reaches the object API is accepted
     Given data centre "a" is isolated
     When turn "t1" finishes in "a" within 2000 ms
