Repeat writes of turns beside those whose answers are lost

A client that gets no answer waits 0.7 s, and the writer waited for it and 0.1 s more before it tried again, so a second lost answer was one too many: a turn has 1.9 s.

Change: a write without success is sent again after 0.3 s, beside the first one; the first acknowledgement ends it. The object's name makes the attempts one write. The object API gets at most five of them for a batch where it got two; it got one in 0.3 s before and after if it answers in time.

Test: "A turn finishes although the object API loses the answers of writes" (turn_objects.feature): three lost answers end in "on too few disks (1) and not in the object API" without the change.

--- a/packages/turns/src/objects/turn_object_writer.ts
+++ b/packages/turns/src/objects/turn_object_writer.ts
@@ -19,9 +19,12 @@
 
 /** Limit of the bytes of turns in one batch, unless it is one turn. */
 const maxBatchBytes = 384 * 1024;
-/** Pause before a write that failed is repeated. */
-const retryPauseMs = 100;
-/** Time in which a failed write is repeated; as long as a turn waits for disks. */
+/**
+ * Time without success after which a write is sent again, beside the first one:
+ * above the latency of an object API that is slow.
+ */
+const retryDelayMs = 300;
+/** Time in which a write is sent again; as long as a turn waits for disks. */
 const maxWriteMs = 1500;
 
 /** Object API, pacing and callbacks of a writer. */
@@ -140,21 +143,27 @@
     onWritten?.({batch, turns: records.length, objects, elapsedMs});
   }
 
+  /** Creates an object; an attempt whose answer is lost does not delay others. */
   private async createObject(
     key: string,
     value: string,
     endMs: number,
   ): Promise<void> {
     const {clock} = this.options;
-    for (;;) {
-      try {
-        await this.tryCreateObject(key, value);
-        return;
-      } catch (error) {
-        if (clock.nowMs() + retryPauseMs >= endMs) throw error;
-        await clock.sleep(retryPauseMs);
-      }
+    const created = Deferred.create<boolean>();
+    let failure = MarigoldpostError.create(
+      'store_unavailable',
+      `the object API did not acknowledge object "${key}" in time`,
+    );
+    while (clock.nowMs() + retryDelayMs <= endMs) {
+      this.tryCreateObject(key, value).then(
+        () => created.resolve(true),
+        (error: unknown) => (failure = toMarigoldpostError(error)),
+      );
+      const isOverdue = clock.sleep(retryDelayMs).then(() => false);
+      if (await Promise.race([created.promise, isOverdue])) return;
     }
+    throw failure;
   }
 
   /** Creates an object, unless an earlier attempt has taken effect. */
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -31,6 +31,13 @@
   this.archives.objects.areWritesLost = true;
 });
 
+Given(
+  'the object API loses the answers of {int} writes',
+  function (this: ObjectWorld, count: number) {
+    this.archives.objects.lostAnswers = count;
+  },
+);
+
 Given(
   'the object API is away from {string}',
   function (this: ObjectWorld, dataCentre: string) {
--- a/packages/turns/tests/objects/turn_objects.feature
+++ b/packages/turns/tests/objects/turn_objects.feature
@@ -132,6 +132,16 @@
     And the object API is back
     Then turn "t1" finishes in "a" within 700 ms
 
+  # Guards against responses that are truncated since answers of the object API are lost.
+  Scenario: A turn finishes although the object API loses the answers of writes
+    Given data centre "a" is isolated
+    And the object API loses the answers of 3 writes
+    When turn "t1" finishes in "a" within 1900 ms
+    And all entry VMs are killed
+    And archive "a" restarts on an empty disk
+    And the isolation ends and 3000 ms pass
+    Then a new entry VM in "b" reads the chain "t1"
+
   Scenario: Turns are refused before they run while the object API replies to reads only
     Given data centre "a" is isolated
     And the object API loses writes
