Seal a retiring archive before it leaves the list

Callers got 404 on a turn that had been answered whole: a turn that finishes while an archive retires may stand on that archive and one other. If the other disk is lost with all power and the retiring VM is away, none of the archives that are left knows the turn, and the list says that they are all.

Cause: the archive left the list once the turns stored before its retirement were on enough disks; it was sealed, and the later turns copied, only after that. An answer was given by what the list allowed, not by where the turn stands. A failed seal opened the archive again although it had left.

Change: it is sealed and every turn is verified on enough other disks before it leaves; it stays sealed from then on.

--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -116,22 +116,24 @@
    * once peers have replied that they hold every turn on enough disks; the
    * archive stores no further turns from then on.
    * @param signal - Ends the wait when aborted.
-   * @param leave - Removes the registration; called once every turn stored so
-   *   far is on enough other disks, since a turn that no registered archive
-   *   stores is called unknown.
+   * @param leave - Removes the registration; called once the archive stores no
+   *   further turns and every turn is on enough other disks, since a turn that no
+   *   registered archive stores is called unknown.
    */
   async retire(signal: AbortSignal, leave: () => Promise<void>): Promise<void> {
     const {clock} = this.options;
     this.isRetiring = true;
     this.requiredPeerReplicas = this.options.replicaCount;
     const startMs = clock.nowMs();
-    while (this.findUnderReplicated(startMs).length > 0) {
-      await clock.sleep(retirementPollMs, signal);
-    }
+    const retryUntilDone = async (work: () => Promise<boolean>) => {
+      while (!(await work())) await clock.sleep(retirementPollMs, signal);
+    };
+    await retryUntilDone(() =>
+      Promise.resolve(this.findUnderReplicated(startMs).length === 0),
+    );
+    await retryUntilDone(() => this.trySeal());
     await leave();
-    while (!this.isFullyReplicated || !(await this.trySeal())) {
-      await clock.sleep(retirementPollMs, signal);
-    }
+    await retryUntilDone(() => this.tryComplete());
   }
 
   /** Stores no further turns, since the retirement was complete at the start. */
@@ -164,27 +166,36 @@
   }
 
   /**
-   * Seals the archive and asks the peers for all replicas again: entry VMs that
-   * have not read of the retirement still store turns here, and a peer may have
-   * lost its disk since it was asked.
+   * Seals the archive and copies what entry VMs have stored until now. From then
+   * on no turn is left on this disk and too few others.
    */
   private async trySeal(): Promise<boolean> {
     const {archive} = this.options;
     await archive.seal();
+    if (await this.isVerified()) return true;
+    archive.unseal();
+    return false;
+  }
+
+  /** Records the end of the retirement; a peer may have lost its disk meanwhile. */
+  private async tryComplete(): Promise<boolean> {
+    if (!(await this.isVerified())) return false;
+    try {
+      await this.options.archive.recordRetirement();
+      return true;
+    } catch (error) {
+      this.options.onFailed('retirement', toMarigoldpostError(error));
+      return false;
+    }
+  }
+
+  /** Asks the peers for all replicas again, and copies what they lack. */
+  private async isVerified(): Promise<boolean> {
     this.verifiedDisks.clear();
     await this.runTask('retirement', () =>
       this.repairTurns(Number.POSITIVE_INFINITY),
     );
-    if (this.isFullyReplicated) {
-      try {
-        await archive.recordRetirement();
-        return true;
-      } catch (error) {
-        this.options.onFailed('retirement', toMarigoldpostError(error));
-      }
-    }
-    archive.unseal();
-    return false;
+    return this.isFullyReplicated;
   }
 
   private async runTask(
--- a/packages/turns/tests/repair/retirement_steps.ts
+++ b/packages/turns/tests/repair/retirement_steps.ts
@@ -1,6 +1,8 @@
 /** Steps for archives that are retired. */
 import assert from 'node:assert/strict';
 import {Then, When, type World} from '@cucumber/cucumber';
+import {isErrorOfKind, toId} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
 import {
   type ArchiveFleet,
   createTurn,
@@ -14,6 +16,8 @@
 
 /** Time in which a new archive reads the ledgers of its peers. */
 const joinMs = 2000;
+/** Time until processes that have lost power start again. */
+const restartMs = 800;
 
 When(
   'archive {string} retires within {int} ms and is removed',
@@ -107,3 +111,48 @@
     assert.ok(!this.archives.findHolders(id).includes(name));
   },
 );
+
+When(
+  'archive {string} starts to retire',
+  function (this: RetirementWorld, name: string) {
+    // Ends with the process.
+    this.archives.retire(name, false).catch(() => undefined);
+  },
+);
+
+When(
+  'all archives lose power, {string} loses its disk, and all but {string} restart',
+  async function (this: RetirementWorld, lost: string, away: string) {
+    const {archives} = this;
+    archives.killEntries();
+    for (const name of archives.names) {
+      archives.kill(name);
+      if (name === lost) archives.getFolder(name).wipe();
+      else archives.getFolder(name).losePower('missing');
+    }
+    await archives.clock.advance(restartMs);
+    for (const name of archives.names) {
+      if (name !== away) await archives.start(name);
+    }
+  },
+);
+
+When(
+  'archive {string} restarts and retires',
+  async function (this: RetirementWorld, name: string) {
+    await this.archives.start(name, false);
+    this.archives.retire(name, true).catch(() => undefined);
+  },
+);
+
+Then(
+  'turn {string} is not called unknown in {string}',
+  async function (this: RetirementWorld, id: string, dataCentre: string) {
+    const {archives} = this;
+    const {signal} = new AbortController();
+    const store = archives.getStore(dataCentre, true);
+    const read = archives.run(store.readChain(toId<TurnId>(id), signal));
+    const error: unknown = await read.catch((thrown: unknown) => thrown);
+    assert.ok(!isErrorOfKind(error, 'unknown_turn'), String(error));
+  },
+);
