Write the ledgers of a retiring archive to the object API

A budget of 200 tokens was granted twice (400 tokens) after a retirement and the loss of one disk, and after a retirement, with no disk lost, while another archive was away for 3 s and a new one joined.

Cause: a retirement moves turns only. An archive that recovers relies on majorities of the archives that are left, and those need not meet the former ones.

Change: before it leaves the list, a retiring archive, which grants nothing any more, writes its ledgers as reservations. Its peers import them; emptied and new archives read them before they count.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -14,6 +14,7 @@
   registerArchive,
   reservationPrefix,
   turnObjectPrefix,
+  writeLedgers,
 } from '@marigoldpost/turns';
 import {Quarantine} from '@marigoldpost/targets';
 import {EntryDirectory, entryPrefix} from '../entry/entry_directory.js';
@@ -256,6 +257,7 @@
         const {objects} = await platform.store.readSnapshot(reservationPrefix);
         return objects.flatMap(decodeReservationsOrThrow);
       },
+      writeLedgers: () => writeLedgers(platform.store, archive),
       isFirstStart: settings.isFirstStart,
       onFailed: (task, error) => this.tasks.logFailure(task, error),
       onReplicasCounted: ({daemon, disk}, areCounted) =>
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -19,6 +19,7 @@
 export * from './log/log_folder.js';
 export * from './objects/object_importer.js';
 export * from './objects/reservation_object.js';
+export * from './objects/write_ledgers.js';
 export * from './objects/turn_object.js';
 export * from './objects/turn_object_writer.js';
 export * from './records/turn_codec.js';
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -41,6 +41,8 @@
   readonly replicaCount: number;
   /** Imports what entry VMs have written to the object API. */
   readonly importer: ObjectImporter;
+  /** Writes the ledgers of the archive to the object API, where peers import them. */
+  readonly writeLedgers: () => Promise<void>;
   readonly onFailed: (task: string, error: Error) => void;
   /** Called when the replicas of a peer stop to count or count again. */
   readonly onReplicasCounted?: (
@@ -132,6 +134,7 @@
       Promise.resolve(this.findUnderReplicated(startMs).length === 0),
     );
     await retryUntilDone(() => this.trySeal());
+    await retryUntilDone(() => this.tryWriteLedgers());
     await leave();
     await retryUntilDone(() => this.tryComplete());
   }
@@ -177,6 +180,17 @@
     return false;
   }
 
+  /** Writes what the own disk and one other may alone have counted. */
+  private async tryWriteLedgers(): Promise<boolean> {
+    try {
+      await this.options.writeLedgers();
+      return true;
+    } catch (error) {
+      this.options.onFailed('retirement', toMarigoldpostError(error));
+      return false;
+    }
+  }
+
   /** Records the end of the retirement; a peer may have lost its disk meanwhile. */
   private async tryComplete(): Promise<boolean> {
     if (!(await this.isVerified())) return false;
--- a/packages/turns/tests/repair/retirement_steps.ts
+++ b/packages/turns/tests/repair/retirement_steps.ts
@@ -120,6 +120,13 @@
   },
 );
 
+When(
+  'archive {string} is added',
+  async function (this: RetirementWorld, name: string) {
+    await this.archives.add(name);
+  },
+);
+
 When(
   'all archives lose power, {string} loses its disk, and all but {string} restart',
   async function (this: RetirementWorld, lost: string, away: string) {
