--- /dev/null
+++ b/packages/turns/tests/client/superseded_archives.feature
@@ -0,0 +1,15 @@
+Feature: Budgets while archives are superseded
+
+  # Guards against majorities that do not meet since archives lost their votes by time.
+  Scenario: A budget holds while three of five archives are away for longer than a restart
+    Given archives "a1, b1, b2, c1, c2" with 2 replicas per turn
+    When 4 attempts of 50 tokens of a program of "a" reserve from a budget of 200 one after the other, some in vain, alternating over "a"
+    Then at least 4 attempts hold a reservation
+    When all entry VMs are killed
+    And archive "a1" is killed
+    And archive "b1" is killed
+    And archive "c1" is killed
+    And 1 further attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "b"
+    And 8000 ms pass
+    And 4 further attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "b"
+    Then at most 0 attempts hold a reservation
