Read replies that have arrived before requests are taken for timed out

Cause: after a stall of the process Node.js runs timers before it reads sockets. The timer of a request failed it although its reply had arrived, closed the connection, and the archive counted as unreachable for 0.6 s. Connection attempts were guarded against this, replies were not.

Change: the check runs after what has arrived was read.

Test: "A reply that arrives while the event loop is blocked is not lost" (message_transport.feature) failed before.

--- a/packages/peers/src/messages/message_link.ts
+++ b/packages/peers/src/messages/message_link.ts
@@ -178,16 +178,21 @@
     const nowMs = clock.nowMs();
     const atMs = Math.max(dueAtMs, nowMs + minTimeoutCheckMs);
     const timer = clock.setTimer(Math.ceil(atMs - nowMs), () => {
-      this.timeoutCheck = undefined;
-      this.failTimedOutRequests();
-      const dueTimes = [...this.pending.values()].map(
-        (request) => request.dueAtMs,
-      );
-      if (dueTimes.length > 0) this.scheduleTimeoutCheck(Math.min(...dueTimes));
+      // After a stall of the event loop, replies may have arrived unread.
+      setImmediate(() => this.checkTimeouts());
     });
     this.timeoutCheck = {atMs, timer};
   }
 
+  private checkTimeouts(): void {
+    this.timeoutCheck = undefined;
+    this.failTimedOutRequests();
+    const dueTimes = [...this.pending.values()].map(
+      (request) => request.dueAtMs,
+    );
+    if (dueTimes.length > 0) this.scheduleTimeoutCheck(Math.min(...dueTimes));
+  }
+
   private failTimedOutRequests(): void {
     const nowMs = this.options.clock.nowMs();
     // A large reply that is arriving is waited for.
--- a/packages/peers/tests/messages/message_transport.feature
+++ b/packages/peers/tests/messages/message_transport.feature
@@ -62,3 +62,9 @@
     Given a message peer whose replies of 2000000 bytes stop after 100000
     When a message request is sent with a time limit of 400 ms
     Then the message request fails with peer_lost
+
+  # Guards against peers that are taken for silent since the own process did not run.
+  Scenario: A reply that arrives while the event loop is blocked is not lost
+    Given a message peer after whose reply the event loop is blocked for 400 ms
+    When a message request is sent with a time limit of 200 ms
+    Then the message request has its reply
--- a/packages/peers/tests/messages/message_transport_steps.ts
+++ b/packages/peers/tests/messages/message_transport_steps.ts
@@ -106,6 +106,20 @@
   },
 );
 
+Given(
+  'a message peer after whose reply the event loop is blocked for {int} ms',
+  async function (this: MessageWorld, blockedMs: number) {
+    await serve(this, (_sender, request) => {
+      // Runs once the reply has been written, before it is read.
+      setImmediate(() => {
+        const endMs = Date.now() + blockedMs;
+        while (Date.now() < endMs);
+      });
+      return Promise.resolve(toReply(getNumber(request)));
+    });
+  },
+);
+
 Given(
   'a message peer that replies with {int} bytes',
   async function (this: MessageWorld, bytes: number) {
@@ -291,6 +305,11 @@
   },
 );
 
+Then('the message request has its reply', function (this: MessageWorld) {
+  const [result] = this.results;
+  assert.equal(result?.status, 'fulfilled');
+});
+
 Then('the other message request has its reply', function (this: MessageWorld) {
   assert.equal(this.results[0]?.status, 'rejected');
   assert.equal(this.results[1]?.status, 'fulfilled');
