Do not run a call whose connection closes before it can be answered

The log said "status 200, clientEnd complete".

Cause: whether a response closes its connection is decided when its head is written, as long as no other request has been read. A request that is read after that was passed on, and Node.js closed the connection once the first response had been sent.

Change: what is read after such a head is not handled; the client has to repeat it on another connection, as it was told to. Its connection closes without an answer, but nothing has run.

Test: "A call that is read after a response that closes its connection does not run" (call_handler.feature) failed before (2 calls were handled).

--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -208,7 +208,7 @@
   writeHead({status, headers}: ResponseHead): void {
     this.status = status;
     const {response, isClosing} = this.options;
-    const closing = getConnectionHeaders(isClosing());
+    const closing = getConnectionHeaders(response, isClosing());
     response.writeHead(status, [...headers, ...closing]);
   }
 
--- a/packages/gateway/src/responses/write_response.ts
+++ b/packages/gateway/src/responses/write_response.ts
@@ -1,5 +1,6 @@
 /** Writes buffered responses, and logs rejected requests. */
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {MarigoldpostError} from '@marigoldpost/common';
 import type {EventLogger} from '@marigoldpost/telemetry';
 
@@ -10,6 +11,9 @@
  */
 export const maxDiscardMs = 1000;
 
+/** Connections on which a response has told the client that they close. */
+const closingSockets = new WeakSet<Socket>();
+
 /** A response whose complete body is in memory. */
 export interface BufferedResponse {
   readonly status: number;
@@ -51,7 +55,7 @@
   const allHeaders = [
     ...headers,
     ...length,
-    ...getConnectionHeaders(isClosing || isUndelimited),
+    ...getConnectionHeaders(response, isClosing || isUndelimited),
   ];
   response.writeHead(status, allHeaders);
   if (!isClosing || response.req.complete) response.end(body);
@@ -69,10 +73,25 @@
 
 /**
  * Gets the headers that tell a client whether its connection stays open.
+ * @param response - Response that has the headers.
  * @param isClosing - Whether the connection closes after the response.
  */
-export function getConnectionHeaders(isClosing: boolean): string[] {
-  return isClosing ? ['Connection', 'close'] : [];
+export function getConnectionHeaders(
+  response: ServerResponse,
+  isClosing: boolean,
+): string[] {
+  if (!isClosing) return [];
+  closingSockets.add(response.req.socket);
+  return ['Connection', 'close'];
+}
+
+/**
+ * Whether a connection closes after a response whose head has been written. A
+ * request that is read after that gets no response, so it must not run.
+ * @param socket - Socket of the connection.
+ */
+export function isConnectionClosing(socket: Socket): boolean {
+  return closingSockets.has(socket);
 }
 
 /**
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -4,7 +4,10 @@
 import {ClientConnections} from '@marigoldpost/common';
 import type {CallerLimits, NetworkAddress} from '@marigoldpost/sites';
 import type {CallHandler} from '../calls/call_handler.js';
-import {maxDiscardMs} from '../responses/write_response.js';
+import {
+  isConnectionClosing,
+  maxDiscardMs,
+} from '../responses/write_response.js';
 import {resetSocket} from './reset_socket.js';
 
 /**
@@ -37,6 +40,7 @@
     // The call's deadline, at most the route's timeout, bounds the body.
     this.server.requestTimeout = 0;
     this.server.on('request', (request, response) => {
+      if (isConnectionClosing(request.socket)) return;
       const isLastRead = () => this.connections.isLastRead(request);
       void handler.handle(request, response, isLastRead);
     });
--- a/packages/gateway/tests/calls/call_handler.feature
+++ b/packages/gateway/tests/calls/call_handler.feature
@@ -12,3 +12,10 @@
     And the server drains
     When a client sends 3 calls in one packet
     Then the client gets 3 responses with status 503, of which the last closes the connection
+
+  # Guards against calls that run although their connection closes before they are answered.
+  Scenario: A call that is read after a response that closes its connection does not run
+    Given a server that tells clients to close their connections
+    When a client sends a second call while the response to the first is sent
+    Then the server has handled 1 call
+    And the client gets one whole response
--- a/packages/gateway/tests/calls/call_handler_steps.ts
+++ b/packages/gateway/tests/calls/call_handler_steps.ts
@@ -1,13 +1,15 @@
 /** Steps for calls whose handling fails unexpectedly. */
 import assert from 'node:assert/strict';
-import http from 'node:http';
+import http, {type ServerResponse} from 'node:http';
 import net, {type AddressInfo} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {type DaemonId, SystemClock, toId} from '@marigoldpost/common';
 import {
   CallHandler,
   type CallServices,
   GatewayServer,
+  writeResponse,
 } from '@marigoldpost/gateway';
 import {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
@@ -17,10 +19,14 @@
   port: number;
   ends: string[];
   failures: number;
+  /** Number of requests that the handler was given. */
+  handled: number;
 }
 
 const host = '127.0.0.1';
 const idHeader = 'x-request-id';
+/** Time in which the server reads what a client has sent. */
+const sendPauseMs = 100;
 
 Given(
   'a server whose codec fails at call {string}',
@@ -118,6 +124,56 @@
   assert.equal(this.server.inFlight, 0);
 });
 
+Given(
+  'a server that tells clients to close their connections',
+  async function (this: HandlerWorld) {
+    this.handled = 0;
+    const handler = {
+      handle: (_request: http.IncomingMessage, response: ServerResponse) => {
+        this.handled += 1;
+        const answer = {status: 200, headers: [], body: Buffer.alloc(0)};
+        writeResponse(response, {...answer, isUndelimited: false}, true);
+      },
+    };
+    this.server = GatewayServer.create(handler as unknown as CallHandler);
+    this.port = await findFreePort();
+    await this.server.listen({host, port: this.port});
+    addCleanup(this, () => Promise.resolve(this.server.close()));
+  },
+);
+
+When(
+  'a client sends a second call while the response to the first is sent',
+  async function (this: HandlerWorld) {
+    const socket = net.connect({host, port: this.port});
+    let text = '';
+    socket.on('data', (chunk: Buffer) => {
+      text += chunk.toString('latin1');
+    });
+    const head = 'POST / HTTP/1.1\r\nHost: calls\r\nContent-Length: 4\r\n\r\n';
+    // The response waits for the rest of the body, which comes with the next call.
+    socket.write(`${head}bo`);
+    await pause(sendPauseMs);
+    socket.write(`dy${head}body`);
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    this.ends = text.split('HTTP/1.1 ').slice(1);
+  },
+);
+
+Then(
+  'the server has handled {int} call',
+  function (this: HandlerWorld, count: number) {
+    assert.equal(this.handled, count);
+  },
+);
+
+Then('the client gets one whole response', function (this: HandlerWorld) {
+  assert.equal(this.ends.length, 1);
+  assert.match(this.ends[0] ?? '', /^200 .*connection: close/is);
+});
+
 async function findFreePort(): Promise<number> {
   const server = net.createServer();
   await new Promise<void>((resolve) => {
