Read what follows a response that closes its connection

A request that is not handled kept its body unread if it is large, and the close would then reset the connection, by which the client may lose the end of the response before it.

--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -40,7 +40,11 @@
     // The call's deadline, at most the route's timeout, bounds the body.
     this.server.requestTimeout = 0;
     this.server.on('request', (request, response) => {
-      if (isConnectionClosing(request.socket)) return;
+      if (isConnectionClosing(request.socket)) {
+        // Bytes that are not read would reset the connection when it closes.
+        request.resume();
+        return;
+      }
       const isLastRead = () => this.connections.isLastRead(request);
       void handler.handle(request, response, isLastRead);
     });
