Take the place of an absent archive only with the ledgers that its vote stood for

Callers got more tokens than their budget: with five archives, three of them away for 8 s, 4 attempts too many (400 of 200 tokens). An archive lost its vote by time: unreachable for 6 s while another of its data centre replied. The majorities of those left need not meet the former ones.

Another archive of the data centre now takes its place: it first stores the ledgers of so many voters that each majority until then has one of them, then names the vote in its registration, by which all VMs go. An archive that returns counts again, with a new vote term, once its ledger is recovered. After a restart of an entry VM the votes are known at once; before, they were back after 6 s.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -4,6 +4,7 @@
 import type {NodeSettings} from '@marigoldpost/sites';
 import {
   Archive,
+  type ArchiveMember,
   type ArchivePool,
   archivePrefix,
   ArchiveRepairer,
@@ -258,6 +259,14 @@
         return objects.flatMap(decodeReservationsOrThrow);
       },
       writeLedgers: () => writeLedgers(platform.store, archive),
+      changeVotes: async (change) => {
+        const member = {...this.createMember(archive), ...change};
+        await registerArchive(platform.store, member);
+        logger.log('archive_votes_changed', {
+          voteTerm: member.voteTerm ?? 0,
+          superseded: (member.supersededVotes ?? []).join(', '),
+        });
+      },
       isFirstStart: settings.isFirstStart,
       onFailed: (task, error) => this.tasks.logFailure(task, error),
       onReplicasCounted: ({daemon, disk}, areCounted) =>
@@ -289,18 +298,14 @@
     retirement: RetirementTask,
     signal: AbortSignal,
   ): Promise<void> {
-    const {settings, platform} = this.options;
-    const {daemon, ip, peerPort, dataCentre} = settings;
-    const address = `http://${ip}:${peerPort}`;
-    const {disk} = archive;
-    const member = {daemon, address, dataCentre, disk};
+    const {platform} = this.options;
     // The repairer has to know whether this daemon was registered before.
     while (!retirement.isLoaded || !this.archiveDirectory.isLoaded) {
       await this.clock.sleep(registrationRetryMs, signal);
     }
     while (!signal.aborted && !retirement.isRequested) {
       try {
-        await registerArchive(platform.store, member);
+        await registerArchive(platform.store, this.createMember(archive));
         return;
       } catch (error) {
         this.tasks.logFailure('register', error);
@@ -309,6 +314,15 @@
     }
   }
 
+  /** Creates the registration; a restart keeps the votes of the last one. */
+  private createMember({disk}: Archive): ArchiveMember {
+    const {daemon, ip, peerPort, dataCentre} = this.options.settings;
+    const known = this.archiveDirectory.getMember(daemon);
+    const {voteTerm, supersededVotes} = known?.disk === disk ? known : {};
+    const address = `http://${ip}:${peerPort}`;
+    return {daemon, address, dataCentre, disk, voteTerm, supersededVotes};
+  }
+
   protected override setGauges(): void {
     const {metrics} = this.options;
     metrics.setGauge('archive_turns', {}, this.archive?.turnCount ?? 0);
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -252,6 +252,15 @@
     batch: 'string',
     turns: 'number',
   }),
+  archive_votes_changed: define(
+    3113,
+    'warn',
+    'An archive took the place of absent ones, or counts again',
+    {
+      voteTerm: 'number',
+      superseded: 'string',
+    },
+  ),
 
   // 4000: peers.
   member_changed: define(4001, 'info', 'A daemon changed its state', {
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -25,12 +25,6 @@
  */
 const reconnectMs = 1000;
 
-/**
- * An archive that is unreachable for this long is superseded by another one of
- * its data centre: longer than a restart, a freeze or a stalled disk.
- */
-const supersededMs = 6000;
-
 /** Fewer silent archives may be VMs that hang or have lost power. */
 const minSplitArchives = 2;
 /** Longest time between the losses of the archives that one split cuts off. */
@@ -62,8 +56,6 @@
   /** Waits that a network split may end; removed with the wait. */
   private readonly silenceListeners = new Set<() => void>();
   private returns = 0;
-  /** Archives that others of their data centre have taken the place of. */
-  private readonly superseded = new WeakSet<ArchiveClient>();
   /** When an archive became reachable while no other one was. */
   private isolationEndMs = Number.NEGATIVE_INFINITY;
 
@@ -105,10 +97,7 @@
    * @param disk - Identity of the own disk.
    */
   isOwnDiskRegistered(disk: DiskId): boolean {
-    const {directory, ownDaemon} = this.options;
-    return (
-      ownDaemon !== undefined && directory.getMember(ownDaemon)?.disk === disk
-    );
+    return this.ownMember?.disk === disk;
   }
 
   /** Gets one client per registered archive, reachable or not. */
@@ -132,25 +121,35 @@
 
   /**
    * Gets the clients of the archives that decide on token budgets: all but those
-   * that are superseded. Nothing removes the registration of a VM that never
-   * returns, and a few of them would leave no majority. Another archive that is
-   * reachable in the same data centre shows that it is not the link to it that
-   * is cut; it stays superseded until it replies, also when that link is cut later.
+   * whose place another one has taken, see `ArchiveSuccession`. Nothing removes
+   * the registration of a VM that never returns, and a few of them would leave no
+   * majority.
    */
   getVoters(): readonly ArchiveClient[] {
-    const clients = this.getClients();
-    const sinceMs = this.options.clock.nowMs() - supersededMs;
-    for (const client of clients) {
-      const {isReachable, unreachableAtMs = Infinity, dataCentre} = client;
-      if (isReachable) this.superseded.delete(client);
-      const isSuperseded =
-        unreachableAtMs <= sinceMs &&
-        clients.some(
-          (other) => other.isReachable && other.dataCentre === dataCentre,
-        );
-      if (isSuperseded) this.superseded.add(client);
-    }
-    return clients.filter((client) => !this.superseded.has(client));
+    const {directory} = this.options;
+    return this.getClients().filter(
+      ({member}) => !directory.isSuperseded(member.daemon),
+    );
+  }
+
+  /** Current registration of the own daemon; `undefined` without one. */
+  get ownMember(): ArchiveMember | undefined {
+    const {directory, ownDaemon} = this.options;
+    return ownDaemon === undefined ? undefined : directory.getMember(ownDaemon);
+  }
+
+  /** Whether another archive has taken the place of the own daemon's. */
+  get isOwnSuperseded(): boolean {
+    const {directory, ownDaemon} = this.options;
+    return ownDaemon !== undefined && directory.isSuperseded(ownDaemon);
+  }
+
+  /**
+   * Gets the registration of an archive as it is now.
+   * @param client - Client of the archive.
+   */
+  getMember({member}: ArchiveClient): ArchiveMember {
+    return this.options.directory.getMember(member.daemon) ?? member;
   }
 
   /**
--- a/packages/turns/src/directory/archive_directory.ts
+++ b/packages/turns/src/directory/archive_directory.ts
@@ -1,5 +1,6 @@
 /** Archives of a site, as registered in the object API. */
 import {
+  type Brand,
   type DaemonId,
   type DataCentreId,
   parseJson,
@@ -23,8 +24,15 @@
   readonly address: string;
   readonly dataCentre: DataCentreId;
   readonly disk: DiskId;
+  /** Raised each time the archive counts again after others took its place. */
+  readonly voteTerm?: number | undefined;
+  /** Votes of absent archives whose place this one has taken; see `getVoteId`. */
+  readonly supersededVotes?: readonly VoteId[] | undefined;
 }
 
+/** A vote on token budgets: the disk of an archive and its vote term. */
+export type VoteId = Brand<string, 'VoteId'>;
+
 /** Key prefix of the objects in which archives register. */
 export const archivePrefix = 'archives/';
 
@@ -33,6 +41,8 @@
   address: z.string().refine(isHttpAddress),
   dataCentre: z.string(),
   disk: z.string(),
+  voteTerm: z.number().optional(),
+  supersededVotes: z.array(z.string()).optional(),
 });
 
 /** Callbacks of a directory. */
@@ -50,6 +60,8 @@
   private hasLoaded = false;
   private changes = 0;
   private readonly listeners = new Set<() => void>();
+  /** Votes that count no more; `undefined` until it is asked for. */
+  private supersededVotes: ReadonlySet<VoteId> | undefined;
 
   private readonly decoder: ObjectDecoder<ArchiveMember>;
 
@@ -98,6 +110,19 @@
     return this.members.get(`${archivePrefix}${daemon}`);
   }
 
+  /**
+   * Whether another archive has taken the place of a registered one, so that its
+   * votes on token budgets do not count.
+   * @param daemon - Id of the archive's daemon.
+   */
+  isSuperseded(daemon: DaemonId): boolean {
+    this.supersededVotes ??= new Set(
+      this.getMembers().flatMap((member) => member.supersededVotes ?? []),
+    );
+    const member = this.getMember(daemon);
+    return member !== undefined && this.supersededVotes.has(getVoteId(member));
+  }
+
   /**
    * Replaces all archives by those of a listing.
    * @param objects - Registration objects of the listing.
@@ -121,6 +146,7 @@
 
   private recordChange(): void {
     this.changes += 1;
+    this.supersededVotes = undefined;
     for (const listener of [...this.listeners]) listener();
   }
 
@@ -131,6 +157,14 @@
   }
 }
 
+/** Gets the vote of an archive. */
+export function getVoteId({
+  disk,
+  voteTerm = 0,
+}: Pick<ArchiveMember, 'disk' | 'voteTerm'>): VoteId {
+  return toId<VoteId>(`${disk} ${voteTerm}`);
+}
+
 /**
  * Registers an archive; skips the write when its object is up to date.
  * @param store - Client of the object API.
@@ -155,6 +189,7 @@
   const parsed = memberSchema.safeParse(parseJson(value));
   if (!parsed.success) return undefined;
   const {daemon, address, dataCentre, disk} = parsed.data;
+  const {voteTerm, supersededVotes = []} = parsed.data;
   // An archive registers only itself.
   if (key !== `${archivePrefix}${daemon}`) return undefined;
   return {
@@ -162,5 +197,7 @@
     address,
     dataCentre: toId<DataCentreId>(dataCentre),
     disk: toId<DiskId>(disk),
+    voteTerm,
+    supersededVotes: supersededVotes.map((vote) => toId<VoteId>(vote)),
   };
 }
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -25,4 +25,5 @@
 export * from './records/turn_codec.js';
 export * from './records/turn_record.js';
 export * from './repair/archive_repairer.js';
+export * from './repair/archive_succession.js';
 export * from './repair/damaged_turn_restorer.js';
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -18,6 +18,7 @@
   DamagedTurnRestorer,
 } from './damaged_turn_restorer.js';
 import type {ObjectImporter} from '../objects/object_importer.js';
+import {ArchiveSuccession, type VoteChange} from './archive_succession.js';
 import {LedgerRecovery, type LedgerRecoveryOptions} from './ledger_recovery.js';
 
 /** Pause between two repair rounds. */
@@ -43,6 +44,8 @@
   readonly importer: ObjectImporter;
   /** Writes the ledgers of the archive to the object API, where peers import them. */
   readonly writeLedgers: () => Promise<void>;
+  /** Changes the votes in the registration of the archive. */
+  readonly changeVotes: (change: VoteChange) => Promise<void>;
   readonly onFailed: (task: string, error: Error) => void;
   /** Called when the replicas of a peer stop to count or count again. */
   readonly onReplicasCounted?: (
@@ -77,6 +80,7 @@
   private readonly restorer: DamagedTurnRestorer;
   private readonly ancestorRetention: AncestorRetention;
   private readonly ledgerRecovery: LedgerRecovery;
+  private readonly succession: ArchiveSuccession;
 
   private constructor(private readonly options: ArchiveRepairerOptions) {
     const {archive, pool, clock, onDamaged} = options;
@@ -88,6 +92,11 @@
     });
     this.ancestorRetention = AncestorRetention.create(archive, clock);
     this.ledgerRecovery = LedgerRecovery.create(options);
+    this.succession = ArchiveSuccession.create({
+      ...options,
+      isComplete: () => this.isComplete,
+      canRejoin: () => this.ledgerRecovery.canRejoin,
+    });
     this.requiredPeerReplicas = options.replicaCount - 1;
   }
 
@@ -152,6 +161,7 @@
     while (!signal.aborted) {
       await this.probeSilentPeers();
       await this.runTask('ledgers', () => this.ledgerRecovery.merge());
+      await this.runTask('votes', () => this.succession.run());
       await this.runTask('objects', () =>
         this.options.importer.run((turn) => this.isReplicated(turn)),
       );
--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -48,6 +48,8 @@
   /** Whether the ledger includes what every possible quorum has recorded. */
   private hasPeerLedgers: boolean;
   private hasReservations = false;
+  /** Whether the ledger is recovered since others took the archive's place. */
+  private isRejoining = false;
 
   private constructor(private readonly options: LedgerRecoveryOptions) {
     const {archive, isFirstStart} = options;
@@ -67,13 +69,20 @@
     const {pool} = this.options;
     // Before the list of archives has been read, peers may hold its entries.
     const hasNoPeers = pool.isLoaded && pool.getClients().length === 0;
-    return this.hasPeerLedgers || hasNoPeers;
+    // What was granted since without this archive is not in its ledger.
+    return (this.hasPeerLedgers && !pool.isOwnSuperseded) || hasNoPeers;
+  }
+
+  /** Whether an archive whose place others took may take part again. */
+  get canRejoin(): boolean {
+    return this.isRejoining && this.hasPeerLedgers;
   }
 
   /** Merges the ledgers of peers that have not been merged. */
   async merge(): Promise<void> {
     const {pool, archive} = this.options;
     const clients = pool.getClients();
+    this.restartIfSuperseded();
     for (const client of this.mergedPeers) {
       if (!client.isReachable || !clients.includes(client)) {
         this.mergedPeers.delete(client);
@@ -90,6 +99,17 @@
     if (this.hasPeerLedgers) await archive.markLedgersComplete();
   }
 
+  private restartIfSuperseded(): void {
+    const {isOwnSuperseded} = this.options.pool;
+    if (isOwnSuperseded && !this.isRejoining) {
+      this.hasPeerLedgers = false;
+      this.hasReservations = false;
+      this.mergedPeers.clear();
+      this.mergedCompletePeers.clear();
+    }
+    this.isRejoining = isOwnSuperseded;
+  }
+
   private async mergeReservations(): Promise<void> {
     if (this.hasReservations) return;
     const {archive, readReservations} = this.options;
@@ -112,10 +132,10 @@
 
   /** Whether each peer has sent its ledger or is presumed lost. */
   private get hasAllLedgers(): boolean {
-    const clients = this.options.pool.getClients();
+    const voters = this.options.pool.getVoters();
     return (
       this.mergedPeers.size > 0 &&
-      clients.every(
+      voters.every(
         (client) =>
           this.mergedPeers.has(client) ||
           this.hasBeenAwayFor(client, this.getLostPeerMs(client)),
@@ -135,9 +155,10 @@
     const merged = voters.filter((client) =>
       this.mergedCompletePeers.has(client),
     );
-    // A new archive has taken part in none.
+    // A new archive has taken part in none, and neither has a superseded one.
     const isNew = pool.wasRegistered === false;
-    const quorumVoters = voters.length + (isNew ? 0 : 1);
+    const isVoter = !isNew && !pool.isOwnSuperseded;
+    const quorumVoters = voters.length + (isVoter ? 1 : 0);
     const requiredCount = quorumVoters - getMajority(quorumVoters) + 1;
     const isHome = (client: ArchiveClient) => client.dataCentre === dataCentre;
     return (
--- a/packages/turns/tests/client/superseded_archives.feature
+++ b/packages/turns/tests/client/superseded_archives.feature
@@ -13,3 +13,32 @@
     And 8000 ms pass
     And 4 further attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "b"
     Then at most 0 attempts hold a reservation
+
+  # Guards against an archive that counts again without what was granted in its absence.
+  Scenario: A budget holds after archives whose place was taken have returned
+    Given archives "a1, b1, b2, c1, c2" with 2 replicas per turn
+    When archive "b1" is killed
+    And archive "c1" is killed
+    And 6000 ms pass
+    And 4 attempts of 50 tokens of a program of "a" reserve from a budget of 200 one after the other, some in vain, alternating over "a"
+    Then at least 4 attempts hold a reservation
+    When all entry VMs are killed
+    And archive "a1" is killed
+    And archive "b2" is killed
+    And archive "b1" is started
+    And archive "c1" is started
+    And 4 further attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "c"
+    Then at most 0 attempts hold a reservation
+
+  Scenario: Archives whose place was taken count again once they have returned
+    Given archives "a1, b1, b2, c1, c2" with 2 replicas per turn
+    When archive "b1" is killed
+    And archive "c1" is killed
+    And 6000 ms pass
+    And archive "b1" is started
+    And archive "c1" is started
+    And 3000 ms pass
+    And archive "b2" is killed
+    And archive "c2" is killed
+    And 1000 ms pass
+    Then an attempt of a program of "a" is admitted in "a"
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -133,6 +133,10 @@
   },
 );
 
+When('archive {string} is started', function (this: StoreWorld, name: string) {
+  return this.archives.start(name);
+});
+
 When(
   'archive {string} is killed and unregistered',
   function (this: StoreWorld, name: string) {
