Copy the ledgers of all peers once an archive has been away for long

Callers got more tokens than their budget: a reservation that an archive had recorded with one other was on that one's disk alone once the archive was gone for good; after the loss of that disk as well, an emptied archive presumed the former lost after 30 s and granted again (400 of 200 tokens).

Each archive now merges the ledgers of all peers it reaches once another one has been unreachable for 4 s, as turns are copied. Majorities that form later are made of the archives that are left.

--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -20,6 +20,12 @@
  */
 const lostPeerMs = {alone: 30_000, replaced: 2500};
 
+/**
+ * Time after which the ledgers of the others are copied in place of that of an
+ * unreachable peer: longer than a restart.
+ */
+const copyAfterMs = 4000;
+
 /** Archive and peers of a recovery. */
 export interface LedgerRecoveryOptions {
   readonly archive: Archive;
@@ -45,6 +51,8 @@
   private readonly mergedPeers = new Set<ArchiveClient>();
   /** Those of them whose ledger was complete before it was merged. */
   private readonly mergedCompletePeers = new Set<ArchiveClient>();
+  /** Unreachable peers since whose loss the other ledgers have been copied. */
+  private readonly copiedFor = new Set<ArchiveClient>();
   /** Whether the ledger includes what every possible quorum has recorded. */
   private hasPeerLedgers: boolean;
   private hasReservations = false;
@@ -92,6 +100,7 @@
     for (const client of clients) {
       if (client.isReachable) await this.mergePeerLedger(client);
     }
+    await this.copyForAbsentPeers(clients);
     if (!this.hasPeerLedgers) {
       await this.mergeReservations();
       this.hasPeerLedgers = this.hasAllLedgers || this.hasQuorumLedgers;
@@ -99,6 +108,29 @@
     if (this.hasPeerLedgers) await archive.markLedgersComplete();
   }
 
+  /**
+   * Merges the ledgers of all reachable peers once a peer has been away for long:
+   * what it had recorded with one of them may be on that disk alone.
+   */
+  private async copyForAbsentPeers(
+    clients: readonly ArchiveClient[],
+  ): Promise<void> {
+    for (const client of this.copiedFor) {
+      const isAway = !client.isReachable && clients.includes(client);
+      if (!isAway) this.copiedFor.delete(client);
+    }
+    const absent = clients.filter(
+      (client) =>
+        this.hasBeenAwayFor(client, copyAfterMs) && !this.copiedFor.has(client),
+    );
+    if (absent.length === 0) return;
+    const {archive} = this.options;
+    for (const client of clients.filter(({isReachable}) => isReachable)) {
+      await archive.mergeLedgers(await client.fetchLedgers());
+    }
+    for (const client of absent) this.copiedFor.add(client);
+  }
+
   private restartIfSuperseded(): void {
     const {isOwnSuperseded} = this.options.pool;
     if (isOwnSuperseded && !this.isRejoining) {
