Keep the places that an archive took when it loses its disk

Programs were refused (503, "too few archives granted") after an archive that had taken the place of another one lost its disk: its new registration no longer named the absent vote, so a majority needed the emptied archive itself until its ledger was recovered. Each majority of the others has what the vote stood for, as the archive merged their ledgers before, so the place stays taken.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -314,11 +314,15 @@
     }
   }
 
-  /** Creates the registration; a restart keeps the votes of the last one. */
+  /**
+   * Creates the registration. It keeps the votes whose place was taken: also
+   * without this disk, each majority of the others has what they stood for.
+   */
   private createMember({disk}: Archive): ArchiveMember {
     const {daemon, ip, peerPort, dataCentre} = this.options.settings;
     const known = this.archiveDirectory.getMember(daemon);
-    const {voteTerm, supersededVotes} = known?.disk === disk ? known : {};
+    const voteTerm = known?.disk === disk ? known.voteTerm : undefined;
+    const supersededVotes = known?.supersededVotes;
     const address = `http://${ip}:${peerPort}`;
     return {daemon, address, dataCentre, disk, voteTerm, supersededVotes};
   }
--- a/packages/turns/tests/client/superseded_archives.feature
+++ b/packages/turns/tests/client/superseded_archives.feature
@@ -42,3 +42,10 @@
     And archive "c2" is killed
     And 1000 ms pass
     Then an attempt of a program of "a" is admitted in "a"
+
+  Scenario: Votes whose place was taken stay left out after the successor has lost its disk
+    Given archives "a, b, c" with 2 replicas per turn
+    When archive "a" is permanently lost and "a1" replaces it
+    And 3000 ms pass
+    And the disk of the archive "a1" is lost and 50 ms pass
+    Then an attempt of a program of "b" is admitted in "c" within 60 ms
