Do not presume an archive lost because its data centre has another one

Callers got more tokens than their budget: an emptied archive presumed a peer lost after 2.5 s if another archive of that data centre replied, and granted without the reservations that only the peer still had (400 of 200 tokens). The peer was only down.

Only a new archive, which has recorded nothing, waits so short, for the one that it replaces.

--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -14,9 +14,8 @@
 /**
  * A peer that is unreachable for this long is presumed lost with its ledgers:
  * longer than restarts, cuts and the recovery of a site, since the peer may alone
- * have recorded what a lost disk had recorded as well. One whose data centre has
- * another archive was probably replaced by it, and is waited for as long as a
- * restart takes.
+ * have recorded what a lost disk had recorded as well. A new archive has recorded
+ * nothing, so it waits for the one that it replaces as long as a restart takes.
  */
 const lostPeerMs = {alone: 30_000, replaced: 2500};
 
@@ -204,8 +203,7 @@
   private getLostPeerMs({dataCentre}: ArchiveClient): number {
     const {pool, dataCentre: ownDataCentre} = this.options;
     const isReplaced =
-      dataCentre === ownDataCentre ||
-      pool.getReachableClients(dataCentre).length > 0;
+      pool.wasRegistered === false && dataCentre === ownDataCentre;
     return isReplaced ? lostPeerMs.replaced : lostPeerMs.alone;
   }
 
