Let an archive count until its retirement can end

With two archives left, a request to empty one stopped the service: it no longer counted for budgets from the first moment of its retirement, which can't end, as too few others could hold its turns; the other one alone is no majority (503, "too few archives granted").

The archive now counts until it is sealed and every turn is verified on enough other disks, just before its ledger is written and it leaves the list; if that check fails, it counts again.

--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -110,8 +110,8 @@
 
   /**
    * Whether the ledger includes what peers recorded before this start, and the
-   * archive is not being retired: entry VMs that have read of that decide
-   * without it.
+   * archive is not about to leave the list: entry VMs that have read of that
+   * decide without it.
    */
   get isComplete(): boolean {
     return !this.isRetiring && this.ledgerRecovery.isComplete;
@@ -133,7 +133,6 @@
    */
   async retire(signal: AbortSignal, leave: () => Promise<void>): Promise<void> {
     const {clock} = this.options;
-    this.isRetiring = true;
     this.requiredPeerReplicas = this.options.replicaCount;
     const startMs = clock.nowMs();
     const retryUntilDone = async (work: () => Promise<boolean>) => {
@@ -184,9 +183,12 @@
    */
   private async trySeal(): Promise<boolean> {
     const {archive} = this.options;
+    this.isRetiring = true;
     await archive.seal();
     if (await this.isVerified()) return true;
     archive.unseal();
+    // With too few other archives it may never leave, and goes on to count.
+    this.isRetiring = false;
     return false;
   }
 
--- a/packages/turns/tests/repair/retirement.feature
+++ b/packages/turns/tests/repair/retirement.feature
@@ -67,3 +67,19 @@
       | returns                  |
       | restarts                 |
       | loses power and restarts |
+
+  # Guards against an archive that no longer counts although its retirement cannot end.
+  Scenario Outline: Budgets are served in "<place>" while a retirement cannot end since too few archives are left
+    Given archives "a, b" with 2 replicas per turn
+    When turn "t1" finishes in "a"
+    And archive "<retired>" starts to retire
+    And 3000 ms pass
+    Then an attempt of a program of "a" is admitted in "<place>" within 60 ms
+    And turn "t1" is on at least 2 disks
+
+    Examples:
+      | retired | place |
+      | a       | a     |
+      | a       | b     |
+      | b       | a     |
+      | b       | b     |
