Keep an archive that can't be emptied in service after it has lost its disk

Its new disk was not registered, since a retirement was requested, so nobody relied on it; once registered, its retirement completed with nothing to copy, and one archive was left.

An archive that is still listed registers its disk, and leaves only if as many others as must hold a turn are reachable and its own ledger is complete.

site.feature, "An archive that cannot be emptied ..." failed before (503) and passes.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -298,12 +298,16 @@
     retirement: RetirementTask,
     signal: AbortSignal,
   ): Promise<void> {
-    const {platform} = this.options;
+    const {platform, settings} = this.options;
     // The repairer has to know whether this daemon was registered before.
     while (!retirement.isLoaded || !this.archiveDirectory.isLoaded) {
       await this.clock.sleep(registrationRetryMs, signal);
     }
-    while (!signal.aborted && !retirement.isRequested) {
+    // One that is to be emptied may have lost its disk before it has left.
+    const isWanted = () =>
+      !retirement.isRequested ||
+      this.archiveDirectory.getMember(settings.daemon) !== undefined;
+    while (!signal.aborted && isWanted()) {
       try {
         await registerArchive(platform.store, this.createMember(archive));
         return;
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -139,7 +139,9 @@
       while (!(await work())) await clock.sleep(retirementPollMs, signal);
     };
     await retryUntilDone(() =>
-      Promise.resolve(this.findUnderReplicated(startMs).length === 0),
+      Promise.resolve(
+        this.hasEnoughPeers && this.findUnderReplicated(startMs).length === 0,
+      ),
     );
     await retryUntilDone(() => this.trySeal());
     await retryUntilDone(() => this.tryWriteLedgers());
@@ -172,6 +174,16 @@
     }
   }
 
+  /**
+   * Whether the site keeps enough archives without this one, which has a complete
+   * ledger to leave to them. One with an empty disk has no turns to copy.
+   */
+  private get hasEnoughPeers(): boolean {
+    const {pool, replicaCount} = this.options;
+    const reachable = pool.getClients().filter(({isReachable}) => isReachable);
+    return this.ledgerRecovery.isComplete && reachable.length >= replicaCount;
+  }
+
   /** Whether every turn has enough verified replicas on peer disks. */
   private get isFullyReplicated(): boolean {
     return this.findUnderReplicated(Number.POSITIVE_INFINITY).length === 0;
