--- /dev/null
+++ b/packages/turns/tests/client/succession_gaps.feature
@@ -0,0 +1,77 @@
+Feature: Budgets while the places of archives are taken and given back
+
+  # Guards against votes that count again without what was granted after the ledgers were read.
+  Scenario: A budget holds when two archives count again while a third one restarts
+    Given archives "a1, b1, b2, c1, c2" with 2 replicas per turn
+    When archive "b1" is killed
+    And archive "c1" is killed
+    And 6000 ms pass
+    And archive "a1" is killed
+    And archive "b1" is started
+    And archive "c1" is started
+    And 420 ms pass
+    And archive "a1" is started
+    And 400 ms pass
+    And 4 attempts of 50 tokens of a program of "b" reserve from a budget of 200 concurrently, alternating over "c"
+    Then at least 4 attempts hold a reservation
+    When 3000 ms pass
+    And all entry VMs are killed
+    And archive "b2" is killed
+    And 4 further attempts of 50 tokens of a program of "b" reserve from a budget of 200 concurrently, alternating over "a"
+    Then at most 0 attempts hold a reservation
+
+  # Guards against grants between the reading of the ledgers and the new list.
+  Scenario: A budget holds when two archives that entry VMs still reach lose their places
+    Given archives "a1, b9, b4, c1, c8" with 2 replicas per turn
+    And messages take 20 ms
+    When archives "b9, c1" are cut off from all other archives
+    And 5030 ms pass
+    And 4 attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "a"
+    Then at least 4 attempts hold a reservation
+    When 3000 ms pass
+    And all entry VMs are killed
+    And archive "a1" is killed
+    And 4 further attempts of 50 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "c"
+    Then at most 0 attempts hold a reservation
+
+  # Guards against a vote that counts since the list that supersedes it is not read yet.
+  Scenario: A budget holds when an archive returns without the list, to an entry VM whose list is behind
+    Given archives "a, b, c" with 2 replicas per turn
+    And entry VM "a" has read of archives "a, b, c" only
+    When archive "b" is killed
+    And archive "b1" is added
+    And 2500 ms pass
+    And 4 attempts of 50 tokens of a program of "b" reserve from a budget of 200 concurrently, alternating over "c"
+    Then at least 4 attempts hold a reservation
+    When archive "b" is started without the list of archives
+    And 4 further attempts of 50 tokens of a program of "b" reserve from a budget of 200 concurrently, alternating over "a"
+    Then at most 0 attempts hold a reservation
+
+  # Guards against superseded votes that are forgotten with the successor's registration.
+  Scenario Outline: A budget holds when an archive returns after its successor <left>
+    Given archives "a, b, c" with 2 replicas per turn
+    When archive "b" is permanently lost and "b1" replaces it
+    And 3000 ms pass
+    And 4 attempts of 50 tokens of a program of "b" reserve from a budget of 200 concurrently, alternating over "a"
+    Then at least 4 attempts hold a reservation
+    When all entry VMs are killed
+    And archive "b1" <leaves>
+    And archive "a" is killed
+    And archive "b" is started
+    And 4 further attempts of 50 tokens of a program of "b" reserve from a budget of 200 concurrently, alternating over "c"
+    Then at most 0 attempts hold a reservation
+
+    Examples:
+      | left             | leaves                                |
+      | has retired      | retires within 3000 ms and is removed |
+      | was unregistered | is killed and unregistered            |
+
+  # Guards against a dead archive that counts again once its successor has retired.
+  Scenario: Tokens are granted after a successor has retired and another archive is down
+    Given archives "a, b, c, c1" with 2 replicas per turn
+    When archive "b" is permanently lost and "b1" replaces it
+    And 3000 ms pass
+    And archive "b1" retires within 3000 ms and is removed
+    And archive "c" is killed
+    And 12000 ms pass
+    Then an attempt of a program of "c" is admitted in "c"
