Rely on the ledger of an archive only if it still has its disk

Callers got more tokens than their budget (250 of 200): an attempt was recorded at an isolated home and in the object API; the home archive lost its disk meanwhile, and its empty ledger counted as a reply, so earlier attempts were not seen.

The merged ledgers count an archive only if it says afterwards that its ledger is complete, which one with an empty disk does not.

--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -12,6 +12,7 @@
 import {getMajority} from '../ledger/reservation_quorum.js';
 import type {ReservationObjects} from '../objects/reservation_objects.js';
 import type {StoreProbe} from '../objects/store_probe.js';
+import type {ProgramEntries} from '../records/turn_codec.js';
 import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveWait} from './archive_retries.js';
@@ -269,7 +270,7 @@
   entryLedgers: ReadonlyArray<readonly LedgerEntry[]> = [],
 ): Promise<MergedLedgers> {
   const replies = await Promise.allSettled(
-    clients.map((client) => client.fetchLedgers(program)),
+    clients.map((client) => fetchCompleteLedgers(client, program)),
   );
   const archiveLedgers = replies.flatMap((reply) =>
     reply.status === 'fulfilled' ? reply.value.map(({entries}) => entries) : [],
@@ -289,6 +290,23 @@
   };
 }
 
+/**
+ * Gets the ledgers of an archive; fails if it has lost its disk meanwhile, and
+ * with it what it recorded before.
+ */
+async function fetchCompleteLedgers(
+  client: ArchiveClient,
+  program: ProgramId,
+): Promise<ProgramEntries[]> {
+  const ledgers = await client.fetchLedgers(program);
+  const {isComplete} = await client.findTurns([]);
+  if (isComplete) return ledgers;
+  throw MarigoldpostError.create(
+    'archive_unavailable',
+    `the ledger of archive "${client.member.daemon}" is not complete`,
+  );
+}
+
 /** Spreads the retries of the attempts that saw each other. */
 function createContentionError({
   program,
