Read what has arrived before the timers of the system clock fire

Callers of entry VMs that run late got 503 although archives and object API had replied.

Cause: after a stall of the process Node.js runs timers before it reads sockets, so time-outs beat replies that had arrived. Message links and attempts to connect were guarded one by one; the probe and the calls of the object API, the end of a turn's write and all others that use the clock were not.

Change: the system clock runs the callback of a timer after what has arrived was read. A callback that this cancels does not run.

Test: two scenarios of system_clock.feature failed before ("Then it has not fired after 50 ms"; events in the order timer, data).

--- a/packages/common/src/time/clock.ts
+++ b/packages/common/src/time/clock.ts
@@ -20,7 +20,9 @@
   abstract wallTimeMs(): number;
 
   /**
-   * Schedules a callback to run once.
+   * Schedules a callback to run once. Data that arrived before the callback runs
+   * is read first, so that a stall of the process does not look like the silence
+   * of a peer.
    * @param delayMs - Delay before the callback, in milliseconds.
    * @param callback - Must not throw.
    */
--- a/packages/common/src/time/system_clock.ts
+++ b/packages/common/src/time/system_clock.ts
@@ -18,7 +18,19 @@
   }
 
   override setTimer(delayMs: number, callback: () => void): Timer {
-    const timeout = setTimeout(callback, Math.min(delayMs, maxTimerDelayMs));
-    return {cancel: () => clearTimeout(timeout)};
+    let immediate: NodeJS.Immediate | undefined;
+    const timeout = setTimeout(
+      () => {
+        // After a stall of the event loop, what has arrived is read first.
+        immediate = setImmediate(callback);
+      },
+      Math.min(delayMs, maxTimerDelayMs),
+    );
+    return {
+      cancel: () => {
+        clearTimeout(timeout);
+        clearImmediate(immediate);
+      },
+    };
   }
 }
