Go on with reservations as soon as the object API replies again

Attempts at turns got 503 "too few archives granted" after half of their call's time (1.25 s), although the object API, which takes the place of archives that are missing, replied again long before.

Cause: a reservation that too few disks have counted needs an object. If the probe of the object API has no reply within 250 ms, the reservation waits; but only the return of an archive ended the wait, and archives that hang or are cut off do not return. The wait until a turn could be made durable had the same fault.

Change: the first reply of the object API after a call without one ends these waits as the return of an archive does. No wait is longer than before.

Test: "An attempt that waits for archives goes on as soon as the object API replies again" (reservation_objects.feature) failed before: MarigoldpostError: too few archives granted 10 tokens.

--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -178,7 +178,7 @@
 
   /**
    * Number of times at which an archive has become reachable again or has been
-   * registered.
+   * registered, or the object API has replied again.
    */
   get returnCount(): number {
     this.getClients();
@@ -186,8 +186,16 @@
   }
 
   /**
-   * Waits until an archive becomes reachable again or the directory changes;
-   * `false` if the wait ends before, or as soon as no archive is expected: enough
+   * Ends the waits for archives since the object API, which takes the place of
+   * archives that are missing, replies again.
+   */
+  recordStoreReturn(): void {
+    this.endWaits();
+  }
+
+  /**
+   * Waits until an archive becomes reachable again, the directory changes or the
+   * object API replies again; `false` if the wait ends before, or as soon as no archive is expected: enough
    * are registered, and none has become unreachable in the last 2.5 s.
    * @param wait - Longest wait and what ends it.
    * @param owedCount - Archives that the site must have.
@@ -321,11 +329,15 @@
   ): void {
     this.options.onReachabilityChanged?.(member, isReachable);
     if (!isReachable) return;
-    this.returns += 1;
     const reachable = this.clients.filter((client) => client.isReachable);
     if (reachable.length === 1) {
       this.isolationEndMs = this.options.clock.nowMs();
     }
+    this.endWaits();
+  }
+
+  private endWaits(): void {
+    this.returns += 1;
     for (const listener of [...this.returnListeners]) listener();
   }
 }
--- a/packages/turns/src/client/archive_retries.ts
+++ b/packages/turns/src/client/archive_retries.ts
@@ -68,7 +68,8 @@
 
   /**
    * Waits until an archive has returned or has been registered since the last
-   * attempt; `false` if no further attempt should follow.
+   * attempt, or the object API has replied again; `false` if no further attempt
+   * should follow.
    * @param owedCount - Archives that the site must have; while fewer are
    *   registered, another one is waited for.
    * @param isOptional - Whether the request can end well without another
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -80,7 +80,7 @@
         pool.getClients().every(({isReachable}) => isReachable),
       onWritten: options.onReservationsWritten,
     });
-    this.probe = StoreProbe.create({store: store.getStaleReader(), clock});
+    this.probe = createProbe(options);
     const {cache, reservations, probe} = this;
     this.isolation = IsolationDetector.create({
       pool,
@@ -266,3 +266,11 @@
     });
   }
 }
+
+function createProbe({store, clock, pool}: TurnStoreOptions): StoreProbe {
+  return StoreProbe.create({
+    store: store.getStaleReader(),
+    clock,
+    onReturned: () => pool.recordStoreReturn(),
+  });
+}
--- a/packages/turns/src/objects/store_probe.ts
+++ b/packages/turns/src/objects/store_probe.ts
@@ -19,6 +19,8 @@
   /** Client whose reads may be stale, which cost less. */
   readonly store: Pick<ObjectStore, 'getObject'>;
   readonly clock: Clock;
+  /** Called at the first reply after a call without one. */
+  readonly onReturned?: () => void;
 }
 
 /**
@@ -86,9 +88,7 @@
     const {store, clock} = this.options;
     const replied = store.getObject(probedKey).then(
       () => {
-        // Counts also if it is late: a slow object API accepts writes.
-        this.isFailing = false;
-        this.lastReplyMs = clock.nowMs();
+        this.recordReply();
         return true;
       },
       () => false,
@@ -102,4 +102,12 @@
     }
     return false;
   }
+
+  /** A late reply counts too: a slow object API accepts writes. */
+  private recordReply(): void {
+    const hasReturned = this.isFailing;
+    this.isFailing = false;
+    this.lastReplyMs = this.options.clock.nowMs();
+    if (hasReturned) this.options.onReturned?.();
+  }
 }
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -64,6 +64,15 @@
   },
 );
 
+Given(
+  'the object API is back after {int} ms',
+  function (this: ObjectWorld, afterMs: number) {
+    this.archives.clock.setTimer(afterMs, () => {
+      this.archives.isStoreAway = false;
+    });
+  },
+);
+
 When(
   'archive {string} restarts on an empty disk',
   async function (this: ObjectWorld, name: string) {
--- a/packages/turns/tests/objects/reservation_objects.feature
+++ b/packages/turns/tests/objects/reservation_objects.feature
@@ -89,3 +89,12 @@
     And archives "a, b" restart on empty disks with "c" down for 100 ms
     And 4000 ms pass
     Then another attempt of 50 tokens in "b" fails with tokens_spent
+
+  # Guards against attempts that wait in vain for archives once the object API can take their place.
+  Scenario: An attempt that waits for archives goes on as soon as the object API replies again
+    Given data centre "a" is isolated
+    And turn "t1" finishes in "a"
+    And the object API is away
+    And 600 ms pass
+    And the object API is back after 300 ms
+    Then an attempt of a program of "a" is admitted in "a" within 1000 ms
