Read chains of turns again once the archives that store them have returned

Turns that continue a stored one got 503 "turn not found, but ... a VM that may have it did not reply" at once while the archives that store it restarted, or did not reply for 400 ms to an entry VM that is late: such an archive counts as unreachable for at least 600 ms. Reservations and writes of turns wait then.

Change: a chain that was not found is read again when an archive returns, within half of the call's time and 1.5 s, as reservations are. Nobody waits for an archive that has been unreachable for longer than 2.5 s.

Tests: "Reading a turn waits while the archives that store it restart" (unknown_turn.feature) failed without the wait: MarigoldpostError: turn "t1" not found, but a stored turn continues it, or a VM that may have it did not reply. "Reading a turn does not wait for archives that have been away for long" holds its limit.

--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -78,10 +78,11 @@
     const {previousTurn} = this.call.attributes;
     if (previousTurn === undefined) return [];
     const startMs = this.services.clock.nowMs();
-    const chain = await this.services.turns.readChain(
-      previousTurn,
-      this.call.signal,
-    );
+    const {call} = this;
+    const chain = await this.services.turns.readChain(previousTurn, {
+      maxWaitMs: call.leftMs * maxWaitShare,
+      signal: call.signal,
+    });
     this.call.logger.log('turn_read', {
       previous: previousTurn,
       turns: chain.length,
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -10,6 +10,7 @@
 import type {TurnObjectReader} from '../objects/turn_object_reader.js';
 import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
+import type {ArchiveRetries, ArchiveWait} from './archive_retries.js';
 import type {TurnCache} from './turn_cache.js';
 
 /** Archives and cache that a reader uses. */
@@ -46,18 +47,25 @@
    * neither the object API nor any archive that it lists stores the turn; and
    * `archive_unavailable` when an archive that may have it does not reply, the
    * list of archives is behind or cannot be confirmed, or an ancestor of a stored
-   * turn is missing.
+   * turn is missing. Waits for archives that have just become unreachable before.
    * @param turn - Newest turn of the chain.
-   * @param signal - No further archive is asked once it is aborted.
+   * @param wait - How long to wait; no further archive is asked once its signal is
+   *   aborted.
    */
-  async readChain(turn: TurnId, signal: AbortSignal): Promise<TurnChain> {
+  async readChain(turn: TurnId, wait: ArchiveWait): Promise<TurnChain> {
+    const retries = this.options.pool.createRetries(wait);
     const newestFirst: TurnRecord[] = [];
     let next: TurnId | undefined = turn;
     while (next !== undefined) {
       const cached = this.options.cache.get(next);
       const part: PartialChain =
         cached === undefined
-          ? await this.fetchChain(next, signal, newestFirst.length > 0)
+          ? await this.fetchWithWait(
+              next,
+              newestFirst.length > 0,
+              retries,
+              wait.signal,
+            )
           : {turns: [cached], missing: cached.previous};
       newestFirst.push(...part.turns.toReversed());
       next = part.missing;
@@ -66,11 +74,29 @@
     return newestFirst.toReversed();
   }
 
-  private async fetchChain(
+  /** Fetches a chain again each time an archive has returned. */
+  private async fetchWithWait(
     turn: TurnId,
-    signal: AbortSignal,
     isAncestor: boolean,
+    retries: ArchiveRetries,
+    signal: AbortSignal,
   ): Promise<PartialChain> {
+    const {owedArchives} = this.options;
+    for (;;) {
+      const chain = await this.fetchChain(turn, isAncestor, signal);
+      if (chain !== undefined) return chain;
+      if (!(await retries.waitForReturn(owedArchives))) {
+        throw this.createUnavailableError(turn);
+      }
+    }
+  }
+
+  /** Fetches a chain; `undefined` if what has not replied may have it. */
+  private async fetchChain(
+    turn: TurnId,
+    isAncestor: boolean,
+    signal: AbortSignal,
+  ): Promise<PartialChain | undefined> {
     const {pool, ownDataCentre, owedArchives} = this.options;
     const localClients = pool.getReachableClients(ownDataCentre);
     for (const client of localClients) {
@@ -101,7 +127,7 @@
         throw MarigoldpostError.create('unknown_turn', message);
       }
     }
-    throw this.createUnavailableError(turn);
+    return undefined;
   }
 
   /** Gets the turn that an object holds; `unknown` without the object API. */
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -193,11 +193,11 @@
    * Gets a turn and all its ancestors; see `ChainReader.readChain`. Throws
    * `archive_unavailable` if the wait for the archives is aborted.
    * @param turn - Newest turn of the chain.
-   * @param signal - Ends the wait.
+   * @param wait - How long to wait while archives are unreachable.
    */
-  readChain(turn: TurnId, signal: AbortSignal): Promise<TurnChain> {
-    const work = this.chains.readChain(turn, signal);
-    return waitUnlessAborted(work, signal, () =>
+  readChain(turn: TurnId, wait: ArchiveWait): Promise<TurnChain> {
+    const work = this.chains.readChain(turn, wait);
+    return waitUnlessAborted(work, wait.signal, () =>
       this.createAbortError(`turn "${turn}" was not read in time`),
     );
   }
--- a/packages/turns/tests/client/large_message_steps.ts
+++ b/packages/turns/tests/client/large_message_steps.ts
@@ -42,7 +42,9 @@
     const {signal} = new AbortController();
     const store = archives.getStore(dataCentre, true);
     const last = toId<TurnId>(chainIds.at(-1) ?? '');
-    const chain = await archives.run(store.readChain(last, signal));
+    const chain = await archives.run(
+      store.readChain(last, {maxWaitMs: 0, signal}),
+    );
     assert.deepEqual(
       chain.map(({id}) => id),
       chainIds,
--- a/packages/turns/tests/client/turn_recorder_steps.ts
+++ b/packages/turns/tests/client/turn_recorder_steps.ts
@@ -37,7 +37,7 @@
     const {signal} = new AbortController();
     const probe = archives
       .getStore(entryVm)
-      .readChain(toId<TurnId>('probe'), signal);
+      .readChain(toId<TurnId>('probe'), {maxWaitMs: 0, signal});
     await archives.run(probe.catch(() => undefined));
     archives.clock.setTimer(forMs, () => {
       for (const link of links) archives.brokenLinks.delete(link);
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -24,6 +24,7 @@
 const program = toId<ProgramId>('program');
 /** Waits for the archives are not ended. */
 const untilDone = new AbortController().signal;
+const noWait = {maxWaitMs: 0, signal: untilDone};
 const maxAttempts = 30;
 /** Below the 1 s within which a budget must include a turn's used tokens. */
 const settleMs = 900;
@@ -54,7 +55,7 @@
     const {archives} = this;
     const probe = archives
       .getStore(name)
-      .readChain(toId<TurnId>('probe'), untilDone);
+      .readChain(toId<TurnId>('probe'), noWait);
     await archives.run(probe.catch(() => undefined));
   },
 );
@@ -273,7 +274,7 @@
     const expected = split(ids);
     const store = this.archives.getStore(dataCentre, true);
     const last = toId<TurnId>(expected.at(-1) ?? '');
-    const chain = await this.archives.run(store.readChain(last, untilDone));
+    const chain = await this.archives.run(store.readChain(last, noWait));
     assert.deepEqual(
       chain.map(({id}) => id),
       expected,
@@ -293,7 +294,7 @@
     kind: ErrorKind,
   ) {
     const store = this.archives.getStore(dataCentre, true);
-    const read = store.readChain(toId<TurnId>(id), untilDone);
+    const read = store.readChain(toId<TurnId>(id), noWait);
     await assertFails(this.archives.run(read), kind);
   },
 );
@@ -400,7 +401,7 @@
   const chain =
     previous === undefined
       ? []
-      : await archives.run(store.readChain(toId<TurnId>(previous), untilDone));
+      : await archives.run(store.readChain(toId<TurnId>(previous), noWait));
   const disks = chain.at(-1)?.disks ?? [];
   const wait = {maxWaitMs: unlimitedWaitMs, signal: untilDone};
   const turn = createTurn(id, previous);
--- a/packages/turns/tests/client/unknown_turn.feature
+++ b/packages/turns/tests/client/unknown_turn.feature
@@ -25,3 +25,16 @@
     When 100 turns that nobody has stored are read at a time in "a"
     Then all of them are called unknown within 500 ms
     And the registrations were read at most 2 times
+
+  # Guards against stored turns that are rejected while their archives restart.
+  Scenario: Reading a turn waits while the archives that store it restart
+    When turn "t1" finishes in "a"
+    And the archives with turn "t1" are down for 900 ms
+    Then turn "t1" is read in "e" by a call that may wait for 1250 ms
+
+  Scenario: Reading a turn does not wait for archives that have been away for long
+    When turn "t1" finishes in "a"
+    And the archives with turn "t1" are down for 9000 ms
+    Then reading turn "t1" in "e" by a call that may wait for 1250 ms fails with archive_unavailable within 1700 ms
+    When 3000 ms pass
+    Then reading turn "t1" in "e" by a call that may wait for 1250 ms fails with archive_unavailable within 100 ms
--- a/packages/turns/tests/client/unknown_turn_steps.ts
+++ b/packages/turns/tests/client/unknown_turn_steps.ts
@@ -1,8 +1,9 @@
 /** Steps for turns that no archive stores, or none that is known. */
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
-import {isErrorOfKind, toId} from '@marigoldpost/common';
+import {type ErrorKind, isErrorOfKind, toId} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
+import type {TurnChain} from '@marigoldpost/turns';
 import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
 
 interface UnknownWorld extends World {
@@ -51,10 +52,10 @@
     const store = archives.getStore(dataCentre, true);
     const startMs = archives.clock.nowMs();
     const reads = Array.from({length: count}, (_none, index) =>
-      store.readChain(
-        toId<TurnId>(`none-${index}`),
-        new AbortController().signal,
-      ),
+      store.readChain(toId<TurnId>(`none-${index}`), {
+        maxWaitMs: 0,
+        signal: new AbortController().signal,
+      }),
     );
     this.results = await archives.run(Promise.allSettled(reads));
     this.elapsedMs = archives.clock.nowMs() - startMs;
@@ -79,3 +80,63 @@
     assert.ok(registrationReads <= most, `${registrationReads} times`);
   },
 );
+
+When(
+  'the archives with turn {string} are down for {int} ms',
+  function (this: UnknownWorld, id: string, downMs: number) {
+    const {archives} = this;
+    const holders = archives.findHolders(id);
+    assert.ok(holders.length > 0);
+    for (const name of holders) {
+      archives.kill(name);
+      archives.clock.setTimer(downMs, () => void archives.start(name));
+    }
+  },
+);
+
+Then(
+  'turn {string} is read in {string} by a call that may wait for {int} ms',
+  async function (
+    this: UnknownWorld,
+    id: string,
+    dataCentre: string,
+    maxWaitMs: number,
+  ) {
+    const chain = await readTurn(this, id, dataCentre, maxWaitMs);
+    assert.deepEqual(
+      chain.map((turn) => turn.id),
+      [id],
+    );
+  },
+);
+
+Then(
+  'reading turn {string} in {string} by a call that may wait for {int} ms fails with {word} within {int} ms',
+  async function (
+    this: UnknownWorld,
+    id: string,
+    dataCentre: string,
+    maxWaitMs: number,
+    kind: ErrorKind,
+    withinMs: number,
+  ) {
+    const {clock} = this.archives;
+    const startMs = clock.nowMs();
+    await assert.rejects(readTurn(this, id, dataCentre, maxWaitMs), (error) =>
+      isErrorOfKind(error, kind),
+    );
+    const elapsedMs = clock.nowMs() - startMs;
+    assert.ok(elapsedMs <= withinMs, `it took ${elapsedMs} ms`);
+  },
+);
+
+function readTurn(
+  {archives}: UnknownWorld,
+  id: string,
+  dataCentre: string,
+  maxWaitMs: number,
+): Promise<TurnChain> {
+  const {signal} = new AbortController();
+  const store = archives.getStore(dataCentre);
+  return archives.run(store.readChain(toId<TurnId>(id), {maxWaitMs, signal}));
+}
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -200,7 +200,9 @@
       const {signal} = new AbortController();
       const store = archives.getStore(dataCentre, true);
       try {
-        await archives.run(store.readChain(toId<TurnId>(id), signal));
+        await archives.run(
+          store.readChain(toId<TurnId>(id), {maxWaitMs: 0, signal}),
+        );
         reads += 1;
       } catch (error) {
         assert.ok(isErrorOfKind(error, 'archive_unavailable'), String(error));
--- a/packages/turns/tests/repair/damaged_entry_steps.ts
+++ b/packages/turns/tests/repair/damaged_entry_steps.ts
@@ -55,7 +55,9 @@
     const {archives} = this;
     const store = archives.getStore(findOtherHolder(this, id), true);
     const {signal} = new AbortController();
-    await archives.run(store.readChain(toId<TurnId>(id), signal));
+    await archives.run(
+      store.readChain(toId<TurnId>(id), {maxWaitMs: 0, signal}),
+    );
   },
 );
 
@@ -66,7 +68,9 @@
     const {signal} = new AbortController();
     const store = archives.getStore(dataCentre, true);
     for (const id of this.turnIds) {
-      await archives.run(store.readChain(toId<TurnId>(id), signal));
+      await archives.run(
+        store.readChain(toId<TurnId>(id), {maxWaitMs: 0, signal}),
+      );
     }
   },
 );
@@ -103,7 +107,9 @@
     const store = archives.getStore(name, true);
     const id = toId<TurnId>(this.damagedId);
     const {signal} = new AbortController();
-    const chain = await archives.run(store.readChain(id, signal));
+    const chain = await archives.run(
+      store.readChain(id, {maxWaitMs: 0, signal}),
+    );
     assert.equal(chain.at(-1)?.id, id);
   },
 );
--- a/packages/turns/tests/repair/replica_repair_steps.ts
+++ b/packages/turns/tests/repair/replica_repair_steps.ts
@@ -140,14 +140,20 @@
     const {archives} = this;
     const store = archives.getStore(dataCentre);
     const {signal} = new AbortController();
-    const read = store.readChain(toId<TurnId>(previous), signal);
+    const read = store.readChain(toId<TurnId>(previous), {
+      maxWaitMs: 0,
+      signal,
+    });
     const disks = (await archives.run(read)).at(-1)?.disks ?? [];
     const links = archives
       .findHolders(held)
       .map((name) => `${dataCentre} ${name}`);
     for (const link of links) archives.brokenLinks.add(link);
     // The first request without a reply marks the archives unreachable.
-    const probe = store.readChain(toId<TurnId>('probe'), signal);
+    const probe = store.readChain(toId<TurnId>('probe'), {
+      maxWaitMs: 0,
+      signal,
+    });
     await archives.run(probe.catch(() => undefined));
     const wait = {maxWaitMs: unlimitedWaitMs, signal};
     const turn = createTurn(id, previous);
--- a/packages/turns/tests/repair/retirement_steps.ts
+++ b/packages/turns/tests/repair/retirement_steps.ts
@@ -158,7 +158,9 @@
     const {archives} = this;
     const {signal} = new AbortController();
     const store = archives.getStore(dataCentre, true);
-    const read = archives.run(store.readChain(toId<TurnId>(id), signal));
+    const read = archives.run(
+      store.readChain(toId<TurnId>(id), {maxWaitMs: 0, signal}),
+    );
     const error: unknown = await read.catch((thrown: unknown) => thrown);
     assert.ok(!isErrorOfKind(error, 'unknown_turn'), String(error));
   },
