Wait for archives also after a reservation was not recorded in the object API

Attempts at turns got 503 "too few archives granted" at once, although archives that had just become unreachable were about to return: when the object API lost the write that stands for the missing disks, or an archive did not send the ledger that decides a contended budget.

Cause: only a ballot that decided nothing was repeated; what followed a ballot was not.

Change: a reservation that is rejected as unavailable is requested again when an archive or the object API returns, within the same time as before. An attempt that is found spent after an earlier ballot is settled, since that ballot may have recorded it.

--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -15,7 +15,7 @@
 import type {ProgramEntries} from '../records/turn_codec.js';
 import type {ArchiveClient} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
-import type {ArchiveWait} from './archive_retries.js';
+import type {ArchiveRetries, ArchiveWait} from './archive_retries.js';
 import {ReservationBallot} from './reservation_ballot.js';
 import type {SettlementSender} from './settlement_sender.js';
 
@@ -85,17 +85,34 @@
    */
   async reserve(request: TokenRequest): Promise<void> {
     if (this.isKnownAsSpent(request)) throw createTokensSpentError(request);
-    const ballot = await this.requestWithWait(request);
-    const result = ballot?.result;
-    if (result === 'granted' && this.isOnEnoughDisks(ballot)) return;
-    if (result === 'spent') throw createTokensSpentError(request);
-    const failure =
-      ballot === undefined
-        ? this.createUnavailableError(request)
-        : await this.reserveByMergedLedgers(request, ballot);
-    if (failure === undefined) return;
-    this.options.settlements.add(request.program, request.attempt, 0);
-    throw failure;
+    const {pool, owedArchives, settlements} = this.options;
+    const retries = pool.createRetries(request);
+    for (let isRepeated = false; ; isRepeated = true) {
+      const ballot = await this.requestWithWait(request, retries);
+      const failure =
+        ballot === undefined
+          ? this.createUnavailableError(request)
+          : await this.decideByBallot(request, ballot);
+      if (failure === undefined) return;
+      const isFinal = failure.kind !== 'archive_unavailable';
+      if (!isFinal && (await retries.waitForReturn(owedArchives))) continue;
+      // `recordSpent` settles the attempt where its only ballot has recorded it.
+      if (isRepeated || ballot?.result !== 'spent') {
+        settlements.add(request.program, request.attempt, 0);
+      }
+      throw failure;
+    }
+  }
+
+  /** Gets the error that rejects an attempt after its ballot, if any. */
+  private async decideByBallot(
+    request: TokenRequest,
+    ballot: ReservationBallot,
+  ): Promise<MarigoldpostError | undefined> {
+    const {result} = ballot;
+    if (result === 'granted' && this.isOnEnoughDisks(ballot)) return undefined;
+    if (result === 'spent') return createTokensSpentError(request);
+    return this.reserveByMergedLedgers(request, ballot);
   }
 
   /** What ended attempts have used is final, so such a refusal is too. */
@@ -200,9 +217,9 @@
    */
   private async requestWithWait(
     request: TokenRequest,
+    retries: ArchiveRetries,
   ): Promise<ReservationBallot | undefined> {
-    const {pool, owedArchives} = this.options;
-    const retries = pool.createRetries(request);
+    const {owedArchives} = this.options;
     for (;;) {
       const ballot = await this.requestReservation(request, false);
       if (await this.isDecided(ballot)) return ballot;
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -83,6 +83,15 @@
   },
 );
 
+Given(
+  'the isolation ends after {int} ms',
+  function (this: ObjectWorld, afterMs: number) {
+    this.archives.clock.setTimer(afterMs, () => {
+      this.archives.cutOff = undefined;
+    });
+  },
+);
+
 When('the isolation ends', function (this: ObjectWorld) {
   this.archives.cutOff = undefined;
 });
--- a/packages/turns/tests/objects/reservation_objects.feature
+++ b/packages/turns/tests/objects/reservation_objects.feature
@@ -98,3 +98,11 @@
     And 600 ms pass
     And the object API is back after 300 ms
     Then an attempt of a program of "a" is admitted in "a" within 1000 ms
+
+  # Guards against attempts that are rejected since archives or the object API failed once.
+  Scenario: An attempt that the object API has not recorded waits for archives
+    Given data centre "a" is isolated
+    And turn "t1" finishes in "a"
+    And the object API loses writes
+    And the isolation ends after 800 ms
+    Then an attempt of a program of "a" is admitted in "a" within 1500 ms
