Run a call once the responses before it on its connection are sent

A client that sends two calls in one packet got no response to the second, which a target had run, when the first one ended with its connection: a turn or stream that is truncated, a turn that cannot be stored, a response whose length is not known, a stream over HTTP/1.0.

Cause: all calls that had been read from a connection ran at once, although only the responses before them decide whether the connection stays.

Change: a call that has been read waits until the earlier responses of its connection have been sent, with its time running. If the connection closes instead, it does not run (`endReason` connection_closed); nor does one whose time ends (504, not run) or whose client leaves meanwhile. Calls that are pipelined thus run one after the other, and take longer than before; others do not wait. By reading: a call that ran behind a response that broke its connection never gave back its part of the memory for responses, since a response without a connection is never closed; such a call no longer runs.

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -8,6 +8,10 @@
   readonly openRequests: Set<IncomingMessage>;
   /** Whether it closes once the requests that have been read are answered. */
   isClosing: boolean;
+  /** Response to the request that was read last, until it has been sent. */
+  lastResponse: ServerResponse | undefined;
+  /** End the waits of requests for earlier responses. */
+  readonly waits: Set<() => void>;
   /** Bytes that had been read when the last exchange ended. */
   idleAtBytes: number | undefined;
 }
@@ -19,6 +23,11 @@
  */
 export class ClientConnections {
   private readonly states = new Map<Socket, ConnectionState>();
+  /** Response that is sent before the one to a request, by that request. */
+  private readonly earlierResponses = new WeakMap<
+    IncomingMessage,
+    ServerResponse
+  >();
 
   private constructor(private readonly server: Server) {
     server.on('connection', (socket: Socket) => this.getState(socket));
@@ -90,6 +99,27 @@
     return [...openRequests].at(-1) === request;
   }
 
+  /**
+   * Waits until the responses to earlier requests of a request's connection
+   * have been sent. False if the connection closes instead: no response to the
+   * request can be sent then.
+   * @param request - Request that has not been answered.
+   */
+  async waitForEarlierResponses(request: IncomingMessage): Promise<boolean> {
+    const {socket} = request;
+    const earlier = this.earlierResponses.get(request);
+    if (earlier?.closed === false && !socket.destroyed) {
+      const {waits} = this.getState(socket);
+      await new Promise<void>((resolve) => {
+        earlier.once('close', resolve);
+        // A response that waits itself is not closed with its connection.
+        waits.add(resolve);
+        earlier.once('close', () => waits.delete(resolve));
+      });
+    }
+    return socket.writable;
+  }
+
   /** Stops listening; resolves once all connections are closed. */
   stopListening(): Promise<void> {
     return new Promise((resolve) => {
@@ -126,10 +156,15 @@
     const added: ConnectionState = {
       openRequests: new Set(),
       isClosing: false,
+      lastResponse: undefined,
+      waits: new Set(),
       idleAtBytes: undefined,
     };
     this.states.set(socket, added);
-    socket.once('close', () => this.states.delete(socket));
+    socket.once('close', () => {
+      this.states.delete(socket);
+      for (const endWait of added.waits) endWait();
+    });
     return added;
   }
 
@@ -140,9 +175,15 @@
     const {socket} = request;
     const state = this.getState(socket);
     state.openRequests.add(request);
+    const {lastResponse} = state;
+    if (lastResponse !== undefined) {
+      this.earlierResponses.set(request, lastResponse);
+    }
+    state.lastResponse = response;
     const update = () => {
       state.idleAtBytes = socket.bytesRead;
       if (!response.closed) return;
+      if (state.lastResponse === response) state.lastResponse = undefined;
       // The rest of a body that nobody needs may follow the response.
       if (request.complete || request.closed) {
         state.openRequests.delete(request);
--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -12,6 +12,7 @@
 import {resetSocket} from '../server/reset_socket.js';
 import {readBody} from './body_reader.js';
 import type {CallServices} from './call_services.js';
+import type {ConnectionOrder} from './connection_order.js';
 import {IncomingCall} from './incoming_call.js';
 import {servePlainCall} from './plain_call.js';
 import {RequestAllowance} from './request_allowance.js';
@@ -88,17 +89,16 @@
    * Handles one request until its response ends; never throws.
    * @param request - Request whose head has been read.
    * @param response - Response to the request; nothing has been sent.
-   * @param isLastRead - Whether no later request has been read from the
-   *   connection; a response that closes it would cut the others.
+   * @param order - The request among the others of its connection.
    */
   async handle(
     request: IncomingMessage,
     response: ServerResponse,
-    isLastRead: () => boolean,
+    order: ConnectionOrder,
   ): Promise<void> {
     this.requests += 1;
     try {
-      await this.processRequest(request, response, isLastRead);
+      await this.processRequest(request, response, order);
     } catch (error) {
       // The call may have run, so that its connection ends without a status.
       const {kind, message} = toMarigoldpostError(error);
@@ -113,7 +113,7 @@
   private async processRequest(
     request: IncomingMessage,
     response: ServerResponse,
-    isLastRead: () => boolean,
+    order: ConnectionOrder,
   ): Promise<void> {
     const {clock, codec, site} = this.services;
     const arrivedAtMs = clock.nowMs();
@@ -131,7 +131,7 @@
       const error = requestError ?? createNoRouteError(request);
       // Requests behind it in the same packet are read first.
       if (this.isDraining) await Promise.resolve();
-      const isClosing = this.isDraining && isLastRead();
+      const isClosing = this.isDraining && order.isLastRead();
       this.rejectUnrouted(response, attributes, error, isClosing);
       return;
     }
@@ -145,8 +145,9 @@
       clock,
       arrivedAtMs,
       logger: this.services.logger.withContext({requestId}),
+      order,
       isClosing: () =>
-        isLastRead() && (this.isDraining || this.isBetterServedElsewhere),
+        order.isLastRead() && (this.isDraining || this.isBetterServedElsewhere),
     });
     this.calls.add(call);
     await this.serveOrReject(call);
@@ -172,6 +173,7 @@
     const {config, route, request, signal} = call;
     const maxBytes = config.limits.maxBodyBytes;
     const bytes = await readBody(request, {maxBytes, signal, allowance});
+    await call.waitForEarlierResponses();
     this.rejectIfTooLate(call);
     const service = chooseService(route, this.services.random);
     if (route.retentionMs !== undefined) {
--- a/packages/gateway/src/calls/end_call.ts
+++ b/packages/gateway/src/calls/end_call.ts
@@ -27,8 +27,7 @@
 
 /**
  * Ends a call with an error response, or breaks its response off if that has
- * begun. Does nothing if the client is gone
- * or the call has ended.
+ * begun. Does nothing if the call can no longer be answered or has ended.
  * @param call - Call that has not ended.
  * @param error - Error that ended it.
  * @param events - Complete events that were sent to the client.
@@ -38,7 +37,7 @@
   error: MarigoldpostError,
   events = 0,
 ): void {
-  if (call.endReason === 'client_gone' || call.hasEnded) return;
+  if (!call.canBeAnswered || call.hasEnded) return;
   const {logger} = call;
   const route = call.route.name;
   const elapsedMs = Math.round(call.elapsedMs);
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -1,16 +1,18 @@
 /** A client's request with its deadline and its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {
-  Clock,
+import {
+  type Clock,
   MarigoldpostError,
-  TargetId,
-  Timer,
+  type TargetId,
+  type Timer,
+  waitUnlessAborted,
 } from '@marigoldpost/common';
 import type {CallAttributes, Route, SiteConfig} from '@marigoldpost/sites';
 import type {EventLogger} from '@marigoldpost/telemetry';
 import type {BodyFields} from '../responses/body_end.js';
 import {createErrorResponse} from '../responses/error_response.js';
 import {resetSocket} from '../server/reset_socket.js';
+import type {ConnectionOrder} from './connection_order.js';
 import {
   getConnectionHeaders,
   type BufferedResponse,
@@ -23,8 +25,13 @@
  */
 const resetDelayMs = 20;
 
-/** Why a call was aborted before its response was complete. */
-export type CallEndReason = 'client_gone' | 'timeout' | 'stopping';
+/**
+ * Why a call was aborted before its response was complete. `connection_closed`
+ * means that its connection closed while it waited for earlier responses, so
+ * that it has not run.
+ */
+export type CallEndReason =
+  'client_gone' | 'connection_closed' | 'timeout' | 'stopping';
 
 /** Head of a response whose body follows in parts. */
 export interface ResponseHead {
@@ -59,6 +66,7 @@
   /** Logger whose context has the request's id. */
   readonly logger: EventLogger;
   readonly arrivedAtMs: number;
+  readonly order: ConnectionOrder;
   /** Whether to close the connection after the response. */
   readonly isClosing: () => boolean;
 }
@@ -148,6 +156,11 @@
     return limitMs - this.elapsedMs;
   }
 
+  /** Whether a response could still reach the client. */
+  get canBeAnswered(): boolean {
+    return this.reason !== 'client_gone' && this.reason !== 'connection_closed';
+  }
+
   /** Whether the client has been told how the response ends. */
   get hasEnded(): boolean {
     return this.told !== undefined;
@@ -158,6 +171,22 @@
     return this.options.response.headersSent;
   }
 
+  /**
+   * Waits until the responses to earlier requests of the connection have been
+   * sent: a call that ran before might get no response, since one of these may
+   * end with the connection. Throws an error if the call ends before.
+   */
+  async waitForEarlierResponses(): Promise<void> {
+    const isConnected = await waitUnlessAborted(
+      this.options.order.waitForEarlierResponses(),
+      this.signal,
+      () => this.createWaitError(),
+    );
+    if (isConnected) return;
+    this.end('connection_closed');
+    throw this.createWaitError();
+  }
+
   /**
    * Calls a function when the response has been sent, or its connection is lost.
    * @param onClosed - Called once.
@@ -257,6 +286,12 @@
     clock.setTimer(resetDelayMs, () => resetSocket(request.socket));
   }
 
+  private createWaitError(): MarigoldpostError {
+    const kind = this.reason === 'stopping' ? 'draining' : 'deadline_exceeded';
+    const message = 'the call ended before earlier ones of its connection';
+    return MarigoldpostError.create(kind, message);
+  }
+
   private end(reason: CallEndReason): void {
     if (this.reason !== undefined) return;
     this.reason = reason;
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -45,8 +45,11 @@
         request.resume();
         return;
       }
-      const isLastRead = () => this.connections.isLastRead(request);
-      void handler.handle(request, response, isLastRead);
+      void handler.handle(request, response, {
+        isLastRead: () => this.connections.isLastRead(request),
+        waitForEarlierResponses: () =>
+          this.connections.waitForEarlierResponses(request),
+      });
     });
     this.connections = ClientConnections.create(this.server);
     this.server.on(
