--- a/packages/turns/src/repair/archive_succession.ts
+++ b/packages/turns/src/repair/archive_succession.ts
@@ -9,10 +9,10 @@
 
 /**
  * Time after which the place of an unreachable archive is taken: longer than a
- * restart, a freeze or the cut of a data centre. A new archive probably replaces
- * one that has never replied to it, unless that restarts at the same moment.
+ * restart, a freeze or a stalled disk. A new archive probably replaces one that
+ * has never replied to it, unless that restarts at the same moment.
  */
-const absentMs = {known: 8000, replaced: 1200};
+const absentMs = {known: 6000, replaced: 1200};
 /**
  * Time between two removals, in which all VMs read of the first one. The
  * majorities before and after the removal of a single vote always meet.
