Let archives refuse reservations that count superseded votes

Callers got more tokens than their budget (400 of 200): an archive whose place had been taken counted again at an entry VM whose list of archives was two changes behind, or after its successor had left the list; with another archive down, most tokens were refused for good once a successor had retired.

An entry VM names the disks that it leaves out in each reservation. An archive that has recorded another one, on its disk, refuses with that disk in its reply, and the entry VM decides again without it. A successor has so many voters record the disk, before it reads their ledgers, that each majority until then has one of them; until it has stored the ledgers, it does not count for who leaves the disk out. Superseded disks stay left out also when no registration names them any more. A request without such names (earlier builds) is treated as before.

Fixtures for requests and turns moved to turn_requests.ts.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -87,7 +87,11 @@
     this.importer = importer;
     const repairer = this.createRepairer(archive, pool, importer);
     this.repairer = repairer;
-    const service = ArchiveService.create(archive, () => repairer.isComplete);
+    const service = ArchiveService.create({
+      archive,
+      directory: this.archiveDirectory,
+      isComplete: (disks) => repairer.isCompleteWithout(disks),
+    });
     const mirror = SiteMirror.create();
     const contact = StoreContact.create(clock);
     const changes = ChangeRelay.create({
@@ -262,7 +266,6 @@
       registerSupersededDisks: async (supersededDisks) => {
         const member = {...this.createMember(archive), supersededDisks};
         await registerArchive(platform.store, member);
-        logger.log('archive_superseded', {disks: supersededDisks.join(', ')});
       },
       isFirstStart: settings.isFirstStart,
       onFailed: (task, error) => this.tasks.logFailure(task, error),
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -69,6 +69,8 @@
     this.tasks = BackgroundTasks.create(logger, clock);
     this.archiveDirectory = ArchiveDirectory.create({
       onIgnored: createIgnoredObjectLog(logger),
+      onSuperseded: (disks) =>
+        logger.log('archive_superseded', {disks: disks.join(', ')}),
     });
     this.transport = MessageTransport.create({
       daemon: settings.daemon,
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -255,7 +255,7 @@
   archive_superseded: define(
     3113,
     'warn',
-    'An archive took the place of absent ones for token budgets',
+    'The votes of absent archives on token budgets no longer count',
     {
       disks: 'string',
     },
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -17,6 +17,10 @@
 import {UnwrittenEntries} from '../ledger/unwritten_entries.js';
 import {type DiskId, readDiskIdentity} from '../log/disk_identity.js';
 import {EntryLog, type EntryPosition} from '../log/entry_log.js';
+import {
+  listSupersededDisks,
+  recordSupersededDisk,
+} from '../log/superseded_disks.js';
 import {hasLedgerMarker, writeLedgerMarker} from '../log/ledger_marker.js';
 import type {LogFolder} from '../log/log_folder.js';
 import {
@@ -82,6 +86,7 @@
     /** Identity of the disk's contents; changes when the disk is wiped. */
     readonly disk: DiskId,
     private isMarkedComplete: boolean,
+    private readonly recordedDisks: Set<DiskId>,
     isRetired: boolean,
   ) {
     this.isClosedForTurns = isRetired;
@@ -129,6 +134,7 @@
       ledgerSegments,
       disk,
       isMarked,
+      new Set(await listSupersededDisks(folder)),
       isRetired,
     );
   }
@@ -158,6 +164,24 @@
     this.isMarkedComplete = true;
   }
 
+  /** Disks of archives whose votes do not count, as recorded on this disk. */
+  get supersededDisks(): ReadonlySet<DiskId> {
+    return this.recordedDisks;
+  }
+
+  /**
+   * Records superseded disks, so that the archive leaves them out also after a
+   * restart without the list of archives; resolves once that is durable.
+   * @param disks - Disks, recorded or not.
+   */
+  async recordSupersededDisks(disks: Iterable<DiskId>): Promise<void> {
+    for (const disk of disks) {
+      if (this.recordedDisks.has(disk)) continue;
+      await recordSupersededDisk(this.options.folder, disk);
+      this.recordedDisks.add(disk);
+    }
+  }
+
   /** Gets every indexed turn, in the order in which they were stored. */
   getTurns(): IterableIterator<IndexedTurn> {
     return this.index.getAll();
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -12,6 +12,8 @@
   ReserveReplySchema,
 } from '@marigoldpost/peers';
 import type {TurnId} from '@marigoldpost/sites';
+import type {ArchiveDirectory} from '../directory/archive_directory.js';
+import type {DiskId} from '../log/disk_identity.js';
 import {
   fromTurnMessage,
   type ProgramEntries,
@@ -30,21 +32,32 @@
   {case: Case}
 >['value'];
 
+/** Archive, list of archives and completeness of a service. */
+export interface ArchiveServiceOptions {
+  /** Archive that executes the requests. */
+  readonly archive: Archive;
+  readonly directory: ArchiveDirectory;
+  /**
+   * Tells whether the archive's ledger includes what its peers recorded while it
+   * was down, for a requester that leaves out the votes of the named disks.
+   */
+  readonly isComplete: (supersededDisks: readonly DiskId[]) => boolean;
+}
+
 /** Maps peer requests to operations of one archive. */
 export class ArchiveService {
-  private constructor(
-    private readonly archive: Archive,
-    private readonly isComplete: () => boolean,
-  ) {}
+  private readonly archive: Archive;
+
+  private constructor(private readonly options: ArchiveServiceOptions) {
+    this.archive = options.archive;
+  }
 
   /**
    * Creates a service.
-   * @param archive - Archive that executes the requests.
-   * @param isComplete - Tells whether the archive's ledger includes what its
-   *   peers recorded while it was down.
+   * @param options - Archive, list of archives and completeness.
    */
-  static create(archive: Archive, isComplete: () => boolean): ArchiveService {
-    return new ArchiveService(archive, isComplete);
+  static create(options: ArchiveServiceOptions): ArchiveService {
+    return new ArchiveService(options);
   }
 
   /**
@@ -81,6 +94,15 @@
   private async reserve(
     request: RequestOf<'reserveTokens'>,
   ): Promise<PeerReplyBody> {
+    const named = toDisks(request.superseded?.disks ?? []);
+    await this.archive.recordSupersededDisks(named);
+    // Builds that name no disks do not understand a reply that does.
+    const unnamed =
+      request.superseded === undefined ? [] : this.findUnnamed(named);
+    if (unnamed.length > 0) {
+      const reply = {isGranted: false, supersededDisks: unnamed};
+      return {case: 'reserve', value: create(ReserveReplySchema, reply)};
+    }
     const result = await this.archive.reserve({
       program: toId<ProgramId>(request.program),
       attempt: toId<TurnId>(request.attempt),
@@ -90,7 +112,7 @@
       counter: request.counter,
     });
     const {isGranted, heldTokens, settledTokens, isExact} = result;
-    const isComplete = this.isComplete();
+    const isComplete = this.options.isComplete(named);
     const reply = {isGranted, heldTokens, settledTokens, isComplete, isExact};
     return {case: 'reserve', value: create(ReserveReplySchema, reply)};
   }
@@ -106,12 +128,23 @@
     return acknowledgement;
   }
 
-  private fetchLedger({
+  /** Finds superseded disks whose votes a requester still counts. */
+  private findUnnamed(named: readonly DiskId[]): DiskId[] {
+    const {archive, directory} = this.options;
+    const registered = directory.getSupersededDisks();
+    return [...new Set([...registered, ...archive.supersededDisks])].filter(
+      (disk) => !named.includes(disk),
+    );
+  }
+
+  private async fetchLedger({
     program,
     isPaged,
     afterProgram,
-  }: RequestOf<'fetchLedger'>): PeerReplyBody {
+    supersededDisks,
+  }: RequestOf<'fetchLedger'>): Promise<PeerReplyBody> {
     const {archive} = this;
+    await archive.recordSupersededDisks(toDisks(supersededDisks));
     if (program !== undefined || !isPaged) {
       const ledgers =
         program === undefined
@@ -159,11 +192,15 @@
   private getStatus() {
     return create(ArchiveStatusSchema, {
       disk: this.archive.disk,
-      isComplete: this.isComplete(),
+      isComplete: this.options.isComplete([]),
     });
   }
 }
 
+function toDisks(disks: readonly string[]): DiskId[] {
+  return disks.map((disk) => toId<DiskId>(disk));
+}
+
 function toSettledLedgers({
   settlements,
 }: RequestOf<'settleTokens'>): ProgramEntries[] {
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -52,6 +52,8 @@
   readonly isComplete: boolean;
   /** Whether it knows of no contended reservation of the program. */
   readonly isExact: boolean;
+  /** Superseded disks, if the request counted the vote of one of them. */
+  readonly supersededDisks: readonly DiskId[];
 }
 
 /** Which of the requested turns an archive stores, in request order. */
@@ -149,14 +151,20 @@
   /**
    * Reserves tokens in the archive's ledger.
    * @param reservation - Attempt, its tokens and the program's budget.
+   * @param supersededDisks - Disks whose votes are not counted.
    */
-  async reserve(reservation: Reservation): Promise<ReservationReply> {
+  async reserve(
+    reservation: Reservation,
+    supersededDisks: ReadonlySet<DiskId>,
+  ): Promise<ReservationReply> {
+    const superseded = {disks: [...supersededDisks]};
     const reply = await this.sendRequest({
       case: 'reserveTokens',
-      value: create(ReserveTokensSchema, {...reservation}),
+      value: create(ReserveTokensSchema, {...reservation, superseded}),
     });
-    if (reply.case === 'reserve') return reply.value;
-    throw this.createReplyError(reply);
+    if (reply.case !== 'reserve') throw this.createReplyError(reply);
+    const disks = reply.value.supersededDisks.map((disk) => toId<DiskId>(disk));
+    return {...reply.value, supersededDisks: disks};
   }
 
   /**
@@ -178,7 +186,23 @@
    * Gets ledger entries by program.
    * @param program - Program to get; every program when omitted.
    */
-  async fetchLedgers(program?: ProgramId): Promise<ProgramEntries[]> {
+  fetchLedgers(program?: ProgramId): Promise<ProgramEntries[]> {
+    return this.fetchLedgerParts(program, []);
+  }
+
+  /**
+   * Gets all ledger entries, after which the archive records no reservation that
+   * counts the vote of a disk.
+   * @param disk - Disk that is about to be superseded.
+   */
+  fetchFinalLedgers(disk: DiskId): Promise<ProgramEntries[]> {
+    return this.fetchLedgerParts(undefined, [disk]);
+  }
+
+  private async fetchLedgerParts(
+    program: ProgramId | undefined,
+    supersededDisks: DiskId[],
+  ): Promise<ProgramEntries[]> {
     const ledgers: ProgramEntries[] = [];
     for (;;) {
       const afterProgram = ledgers.at(-1)?.program ?? '';
@@ -186,6 +210,7 @@
         program,
         isPaged: program === undefined,
         afterProgram,
+        supersededDisks,
       });
       const reply = await this.sendRequest({case: 'fetchLedger', value});
       if (reply.case !== 'ledger') throw this.createReplyError(reply);
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -51,6 +51,7 @@
 export class ArchivePool {
   private clients: readonly ArchiveClient[] = [];
   private seenChangeCount = -1;
+  private seenSupersededCount = 0;
   /** Waits that a return ends; removed with the wait. */
   private readonly returnListeners = new Set<() => void>();
   /** Waits that a network split may end; removed with the wait. */
@@ -110,9 +111,14 @@
       .getMembers()
       .filter(({daemon}) => daemon !== ownDaemon)
       .map((member) => this.getOrCreateClient(member));
-    if (this.clients.some((client) => !previous.includes(client))) {
+    const {size} = this.supersededDisks;
+    if (
+      size !== this.seenSupersededCount ||
+      this.clients.some((client) => !previous.includes(client))
+    ) {
       this.returns += 1;
     }
+    this.seenSupersededCount = size;
     for (const client of previous) {
       if (!this.clients.includes(client)) client.stopProbes();
     }
@@ -137,17 +143,19 @@
     return ownDaemon === undefined ? undefined : directory.getMember(ownDaemon);
   }
 
-  /** Whether another archive has taken the place of the own daemon's. */
-  get isOwnSuperseded(): boolean {
-    const {ownMember} = this;
-    return ownMember !== undefined && this.supersededDisks.has(ownMember.disk);
-  }
-
   /** Disks whose votes on token budgets do not count. */
   get supersededDisks(): ReadonlySet<DiskId> {
     return this.options.directory.getSupersededDisks();
   }
 
+  /**
+   * Leaves out the votes of disks that a peer has named as superseded.
+   * @param disks - Disks, known or not.
+   */
+  addSupersededDisks(disks: Iterable<DiskId>): void {
+    this.options.directory.addSupersededDisks(disks);
+  }
+
   /**
    * Whether the clients are those of all archives that are registered, as the
    * object API tells now: the watch may be behind. `false` if it does not reply.
@@ -178,7 +186,7 @@
 
   /**
    * Number of times at which an archive has become reachable again or has been
-   * registered, or the object API has replied again.
+   * registered, votes have ceased to count, or the object API has replied again.
    */
   get returnCount(): number {
     this.getClients();
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -170,7 +170,10 @@
     const recorded = isRecorded
       ? ballot
       : await this.requestReservation(request, true);
-    if (recorded.result !== 'contended' && recorded.result !== 'granted') {
+    if (
+      recorded.isOutdated ||
+      (recorded.result !== 'contended' && recorded.result !== 'granted')
+    ) {
       return this.createUnavailableError(request);
     }
     const lists = await this.recordInObjects(request, recorded);
@@ -222,6 +225,7 @@
     const {owedArchives} = this.options;
     for (;;) {
       const ballot = await this.requestReservation(request, false);
+      if (ballot.isOutdated) continue;
       if (await this.isDecided(ballot)) return ballot;
       if (!(await retries.waitForReturn(owedArchives))) return undefined;
     }
@@ -256,6 +260,8 @@
     const location = {home: request.home, own: ownDataCentre};
     const ballot = ReservationBallot.create({
       clients: isListKnown ? pool.getVoters() : [],
+      supersededDisks: pool.supersededDisks,
+      onSuperseded: (disks) => pool.addSupersededDisks(disks),
       clock,
       location,
       reservation: {...request, isForced},
--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -10,6 +10,7 @@
   type ReservationLocation,
   type ReservationVote,
 } from '../ledger/reservation_quorum.js';
+import type {DiskId} from '../log/disk_identity.js';
 import type {ArchiveClient} from './archive_client.js';
 import {HedgeTimer} from './hedge_timer.js';
 
@@ -30,6 +31,10 @@
 /** Archives and reservation that a ballot covers. */
 export interface ReservationBallotOptions {
   readonly clients: readonly ArchiveClient[];
+  /** Disks of archives that are left out of the clients. */
+  readonly supersededDisks: ReadonlySet<DiskId>;
+  /** Called with disks that an archive has named since it leaves out more. */
+  readonly onSuperseded: (disks: readonly DiskId[]) => void;
   readonly clock: Clock;
   readonly location: ReservationLocation;
   readonly reservation: Omit<Reservation, 'counter'>;
@@ -46,6 +51,7 @@
   private readonly requests: Promise<void>[] = [];
   private outcome: BallotResult = 'pending';
   private highestSettledTokens = 0;
+  private hasSupersededVoter = false;
   private timer: HedgeTimer | undefined;
   private unaskedIndexes: number[];
   /** Archive whose count of the program is relied on, if any is registered. */
@@ -99,6 +105,14 @@
     return this.options.clients;
   }
 
+  /**
+   * Whether an archive leaves out one of the voters, so that a ballot without it
+   * has to decide.
+   */
+  get isOutdated(): boolean {
+    return this.hasSupersededVoter;
+  }
+
   /** Tokens that the program's attempts have used at least. */
   get settledTokens(): number {
     return this.highestSettledTokens;
@@ -160,12 +174,14 @@
   }
 
   private async requestVote(index: number): Promise<void> {
-    const {clients, reservation} = this.options;
+    const {clients, reservation, supersededDisks} = this.options;
     const client = clients[index] as ArchiveClient;
     const counter = this.counter?.member.disk ?? '';
     try {
-      const reply = await client.reserve({...reservation, counter});
+      const request = {...reservation, counter};
+      const reply = await client.reserve(request, supersededDisks);
       this.timer?.recordReply();
+      this.recordSuperseded(reply.supersededDisks);
       const answer = reply.isGranted ? 'granted' : 'refused';
       this.highestSettledTokens = Math.max(
         this.highestSettledTokens,
@@ -194,6 +210,13 @@
     this.decide();
   }
 
+  private recordSuperseded(disks: readonly DiskId[]): void {
+    const {supersededDisks, onSuperseded} = this.options;
+    if (disks.every((disk) => supersededDisks.has(disk))) return;
+    this.hasSupersededVoter = true;
+    onSuperseded(disks);
+  }
+
   private get isSpent(): boolean {
     const {tokens, budgetTokens} = this.options.reservation;
     return this.highestSettledTokens + tokens > budgetTokens;
--- a/packages/turns/src/directory/archive_directory.ts
+++ b/packages/turns/src/directory/archive_directory.ts
@@ -42,6 +42,8 @@
 export interface ArchiveDirectoryOptions {
   /** Called once for an object that is malformed. */
   readonly onIgnored?: (object: StoredObject) => void;
+  /** Called with disks whose votes have ceased to count. */
+  readonly onSuperseded?: (disks: readonly DiskId[]) => void;
 }
 
 /**
@@ -53,12 +55,13 @@
   private hasLoaded = false;
   private changes = 0;
   private readonly listeners = new Set<() => void>();
-  /** Disks whose votes do not count; `undefined` until it is asked for. */
-  private supersededDisks: ReadonlySet<DiskId> | undefined;
+  /** Disks whose votes do not count, also once no registration names them. */
+  private supersededDisks: ReadonlySet<DiskId> = new Set();
 
   private readonly decoder: ObjectDecoder<ArchiveMember>;
 
-  private constructor({onIgnored}: ArchiveDirectoryOptions) {
+  private constructor(private readonly options: ArchiveDirectoryOptions) {
+    const {onIgnored} = options;
     this.decoder = ObjectDecoder.create({decode: decodeMember, onIgnored});
   }
 
@@ -105,15 +108,21 @@
 
   /**
    * Gets the disks of archives whose place others have taken, so that their votes
-   * on token budgets do not count.
+   * on token budgets do not count: those that a registration has ever named, and
+   * those that were added.
    */
   getSupersededDisks(): ReadonlySet<DiskId> {
-    this.supersededDisks ??= new Set(
-      this.getMembers().flatMap((member) => member.supersededDisks ?? []),
-    );
     return this.supersededDisks;
   }
 
+  /**
+   * Adds superseded disks that a peer has named before the registrations do.
+   * @param disks - Disks, known or not.
+   */
+  addSupersededDisks(disks: Iterable<DiskId>): void {
+    if (this.recordSuperseded(disks)) this.notifyListeners();
+  }
+
   /**
    * Replaces all archives by those of a listing.
    * @param objects - Registration objects of the listing.
@@ -136,8 +145,24 @@
   }
 
   private recordChange(): void {
+    this.recordSuperseded(
+      this.getMembers().flatMap(({supersededDisks = []}) => supersededDisks),
+    );
+    this.notifyListeners();
+  }
+
+  /** Whether one of the disks was not known as superseded. */
+  private recordSuperseded(disks: Iterable<DiskId>): boolean {
+    const known = this.supersededDisks;
+    const added = [...disks].filter((disk) => !known.has(disk));
+    if (added.length === 0) return false;
+    this.supersededDisks = new Set([...known, ...added]);
+    this.options.onSuperseded?.(added);
+    return true;
+  }
+
+  private notifyListeners(): void {
     this.changes += 1;
-    this.supersededDisks = undefined;
     for (const listener of [...this.listeners]) listener();
   }
 
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -116,6 +116,14 @@
     return !this.isRetiring && this.ledgerRecovery.isComplete;
   }
 
+  /**
+   * Whether the ledger includes that, for a requester that leaves out disks.
+   * @param supersededDisks - Disks whose votes the requester does not count.
+   */
+  isCompleteWithout(supersededDisks: readonly DiskId[]): boolean {
+    return this.isComplete && !this.succession.isPending(supersededDisks);
+  }
+
   /** Turns that lacked replicas on other disks in the last round. */
   get underReplicatedCount(): number {
     return this.incompleteCount;
--- a/packages/turns/src/repair/archive_succession.ts
+++ b/packages/turns/src/repair/archive_succession.ts
@@ -35,12 +35,15 @@
 
 /**
  * Removes the votes of absent archives, one after the other. The archive that
- * takes their place first stores the ledgers of so many voters that each majority
- * until then has one of them. Its registration then names the disk, so that all
- * VMs leave out the same votes. The vote of a disk that was left out never counts
- * again: what was granted since may be missing on it.
+ * takes their place has so many voters record the superseded disk that each
+ * majority until then has one of them, and stores their ledgers: none of them
+ * lets the vote count afterwards, also for an entry VM whose list is behind, and
+ * when the successor has left. Its registration then names the disk. The vote
+ * never counts again: what was granted since may be missing on that disk.
  */
 export class ArchiveSuccession {
+  /** Disk that voters have been told of, but whose ledgers are not all stored. */
+  private pendingDisk: DiskId | undefined;
   private nextAttemptMs = Number.NEGATIVE_INFINITY;
   /** Superseded disks that were seen last, and when they changed. */
   private seenDisks: ReadonlySet<DiskId> | undefined;
@@ -56,28 +59,51 @@
     return new ArchiveSuccession(options);
   }
 
+  /**
+   * Whether a disk that a requester leaves out is one whose ledgers are not all
+   * stored yet.
+   * @param supersededDisks - Disks that the requester leaves out.
+   */
+  isPending(supersededDisks: readonly DiskId[]): boolean {
+    const {pendingDisk} = this;
+    return pendingDisk !== undefined && supersededDisks.includes(pendingDisk);
+  }
+
   /** Takes the place of an absent archive if it is the next one to be left out. */
   async run(): Promise<void> {
-    const {pool, clock, dataCentre, isComplete} = this.options;
+    const {pool, clock, archive, dataCentre, isComplete} = this.options;
     const nowMs = clock.nowMs();
-    const own = pool.ownMember;
-    if (own === undefined) return;
+    if (pool.ownMember === undefined) return;
     this.updateSeenDisks(nowMs);
-    const isDue =
-      nowMs >= this.nextAttemptMs && nowMs - this.changedAtMs >= settleMs;
-    if (pool.isOwnSuperseded || !isDue) return;
-    const absent = this.findNextAbsent();
-    if (absent?.dataCentre !== dataCentre || !isComplete()) return;
+    // A retiring archive must not register again.
+    if (nowMs < this.nextAttemptMs || !isComplete()) return;
+    if (this.pendingDisk === undefined) {
+      const isSettled = nowMs - this.changedAtMs >= settleMs;
+      if (pool.supersededDisks.has(archive.disk) || !isSettled) return;
+      const absent = this.findNextAbsent();
+      if (absent?.dataCentre !== dataCentre) return;
+      this.nextAttemptMs = nowMs + retryMs;
+      if (!this.hasEnoughVoters(absent.member.disk)) return;
+      this.pendingDisk = absent.member.disk;
+    }
     this.nextAttemptMs = nowMs + retryMs;
-    if (!(await this.mergeLedgers())) return;
-    const registered = new Set(
-      pool.getClients().map(({member}) => member.disk),
+    if (!(await this.mergeLedgers(this.pendingDisk))) return;
+    await this.register(this.pendingDisk);
+    this.pendingDisk = undefined;
+  }
+
+  /**
+   * Names a disk in the registration, with those that any registration has named
+   * as long as their archives are registered.
+   */
+  private async register(superseded: DiskId): Promise<void> {
+    const {pool, registerSupersededDisks} = this.options;
+    const registered = pool.getClients().map(({member}) => member.disk);
+    await registerSupersededDisks(
+      registered.filter(
+        (disk) => pool.supersededDisks.has(disk) || disk === superseded,
+      ),
     );
-    const known = own.supersededDisks ?? [];
-    await this.options.registerSupersededDisks([
-      ...known.filter((disk) => registered.has(disk)),
-      absent.member.disk,
-    ]);
   }
 
   private updateSeenDisks(nowMs: number): void {
@@ -123,34 +149,56 @@
   }
 
   /**
-   * Stores what every majority until now has recorded; `false` if too few peers
-   * with complete ledgers reply.
+   * Has voters record the disk, and stores what they have recorded until then;
+   * `false` if too few peers with complete ledgers reply.
    */
-  private async mergeLedgers(): Promise<boolean> {
-    const {pool, archive} = this.options;
-    const voters = pool.getVoters();
-    const requiredCount = voters.length - getMajority(voters.length) + 1;
-    const reachable = voters.filter(({isReachable}) => isReachable);
-    if (reachable.length < requiredCount) return false;
+  private async mergeLedgers(disk: DiskId): Promise<boolean> {
+    const voters = this.getVotersUntilNow(disk);
     const replies = await Promise.allSettled(
-      reachable.map(fetchCompleteLedger),
+      voters
+        .filter(({isReachable}) => isReachable)
+        .map((client) => fetchCompleteLedger(client, disk)),
     );
     const ledgers = replies.flatMap((reply) =>
       reply.status === 'fulfilled' && reply.value !== undefined
         ? [reply.value]
         : [],
     );
-    if (ledgers.length < requiredCount) return false;
+    if (ledgers.length < getRequiredCount(voters)) return false;
+    const {archive} = this.options;
     for (const ledger of ledgers) await archive.mergeLedgers(ledger);
     return true;
   }
+
+  private hasEnoughVoters(disk: DiskId): boolean {
+    const voters = this.getVotersUntilNow(disk);
+    const reachable = voters.filter(({isReachable}) => isReachable);
+    return reachable.length >= getRequiredCount(voters);
+  }
+
+  /** Gets the voters with the one that is left out next, which peers may name. */
+  private getVotersUntilNow(disk: DiskId): ArchiveClient[] {
+    const {pool} = this.options;
+    return pool
+      .getClients()
+      .filter(
+        ({member}) =>
+          member.disk === disk || !pool.supersededDisks.has(member.disk),
+      );
+  }
+}
+
+/** Gets the number of voters of which each majority has one at least. */
+function getRequiredCount(voters: readonly ArchiveClient[]): number {
+  return voters.length - getMajority(voters.length) + 1;
 }
 
 /** Gets the ledger of a peer; `undefined` if it is not complete. */
 async function fetchCompleteLedger(
   client: ArchiveClient,
+  disk: DiskId,
 ): Promise<readonly ProgramEntries[] | undefined> {
-  const ledger = await client.fetchLedgers();
+  const ledger = await client.fetchFinalLedgers(disk);
   // Asked afterwards, so that a peer that has just lost its disk is left out.
   const {isComplete} = await client.findTurns([]);
   return isComplete ? ledger : undefined;
--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -75,7 +75,7 @@
     // Before the list of archives has been read, peers may hold its entries.
     const hasNoPeers = pool.isLoaded && pool.getClients().length === 0;
     // What is granted without this archive is not in its ledger.
-    return (this.hasPeerLedgers && !pool.isOwnSuperseded) || hasNoPeers;
+    return (this.hasPeerLedgers && !this.isSuperseded) || hasNoPeers;
   }
 
   /** Merges the ledgers of peers that have not been merged. */
@@ -122,6 +122,12 @@
     for (const client of absent) this.copiedFor.add(client);
   }
 
+  /** Whether another archive has taken the place of this one. */
+  private get isSuperseded(): boolean {
+    const {pool, archive} = this.options;
+    return pool.supersededDisks.has(archive.disk);
+  }
+
   private async mergeReservations(): Promise<void> {
     if (this.hasReservations) return;
     const {archive, readReservations} = this.options;
@@ -169,7 +175,7 @@
     );
     // A new archive has taken part in none, and neither has a superseded one.
     const isNew = pool.wasRegistered === false;
-    const isVoter = !isNew && !pool.isOwnSuperseded;
+    const isVoter = !isNew && !this.isSuperseded;
     const quorumVoters = voters.length + (isVoter ? 1 : 0);
     const requiredCount = quorumVoters - getMajority(quorumVoters) + 1;
     const isHome = (client: ArchiveClient) => client.dataCentre === dataCentre;
--- a/packages/turns/tests/client/aborted_wait_steps.ts
+++ b/packages/turns/tests/client/aborted_wait_steps.ts
@@ -2,10 +2,8 @@
 import assert from 'node:assert/strict';
 import {When, type World} from '@cucumber/cucumber';
 import {isErrorOfKind} from '@marigoldpost/common';
-import {
-  type ArchiveFleet,
-  createTokenRequest,
-} from '../fixtures/archive_fleet.js';
+import {type ArchiveFleet} from '../fixtures/archive_fleet.js';
+import {createTokenRequest} from '../fixtures/turn_requests.js';
 
 interface AbortedWaitWorld extends World {
   archives: ArchiveFleet;
--- a/packages/turns/tests/client/budget_client_steps.ts
+++ b/packages/turns/tests/client/budget_client_steps.ts
@@ -8,10 +8,8 @@
   toId,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
-import {
-  type ArchiveFleet,
-  createTokenRequest,
-} from '../fixtures/archive_fleet.js';
+import {type ArchiveFleet} from '../fixtures/archive_fleet.js';
+import {createTokenRequest} from '../fixtures/turn_requests.js';
 
 const program = toId<ProgramId>('program');
 
--- a/packages/turns/tests/client/emptied_home_steps.ts
+++ b/packages/turns/tests/client/emptied_home_steps.ts
@@ -1,9 +1,7 @@
 /** Steps for a disk that is lost while reservations are under way. */
 import {When, type World} from '@cucumber/cucumber';
-import {
-  type ArchiveFleet,
-  createTokenRequest,
-} from '../fixtures/archive_fleet.js';
+import {type ArchiveFleet} from '../fixtures/archive_fleet.js';
+import {createTokenRequest} from '../fixtures/turn_requests.js';
 
 interface EmptiedWorld extends World {
   archives: ArchiveFleet;
--- a/packages/turns/tests/client/hedge_timer_steps.ts
+++ b/packages/turns/tests/client/hedge_timer_steps.ts
@@ -84,6 +84,7 @@
         isComplete: true,
         isExact: true,
         settledTokens: 0,
+        supersededDisks: [],
       };
     };
     const clients = Array.from({length: world.archiveCount}, (_, index) => ({
@@ -94,6 +95,8 @@
     }));
     const request = ReservationBallot.create({
       clients,
+      supersededDisks: new Set(),
+      onSuperseded: () => undefined,
       clock,
       location: {home, own: home},
       reservation: {
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -8,12 +8,12 @@
   toId,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
+import {ArchiveFleet} from '../fixtures/archive_fleet.js';
 import {
-  ArchiveFleet,
   createTokenRequest,
   createTurn,
   unlimitedWaitMs,
-} from '../fixtures/archive_fleet.js';
+} from '../fixtures/turn_requests.js';
 
 interface StoreWorld extends World {
   archives: ArchiveFleet;
--- a/packages/turns/tests/objects/object_steps.ts
+++ b/packages/turns/tests/objects/object_steps.ts
@@ -9,11 +9,8 @@
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import {turnObjectPrefix} from '@marigoldpost/turns';
-import {
-  type ArchiveFleet,
-  createTurn,
-  unlimitedWaitMs,
-} from '../fixtures/archive_fleet.js';
+import {type ArchiveFleet} from '../fixtures/archive_fleet.js';
+import {createTurn, unlimitedWaitMs} from '../fixtures/turn_requests.js';
 
 interface ObjectWorld extends World {
   archives: ArchiveFleet;
--- a/packages/turns/tests/repair/replica_repair_steps.ts
+++ b/packages/turns/tests/repair/replica_repair_steps.ts
@@ -3,11 +3,8 @@
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {type ProgramId, toId} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
-import {
-  type ArchiveFleet,
-  createTurn,
-  unlimitedWaitMs,
-} from '../fixtures/archive_fleet.js';
+import {type ArchiveFleet} from '../fixtures/archive_fleet.js';
+import {createTurn, unlimitedWaitMs} from '../fixtures/turn_requests.js';
 
 interface RepairWorld extends World {
   archives: ArchiveFleet;
