Supersede a disk only while the object API replies, and tell its archive

Callers got 310 of 200 tokens once the absent archive had returned and another one had lost its disk, 503 for the programs of that home as long as the object API was away, or 503 for good with another archive down. A successor that retired meanwhile registered again.

A successor writes its registration before it tells any voter, so nothing is recorded while the object API is away; it records the disk itself, counts as soon as it has stored the ledgers, and registers only while it does not retire. An archive that reads the ledger of a peer names all superseded disks, so that one that returns knows that its place was taken and does not pass for complete. Archives record what registrations name with the next reservation.

--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -95,7 +95,8 @@
     request: RequestOf<'reserveTokens'>,
   ): Promise<PeerReplyBody> {
     const named = toDisks(request.superseded?.disks ?? []);
-    await this.archive.recordSupersededDisks(named);
+    const registered = this.options.directory.getSupersededDisks();
+    await this.archive.recordSupersededDisks([...named, ...registered]);
     // Builds that name no disks do not understand a reply that does.
     const unnamed =
       request.superseded === undefined ? [] : this.findUnnamed(named);
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -192,11 +192,11 @@
 
   /**
    * Gets all ledger entries, after which the archive records no reservation that
-   * counts the vote of a disk.
-   * @param disk - Disk that is about to be superseded.
+   * counts the vote of superseded disks, its own one included.
+   * @param disks - Disks that are superseded, or are about to be.
    */
-  fetchFinalLedgers(disk: DiskId): Promise<ProgramEntries[]> {
-    return this.fetchLedgerParts(undefined, [disk]);
+  fetchFinalLedgers(disks: Iterable<DiskId>): Promise<ProgramEntries[]> {
+    return this.fetchLedgerParts(undefined, [...disks]);
   }
 
   private async fetchLedgerParts(
--- a/packages/turns/src/repair/archive_succession.ts
+++ b/packages/turns/src/repair/archive_succession.ts
@@ -42,8 +42,10 @@
  * never counts again: what was granted since may be missing on that disk.
  */
 export class ArchiveSuccession {
-  /** Disk that voters have been told of, but whose ledgers are not all stored. */
+  /** Disk that voters have been told of, but which is not registered yet. */
   private pendingDisk: DiskId | undefined;
+  /** Whether the ledgers for which the vote of that disk stood are stored. */
+  private hasLedgers = false;
   private nextAttemptMs = Number.NEGATIVE_INFINITY;
   /** Superseded disks that were seen last, and when they changed. */
   private seenDisks: ReadonlySet<DiskId> | undefined;
@@ -65,8 +67,9 @@
    * @param supersededDisks - Disks that the requester leaves out.
    */
   isPending(supersededDisks: readonly DiskId[]): boolean {
-    const {pendingDisk} = this;
-    return pendingDisk !== undefined && supersededDisks.includes(pendingDisk);
+    const {pendingDisk, hasLedgers} = this;
+    if (pendingDisk === undefined || hasLedgers) return false;
+    return supersededDisks.includes(pendingDisk);
   }
 
   /** Takes the place of an absent archive if it is the next one to be left out. */
@@ -75,7 +78,6 @@
     const nowMs = clock.nowMs();
     if (pool.ownMember === undefined) return;
     this.updateSeenDisks(nowMs);
-    // A retiring archive must not register again.
     if (nowMs < this.nextAttemptMs || !isComplete()) return;
     if (this.pendingDisk === undefined) {
       const isSettled = nowMs - this.changedAtMs >= settleMs;
@@ -83,21 +85,30 @@
       const absent = this.findNextAbsent();
       if (absent?.dataCentre !== dataCentre) return;
       this.nextAttemptMs = nowMs + retryMs;
-      if (!this.hasEnoughVoters(absent.member.disk)) return;
-      this.pendingDisk = absent.member.disk;
+      const {disk} = absent.member;
+      if (!this.hasEnoughVoters(disk)) return;
+      // Fails while the object API is away: voters would leave the disk out, but
+      // no list would name it.
+      await this.register();
+      await archive.recordSupersededDisks([disk]);
+      this.pendingDisk = disk;
+      this.hasLedgers = false;
     }
     this.nextAttemptMs = nowMs + retryMs;
-    if (!(await this.mergeLedgers(this.pendingDisk))) return;
+    this.hasLedgers ||= await this.mergeLedgers(this.pendingDisk);
+    if (!this.hasLedgers) return;
     await this.register(this.pendingDisk);
     this.pendingDisk = undefined;
   }
 
   /**
-   * Names a disk in the registration, with those that any registration has named
+   * Names a disk in the registration, if any, with those that any registration has named
    * as long as their archives are registered.
    */
-  private async register(superseded: DiskId): Promise<void> {
-    const {pool, registerSupersededDisks} = this.options;
+  private async register(superseded?: DiskId): Promise<void> {
+    const {pool, isComplete, registerSupersededDisks} = this.options;
+    // A retired archive must not register again.
+    if (!isComplete()) return;
     const registered = pool.getClients().map(({member}) => member.disk);
     await registerSupersededDisks(
       registered.filter(
@@ -198,7 +209,7 @@
   client: ArchiveClient,
   disk: DiskId,
 ): Promise<readonly ProgramEntries[] | undefined> {
-  const ledger = await client.fetchFinalLedgers(disk);
+  const ledger = await client.fetchFinalLedgers([disk]);
   // Asked afterwards, so that a peer that has just lost its disk is left out.
   const {isComplete} = await client.findTurns([]);
   return isComplete ? ledger : undefined;
--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -125,7 +125,8 @@
   /** Whether another archive has taken the place of this one. */
   private get isSuperseded(): boolean {
     const {pool, archive} = this.options;
-    return pool.supersededDisks.has(archive.disk);
+    const {disk, supersededDisks} = archive;
+    return pool.supersededDisks.has(disk) || supersededDisks.has(disk);
   }
 
   private async mergeReservations(): Promise<void> {
@@ -143,7 +144,10 @@
       ({isComplete: isPeerComplete} = await client.findTurns([]));
     }
     if (isMerged && !isPeerComplete) return;
-    await this.options.archive.mergeLedgers(await client.fetchLedgers());
+    const {archive, pool} = this.options;
+    // A peer that returns learns that its place was taken.
+    const disks = [...archive.supersededDisks, ...pool.supersededDisks];
+    await archive.mergeLedgers(await client.fetchFinalLedgers(disks));
     this.mergedPeers.add(client);
     if (isPeerComplete) this.mergedCompletePeers.add(client);
   }
