Take a replacing archive for new until its ledger has been complete

Finished turns reached no target for about 30 s, in all data centres (503, "too few archives granted"): after an archive was replaced and its replacement restarted, or all VMs lost power, before it had the ledgers of its peers, no disk lost or one. The replacement counted as an archive that may have granted tokens, only since it was registered, so it waited 30 s for the one that it replaced, and both stayed without a vote.

A registration now says that an archive is new until its ledger is complete. The archive registers as known before it counts, so that one that has lost its disk does not pass for one that has granted nothing.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -268,6 +268,10 @@
         await registerArchive(platform.store, member);
       },
       isFirstStart: settings.isFirstStart,
+      registerAsKnown: () => {
+        const member = this.createMember(archive);
+        return registerArchive(platform.store, {...member, isNew: false});
+      },
       onFailed: (task, error) => this.tasks.logFailure(task, error),
       onReplicasCounted: ({daemon, disk}, areCounted) =>
         logger.log('archive_replicas_counted', {
@@ -326,8 +330,10 @@
     const {daemon, ip, peerPort, dataCentre} = this.options.settings;
     const known = this.archiveDirectory.getMember(daemon);
     const address = `http://${ip}:${peerPort}`;
-    const {supersededDisks} = known ?? {};
-    return {daemon, address, dataCentre, disk, supersededDisks};
+    const {supersededDisks, isNew} = known ?? {
+      isNew: this.repairer?.isComplete !== true,
+    };
+    return {daemon, address, dataCentre, disk, isNew, supersededDisks};
   }
 
   protected override setGauges(): void {
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -60,7 +60,7 @@
   /** When an archive became reachable while no other one was. */
   private isolationEndMs = Number.NEGATIVE_INFINITY;
 
-  /** Whether the first list of archives named the own daemon. */
+  /** Whether the first list of archives named the own daemon, and not as new. */
   private isOwnRegistered: boolean | undefined;
 
   private constructor(private readonly options: ArchivePoolOptions) {
@@ -86,8 +86,8 @@
   }
 
   /**
-   * Whether an archive of the own daemon was registered before this start;
-   * `undefined` before the list of archives has been read.
+   * Whether an archive of the own daemon that may have counted was registered
+   * before this start; `undefined` before the list of archives has been read.
    */
   get wasRegistered(): boolean | undefined {
     return this.isOwnRegistered;
@@ -270,7 +270,8 @@
   private readOwnRegistration(): void {
     const {directory, ownDaemon} = this.options;
     if (!directory.isLoaded || ownDaemon === undefined) return;
-    this.isOwnRegistered ??= directory.getMember(ownDaemon) !== undefined;
+    const member = directory.getMember(ownDaemon);
+    this.isOwnRegistered ??= member !== undefined && member.isNew !== true;
   }
 
   /**
--- a/packages/turns/src/directory/archive_directory.ts
+++ b/packages/turns/src/directory/archive_directory.ts
@@ -23,6 +23,11 @@
   readonly address: string;
   readonly dataCentre: DataCentreId;
   readonly disk: DiskId;
+  /**
+   * Whether it has never had a complete ledger, on this disk or another one, so
+   * that its vote has never counted.
+   */
+  readonly isNew?: boolean | undefined;
   /** Disks of absent archives whose place on token budgets this one has taken. */
   readonly supersededDisks?: readonly DiskId[] | undefined;
 }
@@ -35,6 +40,7 @@
   address: z.string().refine(isHttpAddress),
   dataCentre: z.string(),
   disk: z.string(),
+  isNew: z.boolean().optional(),
   supersededDisks: z.array(z.string()).optional(),
 });
 
@@ -197,7 +203,7 @@
   const parsed = memberSchema.safeParse(parseJson(value));
   if (!parsed.success) return undefined;
   const {daemon, address, dataCentre, disk} = parsed.data;
-  const {supersededDisks = []} = parsed.data;
+  const {isNew, supersededDisks = []} = parsed.data;
   // An archive registers only itself.
   if (key !== `${archivePrefix}${daemon}`) return undefined;
   return {
@@ -205,6 +211,7 @@
     address,
     dataCentre: toId<DataCentreId>(dataCentre),
     disk: toId<DiskId>(disk),
+    isNew,
     supersededDisks: supersededDisks.map((other) => toId<DiskId>(other)),
   };
 }
--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -42,6 +42,8 @@
    * was granted before.
    */
   readonly isFirstStart: boolean;
+  /** Registers the archive as one that is not new any more. */
+  readonly registerAsKnown: () => Promise<void>;
 }
 
 /** Merges the ledger of each peer since it last became reachable. */
@@ -94,7 +96,9 @@
     await this.copyForAbsentPeers(clients);
     if (!this.hasPeerLedgers) {
       await this.mergeReservations();
-      this.hasPeerLedgers = this.hasAllLedgers || this.hasQuorumLedgers;
+      this.hasPeerLedgers =
+        (this.hasAllLedgers || this.hasQuorumLedgers) &&
+        (await this.isKnownToAll());
     }
     if (this.hasPeerLedgers) await archive.markLedgersComplete();
   }
@@ -122,6 +126,19 @@
     for (const client of absent) this.copiedFor.add(client);
   }
 
+  /**
+   * Registers a new archive as one that counts, before it does: once it has lost
+   * its disk, it must not pass for one that has granted nothing.
+   */
+  private async isKnownToAll(): Promise<boolean> {
+    const {pool, registerAsKnown} = this.options;
+    const {wasRegistered, ownMember} = pool;
+    if (wasRegistered !== false || ownMember?.isNew === false) return true;
+    if (ownMember === undefined) return false;
+    await registerAsKnown();
+    return true;
+  }
+
   /** Whether another archive has taken the place of this one. */
   private get isSuperseded(): boolean {
     const {pool, archive} = this.options;
