--- /dev/null
+++ b/packages/turns/tests/client/interrupted_succession_steps.ts
@@ -0,0 +1,32 @@
+/** Steps for archives whose place is taken while processes end or are cut off. */
+import assert from 'node:assert/strict';
+import {Then, When, type World} from '@cucumber/cucumber';
+import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
+
+interface SuccessionWorld extends World {
+  archives: ArchiveFleet;
+}
+
+When(
+  'archives {string} and {string} do not reach each other',
+  function (this: SuccessionWorld, one: string, other: string) {
+    this.archives.brokenLinks.add(`${one} ${other}`);
+    this.archives.brokenLinks.add(`${other} ${one}`);
+  },
+);
+
+When(
+  'the disk of archive {string} takes no data and no files',
+  function (this: SuccessionWorld, name: string) {
+    const folder = this.archives.getFolder(name);
+    folder.fault = 'full';
+    folder.createFile = () => Promise.reject(new Error('ENOSPC'));
+  },
+);
+
+Then(
+  'archive {string} has left the list',
+  function (this: SuccessionWorld, name: string) {
+    assert.ok(!this.archives.registeredNames.includes(name));
+  },
+);
