--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -117,7 +117,8 @@
   }
 
   /**
-   * Whether the ledger includes that, for a requester that leaves out disks.
+   * Like `isComplete`, for a requester that leaves out the votes of disks: the
+   * ledgers for which such a vote stood must be stored as well.
    * @param supersededDisks - Disks whose votes the requester does not count.
    */
   isCompleteWithout(supersededDisks: readonly DiskId[]): boolean {
--- a/packages/turns/src/repair/archive_succession.ts
+++ b/packages/turns/src/repair/archive_succession.ts
@@ -102,8 +102,9 @@
   }
 
   /**
-   * Names a disk in the registration, if any, with those that any registration has named
-   * as long as their archives are registered.
+   * Writes the registration, which names the disks that any registration has
+   * named, as long as their archives are registered.
+   * @param superseded - Further disk to name.
    */
   private async register(superseded?: DiskId): Promise<void> {
     const {pool, isComplete, registerSupersededDisks} = this.options;
