Name the counts of a refusal by budget

`budget_refused` had the budget and the tokens asked for, so a log did not tell a budget that is spent from one that is held by attempts which have ended but are not settled. It now has the tokens that settled attempts used, all tokens that are counted, and the number of attempts that are not settled; it is logged for 429 as well, which concurrent attempts get.

--- a/packages/common/src/errors/marigoldpost_error.ts
+++ b/packages/common/src/errors/marigoldpost_error.ts
@@ -10,6 +10,8 @@
   readonly outcome?: Outcome;
   /** Delay before the caller should retry, in milliseconds. */
   readonly retryAfterMs?: number;
+  /** Counts that decided, for log lines. */
+  readonly counts?: Readonly<Record<string, number>>;
 }
 
 /** An error with a kind from the closed set and the request's outcome. */
@@ -17,6 +19,8 @@
   readonly kind: ErrorKind;
   readonly outcome: Outcome;
   readonly retryAfterMs: number | undefined;
+  /** Counts that decided, for log lines; empty without any. */
+  readonly counts: Readonly<Record<string, number>>;
 
   private constructor(
     kind: ErrorKind,
@@ -27,13 +31,14 @@
     this.kind = kind;
     this.outcome = options.outcome ?? errorDefinitions[kind].outcome;
     this.retryAfterMs = options.retryAfterMs;
+    this.counts = options.counts ?? {};
   }
 
   /**
    * Creates an error.
    * @param kind - Decides the HTTP status and the default outcome.
    * @param message - What failed, and on which object.
-   * @param options - Cause, outcome and retry delay.
+   * @param options - Cause, outcome, retry delay and counts.
    */
   static create(
     kind: ErrorKind,
--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -104,10 +104,13 @@
       };
       await turns.reserve(request);
     } catch (error) {
-      if (isErrorOfKind(error, 'tokens_spent')) {
-        const wantedTokens = maxOutputTokens;
-        const fields = {program, budgetTokens, wantedTokens};
-        this.call.logger.log('budget_refused', fields);
+      if (isErrorOfKind(error, 'tokens_spent', 'limit_reached')) {
+        this.call.logger.log('budget_refused', {
+          program,
+          budgetTokens,
+          wantedTokens: maxOutputTokens,
+          ...error.counts,
+        });
       }
       throw error;
     }
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -194,6 +194,9 @@
     program: 'string',
     budgetTokens: 'number',
     wantedTokens: 'number',
+    settledTokens: 'number?',
+    heldTokens: 'number?',
+    openAttempts: 'number?',
   }),
   archive_opened: define(3104, 'info', 'The archive was read from its disk', {
     disk: 'string',
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -57,9 +57,15 @@
   readonly heldTokens: number;
   /** Tokens that other attempts have used. */
   readonly settledTokens: number;
+  /** Other attempts that are not settled. */
+  readonly openAttempts: number;
   readonly repliedClients: readonly ArchiveClient[];
 }
 
+/** Why a budget does not hold an attempt, for log lines. */
+type RefusalCounts = Pick<MergedLedgers, 'settledTokens'> &
+  Partial<Pick<MergedLedgers, 'heldTokens' | 'openAttempts'>>;
+
 /** Decides by quorum whether an attempt may use tokens of its budget. */
 export class BudgetClient {
   /** Tokens that attempts of programs with spent budgets have used at least. */
@@ -84,7 +90,10 @@
    * @param request - Attempt, tokens and budget.
    */
   async reserve(request: TokenRequest): Promise<void> {
-    if (this.isKnownAsSpent(request)) throw createTokensSpentError(request);
+    const settledTokens = this.settledTokens.get(request.program) ?? 0;
+    if (isOverBudget(request, settledTokens)) {
+      throw createTokensSpentError(request, {settledTokens});
+    }
     const {pool, owedArchives, settlements} = this.options;
     const retries = pool.createRetries(request);
     for (let isRepeated = false; ; isRepeated = true) {
@@ -111,20 +120,13 @@
   ): Promise<MarigoldpostError | undefined> {
     const {result} = ballot;
     if (result === 'granted' && this.isOnEnoughDisks(ballot)) return undefined;
-    if (result === 'spent') return createTokensSpentError(request);
+    if (result === 'spent') {
+      const {settledTokens} = ballot;
+      return createTokensSpentError(request, {settledTokens});
+    }
     return this.reserveByMergedLedgers(request, ballot);
   }
 
-  /** What ended attempts have used is final, so such a refusal is too. */
-  private isKnownAsSpent({
-    program,
-    tokens,
-    budgetTokens,
-  }: TokenRequest): boolean {
-    const settledTokens = this.settledTokens.get(program) ?? 0;
-    return settledTokens > 0 && settledTokens + tokens > budgetTokens;
-  }
-
   private recordSpent(request: TokenRequest, ballot: ReservationBallot): void {
     const {program, attempt} = request;
     this.settledTokens.delete(program);
@@ -154,13 +156,13 @@
       const {clients} = ballot;
       const ledgers = await readLedgers(request, clients);
       if (ledgers.settledTokens > leftTokens) {
-        return createTokensSpentError(request);
+        return createTokensSpentError(request, ledgers);
       }
       if (ledgers.heldTokens > leftTokens) {
         const isMajority =
           ledgers.repliedClients.length >= getMajority(clients.length);
         return isMajority
-          ? createTokensSpentError(request)
+          ? createTokensSpentError(request, ledgers)
           : this.createUnavailableError(request);
       }
     }
@@ -183,13 +185,13 @@
     const {grantingClients} = recorded;
     const ledgers = await readLedgers(request, grantingClients, lists);
     if (ledgers.settledTokens > leftTokens) {
-      return createTokensSpentError(request);
+      return createTokensSpentError(request, ledgers);
     }
     if (!recorded.isQuorum(ledgers.repliedClients)) {
       return this.createUnavailableError(request);
     }
     return ledgers.heldTokens > leftTokens
-      ? createContentionError(request)
+      ? createContentionError(request, ledgers)
       : undefined;
   }
 
@@ -304,9 +306,12 @@
   const settled = lists.map((entries) =>
     entries.filter(({isSettled}) => isSettled),
   );
+  const ended = new Set(settled.flat().map(({attempt}) => attempt));
+  const known = new Set(lists.flat().map(({attempt}) => attempt));
   return {
     heldTokens: sumMergedTokens(lists),
     settledTokens: sumMergedTokens(settled),
+    openAttempts: known.size - ended.size,
     repliedClients: clients.filter(
       (_client, index) => replies[index]?.status === 'fulfilled',
     ),
@@ -330,26 +335,49 @@
   );
 }
 
+/** What ended attempts have used is final, so such a refusal is too. */
+function isOverBudget(
+  {tokens, budgetTokens}: TokenRequest,
+  settledTokens: number,
+): boolean {
+  return settledTokens > 0 && settledTokens + tokens > budgetTokens;
+}
+
 /** Spreads the retries of the attempts that saw each other. */
-function createContentionError({
-  program,
-  attempt,
-  tokens,
-}: TokenRequest): MarigoldpostError {
+function createContentionError(
+  {program, attempt, tokens}: TokenRequest,
+  counts: MergedLedgers,
+): MarigoldpostError {
   const spreadMs = getHashNumber(attempt) % contentionRetrySpreadMs;
   return MarigoldpostError.create(
     'limit_reached',
     `concurrent attempts of program "${program}" leave no room for ${tokens} tokens`,
-    {retryAfterMs: minContentionRetryMs + spreadMs},
+    {
+      retryAfterMs: minContentionRetryMs + spreadMs,
+      counts: toRefusalCounts(counts),
+    },
   );
 }
 
-function createTokensSpentError({
-  program,
-  budgetTokens,
-}: TokenRequest): MarigoldpostError {
+function createTokensSpentError(
+  {program, budgetTokens}: TokenRequest,
+  counts: RefusalCounts,
+): MarigoldpostError {
   return MarigoldpostError.create(
     'tokens_spent',
     `reservation of program "${program}" exceeds its budget of ${budgetTokens} tokens`,
+    {counts: toRefusalCounts(counts)},
   );
 }
+
+function toRefusalCounts({
+  settledTokens,
+  heldTokens,
+  openAttempts,
+}: RefusalCounts): Record<string, number> {
+  return {
+    settledTokens,
+    ...(heldTokens === undefined ? {} : {heldTokens}),
+    ...(openAttempts === undefined ? {} : {openAttempts}),
+  };
+}
--- a/packages/turns/tests/client/budget_client.feature
+++ b/packages/turns/tests/client/budget_client.feature
@@ -51,6 +51,12 @@
     And attempt "t4" of 30 tokens in "b" is admitted to the budget of 200
     And attempt "t5" of 40 tokens in "b" is admitted to the budget of 240
 
+  Scenario: A refusal names the tokens that ended attempts used and those that open ones hold
+    Given an attempt that has ended used 90 tokens, as archives "a, b, c, d" count
+    And attempt "t1" of 40 tokens in "b" is admitted to the budget of 200
+    And attempt "t2" of 40 tokens in "c" is admitted to the budget of 200
+    Then attempt "t3" of 40 tokens in "b" is refused by a budget of 200 with 90 tokens settled and 170 held, 80 of them by 2 open attempts
+
   Scenario: A rejected attempt leaves no reservation at archives that granted it
     Given an attempt that has ended used 170 tokens, as archives "a, b" count
     Then attempt "t1" of 40 tokens in "b" is rejected as over the budget of 200, with 3 requests at most
--- a/packages/turns/tests/client/budget_client_steps.ts
+++ b/packages/turns/tests/client/budget_client_steps.ts
@@ -167,6 +167,32 @@
   },
 );
 
+Then(
+  'attempt {string} of {int} tokens in {string} is refused by a budget of {int} with {int} tokens settled and {int} held, {int} of them by {int} open attempts',
+  async function (
+    this: BudgetWorld,
+    attempt: string,
+    tokens: number,
+    dataCentre: string,
+    budget: number,
+    settledTokens: number,
+    heldTokens: number,
+    openTokens: number,
+    openAttempts: number,
+  ) {
+    const {archives} = this;
+    const request = createTokenRequest(attempt, tokens, budget, 'a');
+    const tried = archives.getStore(dataCentre).reserve(request);
+    await assert.rejects(archives.run(tried), (error) => {
+      assert.ok(isErrorOfKind(error, 'tokens_spent', 'limit_reached'));
+      const counts = {settledTokens, heldTokens, openAttempts};
+      assert.deepEqual(error.counts, counts);
+      return true;
+    });
+    assert.equal(heldTokens - settledTokens, openTokens);
+  },
+);
+
 Then(
   'attempt {string} of {int} tokens in {string} is admitted to the budget of {int}',
   async function (
