Record the end of an attempt before its caller learns of it

Cause: the tokens of an attempt that was rejected or broken off after it had reserved were settled up to 0.5 s later, from the memory of the entry VM. When the process ended before, nothing else knew that the attempt had ended, and the reservation counted until the ledger expired. A turn that is stored does not have the fault, since its record settles it.

The caller of such an attempt now gets its answer once a majority of the archives has the settlement, or the object API if too few archives reply or the reservation is recorded there; after 100 ms in any case. A process that stops sends what is left, and leaves in the object API what archives do not reply to.

A ballot now tells whether an archive may have recorded it, so an entry VM that reaches no archive writes nothing.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -17,7 +17,7 @@
 import {servePlainCall} from './plain_call.js';
 import {RequestAllowance} from './request_allowance.js';
 import {failCall, finishStream} from './end_call.js';
-import {relayStreamCall} from './stream_call.js';
+import {relayStreamCall, type ServedStream} from './stream_call.js';
 import type {CallBody} from './target_attempts.js';
 import {TokenReservation} from './token_reservation.js';
 import {TurnCall} from './turn_call.js';
@@ -213,15 +213,19 @@
       service,
       undefined,
     );
-    let events = 0;
+    const settle = (events: number) => reservation.settle(events);
+    let result: ServedStream | undefined;
     try {
-      const result = await relayStreamCall(call, services, service, body);
-      if (result === undefined) return;
-      ({events} = result);
-      finishStream(call, result);
-    } finally {
-      reservation.settle(events);
+      result = await relayStreamCall(call, services, service, body, () =>
+        settle(0),
+      );
+    } catch (error) {
+      await settle(0);
+      throw error;
     }
+    if (result === undefined) return;
+    await settle(result.events);
+    finishStream(call, result);
   }
 
   private rejectUnrouted(
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -2,6 +2,7 @@
 import type {ServiceId, TargetId} from '@marigoldpost/common';
 import {getBodyFields} from '../responses/body_end.js';
 import {readResponseBody} from '../responses/response_body.js';
+import type {BufferedResponse} from '../responses/write_response.js';
 import {StreamRelay, type StreamResult} from '../responses/stream_relay.js';
 import {isNotRunStatus} from '../responses/not_run_statuses.js';
 import type {CallServices} from './call_services.js';
@@ -29,18 +30,22 @@
  * @param services - Components that all calls share.
  * @param service - Service that was selected from the route.
  * @param body - Body that the target receives.
+ * @param onErrorResponse - Awaited before another status is forwarded.
  */
 export async function relayStreamCall(
   call: IncomingCall,
   services: CallServices,
   service: ServiceId,
   body: CallBody,
+  onErrorResponse: () => Promise<void>,
 ): Promise<ServedStream | undefined> {
   const attempts = TargetAttempts.create(call, services, service, body);
   const started = await attempts.nextResponse();
   const status = started.answer.response.statusCode ?? 0;
   if (status !== okStatus) {
-    await forwardErrorResponse(call, services, attempts, started);
+    const response = await readErrorResponse(call, services, attempts, started);
+    await onErrorResponse();
+    call.answer(response);
     return undefined;
   }
   const {isSigned} = started.answer.attributes;
@@ -84,12 +89,12 @@
   return {...result, target};
 }
 
-async function forwardErrorResponse(
+async function readErrorResponse(
   call: IncomingCall,
   services: CallServices,
   attempts: TargetAttempts,
   {answer, lease}: LeasedResponse,
-): Promise<void> {
+): Promise<BufferedResponse> {
   const {response} = answer;
   const status = response.statusCode ?? 0;
   const allowance = services.responseMemory.createAllowance();
@@ -114,5 +119,5 @@
   }
   const headers = getClientHeaders(services, response);
   const isUndelimited = proof === 'unknown';
-  call.answer({status, headers, body: bytes, isUndelimited});
+  return {status, headers, body: bytes, isUndelimited};
 }
--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -66,15 +66,16 @@
 
   /**
    * Replaces the reservation by the tokens that the client may have received.
-   * It stays as it is if the size of events is not configured.
+   * It stays as it is if the size of events is not configured. Resolves when the
+   * client may be told that the attempt has ended; see `TurnStore.settle`.
    * @param events - Complete events that were sent to the client.
    */
-  settle(events: number): void {
+  async settle(events: number): Promise<void> {
     if (this.call.attributes.budgetTokens === undefined) return;
     const program = TokenReservation.getProgram(this.call);
     if (events > 0 && this.tokensPerEvent === undefined) return;
     const tokens = events * (this.tokensPerEvent ?? 0);
-    this.services.turns.settle(program, this.attempt, tokens);
+    await this.services.turns.settle(program, this.attempt, tokens);
   }
 
   private get tokensPerEvent(): number | undefined {
--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -65,13 +65,14 @@
     try {
       const previousPrompt = chain.at(-1);
       const body = {bytes: prompt, isPresent: true, previousPrompt};
-      result = await relayStreamCall(call, services, service, body);
+      result = await relayStreamCall(call, services, service, body, () =>
+        reservation.settle(0),
+      );
     } catch (error) {
-      reservation.settle(0);
+      await reservation.settle(0);
       throw error;
     }
-    if (result === undefined) reservation.settle(0);
-    else await this.finish(chain, result, reservation);
+    if (result !== undefined) await this.finish(chain, result, reservation);
   }
 
   private async readChain(): Promise<TurnChain> {
@@ -104,14 +105,14 @@
     const tokens = reservation.getTokens(result.events);
     const isClientGone = this.call.endReason === 'client_gone';
     if (result.proof === 'truncated' || isClientGone) {
-      reservation.settle(result.events);
+      await reservation.settle(result.events);
       finishStream(this.call, result);
       return;
     }
     try {
       await this.store(chain, result, tokens);
     } catch (error) {
-      reservation.settle(result.events);
+      await reservation.settle(result.events);
       const message = error instanceof Error ? error.message : String(error);
       const isLate = this.call.endReason === 'timeout';
       const kind = isLate ? 'target_timeout' : 'target_failed';
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -52,7 +52,7 @@
 const abortTimeoutMs = 150;
 /** Time to send the last errors; within `exitMarginMs`. */
 const lastErrorsMs = 50;
-/** Longest wait for the last write of crash records; within `exitMarginMs`. */
+/** Longest wait for the last writes; within `exitMarginMs`. */
 const flushTimeoutMs = 400;
 /** Share of the VM's memory that responses of targets may use. */
 const responseShare = 0.15;
@@ -218,7 +218,10 @@
     const cutOff = this.server.inFlight;
     await this.abortCalls();
     await Promise.race([
-      this.quarantineReplicator.flush(),
+      Promise.allSettled([
+        this.quarantineReplicator.flush(),
+        this.turns.flush(),
+      ]),
       this.clock.sleep(flushTimeoutMs),
     ]);
     const drainMs = Math.round(this.clock.nowMs() - startMs);
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -51,6 +51,11 @@
   readonly getRetryAfterMs: () => number;
 }
 
+/** Request of an attempt, with the ballots that were held on it so far. */
+interface BallotedRequest extends TokenRequest {
+  readonly ballots: ReservationBallot[];
+}
+
 /** Ledgers of several archives for one program. */
 interface MergedLedgers {
   /** Tokens that other attempts have used or reserved. */
@@ -85,7 +90,7 @@
    * Reserves tokens. Throws `tokens_spent` when the budget does not hold them,
    * `limit_reached` when concurrent attempts compete for the rest of it, and
    * `archive_unavailable` when too few archives reply to decide. In all cases
-   * the attempt is settled with 0 tokens. Waits up to 1.5 s for archives that
+   * the attempt has then been settled with 0 tokens. Waits up to 1.5 s for archives that
    * have just become unreachable, since a restart takes about that long.
    * @param request - Attempt, tokens and budget.
    */
@@ -96,18 +101,21 @@
     }
     const {pool, owedArchives, settlements} = this.options;
     const retries = pool.createRetries(request);
-    for (let isRepeated = false; ; isRepeated = true) {
-      const ballot = await this.requestWithWait(request, retries);
+    const ballots: ReservationBallot[] = [];
+    const balloted = {...request, ballots};
+    for (;;) {
+      const ballot = await this.requestWithWait(balloted, retries);
       const failure =
         ballot === undefined
           ? this.createUnavailableError(request)
-          : await this.decideByBallot(request, ballot);
+          : await this.decideByBallot(balloted, ballot);
       if (failure === undefined) return;
       const isFinal = failure.kind !== 'archive_unavailable';
       if (!isFinal && (await retries.waitForReturn(owedArchives))) continue;
       // `recordSpent` settles the attempt where its only ballot has recorded it.
-      if (isRepeated || ballot?.result !== 'spent') {
-        settlements.add(request.program, request.attempt, 0);
+      const isSettled = ballots.length === 1 && ballot?.result === 'spent';
+      if (!isSettled && ballots.some(({mayBeRecorded}) => mayBeRecorded)) {
+        await settlements.record(request.program, request.attempt, 0);
       }
       throw failure;
     }
@@ -115,7 +123,7 @@
 
   /** Gets the error that rejects an attempt after its ballot, if any. */
   private async decideByBallot(
-    request: TokenRequest,
+    request: BallotedRequest,
     ballot: ReservationBallot,
   ): Promise<MarigoldpostError | undefined> {
     const {result} = ballot;
@@ -135,8 +143,9 @@
     if (this.settledTokens.size > maxSpentPrograms && oldest !== undefined) {
       this.settledTokens.delete(oldest);
     }
-    void ballot.mayBeRecorded().then((mayBeRecorded) => {
-      if (mayBeRecorded) this.options.settlements.add(program, attempt, 0);
+    void ballot.waitForReplies().then(() => {
+      if (!ballot.mayBeRecorded) return;
+      this.options.settlements.add(program, attempt, 0);
     });
   }
 
@@ -147,7 +156,7 @@
    * rejects the attempt, if any.
    */
   private async reserveByMergedLedgers(
-    request: TokenRequest,
+    request: BallotedRequest,
     ballot: ReservationBallot,
   ): Promise<MarigoldpostError | undefined> {
     const {budgetTokens, tokens} = request;
@@ -221,7 +230,7 @@
    * if no ballot decides it.
    */
   private async requestWithWait(
-    request: TokenRequest,
+    request: BallotedRequest,
     retries: ArchiveRetries,
   ): Promise<ReservationBallot | undefined> {
     const {owedArchives} = this.options;
@@ -254,7 +263,7 @@
   }
 
   private async requestReservation(
-    request: TokenRequest,
+    request: BallotedRequest,
     isForced: boolean,
   ): Promise<ReservationBallot> {
     const {pool, clock, ownDataCentre, owedArchives} = this.options;
@@ -268,6 +277,7 @@
       location,
       reservation: {...request, isForced},
     });
+    request.ballots.push(ballot);
     await ballot.run();
     if (ballot.result === 'spent') this.recordSpent(request, ballot);
     return ballot;
--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -49,6 +49,8 @@
   private readonly votes: ReservationVote[];
   private readonly decided = Deferred.create<BallotResult>();
   private readonly requests: Promise<void>[] = [];
+  /** Archives that a request was sent to; none is sent to unreachable ones. */
+  private readonly sentIndexes = new Set<number>();
   private outcome: BallotResult = 'pending';
   private highestSettledTokens = 0;
   private hasSupersededVoter = false;
@@ -157,14 +159,18 @@
     return isRecordedAtQuorum(votes, this.options.location);
   }
 
-  /** Whether an archive may have recorded the reservation, once all replied. */
-  async mayBeRecorded(): Promise<boolean> {
-    await Promise.all(this.requests);
-    return this.votes.some(
-      ({answer}) => answer === 'granted' || answer === 'failed',
+  /** Whether an archive has recorded the reservation, or may do so yet. */
+  get mayBeRecorded(): boolean {
+    return [...this.sentIndexes].some(
+      (index) => this.votes[index]?.answer !== 'refused',
     );
   }
 
+  /** Resolves once each archive that was asked has replied or failed. */
+  async waitForReplies(): Promise<void> {
+    await Promise.all(this.requests);
+  }
+
   private requestVotes(maxCount: number): void {
     const nextIndexes = this.unaskedIndexes.slice(0, maxCount);
     this.unaskedIndexes = this.unaskedIndexes.slice(maxCount);
@@ -177,6 +183,7 @@
     const {clients, reservation, supersededDisks} = this.options;
     const client = clients[index] as ArchiveClient;
     const counter = this.counter?.member.disk ?? '';
+    if (client.isReachable) this.sentIndexes.add(index);
     try {
       const request = {...reservation, counter};
       const reply = await client.reserve(request, supersededDisks);
--- a/packages/turns/src/client/settlement_sender.ts
+++ b/packages/turns/src/client/settlement_sender.ts
@@ -1,6 +1,12 @@
 /** Sends every archive the tokens that attempts used. */
-import type {Clock, ProgramId, Timer} from '@marigoldpost/common';
+import {
+  type Clock,
+  Deferred,
+  type ProgramId,
+  type Timer,
+} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
+import {getMajority} from '../ledger/reservation_quorum.js';
 import type {ReservationObjects} from '../objects/reservation_objects.js';
 import type {ProgramEntries} from '../records/turn_codec.js';
 import type {ArchiveClient} from './archive_client.js';
@@ -11,6 +17,13 @@
  * which a budget must include the tokens of a finished turn.
  */
 const batchIntervalMs = 500;
+/** Interval whose settlements share a message while calls wait for them. */
+const promptIntervalMs = 2;
+/**
+ * Longest wait for a settlement; within the 150 ms in which calls end when their
+ * entry VM stops.
+ */
+const recordTimeoutMs = 100;
 /** Limit of the settlements in one message; bounds its size. */
 const maxBatchSettlements = 2000;
 /** Pause before a batch is resent to an archive that did not acknowledge it. */
@@ -23,14 +36,26 @@
   /** Archives that receive the settlements. */
   readonly pool: ArchivePool;
   /** Reservations that this entry VM has recorded in the object API. */
-  readonly objects: Pick<ReservationObjects, 'settle'>;
+  readonly objects: Pick<
+    ReservationObjects,
+    'has' | 'settle' | 'recordSettlements'
+  >;
   readonly clock: Clock;
 }
 
+/** A settlement that some archives have not acknowledged yet. */
+interface Settlement extends ProgramEntries {
+  /** Archives that have acknowledged it. */
+  readonly holders: Set<ArchiveClient>;
+  /** Resolves once a majority has acknowledged it. */
+  readonly recorded: Deferred<void>;
+}
+
 /** Queues settlements and resends them until each archive acknowledges. */
 export class SettlementSender {
-  private readonly waiting = new Map<string, ProgramEntries[]>();
+  private readonly waiting = new Map<string, Settlement[]>();
   private timer: Timer | undefined;
+  private prompt: Promise<void> | undefined;
   private isStopped = false;
 
   private constructor(private readonly options: SettlementSenderOptions) {}
@@ -44,65 +69,157 @@
   }
 
   /**
-   * Queues the settlement of an attempt for every archive.
+   * Queues the settlement of an attempt that something else records as well, such
+   * as a stored turn.
    * @param program - Program of the attempt.
    * @param attempt - Attempt whose reservation ends.
    * @param tokens - Tokens that the attempt used.
    */
   add(program: ProgramId, attempt: TurnId, tokens: number): void {
-    const {pool, objects} = this.options;
-    const entries = [{attempt, tokens, isSettled: true}];
-    objects.settle(program, attempt, tokens);
-    for (const client of pool.getClients()) {
-      this.prepend(client.member.daemon, [{program, entries}]);
-    }
+    this.options.objects.settle(program, attempt, tokens);
+    this.enqueue(program, attempt, tokens);
     this.schedule(batchIntervalMs);
   }
 
+  /**
+   * Sends the settlement of an attempt at once. Resolves when a majority of the
+   * archives has recorded it, or the object API if too few archives reply, so that
+   * it outlasts this process; after 100 ms in any case.
+   * @param program - Program of the attempt.
+   * @param attempt - Attempt whose reservation ends.
+   * @param tokens - Tokens that the attempt used.
+   */
+  async record(
+    program: ProgramId,
+    attempt: TurnId,
+    tokens: number,
+  ): Promise<void> {
+    const timeout = Deferred.create<void>();
+    const timer = this.options.clock.setTimer(recordTimeoutMs, () =>
+      timeout.resolve(),
+    );
+    const settlement = this.enqueue(program, attempt, tokens);
+    await Promise.race([this.deliver(settlement, attempt), timeout.promise]);
+    timer.cancel();
+  }
+
+  /**
+   * Sends all queued settlements; what too few archives have acknowledged then is
+   * written to the object API. Call it before the process ends.
+   */
+  async flush(): Promise<void> {
+    const queued = new Set([...this.waiting.values()].flat());
+    await this.sendQueued();
+    const missing = [...queued].filter((one) => !this.isRecorded(one));
+    if (missing.length === 0) return;
+    await this.options.objects.recordSettlements(missing);
+  }
+
   /** Stops sending; queued settlements are dropped. */
   stop(): void {
     this.isStopped = true;
     this.timer?.cancel();
   }
 
+  private enqueue(
+    program: ProgramId,
+    attempt: TurnId,
+    tokens: number,
+  ): Settlement {
+    const settlement = {
+      program,
+      entries: [{attempt, tokens, isSettled: true}],
+      holders: new Set<ArchiveClient>(),
+      recorded: Deferred.create<void>(),
+    };
+    for (const client of this.options.pool.getClients()) {
+      this.prepend(client.member.daemon, [settlement]);
+    }
+    return settlement;
+  }
+
+  /**
+   * Sends a settlement. If the object API has the reservation, it gets the
+   * settlement as well: readers may find it there alone.
+   */
+  private async deliver(
+    settlement: Settlement,
+    attempt: TurnId,
+  ): Promise<void> {
+    const {objects} = this.options;
+    const isInObject = objects.has(attempt);
+    const written = isInObject ? this.write(settlement) : Promise.resolve();
+    await Promise.race([settlement.recorded.promise, this.sendPromptly()]);
+    if (this.isRecorded(settlement) || isInObject) await written;
+    else await this.write(settlement);
+  }
+
+  private async write(settlement: Settlement): Promise<void> {
+    try {
+      await this.options.objects.recordSettlements([settlement]);
+    } catch {
+      // It stays queued for the archives.
+    }
+  }
+
+  private isRecorded({holders}: Settlement): boolean {
+    const voters = this.options.pool.getVoters();
+    const count = voters.filter((client) => holders.has(client)).length;
+    return voters.length > 0 && count >= getMajority(voters.length);
+  }
+
+  private sendPromptly(): Promise<void> {
+    this.prompt ??= this.options.clock.sleep(promptIntervalMs).then(() => {
+      this.prompt = undefined;
+      return this.sendQueued();
+    });
+    return this.prompt;
+  }
+
   private schedule(delayMs: number): void {
     if (this.isStopped) return;
     if (this.timer !== undefined || this.waiting.size === 0) return;
     this.timer = this.options.clock.setTimer(delayMs, () => {
       this.timer = undefined;
-      void this.flush();
+      void this.sendQueued();
     });
   }
 
-  private async flush(): Promise<void> {
+  private async sendQueued(): Promise<void> {
+    if (this.isStopped) return;
     const clients = this.options.pool.getClients();
     const daemons = new Set<string>(clients.map(({member}) => member.daemon));
     for (const daemon of this.waiting.keys()) {
       if (!daemons.has(daemon)) this.waiting.delete(daemon);
     }
-    await Promise.all(clients.map((client) => this.flushTo(client)));
+    await Promise.all(clients.map((client) => this.sendTo(client)));
     this.schedule(this.waiting.size > 0 ? retryDelayMs : batchIntervalMs);
   }
 
-  private async flushTo(client: ArchiveClient): Promise<void> {
+  private async sendTo(client: ArchiveClient): Promise<void> {
     const {daemon} = client.member;
-    const ledgers = this.waiting.get(daemon);
-    if (ledgers === undefined || !client.isReachable) return;
+    const queued = this.waiting.get(daemon);
+    if (queued === undefined || !client.isReachable) return;
     this.waiting.delete(daemon);
-    for (let start = 0; start < ledgers.length; start += maxBatchSettlements) {
+    for (let start = 0; start < queued.length; start += maxBatchSettlements) {
+      const batch = queued.slice(start, start + maxBatchSettlements);
       try {
-        await client.settle(ledgers.slice(start, start + maxBatchSettlements));
+        await client.settle(batch);
       } catch {
         // The pool reports the unreachable archive; the rest is resent.
-        this.prepend(daemon, ledgers.slice(start));
+        this.prepend(daemon, queued.slice(start));
         return;
       }
+      for (const settlement of batch) {
+        settlement.holders.add(client);
+        if (this.isRecorded(settlement)) settlement.recorded.resolve();
+      }
     }
   }
 
-  private prepend(daemon: string, ledgers: readonly ProgramEntries[]): void {
+  private prepend(daemon: string, settlements: readonly Settlement[]): void {
     const pending = this.waiting.get(daemon) ?? [];
-    const all = [...ledgers, ...pending];
+    const all = [...settlements, ...pending];
     this.waiting.set(daemon, all.slice(0, maxPendingPerArchive));
   }
 }
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -204,29 +204,39 @@
 
   /**
    * Reserves tokens; see `BudgetClient.reserve`. Throws `archive_unavailable`
-   * if the wait for the archives is aborted; the attempt is then settled with 0
-   * tokens.
+   * if the wait for the archives is aborted; the attempt has then been settled
+   * with 0 tokens.
    * @param request - Attempt, tokens and budget.
    */
   async reserve(request: TokenRequest): Promise<void> {
     const {program, attempt, signal} = request;
     const work = this.budgets.reserve(request);
-    await waitUnlessAborted(work, signal, () => {
-      this.settle(program, attempt, 0);
-      return this.createAbortError(
-        `the tokens of attempt "${attempt}" were not reserved in time`,
-      );
-    });
+    const aborted = this.createAbortError(
+      `the tokens of attempt "${attempt}" were not reserved in time`,
+    );
+    try {
+      await waitUnlessAborted(work, signal, () => aborted);
+    } catch (error) {
+      if (error === aborted) await this.settle(program, attempt, 0);
+      throw error;
+    }
   }
 
   /**
-   * Settles an attempt: replaces its reservation by the tokens that it used.
+   * Settles an attempt that stores no turn: replaces its reservation by the tokens
+   * that it used. Its caller is to be told that it ended once this resolves, since
+   * the settlement then outlasts this process; see `SettlementSender.record`.
    * @param program - Program of the attempt.
    * @param attempt - Attempt whose reservation ends.
    * @param tokens - Tokens that the caller may have received.
    */
-  settle(program: ProgramId, attempt: TurnId, tokens: number): void {
-    this.settlements.add(program, attempt, tokens);
+  settle(program: ProgramId, attempt: TurnId, tokens: number): Promise<void> {
+    return this.settlements.record(program, attempt, tokens);
+  }
+
+  /** Sends what the archives have not acknowledged; see `SettlementSender.flush`. */
+  flush(): Promise<void> {
+    return this.settlements.flush();
   }
 
   /**
@@ -255,7 +265,7 @@
   ): Promise<DurableTurn> {
     const stored = await this.recorder.record(turn, chainDisks, wait);
     this.cache.put(stored.record);
-    this.settle(turn.program, turn.id, turn.tokens);
+    this.settlements.add(turn.program, turn.id, turn.tokens);
     return stored;
   }
 
--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -98,10 +98,7 @@
   }: Pick<Reservation, 'program' | 'attempt' | 'tokens'>): Promise<
     LedgerEntry[][]
   > {
-    if (this.entries.size >= maxEntries) {
-      const message = `${maxEntries} reservations are recorded in the object API already`;
-      throw MarigoldpostError.create('archive_unavailable', message);
-    }
+    this.requireRoom();
     const entry = {attempt, tokens, isSettled: false};
     this.put(program, entry);
     const ledgers = await this.exchange.read();
@@ -123,12 +120,40 @@
     this.put(program, {attempt, tokens, isSettled: true});
   }
 
+  /**
+   * Whether the reservation of an attempt is recorded.
+   * @param attempt - Attempt of this entry VM.
+   */
+  has(attempt: TurnId): boolean {
+    return this.entries.has(attempt);
+  }
+
+  /**
+   * Records settlements, from which archives take them; resolves once they are
+   * durable. Throws an error if the object API does not acknowledge them, or if
+   * there are too many.
+   * @param ledgers - Settled entries by program.
+   */
+  async recordSettlements(ledgers: readonly ProgramEntries[]): Promise<void> {
+    this.requireRoom();
+    for (const {program, entries} of ledgers) {
+      for (const entry of entries) this.put(program, entry);
+    }
+    await this.exchange.read();
+  }
+
   /** Stops the removal of expired reservations. */
   stop(): void {
     this.isStopped = true;
     this.timer?.cancel();
   }
 
+  private requireRoom(): void {
+    if (this.entries.size < maxEntries) return;
+    const message = `${maxEntries} reservations are recorded in the object API already`;
+    throw MarigoldpostError.create('archive_unavailable', message);
+  }
+
   private put(program: ProgramId, entry: LedgerEntry): void {
     const expiresAtMs = this.options.clock.nowMs() + retentionMs;
     this.entries.set(entry.attempt, {program, entry, expiresAtMs});
--- a/packages/turns/tests/client/aborted_wait_steps.ts
+++ b/packages/turns/tests/client/aborted_wait_steps.ts
@@ -28,7 +28,7 @@
     reserved.catch(() => undefined);
     await archives.clock.advance(afterMs);
     controller.abort();
-    await assert.rejects(reserved, (error) =>
+    await assert.rejects(archives.run(reserved), (error) =>
       isErrorOfKind(error, 'archive_unavailable'),
     );
   },
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -237,7 +237,7 @@
       }
       this.admitted += 1;
       const store = archives.getStore(dataCentre);
-      store.settle(program, toId<TurnId>(attempt), used);
+      void store.settle(program, toId<TurnId>(attempt), used);
       await archives.clock.advance(settleMs);
     }
   },
--- a/packages/turns/tests/ledger/ledger_retention_steps.ts
+++ b/packages/turns/tests/ledger/ledger_retention_steps.ts
@@ -19,7 +19,7 @@
     const startMs = archives.clock.nowMs();
     for (let passedS = 0; passedS < elapsedS; passedS += everyS) {
       const attempt = toId<TurnId>(`ended ${startMs} ${passedS}`);
-      archives.getStore('a').settle(program, attempt, 0);
+      void archives.getStore('a').settle(program, attempt, 0);
       await archives.clock.advance(everyS * msPerSecond);
     }
   },
--- a/packages/turns/tests/repair/lost_replacement_steps.ts
+++ b/packages/turns/tests/repair/lost_replacement_steps.ts
@@ -123,7 +123,7 @@
   const request = createTokenRequest(attempt, 1, ampleTokens, home);
   const dataCentre = toId<DataCentreId>(home);
   await store.reserve({...request, ...wait, program, home: dataCentre});
-  store.settle(program, toId<TurnId>(attempt), 0);
+  void store.settle(program, toId<TurnId>(attempt), 0);
   await store.record({...createTurn(attempt, turn), program}, [], wait);
 }
 
