Flush settlements that are on their way when an entry VM stops

Callers got 402 for good for turns that their budgets held, if their attempts ended within 0.4 s before the stop of an entry VM that archives no longer replied to.

Cause: `flush` looked at the queue, and a settlement leaves the queue when it is sent. One that waited for an archive that is cut off was neither in the queue nor recorded, so that `flush` wrote nothing and returned at once; one that was queued was written only after the reply time-out of 400 ms, which is all the time that the process has.

The sender now keeps each settlement until a majority of the archives or the object API has it, and `flush` waits for archives for 50 ms at most.

--- a/packages/turns/src/client/settlement_sender.ts
+++ b/packages/turns/src/client/settlement_sender.ts
@@ -24,6 +24,8 @@
  * entry VM stops.
  */
 const recordTimeoutMs = 100;
+/** Wait for a majority of the archives, before the object API takes its place. */
+const archiveWaitMs = 50;
 /** Limit of the settlements in one message; bounds its size. */
 const maxBatchSettlements = 2000;
 /** Pause before a batch is resent to an archive that did not acknowledge it. */
@@ -54,6 +56,8 @@
 /** Queues settlements and resends them until each archive acknowledges. */
 export class SettlementSender {
   private readonly waiting = new Map<string, Settlement[]>();
+  /** Settlements that are not known to outlast this process, queued or sent. */
+  private readonly unrecorded = new Set<Settlement>();
   private timer: Timer | undefined;
   private prompt: Promise<void> | undefined;
   private isStopped = false;
@@ -104,13 +108,15 @@
   }
 
   /**
-   * Sends all queued settlements; what too few archives have acknowledged then is
-   * written to the object API. Call it before the process ends.
+   * Sends all queued settlements; what too few archives acknowledge in time, sent
+   * before or now, is written to the object API. Call it before the process ends.
    */
   async flush(): Promise<void> {
-    const queued = new Set([...this.waiting.values()].flat());
-    await this.sendQueued();
-    const missing = [...queued].filter((one) => !this.isRecorded(one));
+    const settlements = [...this.unrecorded];
+    void this.sendQueued();
+    const all = settlements.map(({recorded}) => recorded.promise);
+    await this.waitForArchives(Promise.all(all));
+    const missing = settlements.filter((one) => !this.isRecorded(one));
     if (missing.length === 0) return;
     await this.options.objects.recordSettlements(missing);
   }
@@ -132,6 +138,11 @@
       holders: new Set<ArchiveClient>(),
       recorded: Deferred.create<void>(),
     };
+    this.unrecorded.add(settlement);
+    const [oldest] = this.unrecorded;
+    if (this.unrecorded.size > maxPendingPerArchive && oldest !== undefined) {
+      this.unrecorded.delete(oldest);
+    }
     for (const client of this.options.pool.getClients()) {
       this.prepend(client.member.daemon, [settlement]);
     }
@@ -154,9 +165,20 @@
     else await this.write(settlement);
   }
 
+  /** Waits for replies of archives; those that are cut off send none. */
+  private async waitForArchives(replies: Promise<unknown>): Promise<void> {
+    const timeout = Deferred.create<void>();
+    const timer = this.options.clock.setTimer(archiveWaitMs, () =>
+      timeout.resolve(),
+    );
+    await Promise.race([replies, timeout.promise]);
+    timer.cancel();
+  }
+
   private async write(settlement: Settlement): Promise<void> {
     try {
       await this.options.objects.recordSettlements([settlement]);
+      this.unrecorded.delete(settlement);
     } catch {
       // It stays queued for the archives.
     }
@@ -212,7 +234,9 @@
       }
       for (const settlement of batch) {
         settlement.holders.add(client);
-        if (this.isRecorded(settlement)) settlement.recorded.resolve();
+        if (!this.isRecorded(settlement)) continue;
+        settlement.recorded.resolve();
+        this.unrecorded.delete(settlement);
       }
     }
   }
