Write a settlement to the object API while archives are silent

Callers got 402 for good for turns that their budgets held, if an attempt ended while its entry VM was cut off from the archives and it was killed afterwards.

Cause: the object API got a settlement only when all archives had replied or failed. One that is cut off fails after 400 ms, and the caller is told after 100 ms in any case: at that time no machine but the entry VM had the settlement.

Evidence: the new scenario failed with tokens_spent for the entry VM that reaches no archive; with "c" it passed before as well.

--- a/packages/turns/src/client/settlement_sender.ts
+++ b/packages/turns/src/client/settlement_sender.ts
@@ -160,9 +160,10 @@
     const {objects} = this.options;
     const isInObject = objects.has(attempt);
     const written = isInObject ? this.write(settlement) : Promise.resolve();
-    await Promise.race([settlement.recorded.promise, this.sendPromptly()]);
+    const recorded = settlement.recorded.promise;
+    await this.waitForArchives(Promise.race([recorded, this.sendPromptly()]));
     if (this.isRecorded(settlement) || isInObject) await written;
-    else await this.write(settlement);
+    else await Promise.race([recorded, this.write(settlement)]);
   }
 
   /** Waits for replies of archives; those that are cut off send none. */
--- a/packages/turns/tests/client/settlement_sender.feature
+++ b/packages/turns/tests/client/settlement_sender.feature
@@ -54,6 +54,20 @@
       | c       |
       | none    |
 
+  # Guards against waits for archives that are cut off and send no reply.
+  Scenario Outline: Tokens of an attempt that ends as archives fall silent are free although its entry VM is killed
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves
+    And entry VM "a" reaches only archives "<reached>"
+    And the attempt ends without tokens
+    And all entry VMs are killed
+    And 2000 ms pass
+    Then attempt "next" of 200 tokens in "c" is admitted to the budget of 200
+
+    Examples:
+      | reached |
+      | c       |
+      | none    |
+
   Scenario: An entry VM that reaches neither archives nor the object API waits no longer than 100 ms
     When an attempt of 150 tokens in "a" on a budget of 200 reserves
     And entry VM "a" reaches only archives "none"
