Record no reservation in the object API once its wait was aborted

Callers got 402 for good for turns that their budgets held, if they had given up an attempt while its ballot waited for archives that were cut off.

Cause: an attempt whose wait is aborted is settled at once, but its ballot goes on. When the ballot had a result, the reservation was recorded in the object API, where it replaced the settlement of the same attempt. Nothing settled it again.

--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -216,6 +216,8 @@
     if (this.isOnEnoughDisks(ballot)) return [];
     // Its reply time-out is shorter than that of a write.
     if (!(await probe.checkWrites())) return undefined;
+    // An attempt whose wait was aborted is settled already.
+    if (request.signal.aborted) return undefined;
     try {
       return await objects.record(request);
     } catch {
--- a/packages/turns/tests/client/settlement_sender.feature
+++ b/packages/turns/tests/client/settlement_sender.feature
@@ -78,3 +78,13 @@
     Given entry VM "a" reaches only archives "none"
     And 3000 ms pass with attempts in "a"
     Then 20 attempts in "a" that may wait for 50 ms write nothing to the object API
+
+  # Guards against reservations that are recorded after their attempt has been settled.
+  Scenario: An attempt whose wait is aborted while a ballot runs leaves no reservation in the object API
+    Given data centre "a" is cut off, which no entry VM has noticed
+    When an attempt of 150 tokens in "a" on a budget of 200 ends its wait after 100 ms
+    And 1000 ms pass
+    And all entry VMs are killed
+    And archive "a" restarts on an empty disk
+    And the isolation ends and 4000 ms pass
+    Then attempt "next" of 200 tokens in "a" is admitted to the budget of 200
