Keep room for reservations beside settlements in the object API

Callers got 503 for turns of a data centre that is cut off, for up to 120 s, after some thousand attempts whose settlements no majority of the archives could take.

A full object took no settlement of its own reservations either, so that these held their tokens.

Settlements of attempts that the object does not have are added up to half of the limit; those of its own reservations replace them and need no room.

--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -34,6 +34,8 @@
  * object.
  */
 const maxEntries = 5000;
+/** Limit up to which settlements of other attempts are added to these. */
+const maxSettlements = 2500;
 /** Attempts at one write whose outcome is unknown or whose version is behind. */
 const maxWriteAttempts = 3;
 
@@ -98,7 +100,7 @@
   }: Pick<Reservation, 'program' | 'attempt' | 'tokens'>): Promise<
     LedgerEntry[][]
   > {
-    this.requireRoom();
+    if (this.entries.size >= maxEntries) throw createFullError();
     const entry = {attempt, tokens, isSettled: false};
     this.put(program, entry);
     const ledgers = await this.exchange.read();
@@ -135,11 +137,16 @@
    * @param ledgers - Settled entries by program.
    */
   async recordSettlements(ledgers: readonly ProgramEntries[]): Promise<void> {
-    this.requireRoom();
+    let isFull = false;
     for (const {program, entries} of ledgers) {
-      for (const entry of entries) this.put(program, entry);
+      for (const entry of entries) {
+        const hasRoom = this.entries.size < maxSettlements;
+        if (hasRoom || this.has(entry.attempt)) this.put(program, entry);
+        else isFull = true;
+      }
     }
     await this.exchange.read();
+    if (isFull) throw createFullError();
   }
 
   /** Stops the removal of expired reservations. */
@@ -148,12 +155,6 @@
     this.timer?.cancel();
   }
 
-  private requireRoom(): void {
-    if (this.entries.size < maxEntries) return;
-    const message = `${maxEntries} reservations are recorded in the object API already`;
-    throw MarigoldpostError.create('archive_unavailable', message);
-  }
-
   private put(program: ProgramId, entry: LedgerEntry): void {
     const expiresAtMs = this.options.clock.nowMs() + retentionMs;
     this.entries.set(entry.attempt, {program, entry, expiresAtMs});
@@ -243,3 +244,8 @@
     }
   }
 }
+
+function createFullError(): MarigoldpostError {
+  const message = 'the object API has as many reservations as it may hold';
+  return MarigoldpostError.create('archive_unavailable', message);
+}
--- a/packages/turns/tests/client/settlement_sender.feature
+++ b/packages/turns/tests/client/settlement_sender.feature
@@ -79,6 +79,18 @@
     And 3000 ms pass with attempts in "a"
     Then 20 attempts in "a" that may wait for 50 ms write nothing to the object API
 
+  # Guards against settlements that take the room of reservations in the object API.
+  Scenario: A reservation is recorded and settled in the object API beside many settlements
+    Given data centre "a" is isolated
+    When 6000 attempts of other programs in "a" end without tokens at once
+    And an attempt of 150 tokens in "a" on a budget of 200 reserves
+    And 6000 attempts of other programs in "a" end without tokens at once
+    And the attempt ends without tokens
+    And all entry VMs are killed
+    And archive "a" restarts on an empty disk
+    And the isolation ends and 4000 ms pass
+    Then attempt "next" of 200 tokens in "a" is admitted to the budget of 200
+
   # Guards against reservations that are recorded after their attempt has been settled.
   Scenario: An attempt whose wait is aborted while a ballot runs leaves no reservation in the object API
     Given data centre "a" is cut off, which no entry VM has noticed
--- a/packages/turns/tests/client/settlement_sender_steps.ts
+++ b/packages/turns/tests/client/settlement_sender_steps.ts
@@ -14,6 +14,7 @@
 
 interface SettlementWorld extends World {
   archives: ArchiveFleet;
+  otherAttempts: number;
 }
 
 const program = toId<ProgramId>('program');
@@ -104,6 +105,20 @@
   },
 );
 
+When(
+  '{int} attempts of other programs in {string} end without tokens at once',
+  async function (this: SettlementWorld, count: number, entryVm: string) {
+    const {archives} = this;
+    const store = archives.getStore(entryVm);
+    this.otherAttempts ??= 0;
+    const settled = Array.from({length: count}, () => {
+      const other = `other-${this.otherAttempts++}`;
+      return store.settle(toId<ProgramId>(other), toId<TurnId>(other), 0);
+    });
+    await archives.run(Promise.all(settled));
+  },
+);
+
 When(
   'entry VM {string} flushes its settlements and is killed',
   async function (this: SettlementWorld, entryVm: string) {
