Handle errors of HTTP/2 sessions of peers until they have closed

A `serve` daemon or a demo that closed its links beside a peer that had just broken the protocol ended by itself: uncaught 'error' event of an HTTP/2 session, ERR_HTTP2_ERROR, errno -505. Calls in flight at it ended with it.

Cause: Node.js emits the error of a failed session only once its socket has closed, after the failure of the exchange. The session manager of connect-node removes its error listener when it is aborted, and `PeerLink.close` aborts it at once. A stream that closes by itself is followed by the abort 1 s later, which `handleStreamClosed` already had for the same reason.

Evidence: the new scenario of foreign_server.feature failed with the error of the report (ERR_HTTP2_ERROR, "Protocol error", onSessionInternalError) and passes now. The entry and archive processes of the users' platform do not use this link; their message transport keeps its listeners.

--- a/packages/peers/src/transport/peer_link.ts
+++ b/packages/peers/src/transport/peer_link.ts
@@ -1,9 +1,6 @@
 /** Maintains a stream to one peer and sends exchanges over it. */
 import {createClient} from '@connectrpc/connect';
-import {
-  createGrpcTransport,
-  Http2SessionManager,
-} from '@connectrpc/connect-node';
+import {createGrpcTransport} from '@connectrpc/connect-node';
 import {
   Backoff,
   type Clock,
@@ -13,6 +10,7 @@
   type Random,
 } from '@marigoldpost/common';
 import {PeerService} from '../generated/marigoldpost/peers/v1/peers_pb.js';
+import {PeerSessionManager} from './peer_session_manager.js';
 import {type PendingExchange, PeerStream} from './peer_stream.js';
 import type {
   PeerAddress,
@@ -45,7 +43,7 @@
 /** Link to one peer. Connects on demand, with backoff after each failure. */
 export class PeerLink {
   private readonly backoff: Backoff;
-  private sessionManager: Http2SessionManager | undefined;
+  private sessionManager: PeerSessionManager | undefined;
   private stream: PeerStream | undefined;
   private opening: Promise<PeerStream> | undefined;
   private retryAtMs = Number.NEGATIVE_INFINITY;
@@ -150,8 +148,8 @@
     return this.stream;
   }
 
-  private async connect(): Promise<Http2SessionManager> {
-    const manager = new Http2SessionManager(
+  private async connect(): Promise<PeerSessionManager> {
+    const manager = new PeerSessionManager(
       this.options.peer.address,
       {pingIntervalMs, pingTimeoutMs},
       this.options.getTls(),
@@ -168,11 +166,12 @@
     throw this.createUnavailableError(this.lastFailure);
   }
 
-  private handleStreamClosed(manager: Http2SessionManager): void {
+  private handleStreamClosed(manager: PeerSessionManager): void {
     this.stream = undefined;
     this.recordFailure(undefined);
-    // A failing session emits its error later. An abort before that removes the
-    // manager's listener, and the unhandled error would end the process.
+    // A session that fails before its request emits its error later. An abort
+    // before that removes the manager's listener, and the unhandled error would
+    // end the process.
     this.options.clock.setTimer(abortDelayMs, () => manager.abort());
   }
 
--- a/packages/peers/tests/transport/foreign_server.feature
+++ b/packages/peers/tests/transport/foreign_server.feature
@@ -7,8 +7,15 @@
     Then each heartbeat to the foreign server fails
 
     Examples:
-      | answer          |
-      | HTTP/1.1        |
-      | random bytes    |
-      | nothing         |
-      | an end at once  |
+      | answer           |
+      | HTTP/1.1         |
+      | random bytes     |
+      | a protocol error |
+      | nothing          |
+      | an end at once   |
+
+  # An 'error' event of the session, after the transport's listener was gone, ended the daemon.
+  Scenario: A transport that stops beside a protocol error does not fail the process
+    Given a foreign server that answers a protocol error
+    When a Connect transport stops as soon as its heartbeat to the foreign server has failed
+    Then each heartbeat to the foreign server fails
--- a/packages/peers/tests/transport/foreign_server_steps.ts
+++ b/packages/peers/tests/transport/foreign_server_steps.ts
@@ -15,17 +15,23 @@
   foreign?: Server;
   transport?: PeerTransport;
   sockets: Set<Socket>;
+  sent: number;
   failures: number;
 }
 
-const heartbeats = 3;
 const timeoutMs = 300;
 // Longer than the transport waits before it aborts a failed session.
 const settleMs = 1200;
 
+// Frames without payload: length, type, flags and stream.
+const settingsFrame = Buffer.from([0, 0, 0, 4, 0, 0, 0, 0, 0]);
+const misplacedSettingsFrame = Buffer.from([0, 0, 0, 4, 0, 0, 0, 0, 1]);
+
 const responders: Readonly<Record<string, (socket: Socket) => void>> = {
   'HTTP/1.1': (socket) => socket.write('HTTP/1.1 400 Bad Request\r\n\r\n'),
   'random bytes': (socket) => socket.write(Buffer.alloc(64, 0xa5)),
+  'a protocol error': (socket) =>
+    socket.write(Buffer.concat([settingsFrame, misplacedSettingsFrame])),
   nothing: () => undefined,
   'an end at once': (socket) => socket.end(),
 };
@@ -49,41 +55,63 @@
 When(
   'a Connect transport sends three heartbeats to the foreign server',
   async function (this: ForeignWorld) {
-    const clock = SystemClock.create();
-    const transport = ConnectPeerTransport.create({
-      daemon: toId<DaemonId>('entry-1'),
-      host: '127.0.0.1',
-      port: 0,
-      clock,
-    });
-    this.transport = transport;
-    this.failures = 0;
-    const {port} = this.foreign?.address() as AddressInfo;
-    const peer = {
-      daemon: toId<DaemonId>('entry-2'),
-      address: `http://127.0.0.1:${port}`,
-    };
-    const request = {
-      case: 'heartbeat',
-      value: create(HeartbeatSchema, {}),
-    } as const;
-    for (let count = 0; count < heartbeats; count++) {
-      await transport
-        .ask(peer, request, {timeoutMs})
-        .catch(() => (this.failures += 1));
-    }
+    createTransport(this);
+    await sendHeartbeats(this, 3);
     // An unhandled session error would fail the step during this wait.
-    await clock.sleep(settleMs);
+    await SystemClock.create().sleep(settleMs);
+  },
+);
+
+When(
+  'a Connect transport stops as soon as its heartbeat to the foreign server has failed',
+  async function (this: ForeignWorld) {
+    const transport = createTransport(this);
+    await sendHeartbeats(this, 1);
+    await transport.stop();
+    await SystemClock.create().sleep(settleMs);
   },
 );
 
 Then(
   'each heartbeat to the foreign server fails',
   function (this: ForeignWorld) {
-    assert.equal(this.failures, heartbeats);
+    assert.equal(this.failures, this.sent);
   },
 );
 
+function createTransport(world: ForeignWorld): PeerTransport {
+  const transport = ConnectPeerTransport.create({
+    daemon: toId<DaemonId>('entry-1'),
+    host: '127.0.0.1',
+    port: 0,
+    clock: SystemClock.create(),
+  });
+  world.transport = transport;
+  return transport;
+}
+
+async function sendHeartbeats(
+  world: ForeignWorld,
+  count: number,
+): Promise<void> {
+  const {port} = world.foreign?.address() as AddressInfo;
+  const peer = {
+    daemon: toId<DaemonId>('entry-2'),
+    address: `http://127.0.0.1:${port}`,
+  };
+  const request = {
+    case: 'heartbeat',
+    value: create(HeartbeatSchema, {}),
+  } as const;
+  world.sent = count;
+  world.failures = 0;
+  for (let index = 0; index < count; index++) {
+    await world.transport
+      ?.ask(peer, request, {timeoutMs})
+      .catch(() => (world.failures += 1));
+  }
+}
+
 After(async function (this: ForeignWorld) {
   await this.transport?.stop();
   for (const socket of this.sockets ?? []) socket.destroy();
