Write the last settlements without waiting for an earlier write

Callers got 402 for good for turns that their budgets held, if an entry VM that reached no archive was stopped just after the object API had returned.

Cause: writes of an entry VM to its object of reservations start one after the other, so the last one waited for an earlier write that got no reply, longer than the 400 ms that a process has for its last writes.

The last write starts at once. Versions decide between the two, and its content includes that of the earlier one.

--- a/packages/turns/src/client/settlement_sender.ts
+++ b/packages/turns/src/client/settlement_sender.ts
@@ -118,7 +118,7 @@
     await this.waitForArchives(Promise.all(all));
     const missing = settlements.filter((one) => !this.isRecorded(one));
     if (missing.length === 0) return;
-    await this.options.objects.recordSettlements(missing);
+    await this.options.objects.recordSettlements(missing, true);
   }
 
   /** Stops sending; queued settlements are dropped. */
--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -135,8 +135,13 @@
    * durable. Throws an error if the object API does not acknowledge them, or if
    * there are too many.
    * @param ledgers - Settled entries by program.
+   * @param isLast - Whether the process is about to end, so that the write must not
+   *   wait for an earlier one that has no reply yet.
    */
-  async recordSettlements(ledgers: readonly ProgramEntries[]): Promise<void> {
+  async recordSettlements(
+    ledgers: readonly ProgramEntries[],
+    isLast = false,
+  ): Promise<void> {
     let isFull = false;
     for (const {program, entries} of ledgers) {
       for (const entry of entries) {
@@ -145,7 +150,7 @@
         else isFull = true;
       }
     }
-    await this.exchange.read();
+    await (isLast ? this.write(this.encode()) : this.exchange.read());
     if (isFull) throw createFullError();
   }
 
@@ -171,6 +176,16 @@
   private async writeAndRead(): Promise<ProgramEntries[]> {
     const {clock, store, onWritten} = this.options;
     const startMs = clock.nowMs();
+    const size = this.entries.size;
+    await this.write(this.encode());
+    const {objects} = await store.readSnapshot(reservationPrefix);
+    onWritten?.(size, clock.nowMs() - startMs);
+    return objects
+      .filter(({key}) => key !== this.key)
+      .flatMap(decodeReservationsOrThrow);
+  }
+
+  private encode(): string {
     const programs = new Set(
       [...this.entries.values()].map(({program}) => program),
     );
@@ -178,13 +193,7 @@
       program,
       entries: this.getEntries(program),
     }));
-    const size = this.entries.size;
-    await this.write(encodeReservations(ledgers));
-    const {objects} = await store.readSnapshot(reservationPrefix);
-    onWritten?.(size, clock.nowMs() - startMs);
-    return objects
-      .filter(({key}) => key !== this.key)
-      .flatMap(decodeReservationsOrThrow);
+    return encodeReservations(ledgers);
   }
 
   /** Only this process writes the object, so conflicts are its own attempts. */
--- a/packages/turns/tests/client/settlement_sender.feature
+++ b/packages/turns/tests/client/settlement_sender.feature
@@ -54,6 +54,22 @@
       | c       |
       | none    |
 
+  # Guards against a stop that waits for silent archives, or for none, and then ends without a write.
+  Scenario Outline: An entry VM that stops while archives fall silent leaves its settlements in the object API
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves
+    And entry VM "a" reaches only archives "<reached>"
+    And the attempt ends without tokens
+    And <elapsed> ms pass
+    And entry VM "a" flushes its settlements and is killed
+    And 2000 ms pass
+    Then attempt "next" of 200 tokens in "c" is admitted to the budget of 200
+
+    Examples:
+      | reached | elapsed |
+      | c       | 0       |
+      | none    | 0       |
+      | none    | 200     |
+
   # Guards against waits for archives that are cut off and send no reply.
   Scenario Outline: Tokens of an attempt that ends as archives fall silent are free although its entry VM is killed
     When an attempt of 150 tokens in "a" on a budget of 200 reserves
--- a/packages/turns/tests/client/settlement_sender_steps.ts
+++ b/packages/turns/tests/client/settlement_sender_steps.ts
@@ -23,6 +23,8 @@
 /** Time in which entry VMs notice that an archive does not reply. */
 const noticeMs = 3000;
 const attemptPauseMs = 100;
+/** Time of the last writes of an entry VM that stops. */
+const flushTimeoutMs = 400;
 
 Given(
   /^archives "(.*)" are killed, which entry VMs have noticed$/,
@@ -123,7 +125,10 @@
   'entry VM {string} flushes its settlements and is killed',
   async function (this: SettlementWorld, entryVm: string) {
     const {archives} = this;
-    await archives.run(archives.getStore(entryVm).flush());
+    const flushed = archives.getStore(entryVm).flush();
+    await archives.run(
+      Promise.race([flushed, archives.clock.sleep(flushTimeoutMs)]),
+    );
     archives.killEntry(entryVm);
   },
 );
