Bound the time in which an aborted wait for tokens ends

Since its settlement is recorded first, the step let an attempt that is aborted take up to the 10 s of the simulation; before, it had to end without any time passing. It may take 100 ms now, and a step of the clock.

--- a/packages/turns/tests/client/aborted_wait_steps.ts
+++ b/packages/turns/tests/client/aborted_wait_steps.ts
@@ -9,6 +9,9 @@
   archives: ArchiveFleet;
 }
 
+/** Longest wait until the attempt is settled, and a step of the clock. */
+const maxSettlementMs = 105;
+
 When(
   'an attempt of {int} tokens in {string} on a budget of {int} ends its wait after {int} ms',
   async function (
@@ -28,8 +31,11 @@
     reserved.catch(() => undefined);
     await archives.clock.advance(afterMs);
     controller.abort();
+    const startMs = archives.clock.nowMs();
     await assert.rejects(archives.run(reserved), (error) =>
       isErrorOfKind(error, 'archive_unavailable'),
     );
+    const elapsedMs = archives.clock.nowMs() - startMs;
+    assert.ok(elapsedMs <= maxSettlementMs, `it took ${elapsedMs} ms`);
   },
 );
