Do not wait for an archive of the home once reservations are read

What callers saw: turns reached no target for about 30 s (503, too few archives granted) after an archive had lost its disk with all power while the other archive of its data centre was away: 63 of 81 tries, and 126 of 162 once the other one had taken its place before.

Cause: the emptied archive had the ledgers of peers that each majority meets after 1.2 s, but also asked for one of its own data centre, since an isolated home decides by itself. The only one was away, so it waited until that was presumed lost, after 30 s, and no majority with it was left for as long.

Change: it does not ask for that any more. What an isolated home grants is written to the object API before it counts (BudgetClient, unless a majority with the home has it), and an emptied archive has read these reservations before it is complete.

--- a/packages/turns/src/repair/ledger_recovery.ts
+++ b/packages/turns/src/repair/ledger_recovery.ts
@@ -184,12 +184,12 @@
 
   /**
    * Whether enough peers with complete ledgers have sent theirs: each quorum
-   * that an archive of this daemon may have taken part in has one of them, and
-   * so has each quorum of its data centre while that was isolated. A new archive
-   * does not wait for the one that it replaces there.
+   * that an archive of this daemon may have taken part in has one of them, but
+   * for those of its data centre while that was isolated. What these granted is
+   * in the object API.
    */
   private get hasQuorumLedgers(): boolean {
-    const {pool, dataCentre} = this.options;
+    const {pool} = this.options;
     const voters = pool.getVoters();
     const merged = voters.filter((client) =>
       this.mergedCompletePeers.has(client),
@@ -199,11 +199,9 @@
     const isVoter = !isNew && !this.isSuperseded;
     const quorumVoters = voters.length + (isVoter ? 1 : 0);
     const requiredCount = quorumVoters - getMajority(quorumVoters) + 1;
-    const isHome = (client: ArchiveClient) => client.dataCentre === dataCentre;
     return (
       pool.isLoaded &&
       merged.length >= requiredCount &&
-      (isNew || merged.some(isHome) || !voters.some(isHome)) &&
       this.isEveryPeerMergedOrAway(commonRestartMs, voters)
     );
   }
