Let reservations lapse unless their requests are sent

Callers got 402 for good for turns that their budgets held, after their entry VM had been killed while an attempt had reserved and was still waiting to be sent to a target.

Cause: a reservation counted until it was settled, and only the process knew that nothing had been sent, so that the client cannot have got tokens. The evidence are `openAttempts: 1` in the refusals of these turns, and attempts of the same programs that were sent 80 to 90 ms before the kill and reached no target.

A reservation now has a lapse time: what its call has left, and 0.5 s. The entry VM confirms it when it sends the request, at the archive that counts the program and one more per disk that may be lost, and passes on the stream once these have recorded it, after 100 ms in any case. A reservation that has lapsed counts nothing; a confirmation or a settlement outranks it when ledgers are merged. Budgets that only such reservations exceed get 429 instead of 402.

lapsed_reservation.feature: the first six rows fail if reservations do not lapse, the seven on confirmed ones if confirmations are dropped. Price: two messages a turn.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -213,18 +213,21 @@
       service,
       undefined,
     );
-    const settle = (events: number) => reservation.settle(events);
     let result: ServedStream | undefined;
     try {
-      result = await relayStreamCall(call, services, service, body, () =>
-        settle(0),
+      result = await relayStreamCall(
+        call,
+        services,
+        service,
+        body,
+        reservation,
       );
     } catch (error) {
-      await settle(0);
+      await reservation.settle(0);
       throw error;
     }
     if (result === undefined) return;
-    await settle(result.events);
+    await reservation.settle(result.events);
     finishStream(call, result);
   }
 
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -14,6 +14,16 @@
   TargetAttempts,
 } from './target_attempts.js';
 
+/** Is told of the steps of a stream call. */
+export interface StreamObserver {
+  /** Called each time before the request is sent to a target. */
+  onSend(): void;
+  /** Awaited before the first byte of a stream is forwarded. */
+  beforeStream(): Promise<void>;
+  /** Awaited before a response with another status is forwarded. */
+  beforeErrorResponse(): Promise<void>;
+}
+
 const okStatus = 200;
 /** How a relayed stream ended, and the target that sent it. */
 export interface ServedStream extends StreamResult {
@@ -30,21 +40,23 @@
  * @param services - Components that all calls share.
  * @param service - Service that was selected from the route.
  * @param body - Body that the target receives.
- * @param onErrorResponse - Awaited before another status is forwarded.
+ * @param observer - Is told of the steps of the call.
  */
 export async function relayStreamCall(
   call: IncomingCall,
   services: CallServices,
   service: ServiceId,
   body: CallBody,
-  onErrorResponse: () => Promise<void>,
+  observer: StreamObserver,
 ): Promise<ServedStream | undefined> {
-  const attempts = TargetAttempts.create(call, services, service, body);
+  const attempts = TargetAttempts.create(call, services, service, body, () =>
+    observer.onSend(),
+  );
   const started = await attempts.nextResponse();
   const status = started.answer.response.statusCode ?? 0;
   if (status !== okStatus) {
     const response = await readErrorResponse(call, services, attempts, started);
-    await onErrorResponse();
+    await observer.beforeErrorResponse();
     call.answer(response);
     return undefined;
   }
@@ -57,6 +69,7 @@
     );
     throw attempts.createFailure('the response has no signature');
   }
+  await observer.beforeStream();
   const {response, body: targetBody} = started.answer;
   const allowance = services.responseMemory.createAllowance();
   call.onceClosed(() => allowance.release());
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -16,7 +16,7 @@
 } from '@marigoldpost/dispatch';
 import {isRepeatable, type TargetEntry} from '@marigoldpost/sites';
 import {minRelayedLossSilenceMs} from '../links/loss_detector.js';
-import type {BodyEnd, BodyFields, BodyProof} from '../responses/body_end.js';
+import type {BodyEnd, BodyFields} from '../responses/body_end.js';
 import {
   type ExchangeOutcome,
   type FailedExchange,
@@ -26,6 +26,7 @@
   type TargetRequest,
 } from '../targets/http_exchange.js';
 import type {CallServices} from './call_services.js';
+import type {EndedResponse} from './ended_response.js';
 import type {IncomingCall} from './incoming_call.js';
 import type {TargetRun} from './recent_crashes.js';
 import type {AttemptRelay} from './target_sender.js';
@@ -59,14 +60,6 @@
   readonly lease: TargetLease;
 }
 
-/** End of a response that is not truncated. */
-export interface EndedResponse {
-  readonly status: number;
-  readonly proof: BodyProof;
-  /** Latency to compare with other targets. */
-  readonly latencySampleMs?: number;
-}
-
 const targetResults: Record<FailedExchange['reason'], TargetResult> = {
   unreachable: 'unreachable',
   broken: 'broken',
@@ -96,6 +89,7 @@
     private readonly services: CallServices,
     private readonly service: ServiceId,
     private readonly body: CallBody,
+    private readonly onSend: () => void,
   ) {
     this.trackedRequest = TrackedRequest.create(call, body.bytes);
   }
@@ -106,14 +100,16 @@
    * @param services - Components that all calls share.
    * @param service - Service that was selected from the route.
    * @param body - Body that targets receive.
+   * @param onSend - Called each time before the call is sent to a target.
    */
   static create(
     call: IncomingCall,
     services: CallServices,
     service: ServiceId,
     body: CallBody,
+    onSend: () => void = () => undefined,
   ): TargetAttempts {
-    return new TargetAttempts(call, services, service, body);
+    return new TargetAttempts(call, services, service, body, onSend);
   }
 
   /** Whether a retry is allowed after an attempt that may have run. */
@@ -140,6 +136,7 @@
         lease.target.id,
       );
       this.sentAtMs = this.services.clock.nowMs();
+      this.onSend();
       const outcome = await this.send(lease);
       if (outcome.kind !== 'failed') {
         this.recordResponse(outcome);
--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -8,14 +8,28 @@
   toId,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
+import type {ConfirmReservation} from '@marigoldpost/turns';
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
+import type {StreamObserver} from './stream_call.js';
 
+/**
+ * Time that a reservation outlasts its call, which sends no request to a target
+ * afterwards.
+ */
+const lapseMarginMs = 500;
 /** Share of a call's remaining time that it may wait for archives. */
 export const maxWaitShare = 0.5;
 
-/** Tokens of an attempt; holds none if the call has no budget. */
-export class TokenReservation {
+/**
+ * Tokens of an attempt; holds none if the call has no budget. The reservation
+ * lapses unless a request is sent to a target: nobody else knows of that if the
+ * process ends.
+ */
+export class TokenReservation implements StreamObserver {
+  private confirmReservation: ConfirmReservation | undefined;
+  private confirmation: Promise<void> | undefined;
+
   private constructor(
     private readonly call: IncomingCall,
     private readonly services: CallServices,
@@ -78,6 +92,21 @@
     await this.services.turns.settle(program, this.attempt, tokens);
   }
 
+  /** Begins to confirm the reservation. */
+  onSend(): void {
+    this.confirmation ??= this.confirmReservation?.();
+  }
+
+  /** Waits for the confirmation, since the client may receive tokens from now on. */
+  async beforeStream(): Promise<void> {
+    await this.confirmation;
+  }
+
+  /** Releases the tokens, of which the client receives none. */
+  async beforeErrorResponse(): Promise<void> {
+    await this.settle(0);
+  }
+
   private get tokensPerEvent(): number | undefined {
     const service = this.call.config.services.get(this.service);
     return service?.engine?.tokensPerEvent;
@@ -102,8 +131,9 @@
         home,
         maxWaitMs: this.call.leftMs * maxWaitShare,
         signal: this.call.signal,
+        lapseMs: Math.max(0, Math.ceil(this.call.leftMs)) + lapseMarginMs,
       };
-      await turns.reserve(request);
+      this.confirmReservation = await turns.reserve(request);
     } catch (error) {
       if (isErrorOfKind(error, 'tokens_spent', 'limit_reached')) {
         this.call.logger.log('budget_refused', {
--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -65,8 +65,12 @@
     try {
       const previousPrompt = chain.at(-1);
       const body = {bytes: prompt, isPresent: true, previousPrompt};
-      result = await relayStreamCall(call, services, service, body, () =>
-        reservation.settle(0),
+      result = await relayStreamCall(
+        call,
+        services,
+        service,
+        body,
+        reservation,
       );
     } catch (error) {
       await reservation.settle(0);
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -289,9 +289,9 @@
   async reserve(reservation: Reservation): Promise<ReservationResult> {
     const result = this.ledger.reserve(reservation, this.nowMs());
     if (!result.isGranted) return result;
-    const {program, attempt, tokens} = reservation;
+    const {program, attempt, tokens, lapseMs} = reservation;
     const entry = result.isNew
-      ? {attempt, tokens, isSettled: false}
+      ? {attempt, tokens, isSettled: false, lapseMs}
       : this.unwritten.get(program, attempt);
     if (entry === undefined) return result;
     await this.appendLedger({program, entries: [entry]});
@@ -327,9 +327,7 @@
 
   /** Gets the ledger entries of every program. */
   getLedgers(): ProgramEntries[] {
-    return this.ledger
-      .getPrograms()
-      .map((program) => ({program, entries: this.ledger.getEntries(program)}));
+    return this.ledger.getPrograms().map((program) => this.getLedger(program));
   }
 
   /**
@@ -357,7 +355,8 @@
    * @param program - Id of the program.
    */
   getLedger(program: ProgramEntries['program']): ProgramEntries {
-    return {program, entries: this.ledger.getEntries(program)};
+    const entries = this.ledger.getEntries(program, this.nowMs());
+    return {program, entries};
   }
 
   /**
@@ -485,7 +484,7 @@
 
   /** Whether entries include one that this archive has not counted. */
   private hasUnknownEntry({program, entries}: ProgramEntries): boolean {
-    const known = this.ledger.getEntries(program);
+    const known = this.ledger.getEntries(program, this.nowMs());
     const attempts = new Set(known.map(({attempt}) => attempt));
     return entries.some(({attempt}) => !attempts.has(attempt));
   }
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -111,6 +111,7 @@
       budgetTokens: request.budgetTokens,
       isForced: request.isForced,
       counter: request.counter,
+      lapseMs: request.lapseMs,
     });
     const {isGranted, heldTokens, settledTokens, isExact} = result;
     const isComplete = this.options.isComplete(named);
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -154,13 +154,15 @@
    * @param supersededDisks - Disks whose votes are not counted.
    */
   async reserve(
-    reservation: Reservation,
+    {lapseMs, ...reservation}: Reservation,
     supersededDisks: ReadonlySet<DiskId>,
   ): Promise<ReservationReply> {
     const superseded = {disks: [...supersededDisks]};
+    const lapse = lapseMs === undefined ? {} : {lapseMs};
+    const value = {...reservation, ...lapse, superseded};
     const reply = await this.sendRequest({
       case: 'reserveTokens',
-      value: create(ReserveTokensSchema, {...reservation, superseded}),
+      value: create(ReserveTokensSchema, value),
     });
     if (reply.case !== 'reserve') throw this.createReplyError(reply);
     const disks = reply.value.supersededDisks.map((disk) => toId<DiskId>(disk));
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -2,13 +2,14 @@
 import {
   type Clock,
   type DataCentreId,
+  Deferred,
   getHashNumber,
   MarigoldpostError,
   type ProgramId,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import type {LedgerEntry} from '../ledger/budget_ledger.js';
-import {sumMergedTokens} from '../ledger/merge_entries.js';
+import {type MergedTokens, sumMergedTokens} from '../ledger/merge_entries.js';
 import {getMajority} from '../ledger/reservation_quorum.js';
 import type {ReservationObjects} from '../objects/reservation_objects.js';
 import type {StoreProbe} from '../objects/store_probe.js';
@@ -19,6 +20,8 @@
 import {ReservationBallot} from './reservation_ballot.js';
 import type {SettlementSender} from './settlement_sender.js';
 
+/** Longest wait until a reservation is confirmed. */
+const confirmTimeoutMs = 100;
 /** Time in which the archives learn that an attempt has been settled. */
 const minContentionRetryMs = 600;
 const contentionRetrySpreadMs = 600;
@@ -31,6 +34,11 @@
   readonly attempt: TurnId;
   /** Upper bound of the tokens that the attempt generates. */
   readonly tokens: number;
+  /**
+   * Time after which the reservation lapses unless it is confirmed; `undefined` if
+   * it needs no confirmation.
+   */
+  readonly lapseMs?: number | undefined;
   readonly budgetTokens: number;
   /** Data centre in which the program started; `undefined` if not recorded. */
   readonly home: DataCentreId | undefined;
@@ -56,14 +64,14 @@
   readonly ballots: ReservationBallot[];
 }
 
-/** Ledgers of several archives for one program. */
-interface MergedLedgers {
-  /** Tokens that other attempts have used or reserved. */
-  readonly heldTokens: number;
-  /** Tokens that other attempts have used. */
-  readonly settledTokens: number;
-  /** Other attempts that are not settled. */
-  readonly openAttempts: number;
+/**
+ * Confirms a reservation, so that it does not lapse. Resolves once enough archives
+ * have recorded that, after 100 ms in any case.
+ */
+export type ConfirmReservation = () => Promise<void>;
+
+/** Ledgers of several archives for one program, without the attempt itself. */
+interface MergedLedgers extends MergedTokens {
   readonly repliedClients: readonly ArchiveClient[];
 }
 
@@ -92,9 +100,10 @@
    * `archive_unavailable` when too few archives reply to decide. In all cases
    * the attempt has then been settled with 0 tokens. Waits up to 1.5 s for archives that
    * have just become unreachable, since a restart takes about that long.
+   * Gets the confirmation of the reservation.
    * @param request - Attempt, tokens and budget.
    */
-  async reserve(request: TokenRequest): Promise<void> {
+  async reserve(request: TokenRequest): Promise<ConfirmReservation> {
     const settledTokens = this.settledTokens.get(request.program) ?? 0;
     if (isOverBudget(request, settledTokens)) {
       throw createTokensSpentError(request, {settledTokens});
@@ -109,7 +118,7 @@
         ballot === undefined
           ? this.createUnavailableError(request)
           : await this.decideByBallot(balloted, ballot);
-      if (failure === undefined) return;
+      if (failure === undefined) return () => this.confirm(ballots);
       const isFinal = failure.kind !== 'archive_unavailable';
       if (!isFinal && (await retries.waitForReturn(owedArchives))) continue;
       // `recordSpent` settles the attempt where its only ballot has recorded it.
@@ -121,6 +130,20 @@
     }
   }
 
+  /** The last ballot is the one that has recorded the reservation. */
+  private async confirm(ballots: readonly ReservationBallot[]): Promise<void> {
+    const {clock, owedArchives} = this.options;
+    const timeout = Deferred.create<void>();
+    const timer = clock.setTimer(confirmTimeoutMs, () => timeout.resolve());
+    const confirmed = ballots.at(-1)?.confirm(owedArchives);
+    await Promise.race([
+      // Others count the reservation until it lapses.
+      confirmed?.catch(() => undefined),
+      timeout.promise,
+    ]);
+    timer.cancel();
+  }
+
   /** Gets the error that rejects an attempt after its ballot, if any. */
   private async decideByBallot(
     request: BallotedRequest,
@@ -170,9 +193,10 @@
       if (ledgers.heldTokens > leftTokens) {
         const isMajority =
           ledgers.repliedClients.length >= getMajority(clients.length);
-        return isMajority
+        if (!isMajority) return this.createUnavailableError(request);
+        return ledgers.firmTokens > leftTokens
           ? createTokensSpentError(request, ledgers)
-          : this.createUnavailableError(request);
+          : createContentionError(request, ledgers);
       }
     }
     const isRecorded =
@@ -316,15 +340,8 @@
   const lists = [...archiveLedgers, ...entryLedgers].map((entries) =>
     entries.filter((entry) => entry.attempt !== attempt),
   );
-  const settled = lists.map((entries) =>
-    entries.filter(({isSettled}) => isSettled),
-  );
-  const ended = new Set(settled.flat().map(({attempt}) => attempt));
-  const known = new Set(lists.flat().map(({attempt}) => attempt));
   return {
-    heldTokens: sumMergedTokens(lists),
-    settledTokens: sumMergedTokens(settled),
-    openAttempts: known.size - ended.size,
+    ...sumMergedTokens(lists),
     repliedClients: clients.filter(
       (_client, index) => replies[index]?.status === 'fulfilled',
     ),
--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -171,6 +171,33 @@
     await Promise.all(this.requests);
   }
 
+  /**
+   * Confirms the reservation, so that it does not lapse, at archives that have
+   * recorded it: the counter first, then one in another data centre. Rejects if one
+   * of them does not acknowledge it.
+   * @param copies - Number of archives.
+   */
+  async confirm(copies: number): Promise<void> {
+    const {reservation, supersededDisks} = this.options;
+    const {counter} = this;
+    const getRank = (client: ArchiveClient) => {
+      if (client === counter) return 0;
+      return client.dataCentre === counter?.dataCentre ? 2 : 1;
+    };
+    const clients = this.grantingClients
+      .toSorted((left, right) => getRank(left) - getRank(right))
+      .slice(0, copies);
+    const confirmed = {
+      ...reservation,
+      counter: counter?.member.disk ?? '',
+      isForced: false,
+      lapseMs: undefined,
+    };
+    await Promise.all(
+      clients.map((client) => client.reserve(confirmed, supersededDisks)),
+    );
+  }
+
   private requestVotes(maxCount: number): void {
     const nextIndexes = this.unaskedIndexes.slice(0, maxCount);
     this.unaskedIndexes = this.unaskedIndexes.slice(maxCount);
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -20,7 +20,11 @@
 import type {TurnChain} from '../records/turn_record.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveWait} from './archive_retries.js';
-import {BudgetClient, type TokenRequest} from './budget_client.js';
+import {
+  BudgetClient,
+  type ConfirmReservation,
+  type TokenRequest,
+} from './budget_client.js';
 import {ChainReader} from './chain_reader.js';
 import {IsolationDetector} from './isolation_detector.js';
 import {SettlementSender} from './settlement_sender.js';
@@ -208,14 +212,14 @@
    * with 0 tokens.
    * @param request - Attempt, tokens and budget.
    */
-  async reserve(request: TokenRequest): Promise<void> {
+  async reserve(request: TokenRequest): Promise<ConfirmReservation> {
     const {program, attempt, signal} = request;
     const work = this.budgets.reserve(request);
     const aborted = this.createAbortError(
       `the tokens of attempt "${attempt}" were not reserved in time`,
     );
     try {
-      await waitUnlessAborted(work, signal, () => aborted);
+      return await waitUnlessAborted(work, signal, () => aborted);
     } catch (error) {
       if (error === aborted) await this.settle(program, attempt, 0);
       throw error;
--- a/packages/turns/src/ledger/budget_ledger.ts
+++ b/packages/turns/src/ledger/budget_ledger.ts
@@ -8,6 +8,11 @@
   /** Tokens used when settled; else the upper bound that was reserved. */
   readonly tokens: number;
   readonly isSettled: boolean;
+  /**
+   * Time left until a reservation that has not been confirmed lapses; 0 once it
+   * has. `undefined` for others.
+   */
+  readonly lapseMs?: number | undefined;
 }
 
 /** Request to reserve tokens for an attempt. */
@@ -20,6 +25,11 @@
   readonly isForced: boolean;
   /** Disk of the archive whose count is relied on; empty if not known. */
   readonly counter: string;
+  /**
+   * Time after which the reservation lapses unless it is confirmed: requested
+   * again without this time. `undefined` for one that does not lapse.
+   */
+  readonly lapseMs?: number | undefined;
 }
 
 /** Result of a reservation. */
@@ -37,6 +47,8 @@
 
 interface ProgramBudget {
   readonly entries: Map<TurnId, LedgerEntry>;
+  /** When reservations lapse that have not been confirmed. */
+  readonly lapses: Map<TurnId, number>;
   heldTokens: number;
   settledTokens: number;
   changedAtMs: number;
@@ -47,8 +59,9 @@
 }
 
 /**
- * Ledger of one archive. An entry changes only from reserved to settled, so
- * ledgers of several archives can be merged in any order.
+ * Ledger of one archive. An entry changes only from reserved to confirmed to
+ * settled, so ledgers of several archives can be merged in any order. One that
+ * has lapsed counts no tokens, but can be confirmed or settled.
  */
 export class BudgetLedger {
   private readonly budgets = new Map<ProgramId, ProgramBudget>();
@@ -71,20 +84,25 @@
    * @param nowMs - Current time of the ledger's clock.
    */
   reserve(reservation: Reservation, nowMs: number): ReservationResult {
-    const {program, attempt, tokens, budgetTokens, isForced} = reservation;
+    const {program, attempt, tokens, budgetTokens, isForced, lapseMs} =
+      reservation;
     const budget = this.getOrCreateBudget(program, nowMs);
     const {settledTokens} = budget;
     recordCounter(budget, reservation);
     const isExact = !budget.isContended;
     const result = {settledTokens, isExact, isNew: false};
+    const otherTokens = budget.heldTokens - getLapsedTokens(budget, nowMs);
     if (budget.entries.has(attempt)) {
-      return {...result, isGranted: true, heldTokens: budget.heldTokens};
+      const isNew = lapseMs === undefined && budget.lapses.delete(attempt);
+      if (isNew) budget.changedAtMs = nowMs;
+      return {...result, isGranted: true, heldTokens: otherTokens, isNew};
     }
-    const heldTokens = budget.heldTokens + tokens;
+    const heldTokens = otherTokens + tokens;
     if (!isForced && heldTokens > budgetTokens) {
       return {...result, isGranted: false, heldTokens};
     }
-    this.putEntry(program, {attempt, tokens, isSettled: false}, nowMs);
+    const entry = {attempt, tokens, isSettled: false, lapseMs};
+    this.putEntry(program, entry, nowMs);
     return {...result, isGranted: true, heldTokens, isNew: true};
   }
 
@@ -106,9 +124,11 @@
    * @param nowMs - Current time of the ledger's clock.
    */
   mergeEntry(program: ProgramId, entry: LedgerEntry, nowMs: number): boolean {
-    const existing = this.budgets.get(program)?.entries.get(entry.attempt);
-    if (existing !== undefined && (existing.isSettled || !entry.isSettled)) {
-      return false;
+    const budget = this.budgets.get(program);
+    const existing = budget?.entries.get(entry.attempt);
+    if (existing?.isSettled === true) return false;
+    if (budget !== undefined && existing !== undefined && !entry.isSettled) {
+      return mergeLapse(budget, entry, nowMs);
     }
     this.putEntry(program, entry, nowMs);
     return true;
@@ -117,9 +137,17 @@
   /**
    * Gets the entries of a program; empty for an unknown program.
    * @param program - Id of the program.
+   * @param nowMs - Current time of the ledger's clock.
    */
-  getEntries(program: ProgramId): LedgerEntry[] {
-    return [...(this.budgets.get(program)?.entries.values() ?? [])];
+  getEntries(program: ProgramId, nowMs: number): LedgerEntry[] {
+    const budget = this.budgets.get(program);
+    if (budget === undefined) return [];
+    return [...budget.entries.values()].map(({attempt, tokens, isSettled}) => {
+      const lapsesAtMs = budget.lapses.get(attempt);
+      const entry = {attempt, tokens, isSettled};
+      if (lapsesAtMs === undefined) return entry;
+      return {...entry, lapseMs: Math.max(0, Math.ceil(lapsesAtMs - nowMs))};
+    });
   }
 
   /**
@@ -153,8 +181,11 @@
     const budget = this.getOrCreateBudget(program, nowMs);
     const before = budget.entries.get(entry.attempt)?.tokens ?? 0;
     budget.entries.set(entry.attempt, entry);
+    if (entry.isSettled || entry.lapseMs === undefined) {
+      budget.lapses.delete(entry.attempt);
+    } else budget.lapses.set(entry.attempt, nowMs + entry.lapseMs);
     budget.heldTokens += entry.tokens - before;
-    // An entry changes only once, when it is settled.
+    // The tokens of an entry change only once, when it is settled.
     if (entry.isSettled) budget.settledTokens += entry.tokens;
     budget.changedAtMs = nowMs;
   }
@@ -164,6 +195,7 @@
     if (existing !== undefined) return existing;
     const added: ProgramBudget = {
       entries: new Map(),
+      lapses: new Map(),
       heldTokens: 0,
       settledTokens: 0,
       changedAtMs: nowMs,
@@ -175,6 +207,30 @@
   }
 }
 
+/** Merges a reservation into an existing one; true if that is confirmed by it. */
+function mergeLapse(
+  {lapses}: ProgramBudget,
+  {attempt, lapseMs}: LedgerEntry,
+  nowMs: number,
+): boolean {
+  const lapsesAtMs = lapses.get(attempt);
+  if (lapsesAtMs === undefined) return false;
+  if (lapseMs === undefined) return lapses.delete(attempt);
+  lapses.set(attempt, Math.max(lapsesAtMs, nowMs + lapseMs));
+  return false;
+}
+
+function getLapsedTokens(
+  {entries, lapses}: ProgramBudget,
+  nowMs: number,
+): number {
+  let tokens = 0;
+  for (const [attempt, lapsesAtMs] of lapses) {
+    if (lapsesAtMs <= nowMs) tokens += entries.get(attempt)?.tokens ?? 0;
+  }
+  return tokens;
+}
+
 /** Entry VMs that rely on different counters do not see each other's sums. */
 function recordCounter(
   budget: ProgramBudget,
--- a/packages/turns/src/ledger/merge_entries.ts
+++ b/packages/turns/src/ledger/merge_entries.ts
@@ -2,22 +2,54 @@
 import type {TurnId} from '@marigoldpost/sites';
 import type {LedgerEntry} from './budget_ledger.js';
 
+/** Tokens of the attempts of one program. */
+export interface MergedTokens {
+  /** Tokens that attempts have used. */
+  readonly settledTokens: number;
+  /** Tokens that attempts have used, or may use for all that is known. */
+  readonly heldTokens: number;
+  /** Those of `heldTokens` that do not lapse by themselves. */
+  readonly firmTokens: number;
+  /** Attempts that hold tokens and are not settled. */
+  readonly openAttempts: number;
+}
+
 /**
- * Sums the tokens of all attempts; a settled entry takes precedence over a
- * reserved one of the same attempt.
+ * Sums the tokens of all attempts. Of the entries of one attempt, a settled one
+ * takes precedence over one that is confirmed, and that over one that may lapse.
  * @param lists - Entries of one program, one list per archive.
  */
 export function sumMergedTokens(
   lists: ReadonlyArray<readonly LedgerEntry[]>,
-): number {
+): MergedTokens {
   const merged = new Map<TurnId, LedgerEntry>();
   for (const entry of lists.flat()) {
     const existing = merged.get(entry.attempt);
-    if (existing === undefined || (!existing.isSettled && entry.isSettled)) {
+    if (existing === undefined || getRank(entry) > getRank(existing)) {
       merged.set(entry.attempt, entry);
     }
   }
-  let tokens = 0;
-  for (const entry of merged.values()) tokens += entry.tokens;
-  return tokens;
+  const entries = [...merged.values()];
+  const open = entries.filter(
+    ({isSettled, lapseMs}) => !isSettled && lapseMs !== 0,
+  );
+  const lapsing = open.filter(({lapseMs}) => lapseMs !== undefined);
+  const settledTokens = sumTokens(entries.filter(({isSettled}) => isSettled));
+  const heldTokens = settledTokens + sumTokens(open);
+  return {
+    settledTokens,
+    heldTokens,
+    firmTokens: heldTokens - sumTokens(lapsing),
+    openAttempts: open.length,
+  };
+}
+
+function getRank({isSettled, lapseMs}: LedgerEntry): number {
+  if (isSettled) return 3;
+  if (lapseMs === undefined) return 2;
+  return lapseMs > 0 ? 1 : 0;
+}
+
+function sumTokens(entries: readonly LedgerEntry[]): number {
+  return entries.reduce((sum, {tokens}) => sum + tokens, 0);
 }
--- a/packages/turns/src/records/turn_codec.ts
+++ b/packages/turns/src/records/turn_codec.ts
@@ -77,7 +77,13 @@
  */
 export function toLedgerMessage(ledger: ProgramEntries): ProgramLedger {
   const {program, entries} = ledger;
-  return create(ProgramLedgerSchema, {program, entries: [...entries]});
+  return create(ProgramLedgerSchema, {
+    program,
+    entries: entries.map(({lapseMs, ...entry}) => ({
+      ...entry,
+      ...(lapseMs === undefined ? {} : {lapseMs}),
+    })),
+  });
 }
 
 /**
@@ -87,10 +93,11 @@
 export function fromLedgerMessage(message: ProgramLedger): ProgramEntries {
   return {
     program: toId<ProgramId>(message.program),
-    entries: message.entries.map(({attempt, tokens, isSettled}) => ({
+    entries: message.entries.map(({attempt, tokens, isSettled, lapseMs}) => ({
       attempt: toId<TurnId>(attempt),
       tokens,
       isSettled,
+      ...(lapseMs === undefined ? {} : {lapseMs}),
     })),
   };
 }
--- /dev/null
+++ b/packages/turns/tests/client/lapsed_reservation.feature
@@ -0,0 +1,68 @@
+Feature: Reservations of attempts that sent nothing to a target lapse
+  Nobody but its process knows whether an attempt has sent its request. One that is
+  confirmed, when the request is sent, counts until it is settled; another one counts
+  for the time of its call.
+
+  Background:
+    Given archives "a, b, c" with 2 replicas per turn
+
+  # Guards against tokens that are held for good by a process that was killed before it sent a request.
+  Scenario Outline: Tokens of an attempt that was not confirmed are free after its time, <fault>
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
+    And all entry VMs are killed
+    And <fault>
+    And 4600 ms pass
+    Then attempt "next" of 200 tokens in "<entry>" is admitted to the budget of 200
+
+    Examples:
+      | fault                                                              | entry |
+      | 0 ms pass                                                          | a     |
+      | 0 ms pass                                                          | b     |
+      | archives "a, b, c" lose power and restart, "" with empty disks     | a     |
+      | archives "a, b, c" lose power and restart, "a" with empty disks    | a     |
+      | archives "a, b, c" lose power and restart, "b" with empty disks    | c     |
+      | archives "b" lose power and restart, "b" with empty disks          | a     |
+
+  Scenario: A turn that the tokens of such an attempt leave no room for may be sent again
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
+    And all entry VMs are killed
+    And 1000 ms pass
+    Then another attempt of 150 tokens in "a" fails with limit_reached
+
+  # Guards against tokens that are granted twice.
+  Scenario Outline: Tokens of an attempt that was confirmed stay reserved, <fault>
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
+    And the attempt is confirmed
+    And all entry VMs are killed
+    And <fault>
+    And 10000 ms pass
+    Then another attempt of 150 tokens in "<entry>" fails with tokens_spent
+
+    Examples:
+      | fault                                                              | entry |
+      | 0 ms pass                                                          | a     |
+      | 0 ms pass                                                          | c     |
+      | archives "a, b, c" lose power and restart, "" with empty disks     | a     |
+      | archives "a, b, c" lose power and restart, "a" with empty disks    | a     |
+      | archives "a, b, c" lose power and restart, "b" with empty disks    | b     |
+      | archives "a, b, c" lose power and restart, "c" with empty disks    | c     |
+      | archives "a" lose power and restart, "a" with empty disks          | b     |
+
+  Scenario: An attempt that was confirmed after its time counts
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves for 100 ms
+    And 500 ms pass
+    And the attempt is confirmed
+    And all entry VMs are killed
+    And 10000 ms pass
+    Then another attempt of 150 tokens in "a" fails with tokens_spent
+
+  Scenario: A settlement ends a reservation that may lapse
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
+    And the attempt is confirmed
+    And the attempt ends without tokens
+    Then attempt "next" of 200 tokens in "b" is admitted to the budget of 200
+
+  Scenario: A confirmation that archives do not acknowledge takes no longer than 100 ms
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
+    And entry VM "a" reaches only archives "none"
+    Then the attempt is confirmed within 105 ms
--- a/packages/turns/tests/client/settlement_sender_steps.ts
+++ b/packages/turns/tests/client/settlement_sender_steps.ts
@@ -178,14 +178,14 @@
   );
 }
 
-function reserve(
+async function reserve(
   {archives}: SettlementWorld,
   entryVm: string,
   tokens: number,
   budgetTokens: number,
 ): Promise<void> {
   const request = createTokenRequest(attempt, tokens, budgetTokens, home);
-  return archives.run(archives.getStore(entryVm).reserve(request));
+  await archives.run(archives.getStore(entryVm).reserve(request));
 }
 
 function settle(
--- a/packages/turns/tests/client/turn_store_steps.ts
+++ b/packages/turns/tests/client/turn_store_steps.ts
@@ -420,7 +420,7 @@
   await archives.clock.advance(elapsedMs);
 }
 
-function reserve(
+async function reserve(
   {archives}: StoreWorld,
   attempt: string,
   tokens: number,
@@ -429,7 +429,7 @@
   home = dataCentre,
 ): Promise<void> {
   const request = createTokenRequest(attempt, tokens, budgetTokens, home);
-  return archives.getStore(dataCentre).reserve(request);
+  await archives.getStore(dataCentre).reserve(request);
 }
 
 async function assertFails(
--- a/packages/turns/tests/ledger/ledger_steps.ts
+++ b/packages/turns/tests/ledger/ledger_steps.ts
@@ -50,6 +50,7 @@
     const arbitraryEntry = fc.record({
       attempt: fc.constantFrom('t1', 't2', 't3', 't4'),
       isSettled: fc.boolean(),
+      lapseMs: fc.constantFrom(undefined, 0, 100),
     });
     fc.assert(
       fc.property(
@@ -62,7 +63,8 @@
             .toSorted((left, right) => left.rank - right.rank)
             .map(({entry}) => entry);
           assert.equal(sumLedger(entries), sumLedger(shuffled));
-          assert.equal(sumLedger(entries), sumMergedTokens([entries]));
+          const {heldTokens} = sumMergedTokens([entries]);
+          assert.equal(sumLedger(entries), heldTokens);
         },
       ),
       {seed},
@@ -102,8 +104,8 @@
             };
             if (ledger.reserve(request, 0).isNew) reserved.set(attempt, tokens);
           }
-          const held = sumMergedTokens([ledger.getEntries(program)]);
-          assert.ok(held <= budgetTokens);
+          const entries = ledger.getEntries(program, 0);
+          assert.ok(sumMergedTokens([entries]).heldTokens <= budgetTokens);
         }
       }),
       {seed},
@@ -140,5 +142,5 @@
 function sumLedger(entries: readonly LedgerEntry[]): number {
   const ledger = BudgetLedger.create();
   for (const entry of entries) ledger.mergeEntry(program, entry, 0);
-  return sumMergedTokens([ledger.getEntries(program)]);
+  return sumMergedTokens([ledger.getEntries(program, 0)]).heldTokens;
 }
