--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -95,12 +95,12 @@
   }
 
   /**
-   * Reserves tokens. Throws `tokens_spent` when the budget does not hold them,
-   * `limit_reached` when concurrent attempts compete for the rest of it, and
-   * `archive_unavailable` when too few archives reply to decide. In all cases
-   * the attempt has then been settled with 0 tokens. Waits up to 1.5 s for archives that
-   * have just become unreachable, since a restart takes about that long.
-   * Gets the confirmation of the reservation.
+   * Reserves tokens; gets the confirmation of the reservation. Throws
+   * `tokens_spent` when the budget does not hold them, `limit_reached` when
+   * concurrent attempts compete for the rest of it, and `archive_unavailable` when
+   * too few archives reply to decide. In all cases the attempt has then been
+   * settled with 0 tokens. Waits up to 1.5 s for archives that have just become
+   * unreachable, since a restart takes about that long.
    * @param request - Attempt, tokens and budget.
    */
   async reserve(request: TokenRequest): Promise<ConfirmReservation> {
