Take no place of an archive that a peer reaches

Cause: each of the two took the other for absent, had voters record its disk as superseded, and neither voted afterwards. Absence was judged by one archive alone.

Change: before an archive takes a place it asks the voters that it reaches; one that a voter reaches is passed over, and the next absent one is considered. Builds before this one reply that they do not reach it, as they did not say.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -89,7 +89,7 @@
     this.repairer = repairer;
     const service = ArchiveService.create({
       archive,
-      directory: this.archiveDirectory,
+      pool,
       isComplete: (disks) => repairer.isCompleteWithout(disks),
     });
     const mirror = SiteMirror.create();
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -12,7 +12,7 @@
   ReserveReplySchema,
 } from '@marigoldpost/peers';
 import type {TurnId} from '@marigoldpost/sites';
-import type {ArchiveDirectory} from '../directory/archive_directory.js';
+import type {ArchivePool} from '../client/archive_pool.js';
 import type {DiskId} from '../log/disk_identity.js';
 import {
   fromTurnMessage,
@@ -32,11 +32,12 @@
   {case: Case}
 >['value'];
 
-/** Archive, list of archives and completeness of a service. */
+/** Archive, its peers and completeness of a service. */
 export interface ArchiveServiceOptions {
   /** Archive that executes the requests. */
   readonly archive: Archive;
-  readonly directory: ArchiveDirectory;
+  /** Clients of the other archives. */
+  readonly pool: ArchivePool;
   /**
    * Tells whether the archive's ledger includes what its peers recorded while it
    * was down, for a requester that leaves out the votes of the named disks.
@@ -95,7 +96,7 @@
     request: RequestOf<'reserveTokens'>,
   ): Promise<PeerReplyBody> {
     const named = toDisks(request.superseded?.disks ?? []);
-    const registered = this.options.directory.getSupersededDisks();
+    const registered = this.options.pool.supersededDisks;
     await this.archive.recordSupersededDisks([...named, ...registered]);
     // Builds that name no disks do not understand a reply that does.
     const unnamed =
@@ -132,8 +133,8 @@
 
   /** Finds superseded disks whose votes a requester still counts. */
   private findUnnamed(named: readonly DiskId[]): DiskId[] {
-    const {archive, directory} = this.options;
-    const registered = directory.getSupersededDisks();
+    const {archive, pool} = this.options;
+    const registered = pool.supersededDisks;
     return [...new Set([...registered, ...archive.supersededDisks])].filter(
       (disk) => !named.includes(disk),
     );
@@ -175,6 +176,7 @@
   private findTurns({
     turns,
     retainedMs,
+    absentDisk,
   }: RequestOf<'findTurns'>): PeerReplyBody {
     for (const [index, turn] of turns.entries()) {
       this.archive.retainTurn(toId<TurnId>(turn), retainedMs[index] ?? 0);
@@ -184,11 +186,11 @@
     const isHeld = ids.map(
       (id, index) => this.archive.hasTurn(id) || isDamaged[index] === true,
     );
+    const disk = toId<DiskId>(absentDisk);
+    const isAbsentReached = this.options.pool.isReached(disk);
     const status = this.getStatus();
-    return {
-      case: 'foundTurns',
-      value: create(FoundTurnsSchema, {isHeld, isDamaged, status}),
-    };
+    const reply = {isHeld, isDamaged, status, isAbsentReached};
+    return {case: 'foundTurns', value: create(FoundTurnsSchema, reply)};
   }
 
   private getStatus() {
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -275,6 +275,19 @@
     return {isHeld, isDamaged, disk, isComplete};
   }
 
+  /**
+   * Asks whether the archive reaches one that this daemon does not reach.
+   * @param disk - Disk of that archive.
+   */
+  async reachesArchive(disk: DiskId): Promise<boolean> {
+    const reply = await this.sendRequest({
+      case: 'findTurns',
+      value: create(FindTurnsSchema, {absentDisk: disk}),
+    });
+    if (reply.case !== 'foundTurns') throw this.createReplyError(reply);
+    return reply.value.isAbsentReached;
+  }
+
   /**
    * Exchanges quarantine entries; `undefined` if the archive does not reply.
    * Does not mark the archive unreachable, since one of an earlier version
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -101,6 +101,15 @@
     return this.ownMember?.disk === disk;
   }
 
+  /**
+   * Whether a registered archive replies.
+   * @param disk - Disk of the archive.
+   */
+  isReached(disk: DiskId): boolean {
+    const client = this.getClients().find(({member}) => member.disk === disk);
+    return client?.isReachable === true;
+  }
+
   /** Gets one client per registered archive, reachable or not. */
   getClients(): readonly ArchiveClient[] {
     const {directory, ownDaemon} = this.options;
--- a/packages/turns/src/repair/archive_succession.ts
+++ b/packages/turns/src/repair/archive_succession.ts
@@ -82,7 +82,7 @@
     if (this.pendingDisk === undefined) {
       const isSettled = nowMs - this.changedAtMs >= settleMs;
       if (pool.supersededDisks.has(archive.disk) || !isSettled) return;
-      const absent = this.findNextAbsent();
+      const absent = await this.findNextAbsent(nowMs);
       if (absent?.dataCentre !== dataCentre) return;
       this.nextAttemptMs = nowMs + retryMs;
       const {disk} = absent.member;
@@ -133,9 +133,12 @@
 
   /**
    * Finds the absent voter that is left out next. Archives that see the same
-   * absences choose the same one.
+   * absences choose the same one. One that a peer reaches is not absent: a link
+   * between two archives has failed, and both would take each other's place.
    */
-  private findNextAbsent(): ArchiveClient | undefined {
+  private async findNextAbsent(
+    nowMs: number,
+  ): Promise<ArchiveClient | undefined> {
     const {pool, dataCentre} = this.options;
     const voters = pool.getVoters();
     const hasSuccessor = (client: ArchiveClient) =>
@@ -143,10 +146,14 @@
       voters.some(
         (other) => other.isReachable && other.dataCentre === client.dataCentre,
       );
-    return voters
+    const absent = voters
       .filter((client) => this.isAbsent(client) && hasSuccessor(client))
-      .toSorted((one, other) => (one.member.disk < other.member.disk ? -1 : 1))
-      .at(0);
+      .toSorted((one, other) => (one.member.disk < other.member.disk ? -1 : 1));
+    for (const client of absent) {
+      this.nextAttemptMs = nowMs + retryMs;
+      if (!(await this.isReachedByPeer(client.member.disk))) return client;
+    }
+    return undefined;
   }
 
   private isAbsent({
@@ -182,6 +189,17 @@
     return true;
   }
 
+  /** Whether a voter reaches the archive with a disk. */
+  private async isReachedByPeer(disk: DiskId): Promise<boolean> {
+    const peers = this.getVotersUntilNow(disk).filter(
+      ({isReachable}) => isReachable,
+    );
+    const replies = await Promise.allSettled(
+      peers.map((client) => client.reachesArchive(disk)),
+    );
+    return replies.some((reply) => reply.status === 'fulfilled' && reply.value);
+  }
+
   private hasEnoughVoters(disk: DiskId): boolean {
     const voters = this.getVotersUntilNow(disk);
     const reachable = voters.filter(({isReachable}) => isReachable);
--- a/packages/turns/tests/client/interrupted_succession.feature
+++ b/packages/turns/tests/client/interrupted_succession.feature
@@ -240,6 +240,13 @@
     And 40000 ms pass
     Then an attempt of a program of "b" is admitted in "c"
 
+  Scenario: The place of an archive is taken beside two that do not reach each other
+    Given archives "a, b, b1, b2, c" with 2 replicas per turn
+    When archives "b" and "b1" do not reach each other
+    And archive "b2" is killed
+    And 20000 ms pass
+    Then the place of one archive has been taken, but not of "a, b, b1, c"
+
   Scenario: A program is admitted after an archive was lost while another one takes no new files
     Given archives "a, b, b1, c" with 2 replicas per turn
     And the disk of archive "c" takes no data and no files
--- a/packages/turns/tests/client/interrupted_succession_steps.ts
+++ b/packages/turns/tests/client/interrupted_succession_steps.ts
@@ -30,3 +30,16 @@
     assert.ok(!this.archives.registeredNames.includes(name));
   },
 );
+
+Then(
+  'the place of one archive has been taken, but not of {string}',
+  function (this: SuccessionWorld, names: string) {
+    for (const name of names.split(', ')) {
+      const superseded = this.archives.getSupersededDisks(name);
+      assert.equal(superseded.length, 1, name);
+      for (const other of names.split(', ')) {
+        assert.ok(!superseded.includes(this.archives.getDisk(other)), other);
+      }
+    }
+  },
+);
