Count no vote for an entry VM whose list lacks two archives

Cause: majorities of two lists meet only if these differ by one archive at most.

Change: a reservation states how many votes its requester counts. An archive that knows of two or more others replies as one whose ledger is not complete, so its vote does not count until the entry VM has read the list. Builds that do not state the number are served as before.

--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -27,6 +27,9 @@
   value: create(AcknowledgementSchema),
 };
 
+/** The majorities of two lists that differ by one archive always meet. */
+const maxUnknownVoters = 1;
+
 type RequestOf<Case extends PeerRequestBody['case']> = Extract<
   PeerRequestBody,
   {case: Case}
@@ -115,7 +118,8 @@
       lapseMs: request.lapseMs,
     });
     const {isGranted, heldTokens, settledTokens, isExact} = result;
-    const isComplete = this.options.isComplete(named);
+    const isComplete =
+      this.options.isComplete(named) && !this.lacksVoters(request.voters);
     const reply = {isGranted, heldTokens, settledTokens, isComplete, isExact};
     return {case: 'reserve', value: create(ReserveReplySchema, reply)};
   }
@@ -131,6 +135,21 @@
     return acknowledgement;
   }
 
+  /**
+   * Whether a requester counts the votes of at least two archives less than are
+   * registered: its majorities may not meet those of others. A vote for it does not
+   * count until it has read of them.
+   */
+  private lacksVoters(voters: number): boolean {
+    if (voters === 0) return false;
+    const {pool, archive} = this.options;
+    const isVoter =
+      pool.isOwnDiskRegistered(archive.disk) &&
+      !pool.supersededDisks.has(archive.disk);
+    const registered = pool.getVoters().length + (isVoter ? 1 : 0);
+    return registered - voters > maxUnknownVoters;
+  }
+
   /** Finds superseded disks whose votes a requester still counts. */
   private findUnnamed(named: readonly DiskId[]): DiskId[] {
     const {archive, pool} = this.options;
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -152,14 +152,16 @@
    * Reserves tokens in the archive's ledger.
    * @param reservation - Attempt, its tokens and the program's budget.
    * @param supersededDisks - Disks whose votes are not counted.
+   * @param voters - Number of archives whose votes are counted.
    */
   async reserve(
     {lapseMs, ...reservation}: Reservation,
     supersededDisks: ReadonlySet<DiskId>,
+    voters: number,
   ): Promise<ReservationReply> {
     const superseded = {disks: [...supersededDisks]};
     const lapse = lapseMs === undefined ? {} : {lapseMs};
-    const value = {...reservation, ...lapse, superseded};
+    const value = {...reservation, ...lapse, superseded, voters};
     const reply = await this.sendRequest({
       case: 'reserveTokens',
       value: create(ReserveTokensSchema, value),
--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -194,7 +194,9 @@
       lapseMs: undefined,
     };
     await Promise.all(
-      clients.map((client) => client.reserve(confirmed, supersededDisks)),
+      clients.map((client) =>
+        client.reserve(confirmed, supersededDisks, this.options.clients.length),
+      ),
     );
   }
 
@@ -213,7 +215,11 @@
     if (client.isReachable) this.sentIndexes.add(index);
     try {
       const request = {...reservation, counter};
-      const reply = await client.reserve(request, supersededDisks);
+      const reply = await client.reserve(
+        request,
+        supersededDisks,
+        clients.length,
+      );
       this.timer?.recordReply();
       this.recordSuperseded(reply.supersededDisks);
       const answer = reply.isGranted ? 'granted' : 'refused';
--- a/packages/turns/tests/client/interrupted_succession.feature
+++ b/packages/turns/tests/client/interrupted_succession.feature
@@ -215,6 +215,13 @@
     And 4 further attempts of 50 tokens of a program of "b" reserve from a budget of 200 concurrently, alternating over "a"
     Then at most 0 attempts hold a reservation
 
+  Scenario: A program is admitted at an entry VM whose list lacks one archive
+    Given archives "a, b, c" with 2 replicas per turn
+    And entry VM "a" has read of archives "a, b, c" only
+    When archive "b1" is added
+    And 2000 ms pass
+    Then an attempt of a program of "b" is admitted in "a"
+
   Scenario: A budget holds at a superseded home that is cut off without the list
     Given archives "a, b, c" with 2 replicas per turn
     And entry VM "b:1" has read of archives "a, b, c" only
