Read the list of archives with the reservations of the object API

Cause: an entry VM that is cut off from the other archives knows of successions by its watch only, which may be behind.

Change: the reading that follows each write of reservations covers the registrations of the archives as well. If they name an archive or a superseded disk that the entry VM does not know, the attempt is rejected, and the disks are left out from then on. It is one more call to the object API for each such reading, which only isolated homes and lost majorities need.

--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -171,15 +171,25 @@
    * @param clients - Clients that have been asked.
    */
   async areAllRegistered(clients: readonly ArchiveClient[]): Promise<boolean> {
-    const known = new Set(clients.map(({member}) => getMemberKey(member)));
     try {
-      const members = await this.options.readRegistered();
-      return members.every((member) => known.has(getMemberKey(member)));
+      return areKnown(await this.options.readRegistered(), clients);
     } catch {
       return false;
     }
   }
 
+  /**
+   * Whether the list of archives has all those that were just read, and the disks
+   * that they name as superseded, which are left out from now on.
+   * @param members - Archives that are registered.
+   */
+  isListCurrent(members: readonly ArchiveMember[]): boolean {
+    const disks = members.flatMap(({supersededDisks = []}) => supersededDisks);
+    const isKnown = disks.every((disk) => this.supersededDisks.has(disk));
+    this.addSupersededDisks(disks);
+    return isKnown && areKnown(members, this.getClients());
+  }
+
   /** Whether at least one archive is reachable. */
   get hasReachableArchive(): boolean {
     return this.getClients().some((client) => client.isReachable);
@@ -367,3 +377,12 @@
 function getMemberKey({daemon, address, disk}: ArchiveMember): string {
   return `${daemon} ${address} ${disk}`;
 }
+
+/** Whether there is a client for each of the members. */
+function areKnown(
+  members: readonly ArchiveMember[],
+  clients: readonly ArchiveClient[],
+): boolean {
+  const known = new Set(clients.map(({member}) => getMemberKey(member)));
+  return members.every((member) => known.has(getMemberKey(member)));
+}
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -230,7 +230,8 @@
 
   /**
    * Records a reservation in the object API unless enough disks have; gets what all entry VMs have recorded of its program.
-   * `undefined` if the object API has not acknowledged it.
+   * `undefined` if the object API has not acknowledged it, or has another list of
+   * archives.
    */
   private async recordInObjects(
     request: TokenRequest,
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -82,6 +82,7 @@
       ...writing,
       areArchivesReachable: () =>
         pool.getClients().every(({isReachable}) => isReachable),
+      isListCurrent: (members) => pool.isListCurrent(members),
       onWritten: options.onReservationsWritten,
     });
     this.probe = createProbe(options);
--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -16,6 +16,11 @@
 } from '@marigoldpost/common';
 import type {ObjectStore} from '@marigoldpost/platform';
 import type {TurnId} from '@marigoldpost/sites';
+import {
+  type ArchiveMember,
+  archivePrefix,
+  decodeMember,
+} from '../directory/archive_directory.js';
 import {SharedReading} from '../directory/shared_reading.js';
 import type {LedgerEntry, Reservation} from '../ledger/budget_ledger.js';
 import type {ProgramEntries} from '../records/turn_codec.js';
@@ -50,9 +55,17 @@
   readonly getIntervalMs: () => number;
   /** Whether all archives are reachable, so that they learn of reservations. */
   readonly areArchivesReachable: () => boolean;
+  /** Whether the list of archives has those that the object API has now. */
+  readonly isListCurrent: (members: readonly ArchiveMember[]) => boolean;
   readonly onWritten?: (reservations: number, elapsedMs: number) => void;
 }
 
+/** What the object API has after a write. */
+interface Reading {
+  readonly ledgers: readonly ProgramEntries[];
+  readonly isListCurrent: boolean;
+}
+
 interface RecordedEntry {
   readonly program: ProgramId;
   readonly entry: LedgerEntry;
@@ -62,7 +75,7 @@
 /** Reservations of one entry VM, and those of the others. */
 export class ReservationObjects {
   private readonly entries = new Map<TurnId, RecordedEntry>();
-  private readonly exchange: SharedReading<readonly ProgramEntries[]>;
+  private readonly exchange: SharedReading<Reading>;
   private readonly key: string;
   /** Version of the own object; `undefined` while there is none. */
   private version: number | undefined;
@@ -89,8 +102,10 @@
 
   /**
    * Records a reservation; gets what all entry VMs have recorded of its program
-   * once it is durable, one list for each. Throws an error if the object API
-   * does not acknowledge it, or if there are too many.
+   * once it is durable, one list for each. `undefined` if other archives are
+   * registered by then than this entry VM knows of, which may grant without those
+   * that it knows. Throws an error if the object API does not acknowledge the
+   * reservation, or if there are too many.
    * @param reservation - Attempt and its tokens.
    */
   async record({
@@ -98,12 +113,13 @@
     attempt,
     tokens,
   }: Pick<Reservation, 'program' | 'attempt' | 'tokens'>): Promise<
-    LedgerEntry[][]
+    LedgerEntry[][] | undefined
   > {
     if (this.entries.size >= maxEntries) throw createFullError();
     const entry = {attempt, tokens, isSettled: false};
     this.put(program, entry);
-    const ledgers = await this.exchange.read();
+    const {ledgers, isListCurrent} = await this.exchange.read();
+    if (!isListCurrent) return undefined;
     const others = ledgers
       .filter((ledger) => ledger.program === program)
       .map(({entries}) => [...entries]);
@@ -173,16 +189,25 @@
   }
 
   /** Writes the own reservations, then reads those of all entry VMs. */
-  private async writeAndRead(): Promise<ProgramEntries[]> {
+  private async writeAndRead(): Promise<Reading> {
     const {clock, store, onWritten} = this.options;
     const startMs = clock.nowMs();
     const size = this.entries.size;
     await this.write(this.encode());
-    const {objects} = await store.readSnapshot(reservationPrefix);
+    const [reservations, archives] = await Promise.all([
+      store.readSnapshot(reservationPrefix),
+      store.readSnapshot(archivePrefix),
+    ]);
     onWritten?.(size, clock.nowMs() - startMs);
-    return objects
+    // No entry VM uses an archive whose registration is malformed.
+    const members = archives.objects.flatMap(
+      (object) => decodeMember(object) ?? [],
+    );
+    const isListCurrent = this.options.isListCurrent(members);
+    const ledgers = reservations.objects
       .filter(({key}) => key !== this.key)
       .flatMap(decodeReservationsOrThrow);
+    return {ledgers, isListCurrent};
   }
 
   private encode(): string {
