Refuse no program for good while its attempts may be in progress

Cause: a confirmed reservation was taken as spent at once. Only one whose attempt can no longer be in progress is.

Change: ledgers keep until when the call of a confirmed reservation may be in progress: the time at which it would have lapsed (`open_ms`; `openMs` in the object API). Until then such tokens give 429 with a retry delay, and 402 from then on. What is granted does not change. Fields are absent in builds before this one: their reservations give 402 at once, as before.

--- a/packages/turns/src/ledger/budget_ledger.ts
+++ b/packages/turns/src/ledger/budget_ledger.ts
@@ -13,6 +13,11 @@
    * has. `undefined` for others.
    */
   readonly lapseMs?: number | undefined;
+  /**
+   * Time left in which the attempt of a confirmed reservation may be in progress; 0
+   * afterwards. `undefined` for others, and if it is not known.
+   */
+  readonly openMs?: number | undefined;
 }
 
 /** Request to reserve tokens for an attempt. */
@@ -49,6 +54,8 @@
   readonly entries: Map<TurnId, LedgerEntry>;
   /** When reservations lapse that have not been confirmed. */
   readonly lapses: Map<TurnId, number>;
+  /** When attempts of confirmed reservations cannot be in progress any more. */
+  readonly ends: Map<TurnId, number>;
   heldTokens: number;
   settledTokens: number;
   changedAtMs: number;
@@ -93,7 +100,7 @@
     const result = {settledTokens, isExact, isNew: false};
     const otherTokens = budget.heldTokens - getLapsedTokens(budget, nowMs);
     if (budget.entries.has(attempt)) {
-      const isNew = lapseMs === undefined && budget.lapses.delete(attempt);
+      const isNew = lapseMs === undefined && confirm(budget, attempt);
       if (isNew) budget.changedAtMs = nowMs;
       return {...result, isGranted: true, heldTokens: otherTokens, isNew};
     }
@@ -142,11 +149,16 @@
   getEntries(program: ProgramId, nowMs: number): LedgerEntry[] {
     const budget = this.budgets.get(program);
     if (budget === undefined) return [];
+    const getLeftMs = (atMs: number) => Math.max(0, Math.ceil(atMs - nowMs));
     return [...budget.entries.values()].map(({attempt, tokens, isSettled}) => {
-      const lapsesAtMs = budget.lapses.get(attempt);
       const entry = {attempt, tokens, isSettled};
-      if (lapsesAtMs === undefined) return entry;
-      return {...entry, lapseMs: Math.max(0, Math.ceil(lapsesAtMs - nowMs))};
+      const lapsesAtMs = budget.lapses.get(attempt);
+      if (lapsesAtMs !== undefined) {
+        return {...entry, lapseMs: getLeftMs(lapsesAtMs)};
+      }
+      const endsAtMs = budget.ends.get(attempt);
+      if (endsAtMs === undefined) return entry;
+      return {...entry, openMs: getLeftMs(endsAtMs)};
     });
   }
 
@@ -181,9 +193,7 @@
     const budget = this.getOrCreateBudget(program, nowMs);
     const before = budget.entries.get(entry.attempt)?.tokens ?? 0;
     budget.entries.set(entry.attempt, entry);
-    if (entry.isSettled || entry.lapseMs === undefined) {
-      budget.lapses.delete(entry.attempt);
-    } else budget.lapses.set(entry.attempt, nowMs + entry.lapseMs);
+    setTimes(budget, entry, nowMs);
     budget.heldTokens += entry.tokens - before;
     // The tokens of an entry change only once, when it is settled.
     if (entry.isSettled) budget.settledTokens += entry.tokens;
@@ -196,6 +206,7 @@
     const added: ProgramBudget = {
       entries: new Map(),
       lapses: new Map(),
+      ends: new Map(),
       heldTokens: 0,
       settledTokens: 0,
       changedAtMs: nowMs,
@@ -207,15 +218,37 @@
   }
 }
 
+function setTimes(
+  {lapses, ends}: ProgramBudget,
+  {attempt, isSettled, lapseMs, openMs}: LedgerEntry,
+  nowMs: number,
+): void {
+  lapses.delete(attempt);
+  ends.delete(attempt);
+  if (isSettled) return;
+  if (lapseMs !== undefined) lapses.set(attempt, nowMs + lapseMs);
+  else if (openMs !== undefined) ends.set(attempt, nowMs + openMs);
+}
+
+/** Confirms a reservation that may lapse; `false` if there is none. */
+function confirm({lapses, ends}: ProgramBudget, attempt: TurnId): boolean {
+  const lapsesAtMs = lapses.get(attempt);
+  if (lapsesAtMs === undefined) return false;
+  // Its attempt ends with its call, just before it would have lapsed.
+  ends.set(attempt, lapsesAtMs);
+  return lapses.delete(attempt);
+}
+
 /** Merges a reservation into an existing one; true if that is confirmed by it. */
 function mergeLapse(
-  {lapses}: ProgramBudget,
+  budget: ProgramBudget,
   {attempt, lapseMs}: LedgerEntry,
   nowMs: number,
 ): boolean {
+  const {lapses} = budget;
   const lapsesAtMs = lapses.get(attempt);
   if (lapsesAtMs === undefined) return false;
-  if (lapseMs === undefined) return lapses.delete(attempt);
+  if (lapseMs === undefined) return confirm(budget, attempt);
   lapses.set(attempt, Math.max(lapsesAtMs, nowMs + lapseMs));
   return false;
 }
--- a/packages/turns/src/ledger/merge_entries.ts
+++ b/packages/turns/src/ledger/merge_entries.ts
@@ -8,7 +8,7 @@
   readonly settledTokens: number;
   /** Tokens that attempts have used, or may use for all that is known. */
   readonly heldTokens: number;
-  /** Those of `heldTokens` that do not lapse by themselves. */
+  /** Those of `heldTokens` that no attempt in progress may release. */
   readonly firmTokens: number;
   /** Attempts that hold tokens and are not settled. */
   readonly openAttempts: number;
@@ -33,13 +33,15 @@
   const open = entries.filter(
     ({isSettled, lapseMs}) => !isSettled && lapseMs !== 0,
   );
-  const lapsing = open.filter(({lapseMs}) => lapseMs !== undefined);
+  const inProgress = open.filter(
+    ({lapseMs, openMs = 0}) => lapseMs !== undefined || openMs > 0,
+  );
   const settledTokens = sumTokens(entries.filter(({isSettled}) => isSettled));
   const heldTokens = settledTokens + sumTokens(open);
   return {
     settledTokens,
     heldTokens,
-    firmTokens: heldTokens - sumTokens(lapsing),
+    firmTokens: heldTokens - sumTokens(inProgress),
     openAttempts: open.length,
   };
 }
--- a/packages/turns/src/objects/reservation_object.ts
+++ b/packages/turns/src/objects/reservation_object.ts
@@ -25,6 +25,7 @@
         attempt: z.string(),
         tokens: z.uint32(),
         isSettled: z.boolean(),
+        openMs: z.uint32().optional(),
       }),
     ),
   }),
--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -35,7 +35,7 @@
 /** Pause between two removals of expired reservations. */
 const removalIntervalMs = 10_000;
 /**
- * Limit of the reservations of one process: about 600 of the 1,024 KB of an
+ * Limit of the reservations of one process: about 670 of the 1,024 KB of an
  * object.
  */
 const maxEntries = 5000;
@@ -112,11 +112,13 @@
     program,
     attempt,
     tokens,
-  }: Pick<Reservation, 'program' | 'attempt' | 'tokens'>): Promise<
+    lapseMs: openMs,
+  }: Pick<Reservation, 'program' | 'attempt' | 'tokens' | 'lapseMs'>): Promise<
     LedgerEntry[][] | undefined
   > {
     if (this.entries.size >= maxEntries) throw createFullError();
-    const entry = {attempt, tokens, isSettled: false};
+    // Objects cannot tell whether a reservation was confirmed, so none lapses.
+    const entry = {attempt, tokens, isSettled: false, openMs};
     this.put(program, entry);
     const {ledgers, isListCurrent} = await this.exchange.read();
     if (!isListCurrent) return undefined;
--- a/packages/turns/src/records/turn_codec.ts
+++ b/packages/turns/src/records/turn_codec.ts
@@ -79,9 +79,10 @@
   const {program, entries} = ledger;
   return create(ProgramLedgerSchema, {
     program,
-    entries: entries.map(({lapseMs, ...entry}) => ({
+    entries: entries.map(({lapseMs, openMs, ...entry}) => ({
       ...entry,
       ...(lapseMs === undefined ? {} : {lapseMs}),
+      ...(openMs === undefined ? {} : {openMs}),
     })),
   });
 }
@@ -93,12 +94,16 @@
 export function fromLedgerMessage(message: ProgramLedger): ProgramEntries {
   return {
     program: toId<ProgramId>(message.program),
-    entries: message.entries.map(({attempt, tokens, isSettled, lapseMs}) => ({
-      attempt: toId<TurnId>(attempt),
-      tokens,
-      isSettled,
-      ...(lapseMs === undefined ? {} : {lapseMs}),
-    })),
+    entries: message.entries.map((entry) => {
+      const {attempt, tokens, isSettled, lapseMs, openMs} = entry;
+      return {
+        attempt: toId<TurnId>(attempt),
+        tokens,
+        isSettled,
+        ...(lapseMs === undefined ? {} : {lapseMs}),
+        ...(openMs === undefined ? {} : {openMs}),
+      };
+    }),
   };
 }
 
--- a/packages/turns/tests/client/lapsed_reservation.feature
+++ b/packages/turns/tests/client/lapsed_reservation.feature
@@ -56,6 +56,32 @@
     And 10000 ms pass
     Then another attempt of 150 tokens in "a" fails with tokens_spent
 
+  # Guards against a program that ends while its attempts in progress hold the rest of its budget.
+  Scenario Outline: A turn that confirmed attempts in progress leave no room for may be sent again, <fault>
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
+    And the attempt is confirmed
+    And <fault>
+    And 1000 ms pass
+    Then attempt "early" of 150 tokens in "<entry>" fails with limit_reached
+    When 10000 ms pass
+    Then attempt "late" of 150 tokens in "<entry>" fails with tokens_spent
+
+    Examples:
+      | fault                                                          | entry |
+      | 0 ms pass                                                      | a     |
+      | 0 ms pass                                                      | c     |
+      | all entry VMs are killed                                       | b     |
+      | archives "a, b, c" lose power and restart, "b" with empty disks | a     |
+
+  Scenario: A turn that attempts of a cut data centre leave no room for may be sent again
+    Given data centre "a" is isolated
+    When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
+    And the attempt is confirmed
+    And 1500 ms pass
+    Then attempt "early" of 150 tokens in "b" fails with limit_reached
+    When 10000 ms pass
+    Then attempt "late" of 150 tokens in "b" fails with tokens_spent
+
   Scenario: A settlement ends a reservation that may lapse
     When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
     And the attempt is confirmed
--- a/packages/turns/tests/client/lapsed_reservation_steps.ts
+++ b/packages/turns/tests/client/lapsed_reservation_steps.ts
@@ -1,6 +1,7 @@
 /** Steps with reservations that lapse unless they are confirmed. */
 import assert from 'node:assert/strict';
 import {Then, When, type World} from '@cucumber/cucumber';
+import {type ErrorKind, isErrorOfKind} from '@marigoldpost/common';
 import type {ConfirmReservation} from '@marigoldpost/turns';
 import {type ArchiveFleet} from '../fixtures/archive_fleet.js';
 import {createTokenRequest} from '../fixtures/turn_requests.js';
@@ -10,6 +11,9 @@
   confirm: ConfirmReservation;
 }
 
+/** Budget of the program whose attempts are refused. */
+const budgetTokens = 200;
+
 When(
   'an attempt of {int} tokens in {string} on a budget of {int} reserves for {int} ms',
   async function (
@@ -26,6 +30,25 @@
   },
 );
 
+Then(
+  'attempt {string} of {int} tokens in {string} fails with {word}',
+  async function (
+    this: LapseWorld,
+    attempt: string,
+    tokens: number,
+    entryVm: string,
+    kind: ErrorKind,
+  ) {
+    const {archives} = this;
+    const request = createTokenRequest(attempt, tokens, budgetTokens, 'a');
+    const tried = archives.getStore(entryVm).reserve(request);
+    await assert.rejects(
+      () => archives.run(tried),
+      (error) => isErrorOfKind(error, kind),
+    );
+  },
+);
+
 When('the attempt is confirmed', async function (this: LapseWorld) {
   await this.archives.run(this.confirm());
 });
