Confirm reservations once a target has begun a stream

Callers saw: 402 for good for each program whose turn was running at a target without a response yet when its entry VM was killed, although its client had got nothing.

Cause: reservations were confirmed when the request was sent. Only a stream that is passed on can hand out tokens.

Change: the confirmation is requested when the response of the target begins, and awaited before the first byte is passed on, as before for 0.1 s at most. An attempt whose entry VM ends earlier lapses. A call whose time has passed meanwhile, as after its process stood still, passes on no stream: its end comes before the reply to the confirmation.

--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -16,8 +16,6 @@
 
 /** Is told of the steps of a stream call. */
 export interface StreamObserver {
-  /** Called each time before the request is sent to a target. */
-  onSend(): void;
   /** Awaited before the first byte of a stream is forwarded. */
   beforeStream(): Promise<void>;
   /** Awaited before a response with another status is forwarded. */
@@ -49,9 +47,7 @@
   body: CallBody,
   observer: StreamObserver,
 ): Promise<ServedStream | undefined> {
-  const attempts = TargetAttempts.create(call, services, service, body, () =>
-    observer.onSend(),
-  );
+  const attempts = TargetAttempts.create(call, services, service, body);
   const started = await attempts.nextResponse();
   const status = started.answer.response.statusCode ?? 0;
   if (status !== okStatus) {
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -89,7 +89,6 @@
     private readonly services: CallServices,
     private readonly service: ServiceId,
     private readonly body: CallBody,
-    private readonly onSend: () => void,
   ) {
     this.trackedRequest = TrackedRequest.create(call, body.bytes);
   }
@@ -100,16 +99,14 @@
    * @param services - Components that all calls share.
    * @param service - Service that was selected from the route.
    * @param body - Body that targets receive.
-   * @param onSend - Called each time before the call is sent to a target.
    */
   static create(
     call: IncomingCall,
     services: CallServices,
     service: ServiceId,
     body: CallBody,
-    onSend: () => void = () => undefined,
   ): TargetAttempts {
-    return new TargetAttempts(call, services, service, body, onSend);
+    return new TargetAttempts(call, services, service, body);
   }
 
   /** Whether a retry is allowed after an attempt that may have run. */
@@ -136,7 +133,6 @@
         lease.target.id,
       );
       this.sentAtMs = this.services.clock.nowMs();
-      this.onSend();
       const outcome = await this.send(lease);
       if (outcome.kind !== 'failed') {
         this.recordResponse(outcome);
--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -23,12 +23,11 @@
 
 /**
  * Tokens of an attempt; holds none if the call has no budget. The reservation
- * lapses unless a request is sent to a target: nobody else knows of that if the
- * process ends.
+ * lapses unless a stream is passed on: the client of a process that ends before
+ * has got no tokens, and nobody else knows of its attempt.
  */
 export class TokenReservation implements StreamObserver {
   private confirmReservation: ConfirmReservation | undefined;
-  private confirmation: Promise<void> | undefined;
 
   private constructor(
     private readonly call: IncomingCall,
@@ -92,14 +91,9 @@
     await this.services.turns.settle(program, this.attempt, tokens);
   }
 
-  /** Begins to confirm the reservation. */
-  onSend(): void {
-    this.confirmation ??= this.confirmReservation?.();
-  }
-
-  /** Waits for the confirmation, since the client may receive tokens from now on. */
+  /** Confirms the reservation, since the client may receive tokens from now on. */
   async beforeStream(): Promise<void> {
-    await this.confirmation;
+    await this.confirmReservation?.();
   }
 
   /** Releases the tokens, of which the client receives none. */
