Let reservations in the object API lapse like those that archives recorded

Callers saw: 402 for good, after a final fault in a cut, for programs whose home was cut off and whose last attempt ran at another data centre when its entry VM lost power.

Cause: while an archive of the home does not vote, a reservation stands in the object API as well, without a time. Archives import it, and took the import for a confirmation.

Change: an entry that the object API alone tells of is marked (`is_reported`). It counts as before where nothing else is known of the attempt, but it confirms nothing, and an archive that recorded the reservation itself says whether it was confirmed or has lapsed. So that each quorum has such an archive, a reservation that is in the object API is confirmed at all archives that granted it.

21 rows of lapsed_reservation.feature are new: nine fail if imports confirm again (tokens_spent). The others show that confirmed attempts keep counting over lost disks, and that each side of a cut counts those of the other.

--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -133,9 +133,12 @@
   /** The last ballot is the one that has recorded the reservation. */
   private async confirm(ballots: readonly ReservationBallot[]): Promise<void> {
     const {clock, owedArchives} = this.options;
+    const ballot = ballots.at(-1);
+    // Quorums that grant without each other need not share the counter.
+    const copies = this.isOnEnoughDisks(ballot) ? owedArchives : Infinity;
     const timeout = Deferred.create<void>();
     const timer = clock.setTimer(confirmTimeoutMs, () => timeout.resolve());
-    const confirmed = ballots.at(-1)?.confirm(owedArchives);
+    const confirmed = ballot?.confirm(copies);
     await Promise.race([
       // Others count the reservation until it lapses.
       confirmed?.catch(() => undefined),
--- a/packages/turns/src/ledger/budget_ledger.ts
+++ b/packages/turns/src/ledger/budget_ledger.ts
@@ -18,6 +18,11 @@
    * afterwards. `undefined` for others, and if it is not known.
    */
   readonly openMs?: number | undefined;
+  /**
+   * Whether only the object API has told of the reservation: archives that have
+   * recorded it know whether it was confirmed or has lapsed.
+   */
+  readonly isReported?: boolean | undefined;
 }
 
 /** Request to reserve tokens for an attempt. */
@@ -66,8 +71,8 @@
 }
 
 /**
- * Ledger of one archive. An entry changes only from reserved to confirmed to
- * settled, so ledgers of several archives can be merged in any order. One that
+ * Ledger of one archive. An entry changes only from reported to reserved to
+ * confirmed to settled, so ledgers of several archives can be merged in any order. One that
  * has lapsed counts no tokens, but can be confirmed or settled.
  */
 export class BudgetLedger {
@@ -99,13 +104,14 @@
     const isExact = !budget.isContended;
     const result = {settledTokens, isExact, isNew: false};
     const otherTokens = budget.heldTokens - getLapsedTokens(budget, nowMs);
-    if (budget.entries.has(attempt)) {
+    const existing = budget.entries.get(attempt);
+    if (existing !== undefined && existing.isReported !== true) {
       const isNew = lapseMs === undefined && confirm(budget, attempt);
       if (isNew) budget.changedAtMs = nowMs;
       return {...result, isGranted: true, heldTokens: otherTokens, isNew};
     }
-    const heldTokens = otherTokens + tokens;
-    if (!isForced && heldTokens > budgetTokens) {
+    const heldTokens = otherTokens + (existing === undefined ? tokens : 0);
+    if (!isForced && existing === undefined && heldTokens > budgetTokens) {
       return {...result, isGranted: false, heldTokens};
     }
     const entry = {attempt, tokens, isSettled: false, lapseMs};
@@ -135,7 +141,8 @@
     const existing = budget?.entries.get(entry.attempt);
     if (existing?.isSettled === true) return false;
     if (budget !== undefined && existing !== undefined && !entry.isSettled) {
-      return mergeLapse(budget, entry, nowMs);
+      if (entry.isReported === true) return false;
+      if (existing.isReported !== true) return mergeLapse(budget, entry, nowMs);
     }
     this.putEntry(program, entry, nowMs);
     return true;
@@ -150,8 +157,9 @@
     const budget = this.budgets.get(program);
     if (budget === undefined) return [];
     const getLeftMs = (atMs: number) => Math.max(0, Math.ceil(atMs - nowMs));
-    return [...budget.entries.values()].map(({attempt, tokens, isSettled}) => {
-      const entry = {attempt, tokens, isSettled};
+    return [...budget.entries.values()].map((known) => {
+      const {attempt, tokens, isSettled, isReported} = known;
+      const entry = {attempt, tokens, isSettled, isReported};
       const lapsesAtMs = budget.lapses.get(attempt);
       if (lapsesAtMs !== undefined) {
         return {...entry, lapseMs: getLeftMs(lapsesAtMs)};
--- a/packages/turns/src/ledger/merge_entries.ts
+++ b/packages/turns/src/ledger/merge_entries.ts
@@ -16,7 +16,8 @@
 
 /**
  * Sums the tokens of all attempts. Of the entries of one attempt, a settled one
- * takes precedence over one that is confirmed, and that over one that may lapse.
+ * takes precedence over one that is confirmed, that over one that may lapse, and
+ * that over one that the object API alone has told of.
  * @param lists - Entries of one program, one list per archive.
  */
 export function sumMergedTokens(
@@ -46,10 +47,11 @@
   };
 }
 
-function getRank({isSettled, lapseMs}: LedgerEntry): number {
-  if (isSettled) return 3;
-  if (lapseMs === undefined) return 2;
-  return lapseMs > 0 ? 1 : 0;
+function getRank({isSettled, lapseMs, isReported}: LedgerEntry): number {
+  if (isSettled) return 4;
+  if (isReported === true) return 0;
+  if (lapseMs === undefined) return 3;
+  return lapseMs > 0 ? 2 : 1;
 }
 
 function sumTokens(entries: readonly LedgerEntry[]): number {
--- a/packages/turns/src/objects/reservation_object.ts
+++ b/packages/turns/src/objects/reservation_object.ts
@@ -52,6 +52,7 @@
     entries: entries.map(({attempt, ...entry}): LedgerEntry => ({
       attempt: toId<TurnId>(attempt),
       ...entry,
+      isReported: !entry.isSettled,
     })),
   }));
 }
--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -117,7 +117,7 @@
     LedgerEntry[][] | undefined
   > {
     if (this.entries.size >= maxEntries) throw createFullError();
-    // Objects cannot tell whether a reservation was confirmed, so none lapses.
+    // Archives that record it tell whether it was confirmed; see `isReported`.
     const entry = {attempt, tokens, isSettled: false, openMs};
     this.put(program, entry);
     const {ledgers, isListCurrent} = await this.exchange.read();
--- a/packages/turns/src/records/turn_codec.ts
+++ b/packages/turns/src/records/turn_codec.ts
@@ -79,8 +79,9 @@
   const {program, entries} = ledger;
   return create(ProgramLedgerSchema, {
     program,
-    entries: entries.map(({lapseMs, openMs, ...entry}) => ({
+    entries: entries.map(({lapseMs, openMs, isReported = false, ...entry}) => ({
       ...entry,
+      isReported,
       ...(lapseMs === undefined ? {} : {lapseMs}),
       ...(openMs === undefined ? {} : {openMs}),
     })),
@@ -95,11 +96,12 @@
   return {
     program: toId<ProgramId>(message.program),
     entries: message.entries.map((entry) => {
-      const {attempt, tokens, isSettled, lapseMs, openMs} = entry;
+      const {attempt, tokens, isSettled, lapseMs, openMs, isReported} = entry;
       return {
         attempt: toId<TurnId>(attempt),
         tokens,
         isSettled,
+        ...(isReported ? {isReported} : {}),
         ...(lapseMs === undefined ? {} : {lapseMs}),
         ...(openMs === undefined ? {} : {openMs}),
       };
--- a/packages/turns/tests/client/lapsed_reservation.feature
+++ b/packages/turns/tests/client/lapsed_reservation.feature
@@ -82,6 +82,65 @@
     When 10000 ms pass
     Then attempt "late" of 150 tokens in "b" fails with tokens_spent
 
+  # Guards against tokens that a killed process holds for good in the object API.
+  Scenario Outline: Tokens of an attempt in <entry> that was not confirmed while <home> was cut off are free, <fault>
+    Given data centre "a" is isolated
+    When an attempt of 150 tokens in "<entry>" on a budget of 200 reserves for 4500 ms
+    And all entry VMs are killed
+    And 1000 ms pass
+    And <fault>
+    And the isolation ends and 10000 ms pass
+    Then attempt "next" of 200 tokens in "<next>" is admitted to the budget of 200
+
+    Examples:
+      | entry | home | next | fault                                                           |
+      | b     | a    | a    | 0 ms pass                                                       |
+      | b     | a    | b    | 0 ms pass                                                       |
+      | b     | a    | c    | archives "a, b, c" lose power and restart, "" with empty disks  |
+      | b     | a    | a    | archives "a, b, c" lose power and restart, "a" with empty disks |
+      | b     | a    | b    | archives "a, b, c" lose power and restart, "a" with empty disks |
+      | b     | a    | c    | archives "a, b, c" lose power and restart, "b" with empty disks |
+      | a     | a    | a    | 0 ms pass                                                       |
+      | a     | a    | b    | 0 ms pass                                                       |
+      | a     | a    | c    | archives "a, b, c" lose power and restart, "" with empty disks  |
+
+  # Guards against tokens that are granted twice.
+  Scenario Outline: Tokens of an attempt in <entry> that was confirmed while <home> was cut off stay reserved, <fault>
+    Given data centre "a" is isolated
+    When an attempt of 150 tokens in "<entry>" on a budget of 200 reserves for 4500 ms
+    And the attempt is confirmed
+    And all entry VMs are killed
+    And 1000 ms pass
+    And <fault>
+    And <state> and 10000 ms pass
+    Then attempt "next" of 150 tokens in "<next>" fails with tokens_spent
+
+    Examples:
+      | entry | home | next | fault                                                           | state              |
+      | b     | a    | a    | 0 ms pass                                                       | the isolation ends |
+      | b     | a    | b    | 0 ms pass                                                       | the isolation ends |
+      | b     | a    | c    | archives "a, b, c" lose power and restart, "" with empty disks  | the isolation ends |
+      | b     | a    | a    | archives "a, b, c" lose power and restart, "a" with empty disks | the isolation ends |
+      | b     | a    | c    | archives "a, b, c" lose power and restart, "b" with empty disks | the isolation ends |
+      | b     | a    | b    | archives "a, b, c" lose power and restart, "c" with empty disks | the isolation ends |
+      | a     | a    | a    | 0 ms pass                                                       | the isolation ends |
+      | a     | a    | b    | archives "a, b, c" lose power and restart, "" with empty disks  | the isolation ends |
+      | a     | a    | b    | archives "a, b, c" lose power and restart, "a" with empty disks | the isolation ends |
+      | a     | a    | c    | archives "a, b, c" lose power and restart, "b" with empty disks | the isolation ends |
+
+  Scenario Outline: An attempt in <entry> counts in <next> while <home> is cut off, whether it was confirmed or not
+    Given data centre "a" is isolated
+    When an attempt of 150 tokens in "<entry>" on a budget of 200 reserves for 4500 ms
+    And 10000 ms pass
+    Then attempt "next" of 150 tokens in "<next>" fails with <error>
+    When the attempt is confirmed
+    Then attempt "last" of 150 tokens in "<next>" fails with <error>
+
+    Examples:
+      | entry | home | next | error               |
+      | a     | a    | b    | tokens_spent        |
+      | b     | a    | a    | archive_unavailable |
+
   Scenario: A settlement ends a reservation that may lapse
     When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
     And the attempt is confirmed
