Pass over an absent archive only if enough peers reach it

One peer that reached the archive kept its place from being taken: a peer that was lost next, which left too few voters, or one whose repair rounds hung at a stalled disk and which took a lost archive for reachable.

Change: an archive is passed over only if so many voters reach it that it could take the asker's place as well; with fewer there is no such exchange to prevent.

--- a/packages/turns/src/repair/archive_succession.ts
+++ b/packages/turns/src/repair/archive_succession.ts
@@ -133,7 +133,7 @@
 
   /**
    * Finds the absent voter that is left out next. Archives that see the same
-   * absences choose the same one. One that a peer reaches is not absent: a link
+   * absences choose the same one. One that enough peers reach is not absent: a link
    * between two archives has failed, and both would take each other's place.
    */
   private async findNextAbsent(
@@ -151,7 +151,7 @@
       .toSorted((one, other) => (one.member.disk < other.member.disk ? -1 : 1));
     for (const client of absent) {
       this.nextAttemptMs = nowMs + retryMs;
-      if (!(await this.isReachedByPeer(client.member.disk))) return client;
+      if (!(await this.isReachedByPeers(client.member.disk))) return client;
     }
     return undefined;
   }
@@ -189,15 +189,21 @@
     return true;
   }
 
-  /** Whether a voter reaches the archive with a disk. */
-  private async isReachedByPeer(disk: DiskId): Promise<boolean> {
-    const peers = this.getVotersUntilNow(disk).filter(
-      ({isReachable}) => isReachable,
-    );
+  /**
+   * Whether so many voters reach an archive that it could take the place of this
+   * one. A few may be wrong, or alone with it.
+   */
+  private async isReachedByPeers(disk: DiskId): Promise<boolean> {
+    const voters = this.getVotersUntilNow(disk);
     const replies = await Promise.allSettled(
-      peers.map((client) => client.reachesArchive(disk)),
+      voters
+        .filter(({isReachable}) => isReachable)
+        .map((client) => client.reachesArchive(disk)),
+    );
+    const reached = replies.filter(
+      (reply) => reply.status === 'fulfilled' && reply.value,
     );
-    return replies.some((reply) => reply.status === 'fulfilled' && reply.value);
+    return reached.length >= getRequiredCount(voters);
   }
 
   private hasEnoughVoters(disk: DiskId): boolean {
--- a/packages/turns/tests/client/interrupted_succession.feature
+++ b/packages/turns/tests/client/interrupted_succession.feature
@@ -222,6 +222,19 @@
     And 2000 ms pass
     Then an attempt of a program of "b" is admitted in "a"
 
+  # Guards against an archive that counts votes which its requester leaves out.
+  Scenario: A program is admitted where the object API is away, after two archives elsewhere were superseded
+    Given archives "a1, b1, b2, c1, c2" with 2 replicas per turn
+    And entry VM "a1" has read of archives "a1, b1, b2, c1, c2" only
+    And archive "a1" restarts
+    And entry VM "a" has read of archives "a1, b1, b2, c1, c2" only
+    And 2000 ms pass
+    When the object API is away from "a"
+    And archive "b1" is killed
+    And archive "c1" is killed
+    And 20000 ms pass
+    Then an attempt of a program of "a" is admitted in "a"
+
   Scenario: A budget holds at a superseded home that is cut off without the list
     Given archives "a, b, c" with 2 replicas per turn
     And entry VM "b:1" has read of archives "a, b, c" only
@@ -254,6 +267,30 @@
     And 20000 ms pass
     Then the place of one archive has been taken, but not of "a, b, b1, c"
 
+  # Guards against a place that is never taken, since one peer reached the archive or is wrong.
+  Scenario: A program is admitted after the only peer that reached an absent archive was killed
+    Given archives "a, b, b1, c" with 2 replicas per turn
+    When archives "b" and "b1" do not reach each other
+    And archives "b" and "c" do not reach each other
+    And 20000 ms pass
+    And archive "a" is killed
+    And 60000 ms pass
+    Then an attempt of a program of "b" is admitted in "c"
+
+  Scenario: A program is admitted although a peer with a stalled disk takes a lost archive for reachable
+    Given archives "a, a1, b, b1, c, c1" with 2 replicas per turn
+    And the disk of archive "c1" is stalled
+    When 2 attempts of 10 tokens of a program of "a" reserve from a budget of 200 concurrently, alternating over "a"
+    And archive "c" is killed
+    And 1500 ms pass
+    And archive "c" is started
+    And 3000 ms pass
+    And archive "b" is killed
+    And 30000 ms pass
+    And archive "a" is killed
+    And 60000 ms pass
+    Then an attempt of a program of "b" is admitted in "c"
+
   Scenario: A program is admitted after an archive was lost while another one takes no new files
     Given archives "a, b, b1, c" with 2 replicas per turn
     And the disk of archive "c" takes no data and no files
