--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -145,8 +145,13 @@
     const {pool, archive} = this.options;
     const isVoter =
       pool.isOwnDiskRegistered(archive.disk) &&
-      !pool.supersededDisks.has(archive.disk);
-    const registered = pool.getVoters().length + (isVoter ? 1 : 0);
+      !pool.supersededDisks.has(archive.disk) &&
+      !archive.supersededDisks.has(archive.disk);
+    // Requesters may have named disks that no registration names yet.
+    const others = pool
+      .getVoters()
+      .filter(({member}) => !archive.supersededDisks.has(member.disk));
+    const registered = others.length + (isVoter ? 1 : 0);
     return registered - voters > maxUnknownVoters;
   }
 
