--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -198,14 +198,16 @@
     await this.write(this.encode());
     const [reservations, archives] = await Promise.all([
       store.readSnapshot(reservationPrefix),
-      store.readSnapshot(archivePrefix),
+      // Without them, settlements are recorded nevertheless.
+      store.readSnapshot(archivePrefix).catch(() => undefined),
     ]);
     onWritten?.(size, clock.nowMs() - startMs);
     // No entry VM uses an archive whose registration is malformed.
-    const members = archives.objects.flatMap(
+    const members = archives?.objects.flatMap(
       (object) => decodeMember(object) ?? [],
     );
-    const isListCurrent = this.options.isListCurrent(members);
+    const isListCurrent =
+      members !== undefined && this.options.isListCurrent(members);
     const ledgers = reservations.objects
       .filter(({key}) => key !== this.key)
       .flatMap(decodeReservationsOrThrow);
