Let retired archives not vote after a restart

Two archives that had retired and were started again counted as complete, so an entry VM whose list still had them found a majority with them, beside that of the others.

Cause: the state of a retirement was in memory only; the mark on the disk kept a restarted archive from storing turns, not from voting.

Change: an archive that stores no turns has no complete ledger either.

Two rows of interrupted_succession.feature fail without the change and pass.

--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -113,7 +113,8 @@
    * decide without it.
    */
   get isComplete(): boolean {
-    return !this.isRetiring && this.ledgerRecovery.isComplete;
+    const isLeaving = this.isRetiring || this.options.archive.isSealed;
+    return !isLeaving && this.ledgerRecovery.isComplete;
   }
 
   /**
--- a/packages/turns/tests/client/interrupted_succession.feature
+++ b/packages/turns/tests/client/interrupted_succession.feature
@@ -222,6 +222,28 @@
     And 2000 ms pass
     Then an attempt of a program of "b" is admitted in "a"
 
+  # Guards against retired archives that vote again after a restart.
+  Scenario Outline: A budget of <home> holds at an entry VM whose list has retired archives that restarted
+    Given archives "a, b, c, d, e" with 2 replicas per turn
+    And entry VM "a:1" has read of archives "a, b, c, d, e" only
+    When archive "d" retires within 3000 ms and is removed
+    And archive "e" retires within 3000 ms and is removed
+    And 1000 ms pass
+    And archive "d" is started but not registered
+    And archive "e" is started but not registered
+    And 1000 ms pass
+    And entry VM "c" reaches only archives "b, c"
+    And 4 attempts of 50 tokens of a program of "<home>" reserve from a budget of 200 concurrently, alternating over "c"
+    Then at least 4 attempts hold a reservation
+    When entry VM "a:1" reaches only archives "a, d, e"
+    And 4 further attempts of 50 tokens of a program of "<home>" reserve from a budget of 200 concurrently, alternating over "a:1"
+    Then at most 0 attempts hold a reservation
+
+    Examples:
+      | home |
+      | a    |
+      | b    |
+
   # Guards against an archive that counts votes which its requester leaves out.
   Scenario: A program is admitted where the object API is away, after two archives elsewhere were superseded
     Given archives "a1, b1, b2, c1, c2" with 2 replicas per turn
--- a/packages/turns/tests/client/interrupted_succession_steps.ts
+++ b/packages/turns/tests/client/interrupted_succession_steps.ts
@@ -24,6 +24,13 @@
   },
 );
 
+When(
+  'archive {string} is started but not registered',
+  async function (this: SuccessionWorld, name: string) {
+    await this.archives.start(name, false);
+  },
+);
+
 Then(
   'archive {string} has left the list',
   function (this: SuccessionWorld, name: string) {
