--- a/packages/turns/src/ledger/merge_entries.ts
+++ b/packages/turns/src/ledger/merge_entries.ts
@@ -26,7 +26,7 @@
   const merged = new Map<TurnId, LedgerEntry>();
   for (const entry of lists.flat()) {
     const existing = merged.get(entry.attempt);
-    if (existing === undefined || getRank(entry) > getRank(existing)) {
+    if (existing === undefined || takesPrecedence(entry, existing)) {
       merged.set(entry.attempt, entry);
     }
   }
@@ -47,6 +47,12 @@
   };
 }
 
+function takesPrecedence(entry: LedgerEntry, other: LedgerEntry): boolean {
+  const difference = getRank(entry) - getRank(other);
+  if (difference !== 0) return difference > 0;
+  return (entry.openMs ?? 0) > (other.openMs ?? 0);
+}
+
 function getRank({isSettled, lapseMs, isReported}: LedgerEntry): number {
   if (isSettled) return 4;
   if (isReported === true) return 0;
