Write settlements again to the object API

Cause: a settlement that the object API did not acknowledge was queued for archives only.

Change: as long as too few archives have it, it is written again with each batch.

--- a/packages/turns/src/client/settlement_sender.ts
+++ b/packages/turns/src/client/settlement_sender.ts
@@ -58,6 +58,9 @@
   private readonly waiting = new Map<string, Settlement[]>();
   /** Settlements that are not known to outlast this process, queued or sent. */
   private readonly unrecorded = new Set<Settlement>();
+  /** Those of them that the object API has not acknowledged either. */
+  private readonly unwritten = new Set<Settlement>();
+  private isRewriting = false;
   private timer: Timer | undefined;
   private prompt: Promise<void> | undefined;
   private isStopped = false;
@@ -181,7 +184,31 @@
       await this.options.objects.recordSettlements([settlement]);
       this.unrecorded.delete(settlement);
     } catch {
-      // It stays queued for the archives.
+      // It stays queued for the archives, and is written again.
+      this.unwritten.add(settlement);
+      this.schedule(retryDelayMs);
+    }
+  }
+
+  /** Writes what the object API has not acknowledged and too few archives have. */
+  private async rewrite(): Promise<void> {
+    if (this.isRewriting) return;
+    for (const settlement of this.unwritten) {
+      if (!this.unrecorded.has(settlement)) this.unwritten.delete(settlement);
+    }
+    if (this.unwritten.size === 0) return;
+    this.isRewriting = true;
+    const settlements = [...this.unwritten];
+    try {
+      await this.options.objects.recordSettlements(settlements);
+      for (const settlement of settlements) {
+        this.unwritten.delete(settlement);
+        this.unrecorded.delete(settlement);
+      }
+    } catch {
+      // The next batch tries it again.
+    } finally {
+      this.isRewriting = false;
     }
   }
 
@@ -215,6 +242,7 @@
     for (const daemon of this.waiting.keys()) {
       if (!daemons.has(daemon)) this.waiting.delete(daemon);
     }
+    void this.rewrite();
     await Promise.all(clients.map((client) => this.sendTo(client)));
     this.schedule(this.waiting.size > 0 ? retryDelayMs : batchIntervalMs);
   }
