Pass on streams only once their reservations are confirmed

A link to the counter that broke between reservation and stream, a cut (also without a kill), or an archive that was superseded meanwhile made confirmations fail. The stream was passed on after 0.1 s all the same; the reservation lapsed and its tokens were granted again. With five archives or more, confirmations at two did not meet each majority.

Cause: replies to confirmations were not read, and failures were ignored.

Change: a confirmation is acknowledged by so many archives that each majority has one of them, the counter included, with the superseded disks known by then. If these have not replied within 50 ms it is written to the object API as well, as a confirmed entry. It is repeated until the call ends; without an acknowledgement the target's stream is aborted and the call fails with 502 or 504, since it ran.

--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -16,8 +16,11 @@
 
 /** Is told of the steps of a stream call. */
 export interface StreamObserver {
-  /** Awaited before the first byte of a stream is forwarded. */
-  beforeStream(): Promise<void>;
+  /**
+   * Awaited before the first byte of a stream is forwarded; `false` if none may
+   * be.
+   */
+  beforeStream(): Promise<boolean>;
   /** Awaited before a response with another status is forwarded. */
   beforeErrorResponse(): Promise<void>;
 }
@@ -56,16 +59,7 @@
     call.answer(response);
     return undefined;
   }
-  const {isSigned} = started.answer.attributes;
-  if (!isSigned) {
-    started.answer.body.abort('the response has no signature');
-    attempts.recordBrokenResponse(
-      started.lease,
-      'the response has no signature',
-    );
-    throw attempts.createFailure('the response has no signature');
-  }
-  await observer.beforeStream();
+  await beginStream(attempts, started, observer);
   const {response, body: targetBody} = started.answer;
   const allowance = services.responseMemory.createAllowance();
   call.onceClosed(() => allowance.release());
@@ -98,6 +92,25 @@
   return {...result, target};
 }
 
+/** Throws the error to send to the client if a stream may not be passed on. */
+async function beginStream(
+  attempts: TargetAttempts,
+  {answer, lease}: LeasedResponse,
+  observer: StreamObserver,
+): Promise<void> {
+  if (!answer.attributes.isSigned) {
+    const message = 'the response has no signature';
+    answer.body.abort(message);
+    attempts.recordBrokenResponse(lease, message);
+    throw attempts.createFailure(message);
+  }
+  if (await observer.beforeStream()) return;
+  const message = 'the reservation of the tokens could not be confirmed';
+  answer.body.abort(message);
+  attempts.release(lease, {result: 'cancelled'});
+  throw attempts.createFailure(message);
+}
+
 async function readErrorResponse(
   call: IncomingCall,
   services: CallServices,
--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -91,9 +91,13 @@
     await this.services.turns.settle(program, this.attempt, tokens);
   }
 
-  /** Confirms the reservation, since the client may receive tokens from now on. */
-  async beforeStream(): Promise<void> {
-    await this.confirmReservation?.();
+  /**
+   * Confirms the reservation, since the client may receive tokens from now on.
+   * `false` if it may not: others may take the tokens once the reservation lapses.
+   */
+  async beforeStream(): Promise<boolean> {
+    if (this.confirmReservation === undefined) return true;
+    return (await this.confirmReservation()) && this.call.leftMs > 0;
   }
 
   /** Releases the tokens, of which the client receives none. */
--- a/packages/turns/src/client/budget_client.ts
+++ b/packages/turns/src/client/budget_client.ts
@@ -20,8 +20,10 @@
 import {ReservationBallot} from './reservation_ballot.js';
 import type {SettlementSender} from './settlement_sender.js';
 
-/** Longest wait until a reservation is confirmed. */
-const confirmTimeoutMs = 100;
+/** Wait for archives that confirm, before the object API takes their place. */
+const confirmWaitMs = 50;
+/** Pause between two attempts to confirm a reservation. */
+const confirmRetryMs = 50;
 /** Time in which the archives learn that an attempt has been settled. */
 const minContentionRetryMs = 600;
 const contentionRetrySpreadMs = 600;
@@ -53,7 +55,7 @@
   /** Archives that the site must have; majorities of fewer need not meet. */
   readonly owedArchives: number;
   /** Records the reservations that no majority with the home has recorded. */
-  readonly objects: Pick<ReservationObjects, 'record'>;
+  readonly objects: Pick<ReservationObjects, 'record' | 'confirm'>;
   readonly probe: StoreProbe;
   /** Gets the retry delay for a call that needs an unreachable archive. */
   readonly getRetryAfterMs: () => number;
@@ -66,9 +68,10 @@
 
 /**
  * Confirms a reservation, so that it does not lapse. Resolves once enough archives
- * have recorded that, after 100 ms in any case.
+ * or the object API have recorded that; `false` if none has when the signal of the
+ * request aborts, after which the attempt may use no tokens.
  */
-export type ConfirmReservation = () => Promise<void>;
+export type ConfirmReservation = () => Promise<boolean>;
 
 /** Ledgers of several archives for one program, without the attempt itself. */
 interface MergedLedgers extends MergedTokens {
@@ -118,7 +121,9 @@
         ballot === undefined
           ? this.createUnavailableError(request)
           : await this.decideByBallot(balloted, ballot);
-      if (failure === undefined) return () => this.confirm(ballots);
+      if (failure === undefined) {
+        return () => this.confirm(request, ballots);
+      }
       const isFinal = failure.kind !== 'archive_unavailable';
       if (!isFinal && (await retries.waitForReturn(owedArchives))) continue;
       // `recordSpent` settles the attempt where its only ballot has recorded it.
@@ -130,21 +135,55 @@
     }
   }
 
-  /** The last ballot is the one that has recorded the reservation. */
-  private async confirm(ballots: readonly ReservationBallot[]): Promise<void> {
-    const {clock, owedArchives} = this.options;
-    const ballot = ballots.at(-1);
-    // Quorums that grant without each other need not share the counter.
-    const copies = this.isOnEnoughDisks(ballot) ? owedArchives : Infinity;
-    const timeout = Deferred.create<void>();
-    const timer = clock.setTimer(confirmTimeoutMs, () => timeout.resolve());
-    const confirmed = ballot?.confirm(copies);
-    await Promise.race([
-      // Others count the reservation until it lapses.
-      confirmed?.catch(() => undefined),
-      timeout.promise,
-    ]);
-    timer.cancel();
+  private confirm(
+    request: TokenRequest,
+    ballots: readonly ReservationBallot[],
+  ): Promise<boolean> {
+    const {signal} = request;
+    const ended = Deferred.create<boolean>();
+    const end = () => ended.resolve(false);
+    if (signal.aborted) end();
+    signal.addEventListener('abort', end, {once: true});
+    const confirmed = this.confirmWithRetries(request, ballots);
+    return Promise.race([confirmed, ended.promise]).finally(() =>
+      signal.removeEventListener('abort', end),
+    );
+  }
+
+  private async confirmWithRetries(
+    request: TokenRequest,
+    ballots: readonly ReservationBallot[],
+  ): Promise<boolean> {
+    const {clock, pool} = this.options;
+    while (!request.signal.aborted) {
+      // The last ballot is the one that has recorded the reservation.
+      const atArchives =
+        ballots.at(-1)?.confirm(pool.supersededDisks) ?? Promise.resolve(false);
+      const waited = Deferred.create<boolean>();
+      const timer = clock.setTimer(confirmWaitMs, () => waited.resolve(false));
+      const isConfirmed = await Promise.race([atArchives, waited.promise]);
+      timer.cancel();
+      if (isConfirmed) return true;
+      const inObjects = this.confirmInObjects(request);
+      if (await isAnyTrue([atArchives, inObjects])) return true;
+      await clock.sleep(confirmRetryMs);
+    }
+    return false;
+  }
+
+  /** Confirms a reservation where archives that do not reply read of it later. */
+  private async confirmInObjects(request: TokenRequest): Promise<boolean> {
+    const {objects, probe} = this.options;
+    if (!(await probe.checkWrites())) return false;
+    // An attempt whose call has ended is settled already.
+    if (request.signal.aborted) return false;
+    try {
+      await objects.confirm(request);
+      return true;
+    } catch {
+      probe.recordFailedWrite();
+      return false;
+    }
   }
 
   /** Gets the error that rejects an attempt after its ballot, if any. */
@@ -373,6 +412,20 @@
   );
 }
 
+/** Whether one of several promises resolves to `true`; none may reject. */
+async function isAnyTrue(
+  promises: ReadonlyArray<Promise<boolean>>,
+): Promise<boolean> {
+  const first = Deferred.create<boolean>();
+  for (const promise of promises) {
+    void promise.then((isTrue) => {
+      if (isTrue) first.resolve(true);
+    });
+  }
+  void Promise.all(promises).then(() => first.resolve(false));
+  return first.promise;
+}
+
 /** What ended attempts have used is final, so such a refusal is too. */
 function isOverBudget(
   {tokens, budgetTokens}: TokenRequest,
--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -172,32 +172,54 @@
   }
 
   /**
-   * Confirms the reservation, so that it does not lapse, at archives that have
-   * recorded it: the counter first, then one in another data centre. Rejects if one
-   * of them does not acknowledge it.
-   * @param copies - Number of archives.
+   * Confirms the reservation, so that it does not lapse, at so many archives that
+   * have recorded it that each majority has one of them, and at the counter if it
+   * has. `false` if too few acknowledge that.
+   * @param supersededDisks - Disks that are left out by now.
    */
-  async confirm(copies: number): Promise<void> {
-    const {reservation, supersededDisks} = this.options;
+  async confirm(supersededDisks: ReadonlySet<DiskId>): Promise<boolean> {
     const {counter} = this;
+    const isVoter = ({member}: ArchiveClient) =>
+      !supersededDisks.has(member.disk);
+    const voters = this.options.clients.filter(isVoter).length;
+    const needed = voters - getMajority(voters) + 1;
     const getRank = (client: ArchiveClient) => {
       if (client === counter) return 0;
       return client.dataCentre === counter?.dataCentre ? 2 : 1;
     };
     const clients = this.grantingClients
-      .toSorted((left, right) => getRank(left) - getRank(right))
-      .slice(0, copies);
+      .filter(isVoter)
+      .toSorted((left, right) => getRank(left) - getRank(right));
+    const confirmAt = (some: readonly ArchiveClient[]) =>
+      Promise.all(
+        some.map((client) => this.confirmAt(client, supersededDisks, voters)),
+      );
+    const first = await confirmAt(clients.slice(0, needed));
+    if (clients[0] === counter && first[0] === false) return false;
+    const others = first.includes(false) ? clients.slice(needed) : [];
+    const replies = [...first, ...(await confirmAt(others))];
+    return replies.filter((isConfirmed) => isConfirmed).length >= needed;
+  }
+
+  private async confirmAt(
+    client: ArchiveClient,
+    supersededDisks: ReadonlySet<DiskId>,
+    voters: number,
+  ): Promise<boolean> {
     const confirmed = {
-      ...reservation,
-      counter: counter?.member.disk ?? '',
+      ...this.options.reservation,
+      counter: this.counter?.member.disk ?? '',
       isForced: false,
       lapseMs: undefined,
     };
-    await Promise.all(
-      clients.map((client) =>
-        client.reserve(confirmed, supersededDisks, this.options.clients.length),
-      ),
-    );
+    try {
+      const reply = await client.reserve(confirmed, supersededDisks, voters);
+      this.recordSuperseded(reply.supersededDisks);
+      return reply.isGranted;
+    } catch {
+      // The pool reports unreachable archives.
+      return false;
+    }
   }
 
   private requestVotes(maxCount: number): void {
--- a/packages/turns/src/objects/reservation_object.ts
+++ b/packages/turns/src/objects/reservation_object.ts
@@ -26,6 +26,7 @@
         tokens: z.uint32(),
         isSettled: z.boolean(),
         openMs: z.uint32().optional(),
+        isReported: z.boolean().optional(),
       }),
     ),
   }),
@@ -52,7 +53,6 @@
     entries: entries.map(({attempt, ...entry}): LedgerEntry => ({
       attempt: toId<TurnId>(attempt),
       ...entry,
-      isReported: !entry.isSettled,
     })),
   }));
 }
--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -66,6 +66,12 @@
   readonly isListCurrent: boolean;
 }
 
+/** The part of a reservation that is recorded. */
+type RecordedReservation = Pick<
+  Reservation,
+  'program' | 'attempt' | 'tokens' | 'lapseMs'
+>;
+
 interface RecordedEntry {
   readonly program: ProgramId;
   readonly entry: LedgerEntry;
@@ -113,13 +119,10 @@
     attempt,
     tokens,
     lapseMs: openMs,
-  }: Pick<Reservation, 'program' | 'attempt' | 'tokens' | 'lapseMs'>): Promise<
-    LedgerEntry[][] | undefined
-  > {
+  }: RecordedReservation): Promise<LedgerEntry[][] | undefined> {
     if (this.entries.size >= maxEntries) throw createFullError();
-    // Archives that record it tell whether it was confirmed; see `isReported`.
     const entry = {attempt, tokens, isSettled: false, openMs};
-    this.put(program, entry);
+    this.put(program, {...entry, isReported: true});
     const {ledgers, isListCurrent} = await this.exchange.read();
     if (!isListCurrent) return undefined;
     const others = ledgers
@@ -128,6 +131,24 @@
     return [...others, this.getEntries(program)];
   }
 
+  /**
+   * Records that a reservation is confirmed; resolves once that is durable. Throws
+   * an error if the object API does not acknowledge it, or if there are too many.
+   * @param reservation - Attempt and its tokens.
+   */
+  async confirm({
+    program,
+    attempt,
+    tokens,
+    lapseMs: openMs,
+  }: RecordedReservation): Promise<void> {
+    if (!this.has(attempt) && this.entries.size >= maxEntries) {
+      throw createFullError();
+    }
+    this.put(program, {attempt, tokens, isSettled: false, openMs});
+    await this.exchange.read();
+  }
+
   /**
    * Records the tokens that an attempt used, if its reservation is recorded. The
    * next reservation writes them.
