--- a/packages/turns/src/client/reservation_ballot.ts
+++ b/packages/turns/src/client/reservation_ballot.ts
@@ -173,8 +173,9 @@
 
   /**
    * Confirms the reservation, so that it does not lapse, at so many archives that
-   * have recorded it that each majority has one of them, and at the counter if it
-   * has. `false` if too few acknowledge that.
+   * have recorded it that each majority has one of them. `false` if too few
+   * acknowledge that, or not the counter, which may be part of a quorum without the
+   * others: that of an isolated home.
    * @param supersededDisks - Disks that are left out by now.
    */
   async confirm(supersededDisks: ReadonlySet<DiskId>): Promise<boolean> {
@@ -195,10 +196,10 @@
         some.map((client) => this.confirmAt(client, supersededDisks, voters)),
       );
     const first = await confirmAt(clients.slice(0, needed));
-    if (clients[0] === counter && first[0] === false) return false;
     const others = first.includes(false) ? clients.slice(needed) : [];
     const replies = [...first, ...(await confirmAt(others))];
-    return replies.filter((isConfirmed) => isConfirmed).length >= needed;
+    const hasCounter = clients[0] === counter && first[0] === true;
+    return hasCounter && replies.filter(Boolean).length >= needed;
   }
 
   private async confirmAt(
--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -142,7 +142,9 @@
     tokens,
     lapseMs: openMs,
   }: RecordedReservation): Promise<void> {
-    if (!this.has(attempt) && this.entries.size >= maxEntries) {
+    const known = this.entries.get(attempt);
+    if (known?.entry.isSettled === true) return;
+    if (known === undefined && this.entries.size >= maxEntries) {
       throw createFullError();
     }
     this.put(program, {attempt, tokens, isSettled: false, openMs});
--- a/packages/turns/tests/client/confirmed_reservation.feature
+++ b/packages/turns/tests/client/confirmed_reservation.feature
@@ -76,6 +76,63 @@
       | a       |
       | none    |
 
+  # Guards against confirmations that an isolated home does not learn of.
+  Scenario Outline: Attempts count in their isolated home that begin their streams at a VM that does not reach its counter
+    Given archives "a, a1, b, c" with 2 replicas per turn
+    And entry VM "b:1" reaches only archives "a1, b, c"
+    When attempt "s1" of 100 tokens in "b:1" of home "a" reserves on 200 for 4500 ms
+    And attempt "s2" of 100 tokens in "b:1" of home "a" reserves on 200 for 4500 ms
+    And attempts "s1, s2" may pass on their streams
+    And <ms> ms pass
+    And all entry VMs are killed
+    And data centre "a" is isolated
+    And 5000 ms pass
+    Then attempt "next" of 100 tokens in "a:2" is not admitted to the budget of 200
+
+    Examples:
+      | ms   |
+      | 0    |
+      | 3000 |
+
+  Scenario Outline: Attempts count in their isolated home whose disk stalled as they reserved, "<archives>"
+    Given archives "<archives>" with 2 replicas per turn
+    When the disk of archive "a" is stalled
+    And attempt "s1" of 100 tokens in "b:1" of home "a" reserves on 200 for 19500 ms
+    And the stall of archive "a" ends
+    And 5000 ms pass
+    And the disk of archive "a" is stalled
+    And attempt "s2" of 100 tokens in "b:1" of home "a" reserves on 200 for 19500 ms
+    And the stall of archive "a" ends
+    And attempts "s1, s2" may pass on their streams
+    And 2000 ms pass
+    And all entry VMs are killed
+    And data centre "a" is isolated
+    And 22000 ms pass
+    Then attempt "next" of 100 tokens in "a:2" is not admitted to the budget of 200
+
+    Examples:
+      | archives   |
+      | a, b, c    |
+      | a, b, c, d |
+
+  Scenario Outline: Attempts count in their isolated home whose counter was down as they reserved, back <gap> ms before their streams
+    Given archives "a, a1, b, c" with 2 replicas per turn
+    And archives "a" are killed, which entry VMs have noticed
+    When attempt "s1" of 100 tokens in "b:1" of home "a" reserves on 200 for 9500 ms
+    And attempt "s2" of 100 tokens in "b:1" of home "a" reserves on 200 for 9500 ms
+    And archive "a" is started
+    And <gap> ms pass
+    And attempts "s1, s2" may pass on their streams
+    And data centre "a" is isolated
+    And all entry VMs are killed
+    And 12000 ms pass
+    Then attempt "next" of 100 tokens in "a:2" is not admitted to the budget of 200
+
+    Examples:
+      | gap  |
+      | 1000 |
+      | 4000 |
+
   # Guards against confirmations at two archives of five.
   Scenario Outline: A confirmed attempt counts while <down> of "<archives>" are down
     Given archives "<archives>" with 2 replicas per turn
--- a/packages/turns/tests/client/confirmed_reservation_steps.ts
+++ b/packages/turns/tests/client/confirmed_reservation_steps.ts
@@ -1,6 +1,7 @@
 /** Steps with attempts that begin to pass on streams. */
 import assert from 'node:assert/strict';
 import {Then, When, type World} from '@cucumber/cucumber';
+import {MarigoldpostError} from '@marigoldpost/common';
 import type {ConfirmReservation} from '@marigoldpost/turns';
 import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
 import {createTokenRequest} from '../fixtures/turn_requests.js';
@@ -53,6 +54,27 @@
   },
 );
 
+Then(
+  'attempt {string} of {int} tokens in {string} is not admitted to the budget of {int}',
+  async function (
+    this: ConfirmationWorld,
+    attempt: string,
+    tokens: number,
+    entryVm: string,
+    budget: number,
+  ) {
+    const {archives} = this;
+    const request = createTokenRequest(attempt, tokens, budget, 'a');
+    const tried = archives.getStore(entryVm).reserve(request);
+    const refused = ['tokens_spent', 'limit_reached', 'archive_unavailable'];
+    await assert.rejects(
+      () => archives.run(tried),
+      (error) =>
+        error instanceof MarigoldpostError && refused.includes(error.kind),
+    );
+  },
+);
+
 function confirm(
   {archives, confirmations}: ConfirmationWorld,
   attempts: string,
