Serve tenants: keys, turns of their own, priority and quotas

Cause: configurations with tenants were not understood.

Change: the entry VM finds the tenant of a call by its key, answers 401 without one, and sets the tenant's name for targets. Turns name their tenant; others get 404. The priority of a tenant goes before the route's. Without tenants in the configuration, nothing changes.

--- a/packages/common/src/ids/ids.ts
+++ b/packages/common/src/ids/ids.ts
@@ -18,6 +18,8 @@
 export type TeamId = Brand<string, 'TeamId'>;
 /** A service, as named in the operators' configuration. */
 export type ServiceId = Brand<string, 'ServiceId'>;
+/** A client account with keys and a quota, as named in the configuration. */
+export type TenantId = Brand<string, 'TenantId'>;
 /** One target: a runner of a model engine, or an instance of a plain service. */
 export type TargetId = Brand<string, 'TargetId'>;
 /** A model that engines can load. */
--- a/packages/dispatch/src/queue/request_queue.ts
+++ b/packages/dispatch/src/queue/request_queue.ts
@@ -2,13 +2,15 @@
  * Queue of the requests that wait for a target.
  *
  * Load pattern: more requests than slots for some seconds. Engines admit in
- * order of arrival, so requests are ordered here, by priority. Within a
- * priority, programs that can still be on time go first, by the earliest due
+ * order of arrival, so requests are ordered here, by the priority of the tenant,
+ * then by that of the route. Within a priority, programs that can still be on time go first, by the earliest due
  * time; programs that are already late follow.
  */
 
 /** Properties of a request that determine its position in the queue. */
 export interface QueueItem {
+  /** Priority of the tenant; 0, the most urgent, if it has none. */
+  readonly tenantPriority?: number | undefined;
   /** Priority of the route; 0 is the most urgent. */
   readonly priority: number;
   /** Due time of the program; infinite if it has none. */
@@ -82,6 +84,8 @@
   right: QueueItem,
   nowMs: number,
 ): number {
+  const byTenant = (left.tenantPriority ?? 0) - (right.tenantPriority ?? 0);
+  if (byTenant !== 0) return byTenant;
   const byPriority = left.priority - right.priority;
   if (byPriority !== 0) return byPriority;
   const isLeftLate = left.finishByMs < nowMs;
--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -29,6 +29,8 @@
 
 /** A request to be assigned to a target. */
 export interface DispatchRequest extends PlacementRequest {
+  /** Priority of the tenant, which goes before that of the route. */
+  readonly tenantPriority?: number | undefined;
   /** Priority of the route; 0 is the most urgent. */
   readonly priority: number;
   /** Due time of the program; infinite if it has none. */
@@ -304,8 +306,9 @@
     const {clock} = this.options;
     const leased = Deferred.create<TargetLease>();
     const nowMs = clock.nowMs();
-    const {priority, finishByMs} = request;
+    const {tenantPriority, priority, finishByMs} = request;
     const item: QueuedRequest = {
+      tenantPriority,
       priority,
       finishByMs,
       arrivedAtMs: nowMs,
@@ -341,8 +344,9 @@
     const candidates = this.getCandidates(request.excluded);
     if (candidates.length === 0) throw this.createNoTargetError();
     const nowMs = this.options.clock.nowMs();
-    const {priority, finishByMs} = request;
-    const item = {priority, finishByMs, arrivedAtMs: nowMs};
+    const {tenantPriority, priority, finishByMs} = request;
+    const rank = {tenantPriority, priority, finishByMs};
+    const item = {...rank, arrivedAtMs: nowMs};
     const ahead = this.queue.countAhead(item, nowMs) + 1;
     const totalWindow = candidates.length * this.getWindow(candidates[0]);
     const meanMs = this.serviceTime.valueMs ?? defaultServiceTimeMs;
--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -7,13 +7,16 @@
   toMarigoldpostError,
 } from '@marigoldpost/common';
 import type {CallAttributes, Route, SiteConfig} from '@marigoldpost/sites';
+import {type CallAccess, checkAccess} from '../access/call_access.js';
 import {createErrorResponse} from '../responses/error_response.js';
 import {logRejection, writeResponse} from '../responses/write_response.js';
 import {resetSocket} from '../server/reset_socket.js';
+import {TenantLabels} from '../access/tenant_labels.js';
 import {readBody} from './body_reader.js';
 import type {CallServices} from './call_services.js';
 import type {ConnectionOrder} from './connection_order.js';
 import {IncomingCall} from './incoming_call.js';
+import {QuotaPermit} from './quota_permit.js';
 import {servePlainCall} from './plain_call.js';
 import {RequestAllowance} from './request_allowance.js';
 import {failCall, finishStream} from './end_call.js';
@@ -31,6 +34,7 @@
 export class CallHandler {
   private requests = 0;
   private readonly calls = new Set<IncomingCall>();
+  private readonly tenantLabels = TenantLabels.create();
   /** Until when calls may last; `undefined` unless the daemon drains. */
   private drainEndMs: number | undefined;
   private isStopping = false;
@@ -129,10 +133,13 @@
       route === undefined
     ) {
       const error = requestError ?? createNoRouteError(request);
-      // Requests behind it in the same packet are read first.
-      if (this.isDraining) await Promise.resolve();
-      const isClosing = this.isDraining && order.isLastRead();
-      this.rejectUnrouted(response, attributes, error, isClosing);
+      await this.rejectUnserved(response, attributes, error, order);
+      return;
+    }
+    const access = this.findAccess(route, attributes);
+    if (access instanceof MarigoldpostError) {
+      this.logUnknownKey(route, attributes, config);
+      await this.rejectUnserved(response, attributes, access, order);
       return;
     }
     const {requestId} = attributes;
@@ -142,6 +149,7 @@
       attributes,
       route,
       config,
+      access,
       clock,
       arrivedAtMs,
       logger: this.services.logger.withContext({requestId}),
@@ -155,26 +163,54 @@
     this.recordEnd(call);
   }
 
+  /** Finds the tenant of a call, or the error for a call that has none. */
+  private findAccess(
+    route: Route,
+    attributes: CallAttributes,
+  ): CallAccess | MarigoldpostError {
+    try {
+      return checkAccess(this.services.site.tenants, route, attributes);
+    } catch (error) {
+      return toMarigoldpostError(error);
+    }
+  }
+
+  private logUnknownKey(
+    {name}: Route,
+    {requestId, apiKey}: CallAttributes,
+    {version}: SiteConfig,
+  ): void {
+    const {logger, metrics} = this.services;
+    const hasKey = apiKey !== undefined;
+    const fields = {route: name, hasKey, configVersion: version};
+    logger.withContext({requestId}).log('key_refused', fields);
+    metrics.addToCounter('key_refusals_total', {hasKey: String(hasKey)});
+  }
+
   private async serveOrReject(call: IncomingCall): Promise<void> {
     const allowance = RequestAllowance.create(this.services.requestMemory);
+    const quota = QuotaPermit.create(call, this.services);
     try {
-      await this.serve(call, allowance);
+      await this.serve(call, allowance, quota);
     } catch (error) {
       failCall(call, toMarigoldpostError(error));
     } finally {
       allowance.release();
+      quota.release();
     }
   }
 
   private async serve(
     call: IncomingCall,
     allowance: RequestAllowance,
+    quota: QuotaPermit,
   ): Promise<void> {
     const {config, route, request, signal} = call;
     const maxBytes = config.limits.maxBodyBytes;
     const bytes = await readBody(request, {maxBytes, signal, allowance});
     await call.waitForEarlierResponses();
     this.rejectIfTooLate(call);
+    await quota.take();
     const service = chooseService(route, this.services.random);
     if (route.retentionMs !== undefined) {
       await TurnCall.serve(call, this.services, service, bytes);
@@ -231,12 +267,16 @@
     finishStream(call, result);
   }
 
-  private rejectUnrouted(
+  /** Rejects a request that no route or no tenant of the site allows. */
+  private async rejectUnserved(
     response: ServerResponse,
     {requestId}: CallAttributes,
     error: MarigoldpostError,
-    isClosing: boolean,
-  ): void {
+    order: ConnectionOrder,
+  ): Promise<void> {
+    // Requests behind it in the same packet are read first.
+    if (this.isDraining) await Promise.resolve();
+    const isClosing = this.isDraining && order.isLastRead();
     const errorResponse = createErrorResponse(error);
     writeResponse(response, errorResponse, isClosing);
     const logger = this.services.logger.withContext({requestId});
@@ -251,6 +291,10 @@
     const status = String(call.status);
     metrics.addToCounter('requests_total', {kind, status});
     metrics.recordValue('request_duration_ms', {kind}, durationMs);
+    if (call.tenant !== undefined) {
+      const tenant = this.tenantLabels.getLabel(call.tenant.name);
+      metrics.addToCounter('tenant_requests_total', {tenant, status});
+    }
     if (call.endReason === 'client_gone') {
       const elapsedMs = Math.round(durationMs);
       call.logger.log('client_gone', {route: name, elapsedMs});
--- a/packages/gateway/src/calls/call_services.ts
+++ b/packages/gateway/src/calls/call_services.ts
@@ -4,6 +4,7 @@
 import type {CallCodec} from '@marigoldpost/sites';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import type {TurnStore} from '@marigoldpost/turns';
+import type {QuotaSource} from '../access/quota_source.js';
 import type {LossDetector} from '../links/loss_detector.js';
 import type {RequestMemory} from './request_memory.js';
 import type {ResponseMemory} from '../responses/response_memory.js';
@@ -27,6 +28,8 @@
   readonly turns: TurnStore;
   readonly targetLimits: TargetLimits;
   readonly crashTracker: CrashTracker;
+  /** `undefined` on a site without quotas. */
+  readonly quotas?: QuotaSource | undefined;
   readonly logger: EventLogger;
   readonly metrics: Metrics;
 }
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -7,8 +7,15 @@
   type Timer,
   waitUnlessAborted,
 } from '@marigoldpost/common';
-import type {CallAttributes, Route, SiteConfig} from '@marigoldpost/sites';
+import type {
+  CallAttributes,
+  CallerIdentity,
+  Route,
+  SiteConfig,
+  Tenant,
+} from '@marigoldpost/sites';
 import type {EventLogger} from '@marigoldpost/telemetry';
+import type {CallAccess} from '../access/call_access.js';
 import type {BodyFields} from '../responses/body_end.js';
 import {createErrorResponse} from '../responses/error_response.js';
 import {resetSocket} from '../server/reset_socket.js';
@@ -62,6 +69,7 @@
   readonly attributes: CallAttributes;
   readonly route: Route;
   readonly config: SiteConfig;
+  readonly access: CallAccess;
   readonly clock: Clock;
   /** Logger whose context has the request's id. */
   readonly logger: EventLogger;
@@ -83,6 +91,8 @@
   private told: ClientEnd | undefined;
   /** Status of the response; 0 before it starts. */
   status = 0;
+  /** Whether a target may have run it. */
+  mayHaveRun = false;
 
   private constructor(private readonly options: IncomingCallOptions) {
     this.requestId = options.attributes.requestId ?? '';
@@ -123,6 +133,16 @@
     return this.options.route;
   }
 
+  /** Tenant whose key the request carries, if any. */
+  get tenant(): Tenant | undefined {
+    return this.options.access.tenant;
+  }
+
+  /** What targets learn of the caller; `undefined` on a site without tenants. */
+  get caller(): CallerIdentity | undefined {
+    return this.options.access.caller;
+  }
+
   /** Configuration in force when the request was routed. */
   get config(): SiteConfig {
     return this.options.config;
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -12,14 +12,13 @@
   ProcessedPrompt,
   ServiceDispatcher,
   TargetLease,
-  TargetResult,
 } from '@marigoldpost/dispatch';
 import {isRepeatable, type TargetEntry} from '@marigoldpost/sites';
 import {minRelayedLossSilenceMs} from '../links/loss_detector.js';
 import type {BodyEnd, BodyFields} from '../responses/body_end.js';
 import {
   type ExchangeOutcome,
-  type FailedExchange,
+  hasNotRun,
   isMisdirected,
   type NotRunResponse,
   type StartedResponse,
@@ -30,6 +29,7 @@
 import type {IncomingCall} from './incoming_call.js';
 import type {TargetRun} from './recent_crashes.js';
 import type {AttemptRelay} from './target_sender.js';
+import {targetResults} from './target_results.js';
 import {TrackedRequest} from './tracked_request.js';
 
 /** Targets that may reject one call before the client gets an error. */
@@ -60,13 +60,6 @@
   readonly lease: TargetLease;
 }
 
-const targetResults: Record<FailedExchange['reason'], TargetResult> = {
-  unreachable: 'unreachable',
-  broken: 'broken',
-  silent: 'silent',
-  cancelled: 'cancelled',
-};
-
 /** The attempts of one call; each target is tried at most once. */
 export class TargetAttempts {
   private readonly excluded = new Set<TargetId>();
@@ -342,6 +335,7 @@
     const finishMs = attributes.finishMs ?? Number.POSITIVE_INFINITY;
     return {
       prompt: attributes.prompt,
+      tenantPriority: this.call.tenant?.priority ?? 0,
       priority: route.priority,
       finishByMs: nowMs + finishMs - this.call.elapsedMs,
       deadlineMs: nowMs + leftMs,
@@ -352,15 +346,18 @@
   }
 
   private async send({target}: TargetLease): Promise<ExchangeOutcome> {
+    const {call} = this;
+    call.mayHaveRun = true;
     const {outcome, peer, receiver} = await this.services.sender.send({
       target,
       createRequest: () => this.createTargetRequest(target),
       getHeadTimeoutMs: () => this.getHeadTimeoutMs(target, this.wholeLeftMs),
-      signal: this.call.signal,
+      signal: call.signal,
       onRelay: (relay) => this.logRelay(target, relay),
     });
     this.peer = peer;
     this.receiver = receiver;
+    if (hasNotRun(outcome) && this.attempts === 0) call.mayHaveRun = false;
     return outcome;
   }
 
@@ -385,6 +382,7 @@
       deadlineMs: this.wholeLeftMs,
       bodyBytes: body.bytes.byteLength,
       hasBody: body.isPresent,
+      caller: call.caller,
     });
     return {
       method: request.method ?? 'GET',
--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -88,6 +88,7 @@
       maxWaitMs: call.leftMs * maxWaitShare,
       signal: call.signal,
     });
+    this.checkOwner(chain, previousTurn);
     this.call.logger.log('turn_read', {
       previous: previousTurn,
       turns: chain.length,
@@ -101,6 +102,20 @@
     return chain;
   }
 
+  /**
+   * Throws `unknown_turn` for a turn of another tenant: its existence is not to
+   * be learned. A turn whose tenant is not known may be continued by all, since
+   * a build that does not record it stored it.
+   */
+  private checkOwner(chain: TurnChain, previousTurn: TurnId): void {
+    const {caller} = this.call;
+    const owner = chain.at(-1)?.tenant;
+    if (caller === undefined || owner === undefined) return;
+    if (owner === caller.tenant) return;
+    const message = `no archive stores turn "${previousTurn}"`;
+    throw MarigoldpostError.create('unknown_turn', message);
+  }
+
   private async finish(
     chain: TurnChain,
     result: ServedStream,
@@ -138,6 +153,7 @@
       id: this.turn,
       previous: call.attributes.previousTurn,
       program,
+      tenant: call.tenant?.name,
       home: this.getHomeDataCentre(chain),
       input,
       output: data,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,6 @@
 /** Serves client requests on an entry VM: HTTP server, routing, relaying. */
+export * from './access/call_access.js';
+export * from './access/quota_source.js';
 export * from './responses/body_end.js';
 export * from './responses/block_pool.js';
 export * from './responses/event_collector.js';
--- a/packages/gateway/src/site/site_state.ts
+++ b/packages/gateway/src/site/site_state.ts
@@ -16,6 +16,7 @@
   type Service,
   type SiteConfig,
   type TargetEntry,
+  TenantTable,
 } from '@marigoldpost/sites';
 
 /** Dependencies of the state, shared with its dispatchers. */
@@ -34,6 +35,7 @@
   private readonly dispatchers = new Map<ServiceId, ServiceDispatcher>();
   private config: SiteConfig | undefined;
   private routes = RouteTable.create([]);
+  private tenantTable: TenantTable | undefined;
   private targets: readonly TargetEntry[] = [];
 
   private constructor(private readonly options: SiteStateOptions) {}
@@ -59,6 +61,8 @@
     if (config.version <= (this.config?.version ?? -1)) return false;
     this.config = config;
     this.routes = RouteTable.create(config.routes);
+    const {tenants} = config;
+    this.tenantTable = tenants && TenantTable.create(tenants);
     for (const service of config.services.values()) {
       this.getOrAddDispatcher(service).setService(service);
     }
@@ -75,6 +79,11 @@
     this.assignTargets();
   }
 
+  /** Keys in force; `undefined` on a site without tenants. */
+  get tenants(): TenantTable | undefined {
+    return this.tenantTable;
+  }
+
   /**
    * Gets the route for a request; `undefined` if none matches.
    * @param host - `Host` header of the request.
--- a/packages/gateway/src/targets/http_exchange.ts
+++ b/packages/gateway/src/targets/http_exchange.ts
@@ -77,6 +77,15 @@
   return outcome.kind === 'not_run' && outcome.status === misdirectedStatus;
 }
 
+/**
+ * Whether the target has surely not run the request.
+ * @param outcome - Result of an exchange.
+ */
+export function hasNotRun(outcome: ExchangeOutcome): boolean {
+  if (outcome.kind === 'failed') return !outcome.isSent;
+  return outcome.kind === 'not_run';
+}
+
 /** Request and limits of an exchange. */
 export interface HttpExchangeOptions {
   readonly codec: CallCodec;
--- a/packages/nodes/src/entry/entry_fleet.ts
+++ b/packages/nodes/src/entry/entry_fleet.ts
@@ -37,6 +37,8 @@
   entryPrefix,
 } from './entry_directory.js';
 import {PermitExchange} from './permit_exchange.js';
+import type {ArchiveReach} from './quota_contacts.js';
+import {QuotaExchange} from './quota_exchange.js';
 
 /** Pause before a failed registration is retried. */
 const registrationRetryMs = 500;
@@ -48,6 +50,8 @@
   readonly tasks: BackgroundTasks;
   /** Finds a target that is listed; `undefined` if it is not. */
   readonly findTarget: (id: TargetId) => TargetEntry | undefined;
+  /** Data centres whose archives are reached. */
+  readonly getArchiveReach: () => ArchiveReach;
   /** Called when a response to this entry VM has changed what is known. */
   readonly onLimitStated: () => void;
 }
@@ -61,6 +65,7 @@
   readonly sender: TargetSender;
   readonly lossDetector: LossDetector;
   readonly directory: EntryDirectory;
+  readonly quotas: QuotaExchange;
   private readonly permits: PermitExchange;
   private readonly prober: LinkProber;
   private readonly relay: RelayServer;
@@ -81,6 +86,7 @@
       onIgnored: createIgnoredObjectLog(logger),
     });
     this.permits = this.createPermitExchange();
+    this.quotas = this.createQuotaExchange();
     this.limiter = RateLimiter.create({clock, limits, source: this.permits});
     this.sender = this.createSender();
     this.lossDetector = LossDetector.create({
@@ -118,6 +124,7 @@
   /** Leaves new requests of other entry VMs to others. */
   drain(): void {
     this.relay.drain();
+    this.quotas.drain();
   }
 
   /** Breaks the relays that are still open. */
@@ -145,6 +152,9 @@
     if (request.case === 'reservePermits') {
       return this.permits.answer(sender, request.value);
     }
+    if (request.case === 'takeQuota') {
+      return this.quotas.answer(sender, request.value);
+    }
     throw MarigoldpostError.create(
       'invalid_request',
       `an entry VM does not serve requests of kind "${request.case}"`,
@@ -187,6 +197,21 @@
     });
   }
 
+  private createQuotaExchange(): QuotaExchange {
+    const {node, transport, getArchiveReach} = this.options;
+    const {clock, settings, logger, metrics} = node;
+    return QuotaExchange.create({
+      member: this.getOwnMember(),
+      directory: this.directory,
+      transport,
+      clock,
+      logger,
+      metrics,
+      bounds: settings.bounds.quota,
+      getArchiveReach,
+    });
+  }
+
   private createSender(): TargetSender {
     const {clock, random, platform, settings} = this.options.node;
     const {daemon, dataCentre} = settings;
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -1,11 +1,8 @@
 /** Process of an entry VM: forwards clients' requests to targets. */
 import {
-  CallHandler,
   CrashTracker,
-  GatewayServer,
+  type GatewayServer,
   PageServer,
-  RequestMemory,
-  ResponseMemory,
   SiteState,
 } from '@marigoldpost/gateway';
 import type {SiteConfig} from '@marigoldpost/sites';
@@ -23,6 +20,8 @@
 import {getKindPrefix} from '../utils/object_sink.js';
 import {entryPrefix} from './entry_directory.js';
 import {EntryFleet} from './entry_fleet.js';
+import {createGateway} from './create_gateway.js';
+import {getArchiveReach} from './quota_contacts.js';
 import {SiteConfigUpdater} from './site_config_updater.js';
 import {QuarantineExchange} from './quarantine_exchange.js';
 import {QuarantineReceiver} from './quarantine_receiver.js';
@@ -54,11 +53,6 @@
 const lastErrorsMs = 50;
 /** Longest wait for the last writes; within `exitMarginMs`. */
 const flushTimeoutMs = 400;
-/** Share of the VM's memory that responses of targets may use. */
-const responseShare = 0.15;
-/** Share of the memory for request bodies, which are small as a rule. */
-const requestShare = 0.1;
-const bytesPerMb = 2 ** 20;
 const okStatus = 200;
 const unavailableStatus = 503;
 
@@ -81,13 +75,14 @@
 
   private constructor(options: NodeOptions) {
     super(options);
-    const {clock, random, logger, metrics, platform, settings} = options;
+    const {clock, logger, metrics} = options;
     this.fleet = EntryFleet.create({
       node: options,
       transport: this.transport,
       tasks: this.tasks,
       findTarget: (id) => this.targetDirectory.find(id),
       onLimitStated: () => this.quarantineExchange.publishLimits(),
+      getArchiveReach: () => getArchiveReach(this.archivePool),
     });
     this.site = this.createSite();
     this.targetDirectory = this.createTargetDirectory();
@@ -113,29 +108,12 @@
         this.quarantineExchange.publish(fingerprint);
       },
     });
-    const {site, turns, fleet} = this;
-    const handler = CallHandler.create({
-      clock,
-      random,
-      dataCentre: settings.dataCentre,
-      codec: platform.codec,
-      site,
-      sender: fleet.sender,
-      lossDetector: fleet.lossDetector,
-      agents: fleet.agents,
-      responseMemory: ResponseMemory.create(
-        settings.memoryMb * responseShare * bytesPerMb,
-      ),
-      requestMemory: RequestMemory.create(
-        settings.memoryMb * requestShare * bytesPerMb,
-      ),
-      turns,
-      targetLimits: fleet.limits,
+    this.server = createGateway(options, {
+      site: this.site,
+      turns: this.turns,
+      fleet: this.fleet,
       crashTracker: this.crashTracker,
-      logger,
-      metrics,
     });
-    this.server = GatewayServer.create(handler);
     this.readyPage = PageServer.create(() => this.getReadyPage());
   }
 
@@ -433,6 +411,7 @@
     }
     metrics.setGauge('queue_length', {}, waiting);
     metrics.setGauge('cut_links', {}, this.fleet.links.cutCount);
+    metrics.setGauge('quotas_held', {}, this.fleet.quotas.heldCount);
     metrics.setGauge('limited_targets', {}, this.fleet.limits.limitedCount);
     const quarantined = this.quarantine.getQuarantined().length;
     metrics.setGauge('quarantined_requests', {}, quarantined);
--- a/packages/sites/src/calls/call_attributes.ts
+++ b/packages/sites/src/calls/call_attributes.ts
@@ -1,5 +1,5 @@
 /** Decoded headers of a call and of its response. */
-import type {Brand, ProgramId, TargetId} from '@marigoldpost/common';
+import type {Brand, ProgramId, TargetId, TenantId} from '@marigoldpost/common';
 
 /** Id of a finished or running turn: the id of the request that started it. */
 export type TurnId = Brand<string, 'TurnId'>;
@@ -26,10 +26,18 @@
   /** Upper bound of the tokens that this turn generates. */
   readonly maxOutputTokens: number | undefined;
   readonly previousTurn: TurnId | undefined;
+  /** Key of the client's tenant; never logged and never sent to a target. */
+  readonly apiKey?: string | undefined;
   /** Parts of the prompt, in order; the last one is specific to this call. */
   readonly prompt: readonly PromptPart[];
 }
 
+/** Who a call is from, on a site with tenants. */
+export interface CallerIdentity {
+  /** `undefined` for a call of a public route without a known key. */
+  readonly tenant: TenantId | undefined;
+}
+
 /** Values that are sent to a target in addition to the client's headers. */
 export interface DispatchParameters {
   /** Only target that may run the request. */
@@ -39,6 +47,8 @@
   readonly bodyBytes: number;
   /** Whether the request has a body, which may be empty. */
   readonly hasBody: boolean;
+  /** `undefined` on a site without tenants: the client's headers stay. */
+  readonly caller?: CallerIdentity | undefined;
 }
 
 /** Decoded headers of a target's response. */
--- a/packages/sites/src/config/route.ts
+++ b/packages/sites/src/config/route.ts
@@ -27,6 +27,8 @@
   readonly attempts: number;
   /** Retention of finished turns; `undefined` when turns are not stored. */
   readonly retentionMs: number | undefined;
+  /** Whether calls need no key of a tenant. */
+  readonly isPublic?: boolean;
   /** Objective for the longest gap between two events of a stream. */
   readonly gapObjectiveMs: number | undefined;
 }
--- a/packages/sites/src/config/site_config.ts
+++ b/packages/sites/src/config/site_config.ts
@@ -1,6 +1,7 @@
 /** One version of the operators' configuration of a site. */
 import type {ServiceId} from '@marigoldpost/common';
 import type {Route} from './route.js';
+import type {Tenant} from './tenant.js';
 
 /** Settings of a service's model engines. */
 export interface EngineSettings {
@@ -35,4 +36,9 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceId, Service>;
   readonly limits: CallerLimits;
+  /**
+   * Tenants whose keys calls must carry; `undefined` if the site has none, so
+   * that calls need no key.
+   */
+  readonly tenants?: readonly Tenant[] | undefined;
 }
--- a/packages/sites/src/index.ts
+++ b/packages/sites/src/index.ts
@@ -3,6 +3,8 @@
 export * from './calls/call_codec.js';
 export * from './config/route.js';
 export * from './config/route_table.js';
+export * from './config/tenant.js';
+export * from './config/tenant_table.js';
 export * from './config/site_config.js';
 export * from './node/node_settings.js';
 export * from './platform/site_platform.js';
--- a/packages/sites/src/node/node_settings.ts
+++ b/packages/sites/src/node/node_settings.ts
@@ -12,6 +12,16 @@
   readonly drainMs: number;
   /** Time without disruption after which bounds oblige a daemon again. */
   readonly contactMs: number;
+  /** `undefined` on a site without quotas. */
+  readonly quota?: QuotaBounds | undefined;
+}
+
+/** How far a tenant's requests may exceed its quota, over all entry VMs. */
+export interface QuotaBounds {
+  /** Length of the sliding window in which requests are counted. */
+  readonly windowMs: number;
+  /** Requests beyond the quota that a window may have. */
+  readonly slack: number;
 }
 
 /** Settings of one daemon, decoded from the platform's format. */
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -9,6 +9,7 @@
   type FieldType,
 } from './event_definition.js';
 import {targetEvents} from './target_events.js';
+import {tenantEvents} from './tenant_events.js';
 
 /** All events by name. */
 export const eventCatalogue = {
@@ -91,6 +92,7 @@
   tls_reload_failed: define(2007, 'error', 'TLS files could not be reloaded', {
     message: 'string',
   }),
+  ...tenantEvents,
   call_placed: define(2101, 'info', 'A call was sent to a target', {
     route: 'string',
     service: 'string',
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -44,6 +44,21 @@
   target_wait_ms: define('histogram', 'Wait for a free slot at a target', [
     'service',
   ]),
+  key_refusals_total: define('counter', 'Calls without a key in force', [
+    'hasKey',
+  ]),
+  tenant_requests_total: define('counter', 'Requests by tenant and status', [
+    'tenant',
+    'status',
+  ]),
+  quota_wait_ms: define('histogram', 'Time to ask for a place in a quota', []),
+  quota_refusals_total: define('counter', 'Calls that a quota did not allow', [
+    'result',
+  ]),
+  quota_exchanges_total: define('counter', 'Requests for places in quotas', [
+    'kind',
+  ]),
+  quotas_held: define('gauge', 'Tenants whose requests are counted here', []),
   limited_targets: define('gauge', 'Targets with a rate limit', []),
   relayed_requests_total: define('counter', 'Requests relayed for others', [
     'result',
--- a/packages/turns/src/records/turn_codec.ts
+++ b/packages/turns/src/records/turn_codec.ts
@@ -4,6 +4,7 @@
   type DataCentreId,
   type ProgramId,
   type TargetId,
+  type TenantId,
   toId,
 } from '@marigoldpost/common';
 import {
@@ -42,6 +43,7 @@
   return create(TurnSchema, {
     ...record,
     previous: record.previous ?? '',
+    tenant: record.tenant ?? '',
     prompt: record.prompt.map((part) => create(TurnPromptPartSchema, part)),
     disks: [...record.disks],
   });
@@ -52,11 +54,12 @@
  * @param message - Message that `toTurnMessage` created.
  */
 export function fromTurnMessage(message: Turn): TurnRecord {
-  const {previous} = message;
+  const {previous, tenant} = message;
   return {
     id: toId<TurnId>(message.id),
     previous: previous === '' ? undefined : toId<TurnId>(previous),
     program: toId<ProgramId>(message.program),
+    ...(tenant === '' ? {} : {tenant: toId<TenantId>(tenant)}),
     home: toId<DataCentreId>(message.home),
     input: message.input,
     output: message.output,
--- a/packages/turns/src/records/turn_record.ts
+++ b/packages/turns/src/records/turn_record.ts
@@ -1,5 +1,10 @@
 /** A finished turn as archives store it. */
-import type {DataCentreId, ProgramId, TargetId} from '@marigoldpost/common';
+import type {
+  DataCentreId,
+  ProgramId,
+  TargetId,
+  TenantId,
+} from '@marigoldpost/common';
 import type {PromptPart, TurnId} from '@marigoldpost/sites';
 import type {DiskId} from '../log/disk_identity.js';
 
@@ -9,6 +14,11 @@
   /** Turn that this one continues; `undefined` for the first of a chain. */
   readonly previous: TurnId | undefined;
   readonly program: ProgramId;
+  /**
+   * Tenant that made the turn; `undefined` on a site without tenants, and for
+   * turns that an earlier build made or passed on.
+   */
+  readonly tenant?: TenantId | undefined;
   /** Data centre in which the program started. */
   readonly home: DataCentreId;
   /** Text that the turn appended to the prompt. */
