Place requests by learned costs and by the load of the whole fleet

Cause: an entry VM counts its own requests only.

Change: where the site has more than two entry VMs for each slot of a target, entry VMs exchange loads and latencies through one archive of each data centre, learn what requests cost, and compare a few targets chosen at random. Elsewhere, and without reports, the own requests decide as before.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,10 @@
 /** Request ordering, target selection, ejection and load shedding. */
+export * from './cost/shared_parts.js';
+export * from './cost/target_backlog.js';
+export * from './cost/work_model.js';
+export * from './load/load_totals.js';
+export * from './load/shared_loads.js';
+export * from './placement/learned_placement.js';
 export * from './placement/placement_cost.js';
 export * from './queue/request_queue.js';
 export * from './rate_limits/permit_schedule.js';
@@ -10,4 +16,5 @@
 export * from './targets/prompt_cache_estimate.js';
 export * from './targets/relative_latency.js';
 export * from './targets/target_health.js';
+export * from './targets/target_lease.js';
 export * from './targets/target_state.js';
--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -10,15 +10,19 @@
   type Timer,
 } from '@marigoldpost/common';
 import type {PromptPart, Service, TargetEntry} from '@marigoldpost/sites';
+import type {SharedLoads, TargetLoad} from './load/shared_loads.js';
+import {LearnedPlacement} from './placement/learned_placement.js';
+import type {PlacementRequest} from './placement/placement_cost.js';
 import {
-  estimateFinishMs,
-  getMedianLatencyRatio,
-  type PlacementRequest,
-} from './placement/placement_cost.js';
+  type ChooserRequest,
+  TargetChooser,
+  type TargetChoice,
+} from './placement/target_chooser.js';
 import {type QueueItem, RequestQueue} from './queue/request_queue.js';
 import {MeanDuration} from './targets/relative_latency.js';
 import type {RateLimiter} from './rate_limits/rate_limiter.js';
 import type {TargetResult} from './targets/target_health.js';
+import {type DispatchResult, TargetLease} from './targets/target_lease.js';
 import {TargetState} from './targets/target_state.js';
 
 /** A prompt that a target has processed, sent by this or another daemon. */
@@ -43,13 +47,10 @@
   readonly previousPrompt: ProcessedPrompt | undefined;
   /** Class of requests with similar latency; only these are compared. */
   readonly kind: string;
-}
-
-/** Outcome of a request at its target. */
-export interface DispatchResult {
-  readonly result: TargetResult;
-  /** Latency to compare with other targets; undefined if not comparable. */
-  readonly latencySampleMs?: number;
+  /** Client's estimate of the tokens that are generated. */
+  readonly outputHintTokens?: number | undefined;
+  /** Most tokens that may be generated. */
+  readonly maxOutputTokens?: number | undefined;
 }
 
 /** Service, environment and callbacks of a dispatcher. */
@@ -60,6 +61,10 @@
   readonly random: Random;
   /** Limits the requests to targets that state a rate limit. */
   readonly rateLimiter?: RateLimiter;
+  /** Loads of the targets by the other daemons. */
+  readonly sharedLoads?: SharedLoads;
+  /** Gets the number of daemons that send requests to the targets. */
+  readonly getDaemonCount?: () => number;
   /** Called when failures eject a target. */
   readonly onEjected?: (target: TargetEntry, result: TargetResult) => void;
 }
@@ -74,6 +79,11 @@
  * queue of its own, so that it does not idle between requests.
  */
 const plainWindowFactor = 2;
+/**
+ * Daemons for each slot of a target from which on the own requests tell too little
+ * of its load, so that learned costs and the reports of the others decide.
+ */
+const minDaemonsPerSlot = 2;
 /** Maximum fraction of a target's connections that one daemon uses. */
 const maxConnectionShare = 0.8;
 /** Assumed mean service time until a request has completed. */
@@ -92,60 +102,35 @@
   awaited: TargetId | undefined;
 }
 
-/** Target that a request should use, and when. */
-interface TargetChoice {
-  readonly target: TargetState;
-  /** Time until the target takes the request; 0 if it does now. */
-  readonly delayMs: number;
-  /** Time that waiting for the target is worth. */
-  readonly horizonMs: number;
-}
-
-/** Slot in a target's window, held until the request ends. */
-export class TargetLease {
-  private isReleased = false;
-
-  private constructor(
-    /** Target to send the request to. */
-    readonly target: TargetEntry,
-    private readonly onReleased: (result: DispatchResult) => void,
-  ) {}
-
-  /**
-   * Creates a lease.
-   * @param target - Target to send the request to.
-   * @param onReleased - Called once, with the outcome of the request.
-   */
-  static create(
-    target: TargetEntry,
-    onReleased: (result: DispatchResult) => void,
-  ): TargetLease {
-    return new TargetLease(target, onReleased);
-  }
-
-  /**
-   * Releases the slot; later calls are ignored.
-   * @param result - Outcome of the request.
-   */
-  release(result: DispatchResult): void {
-    if (this.isReleased) return;
-    this.isReleased = true;
-    this.onReleased(result);
-  }
-}
-
 /** Assigns and queues the requests of one service on one daemon. */
 export class ServiceDispatcher {
   private readonly targets = new Map<TargetId, TargetState>();
   private readonly queue = RequestQueue.create<QueuedRequest>();
   private readonly meanLatencies = new Map<string, MeanDuration>();
   private readonly serviceTime = MeanDuration.create();
+  private readonly learned: LearnedPlacement | undefined;
+  private readonly chooser: TargetChooser;
   private service: Service;
   /** Ends the use of leaving targets for queued requests. */
   private leavingTimer: Timer | undefined;
 
   private constructor(private readonly options: ServiceDispatcherOptions) {
     this.service = options.service;
+    const {
+      dataCentre,
+      clock,
+      random,
+      sharedLoads: loads,
+      rateLimiter,
+    } = options;
+    this.learned =
+      loads && LearnedPlacement.create({dataCentre, clock, random, loads});
+    this.chooser = TargetChooser.create({
+      dataCentre,
+      clock,
+      rateLimiter,
+      getLearned: () => (this.usesLearnedCosts ? this.learned : undefined),
+    });
     options.rateLimiter?.addListener(() => this.dispatchWaiting());
   }
 
@@ -167,6 +152,27 @@
     return this.queue.size;
   }
 
+  /** Whether learned costs and the loads by other daemons decide. */
+  get usesLearnedCosts(): boolean {
+    const daemons = this.options.getDaemonCount?.() ?? 0;
+    const [target] = this.targets.values();
+    if (this.learned === undefined || target === undefined) return false;
+    return daemons > target.entry.slots * minDaemonsPerSlot;
+  }
+
+  /**
+   * Gets the load of each target by this daemon, and forgets the latencies in it.
+   */
+  takeLoads(): TargetLoad[] {
+    const nowMs = this.options.clock.nowMs();
+    const loads: TargetLoad[] = [];
+    for (const target of this.targets.values()) {
+      const load = target.takeLoad(nowMs);
+      if (load !== undefined) loads.push(load);
+    }
+    return loads;
+  }
+
   /** Gets the state of each target, including ejected ones. */
   getTargets(): IterableIterator<TargetState> {
     return this.targets.values();
@@ -373,57 +379,6 @@
     return counts;
   }
 
-  /**
-   * Chooses the target that would finish the request first.
-   * @param request - Request to place.
-   * @param awaiting - Number of requests that have a claim on the next permits
-   *   of each target.
-   */
-  private chooseTarget(
-    request: DispatchRequest,
-    awaiting: ReadonlyMap<TargetId, number>,
-  ): TargetChoice | undefined {
-    const nowMs = this.options.clock.nowMs();
-    const {dataCentre} = this.options;
-    const open = this.getCandidates(request.excluded).filter(
-      (target) => target.inFlight < this.getWindow(target),
-    );
-    const usable = open.filter(({health, inFlight}) =>
-      health.isUsable(nowMs, inFlight),
-    );
-    // If all targets fail, the fault may be this daemon's: ignore ejections.
-    const candidates = usable.length > 0 ? usable : open;
-    const medianLatencyRatio = getMedianLatencyRatio(candidates, nowMs);
-    const context = {dataCentre, nowMs, medianLatencyRatio};
-    let best: {target: TargetState; delayMs: number} | undefined;
-    let bestMs = Number.POSITIVE_INFINITY;
-    let secondMs = Number.POSITIVE_INFINITY;
-    for (const target of candidates) {
-      const costMs = estimateFinishMs(target, request, context);
-      const delayMs = this.getDelayMs(target, awaiting);
-      if (costMs + delayMs >= bestMs) {
-        secondMs = Math.min(secondMs, costMs + delayMs);
-        continue;
-      }
-      secondMs = bestMs;
-      best = {target, delayMs};
-      bestMs = costMs + delayMs;
-    }
-    if (best === undefined) return undefined;
-    const leftMs = request.deadlineMs - nowMs;
-    const gainMs = secondMs - (bestMs - best.delayMs);
-    return {...best, horizonMs: Math.min(leftMs, gainMs)};
-  }
-
-  private getDelayMs(
-    {entry}: TargetState,
-    awaiting: ReadonlyMap<TargetId, number>,
-  ): number {
-    const {rateLimiter} = this.options;
-    if (rateLimiter === undefined) return 0;
-    return rateLimiter.getDelayMs(entry, awaiting.get(entry.id) ?? 0);
-  }
-
   /** Gets the maximum of this daemon's requests in flight at a target. */
   private getWindow(target: TargetState | undefined): number {
     if (target === undefined) return 0;
@@ -443,9 +398,12 @@
     const startMs = clock.nowMs();
     rateLimiter?.take(target.entry);
     target.inFlight += 1;
+    const learned = this.usesLearnedCosts ? this.learned : undefined;
+    const tracked = learned?.track(target, toLearnedRequest(request));
     target.promptCache.recordPrompt(request.prompt);
     return TargetLease.create(target.entry, (result) => {
       target.inFlight -= 1;
+      tracked?.end(result);
       this.recordResult(target, request, result, startMs);
       this.dispatchWaiting();
     });
@@ -466,11 +424,25 @@
     if (latencySampleMs === undefined) return;
     const mean = this.getMeanLatency(request.kind);
     mean.add(latencySampleMs);
-    target.relativeLatency.add(
-      latencySampleMs,
-      mean.valueMs ?? latencySampleMs,
-      nowMs,
+    const meanMs = mean.valueMs ?? latencySampleMs;
+    target.relativeLatency.add(latencySampleMs, meanMs, nowMs);
+    if (this.usesLearnedCosts) target.addUnreported(latencySampleMs, meanMs);
+  }
+
+  /**
+   * Chooses the target that would finish the request first.
+   * @param request - Request to place.
+   * @param awaiting - Number of requests that have a claim on the next permits
+   *   of each target.
+   */
+  private chooseTarget(
+    request: DispatchRequest,
+    awaiting: ReadonlyMap<TargetId, number>,
+  ): TargetChoice | undefined {
+    const open = this.getCandidates(request.excluded).filter(
+      (target) => target.inFlight < this.getWindow(target),
     );
+    return this.chooser.choose(toLearnedRequest(request), open, awaiting);
   }
 
   private getMeanLatency(kind: string): MeanDuration {
@@ -532,6 +504,10 @@
   }
 }
 
+function toLearnedRequest(request: DispatchRequest): ChooserRequest {
+  return {...request, isFirst: request.previousPrompt === undefined};
+}
+
 function isSameInstance(left: TargetEntry, right: TargetEntry): boolean {
   return (
     left.startedAtMs === right.startedAtMs &&
--- a/packages/gateway/src/calls/stream_call.ts
+++ b/packages/gateway/src/calls/stream_call.ts
@@ -8,6 +8,7 @@
 import type {CallServices} from './call_services.js';
 import type {IncomingCall} from './incoming_call.js';
 import {getClientHeaders} from './plain_call.js';
+import {measureRun} from './stream_run.js';
 import {
   type CallBody,
   type LeasedResponse,
@@ -78,7 +79,8 @@
   const {proof} = result;
   if (proof !== 'truncated') {
     const latencySampleMs = result.gapMs;
-    attempts.complete(started.lease, {status, proof, latencySampleMs});
+    const run = measureRun(call, service, attempts.sentAtMs, result);
+    attempts.complete(started.lease, {status, proof, latencySampleMs, run});
   } else if (call.signal.aborted) {
     attempts.release(started.lease, {result: 'cancelled'});
     attempts.recordSilence();
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -66,7 +66,6 @@
   /** Attempts that a target may have run; rejections are counted separately. */
   private attempts = 0;
   private rejections = 0;
-  private sentAtMs = 0;
   /** Whether the current attempt may take the whole time of the call. */
   private mayTakeAllTime = false;
   /** Whether the last attempt waited until the time of the call ended. */
@@ -76,6 +75,8 @@
   /** Target of the last attempt, as the instance that received it. */
   private receiver!: TargetEntry;
   private readonly trackedRequest: TrackedRequest;
+  /** When the last attempt was sent. */
+  sentAtMs = 0;
 
   private constructor(
     private readonly call: IncomingCall,
@@ -205,13 +206,13 @@
    */
   complete(
     lease: TargetLease,
-    {status, proof, latencySampleMs}: EndedResponse,
+    {status, proof, latencySampleMs, run}: EndedResponse,
   ): void {
     const {crashTracker} = this.services;
     const {trackedRequest} = this;
     const target = this.receiver;
     if (proof === 'complete') {
-      this.release(lease, {result: 'answered', latencySampleMs});
+      this.release(lease, {result: 'answered', latencySampleMs, run});
       crashTracker.recordCompletion(trackedRequest, target.id, status);
       return;
     }
@@ -342,6 +343,8 @@
       excluded: this.excluded,
       previousPrompt: this.body.previousPrompt,
       kind: route.name,
+      outputHintTokens: attributes.outputHintTokens,
+      maxOutputTokens: attributes.maxOutputTokens,
     };
   }
 
--- a/packages/gateway/src/responses/stream_relay.ts
+++ b/packages/gateway/src/responses/stream_relay.ts
@@ -36,6 +36,8 @@
   readonly message: string;
   /** Whether the relay aborted it because its target is lost. */
   readonly isLost: boolean;
+  /** When the first event arrived; `undefined` without one. */
+  readonly firstEventAtMs: number | undefined;
   /** Mean time between two events; `undefined` for fewer than three events. */
   readonly gapMs: number | undefined;
   /**
@@ -140,6 +142,7 @@
       isLost: this.watch.isLost,
       events,
       isInEvent,
+      firstEventAtMs: this.firstEventMs,
       gapMs: events < minEventsForGap ? undefined : spanMs / (events - 1),
       data,
     };
--- a/packages/gateway/src/site/site_state.ts
+++ b/packages/gateway/src/site/site_state.ts
@@ -8,6 +8,7 @@
 import {
   type RateLimiter,
   ServiceDispatcher,
+  type SharedLoads,
   type TargetResult,
 } from '@marigoldpost/dispatch';
 import {
@@ -26,6 +27,10 @@
   readonly dataCentre: DataCentreId;
   /** Limits the requests to targets that state a rate limit. */
   readonly rateLimiter?: RateLimiter;
+  /** Loads of the targets by the other daemons. */
+  readonly sharedLoads?: SharedLoads;
+  /** Gets the number of entry VMs of the site. */
+  readonly getDaemonCount?: () => number;
   /** Called when a dispatcher ejects a target after failed requests. */
   readonly onEjected: (target: TargetEntry, result: TargetResult) => void;
 }
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -36,6 +36,7 @@
   type ObjectSink,
 } from '../utils/object_sink.js';
 import {ChangeRelay} from './change_relay.js';
+import {LoadRelay} from './load_relay.js';
 import {QuarantineLog} from './quarantine_log.js';
 import {QuarantineRelay} from './quarantine_relay.js';
 import {RetirementTask} from './retirement_task.js';
@@ -101,11 +102,15 @@
     const quarantineLog = this.createQuarantineLog(archive, quarantine);
     this.quarantineLog = quarantineLog;
     const relay = this.createQuarantineRelay(quarantine, quarantineLog);
+    const loads = LoadRelay.create(this.clock);
     await this.transport.start((sender, request) => {
       if (request.case === 'fetchSite') {
         return Promise.resolve(mirror.createReply(changes.getVersions()));
       }
       if (request.case === 'fetchChanges') return changes.answer(request.value);
+      if (request.case === 'exchangeLoads') {
+        return Promise.resolve(loads.answer(sender, request.value));
+      }
       return request.case === 'exchangeQuarantines'
         ? Promise.resolve(relay.answer(sender, request.value))
         : service.answer(request);
--- a/packages/nodes/src/entry/entry_directory.ts
+++ b/packages/nodes/src/entry/entry_directory.ts
@@ -73,6 +73,11 @@
     return this.changes;
   }
 
+  /** Number of known entry VMs. */
+  get memberCount(): number {
+    return this.members.size;
+  }
+
   /** Gets every known entry VM. */
   getMembers(): EntryMember[] {
     return [...this.members.values()];
--- a/packages/nodes/src/entry/entry_fleet.ts
+++ b/packages/nodes/src/entry/entry_fleet.ts
@@ -10,6 +10,7 @@
 import {
   type LimitChange,
   RateLimiter,
+  SharedLoads,
   TargetLimits,
 } from '@marigoldpost/dispatch';
 import {
@@ -65,6 +66,7 @@
   readonly sender: TargetSender;
   readonly lossDetector: LossDetector;
   readonly directory: EntryDirectory;
+  readonly sharedLoads = SharedLoads.create();
   readonly quotas: QuotaExchange;
   private readonly permits: PermitExchange;
   private readonly prober: LinkProber;
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -21,6 +21,7 @@
 import {entryPrefix} from './entry_directory.js';
 import {EntryFleet} from './entry_fleet.js';
 import {createGateway} from './create_gateway.js';
+import {LoadExchange} from './load_exchange.js';
 import {getArchiveReach} from './quota_contacts.js';
 import {SiteConfigUpdater} from './site_config_updater.js';
 import {QuarantineExchange} from './quarantine_exchange.js';
@@ -170,6 +171,7 @@
       (signal) => this.quarantineExchange.run(signal),
       {isRequired: true},
     );
+    this.tasks.run('loads', (signal) => this.runLoadExchange(signal));
     await this.fleet.start();
     await this.listen();
     await this.startSharedServices('entry', startMs);
@@ -237,6 +239,8 @@
       random,
       dataCentre: settings.dataCentre,
       rateLimiter: this.fleet.limiter,
+      sharedLoads: this.fleet.sharedLoads,
+      getDaemonCount: () => this.fleet.directory.memberCount,
       onEjected: ({id, service}, result) =>
         logger.log('target_ejected', {target: id, service, result}),
     });
@@ -284,6 +288,19 @@
     });
   }
 
+  private runLoadExchange(signal: AbortSignal): Promise<void> {
+    const {archivePool: pool, site, fleet, targetDirectory} = this;
+    const exchange = LoadExchange.create({
+      pool,
+      dataCentre: this.settings.dataCentre,
+      clock: this.clock,
+      loads: fleet.sharedLoads,
+      getDispatchers: () => site.getDispatchers(),
+      findTarget: (id) => targetDirectory.find(id),
+    });
+    return exchange.run(signal);
+  }
+
   private createSeedReader(
     configPrefix: string,
     configUpdater: SiteConfigUpdater,
--- a/packages/nodes/tests/entry/quota_exchange_steps.ts
+++ b/packages/nodes/tests/entry/quota_exchange_steps.ts
@@ -86,12 +86,9 @@
   },
 );
 
-Given(
-  'three of four granted requests do not run',
-  function (this: QuotaWorld) {
-    this.runShare = 0.25;
-  },
-);
+Given('three of four granted requests do not run', function (this: QuotaWorld) {
+  this.runShare = 0.25;
+});
 
 Given(
   'the entry VMs that count quotas meet this fault from {int} to {int} s: {}',
--- a/packages/sites/src/calls/call_attributes.ts
+++ b/packages/sites/src/calls/call_attributes.ts
@@ -25,6 +25,8 @@
   readonly budgetTokens: number | undefined;
   /** Upper bound of the tokens that this turn generates. */
   readonly maxOutputTokens: number | undefined;
+  /** Client's estimate of these tokens. */
+  readonly outputHintTokens?: number | undefined;
   readonly previousTurn: TurnId | undefined;
   /** Key of the client's tenant; never logged and never sent to a target. */
   readonly apiKey?: string | undefined;
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -9,10 +9,12 @@
 } from '@marigoldpost/common';
 import {
   ArchiveProbeSchema,
+  type ExchangeLoads,
   type ExchangeQuarantines,
   FetchChainSchema,
   FetchLedgerSchema,
   FindTurnsSchema,
+  type LoadSums,
   type PeerReplyBody,
   type PeerRequestBody,
   type PeerRequester,
@@ -313,6 +315,25 @@
     }
   }
 
+  /**
+   * Exchanges the loads of targets; `undefined` if the archive does not reply, or
+   * is of a version that rejects the request.
+   * @param value - Requests of this daemon at targets.
+   */
+  async exchangeLoads(value: ExchangeLoads): Promise<LoadSums | undefined> {
+    const {daemon, address} = this.member;
+    try {
+      const reply = await this.options.transport.ask(
+        {daemon, address},
+        {case: 'exchangeLoads', value},
+        replyTimeoutMs,
+      );
+      return reply.case === 'loadSums' ? reply.value : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
   /** Probes the archive until it replies, for at least `minUnreachableMs`. */
   private async probeUntilReachable(sinceMs: number): Promise<void> {
     const {clock, transport, signal} = this.options;
