Count the delay of other requests by a prefill, and compare targets that have the prompt

Change: a prefill counts for the requests that it delays as well; half of the targets that are compared are among those with most of the prompt; a wait is expected from three quarters of the slots on; parts of prompts that many chains share count as cached for 0.3 of their tokens, not 0.8.

--- a/packages/dispatch/src/cost/shared_parts.ts
+++ b/packages/dispatch/src/cost/shared_parts.ts
@@ -13,7 +13,7 @@
  * Part of a shared part's tokens that a target is expected to have cached if
  * this daemon does not know better.
  */
-const expectedHitShare = 0.8;
+const expectedHitShare = 0.3;
 
 /** Counts the chains that begin with each part. */
 export class SharedParts {
--- a/packages/dispatch/src/placement/learned_placement.ts
+++ b/packages/dispatch/src/placement/learned_placement.ts
@@ -16,12 +16,26 @@
 import type {DispatchResult} from '../targets/target_lease.js';
 import type {TargetState} from '../targets/target_state.js';
 
-/** Targets chosen at random that are compared with the one that has the prompt. */
-const randomChoices = 3;
+/** Targets chosen at random among those that have most of the prompt. */
+const holderChoices = 2;
+/** Targets chosen at random among all. */
+const randomChoices = 2;
+/** Part of the most cached tokens from which on a target has most of a prompt. */
+const holderShare = 0.9;
 /** Weight of a target of another data centre among these. */
 const remoteWeight = 0.2;
 /** Delay from each running request: longer decode steps and its prefill. */
 const contentionMs = 6;
+/**
+ * Part of a prefill's time by which it delays each request that the target runs,
+ * since engines interleave both.
+ */
+const prefillDelayShare = 0.5;
+/**
+ * Part of the slots in use from which on a wait is expected: reports are late, and
+ * others place requests by them at the same moment.
+ */
+const fullShare = 0.75;
 /** Latency and price of a whole prompt between data centres. */
 const remotePromptPenaltyMs = 30;
 /** Latency and price of a short request between data centres. */
@@ -129,22 +143,29 @@
    */
   selectTargets(
     targets: readonly TargetState[],
-    {prompt, isFirst}: LearnedRequest,
+    {prompt}: LearnedRequest,
   ): TargetState[] {
-    if (targets.length <= randomChoices + 1) return [...targets];
+    if (targets.length <= randomChoices + holderChoices) return [...targets];
     const selected = new Set<TargetState>();
-    // Every target has the parts that new chains begin with.
-    const holder = isFirst ? undefined : findHolder(targets, prompt);
-    if (holder !== undefined) selected.add(holder);
+    this.draw(findHolders(targets, prompt), holderChoices, selected);
+    this.draw(targets, randomChoices, selected);
+    return [...selected];
+  }
+
+  /** Adds targets at random, larger and nearer ones more often. */
+  private draw(
+    targets: readonly TargetState[],
+    count: number,
+    selected: Set<TargetState>,
+  ): void {
     const weights = targets.map((target) => this.getWeight(target));
     const total = weights.reduce((sum, weight) => sum + weight, 0);
-    for (let draw = 0; draw < randomChoices; draw++) {
+    for (let drawn = 0; drawn < count; drawn++) {
       let left = this.options.random.next() * total;
       const index = weights.findIndex((weight) => (left -= weight) < 0);
       const target = targets[index] ?? targets.at(-1);
       if (target !== undefined) selected.add(target);
     }
-    return [...selected];
   }
 
   /**
@@ -167,11 +188,11 @@
     const uncachedTokens = this.getUncachedTokens(target, request.prompt);
     const workMs = isEngine
       ? this.model.estimateWorkMs(request, uncachedTokens) +
-        Math.min(running, slots) * contentionMs
+        Math.min(running, slots) * this.getDelayMs(uncachedTokens)
       : this.model.getCallMs(request.kind) * (1 + running / slots);
     const leftMs =
       target.backlog.getRemainingMs(nowMs) + predictWork(others, running);
-    const ahead = Math.max(0, running + 1 - slots);
+    const ahead = Math.max(0, running + 1 - slots * fullShare);
     const meanLeftMs = running > 0 ? Math.max(leftMs / running, 1) : 0;
     const waitMs = (ahead / slots) * meanLeftMs * 2;
     const isRemote = dataCentre !== this.options.dataCentre;
@@ -236,13 +257,15 @@
     return tokens - this.sharedParts.estimateCachedTokens(prompt, known);
   }
 
-  private getWeight(target: TargetState): number {
-    const nowMs = this.options.clock.nowMs();
-    const {slots, dataCentre} = target.entry;
-    const others = this.options.loads.get(target.entry, nowMs);
+  /** Delay by and of each request that a target runs, in milliseconds. */
+  private getDelayMs(uncachedTokens: number): number {
+    const prefillMs = uncachedTokens * this.model.prefillMsPerToken;
+    return contentionMs + prefillMs * prefillDelayShare;
+  }
+
+  private getWeight({entry: {slots, dataCentre}}: TargetState): number {
     const isRemote = dataCentre !== this.options.dataCentre;
-    const share = isRemote ? remoteWeight : 1;
-    return (slots * share) / this.getRatio(target, others);
+    return slots * (isRemote ? remoteWeight : 1);
   }
 
   /** Latency of a target relative to its peers, of all daemons if known. */
@@ -254,20 +277,19 @@
   }
 }
 
-/** Finds the target that has most of a prompt; `undefined` if none has any. */
-function findHolder(
+/** Finds the targets that have most of a prompt; none if none has any. */
+function findHolders(
   targets: readonly TargetState[],
   prompt: readonly PromptPart[],
-): TargetState | undefined {
-  let holder: TargetState | undefined;
-  let mostTokens = 0;
-  for (const target of targets) {
-    const tokens = target.promptCache.getCachedTokens(prompt);
-    if (tokens <= mostTokens) continue;
-    mostTokens = tokens;
-    holder = target;
-  }
-  return holder;
+): TargetState[] {
+  const cached = targets.map((target) =>
+    target.promptCache.getCachedTokens(prompt),
+  );
+  const mostTokens = Math.max(0, ...cached);
+  if (mostTokens === 0) return [];
+  return targets.filter(
+    (_target, index) => (cached[index] ?? 0) >= mostTokens * holderShare,
+  );
 }
 
 /**
