Bound the connections of clients by the VM's memory and descriptors

Cause: nothing bounded connections, requests sent ahead on one of them, or responses that are not read, and the heap could grow to 140 MB of a VM of 178 MB.

Change: one class decides which connections are accepted, refused and closed (ConnectionGuard); the oldest idle one makes room. A connection that has sent more than 32 requests ahead is reset. The parser takes heads of twice the configured limit.

--- /dev/null
+++ b/packages/gateway/src/server/connection_guard.ts
@@ -0,0 +1,190 @@
+/**
+ * Decides which connections of clients are accepted, refused and closed.
+ *
+ * Load pattern: very many connections at once, of clients that the operators do
+ * not control: they send nothing, send without end, send many requests ahead, do
+ * not read, or leave in the middle. Each costs memory and a descriptor, whether or
+ * not a request is ever read from it.
+ */
+import type {Clock} from '@marigoldpost/common';
+
+/** Why a connection was refused or closed. */
+export type ConnectionEnd = 'full' | 'replaced' | 'pipelined' | 'stalled';
+
+/** Limits on the connections of one process. */
+export interface ConnectionLimits {
+  readonly maxConnections: number;
+  /** Requests that have been read and not answered, of one connection. */
+  readonly maxPipelined: number;
+  /** The same of all connections together. */
+  readonly maxPending: number;
+}
+
+/** Memory and descriptors of the VM. */
+export interface ProcessLimits {
+  readonly memoryMb: number;
+  /** `undefined` if the settings state none. */
+  readonly maxDescriptors: number | undefined;
+}
+
+/**
+ * Part of the descriptors for clients. The others are kept for targets, other
+ * daemons, the object API and the log.
+ */
+const descriptorShare = 0.5;
+/** Descriptors without a stated limit, as the smallest sites have. */
+const defaultDescriptors = 2200;
+/**
+ * Connections for each megabyte of the VM's memory. One that is open, with a head
+ * that has not ended, takes up to 40 KB, so that all take a fifth at most.
+ */
+const connectionsPerMb = 5;
+/**
+ * Requests of one connection that have been read and not answered. Clients wait
+ * for a response before the next request, or send a few ahead.
+ */
+const maxPipelined = 32;
+/**
+ * The same of all connections, for each megabyte: each takes about 10 KB. An entry
+ * VM serves fewer than a hundred at a time.
+ */
+const pendingPerMb = 15;
+/**
+ * A connection without a request is replaced by a new one only after this time,
+ * in which an ordinary client sends its request.
+ */
+const minIdleMs = 1000;
+
+/**
+ * Gets the limits that keep a process within the memory and descriptors of its
+ * VM.
+ * @param limits - Memory and descriptors.
+ */
+export function getConnectionLimits({
+  memoryMb,
+  maxDescriptors = defaultDescriptors,
+}: ProcessLimits): ConnectionLimits {
+  const byDescriptors = Math.floor(maxDescriptors * descriptorShare);
+  const byMemory = Math.floor(memoryMb * connectionsPerMb);
+  return {
+    maxConnections: Math.max(1, Math.min(byDescriptors, byMemory)),
+    maxPipelined,
+    maxPending: Math.floor(memoryMb * pendingPerMb),
+  };
+}
+
+interface ConnectionState {
+  /** Requests that have been read and not answered. */
+  pending: number;
+  /** Since when it has had none. */
+  idleSinceMs: number;
+}
+
+/** What to do with a connection that has just been opened. */
+export interface OpenDecision<Key> {
+  readonly isAccepted: boolean;
+  /** Idle connection to close in its place. */
+  readonly replaced: Key | undefined;
+}
+
+/** Open connections of a server; does no input or output itself. */
+export class ConnectionGuard<Key> {
+  /** In the order in which they became idle, as far as they are. */
+  private readonly states = new Map<Key, ConnectionState>();
+  private pending = 0;
+
+  private constructor(
+    private readonly clock: Clock,
+    private limits: ConnectionLimits,
+  ) {}
+
+  /**
+   * Creates a guard without connections.
+   * @param clock - Clock of the idle times.
+   * @param limits - Limits on the connections.
+   */
+  static create<Key>(
+    clock: Clock,
+    limits: ConnectionLimits,
+  ): ConnectionGuard<Key> {
+    return new ConnectionGuard<Key>(clock, limits);
+  }
+
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.states.size;
+  }
+
+  /** Number of requests that have been read and not answered. */
+  get pendingCount(): number {
+    return this.pending;
+  }
+
+  /**
+   * Decides about a connection that has been opened. When there is no room, the
+   * one that has been idle for longest makes room if it has been for 1 s.
+   * @param key - The connection.
+   */
+  open(key: Key): OpenDecision<Key> {
+    const nowMs = this.clock.nowMs();
+    const isFull =
+      this.states.size >= this.limits.maxConnections ||
+      this.pending >= this.limits.maxPending;
+    const replaced = isFull ? this.findOldestIdle(nowMs) : undefined;
+    if (isFull && replaced === undefined) {
+      return {isAccepted: false, replaced: undefined};
+    }
+    if (replaced !== undefined) this.remove(replaced);
+    this.states.set(key, {pending: 0, idleSinceMs: nowMs});
+    return {isAccepted: true, replaced};
+  }
+
+  /**
+   * Counts a request that has been read; false if the connection must be closed,
+   * since it has sent too many ahead.
+   * @param key - Connection of the request.
+   */
+  addRequest(key: Key): boolean {
+    const state = this.states.get(key);
+    if (state === undefined) return true;
+    state.pending += 1;
+    this.pending += 1;
+    if (state.pending === 1) return true;
+    const {maxPending} = this.limits;
+    return state.pending <= maxPipelined && this.pending <= maxPending;
+  }
+
+  /**
+   * Counts a request that has been answered, or whose connection has closed.
+   * @param key - Connection of the request.
+   */
+  endRequest(key: Key): void {
+    const state = this.states.get(key);
+    if (state === undefined || state.pending === 0) return;
+    state.pending -= 1;
+    this.pending -= 1;
+    if (state.pending > 0) return;
+    state.idleSinceMs = this.clock.nowMs();
+    this.states.delete(key);
+    this.states.set(key, state);
+  }
+
+  /**
+   * Forgets a connection that has closed.
+   * @param key - The connection.
+   */
+  remove(key: Key): void {
+    const state = this.states.get(key);
+    if (state === undefined) return;
+    this.states.delete(key);
+    this.pending -= state.pending;
+  }
+
+  private findOldestIdle(nowMs: number): Key | undefined {
+    for (const [key, {pending, idleSinceMs}] of this.states) {
+      if (pending > 0) continue;
+      return nowMs - idleSinceMs >= minIdleMs ? key : undefined;
+    }
+    return undefined;
+  }
+}
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -8,13 +8,19 @@
   isConnectionClosing,
   maxDiscardMs,
 } from '../responses/write_response.js';
+import {
+  GuardedConnections,
+  type GuardedConnectionsOptions,
+} from './guarded_connections.js';
 import {resetSocket} from './reset_socket.js';
 
+/** Limit of the HTTP parser while no configuration is known. */
+const maxHeaderBytes = 64 * 1024;
 /**
- * Limit of the HTTP parser, in force also before a configuration is known. The
- * limit in the configuration is lower.
+ * Limit of the HTTP parser in multiples of that of the configuration, which does
+ * not count the request line.
  */
-const maxHeaderBytes = 64 * 1024;
+const parserHeaderFactor = 2;
 /** Interval at which the server checks for header timeouts. */
 const connectionCheckIntervalMs = 500;
 /** Response status lines for malformed requests, by Node's error code. */
@@ -26,12 +32,19 @@
 const endOfInputCode = 'HPE_INVALID_EOF_STATE';
 const defaultRejectionStatus = '400 Bad Request';
 
+/** Limits on the connections of a server, and where their effect is told. */
+export type GuardOptions = Omit<GuardedConnectionsOptions, 'server'>;
+
 /** Accepts client connections and passes requests to the handler. */
 export class GatewayServer {
   private readonly server: http.Server;
   private readonly connections: ClientConnections;
+  private readonly guarded: GuardedConnections | undefined;
 
-  private constructor(private readonly handler: CallHandler) {
+  private constructor(
+    private readonly handler: CallHandler,
+    guard: GuardOptions | undefined,
+  ) {
     this.server = http.createServer({
       maxHeaderSize: maxHeaderBytes,
       connectionsCheckingInterval: connectionCheckIntervalMs,
@@ -39,12 +52,15 @@
     });
     // The call's deadline, at most the route's timeout, bounds the body.
     this.server.requestTimeout = 0;
+    const {server} = this;
+    this.guarded = guard && GuardedConnections.create({...guard, server});
     this.server.on('request', (request, response) => {
       if (isConnectionClosing(request.socket)) {
         // Bytes that are not read would reset the connection when it closes.
         request.resume();
         return;
       }
+      if (this.guarded?.addRequest(request, response) === false) return;
       void handler.handle(request, response, {
         isLastRead: () => this.connections.isLastRead(request),
         waitForEarlierResponses: () =>
@@ -62,9 +78,10 @@
   /**
    * Creates a server that does not listen yet.
    * @param handler - Receives every request.
+   * @param guard - Limits on the connections; none if omitted.
    */
-  static create(handler: CallHandler): GatewayServer {
-    return new GatewayServer(handler);
+  static create(handler: CallHandler, guard?: GuardOptions): GatewayServer {
+    return new GatewayServer(handler, guard);
   }
 
   /** Number of requests in flight. */
@@ -85,6 +102,10 @@
    */
   setLimits(limits: CallerLimits): void {
     this.server.headersTimeout = limits.headerTimeoutMs;
+    // Each connection reads it when it is accepted.
+    const parserBytes = limits.maxHeaderBytes * parserHeaderFactor;
+    const maxHeaderSize = Math.min(maxHeaderBytes, parserBytes);
+    Object.assign(this.server, {maxHeaderSize});
     const {idleTimeoutMs} = limits;
     if (idleTimeoutMs > this.server.keepAliveTimeout) {
       this.connections.keepIdle(idleTimeoutMs);
@@ -132,6 +153,7 @@
    * end would complete a response that only its connection delimits.
    */
   close(): void {
+    this.guarded?.stop();
     void this.connections.stopListening();
     this.connections.destroyIdle();
     for (const socket of this.connections.sockets) resetSocket(socket);
--- /dev/null
+++ b/packages/gateway/src/server/guarded_connections.ts
@@ -0,0 +1,133 @@
+/** Applies the limits on clients' connections to an HTTP server. */
+import type http from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock, Timer} from '@marigoldpost/common';
+import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {
+  type ConnectionEnd,
+  ConnectionGuard,
+  type ConnectionLimits,
+} from './connection_guard.js';
+import {resetSocket} from './reset_socket.js';
+import {type OutputState, StalledWrites} from './stalled_writes.js';
+
+/** Interval at which the output of connections is checked. */
+const checkIntervalMs = 5000;
+
+/** Server, limits and log. */
+export interface GuardedConnectionsOptions {
+  readonly server: http.Server;
+  readonly limits: ConnectionLimits;
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  readonly metrics: Metrics;
+}
+
+/** Connections of clients within the limits of the process. */
+export class GuardedConnections {
+  private readonly guard: ConnectionGuard<Socket>;
+  private readonly stalls = StalledWrites.create<Socket>();
+  private readonly sockets = new Set<Socket>();
+  /** Connections that were ended since the last line of the log. */
+  private readonly ended = new Map<ConnectionEnd, number>();
+  private timer: Timer | undefined;
+
+  private constructor(private readonly options: GuardedConnectionsOptions) {
+    const {server, clock, limits} = options;
+    this.guard = ConnectionGuard.create(clock, limits);
+    server.prependListener('connection', (socket: Socket) =>
+      this.accept(socket),
+    );
+  }
+
+  /**
+   * Starts to limit the connections of a server.
+   * @param options - Server that has not accepted connections yet.
+   */
+  static create(options: GuardedConnectionsOptions): GuardedConnections {
+    return new GuardedConnections(options);
+  }
+
+  /**
+   * Counts a request; false if its connection is closed instead. What has been
+   * read from it has not run, but for the request that is being served.
+   * @param request - Request whose head has been read.
+   * @param response - Its response.
+   */
+  addRequest(
+    {socket}: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): boolean {
+    // The rest of what has arrived on a connection that has been ended.
+    if (socket.destroyed) return false;
+    response.once('close', () => this.guard.endRequest(socket));
+    if (this.guard.addRequest(socket)) return true;
+    this.end(socket, 'pipelined');
+    return false;
+  }
+
+  /** Stops the checks. */
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  private accept(socket: Socket): void {
+    const {isAccepted, replaced} = this.guard.open(socket);
+    if (replaced !== undefined) this.end(replaced, 'replaced');
+    if (!isAccepted) {
+      this.end(socket, 'full');
+      return;
+    }
+    this.sockets.add(socket);
+    socket.once('close', () => {
+      this.guard.remove(socket);
+      this.sockets.delete(socket);
+    });
+    this.scheduleCheck();
+  }
+
+  private end(socket: Socket, reason: ConnectionEnd): void {
+    this.ended.set(reason, (this.ended.get(reason) ?? 0) + 1);
+    this.options.metrics.addToCounter('connections_ended_total', {reason});
+    this.scheduleCheck();
+    // A reset frees what the kernel holds for the connection at once.
+    resetSocket(socket);
+  }
+
+  private scheduleCheck(): void {
+    if (this.timer !== undefined) return;
+    this.timer = this.options.clock.setTimer(checkIntervalMs, () => {
+      this.timer = undefined;
+      this.check();
+    });
+  }
+
+  /** Ends what has stalled, and logs what was ended since the last check. */
+  private check(): void {
+    const outputs = new Map<Socket, OutputState>();
+    for (const socket of this.sockets) {
+      const {bytesWritten, writableLength: waitingBytes} = socket;
+      const writtenBytes = bytesWritten - waitingBytes;
+      outputs.set(socket, {writtenBytes, waitingBytes});
+    }
+    const nowMs = this.options.clock.nowMs();
+    for (const socket of this.stalls.find(outputs, nowMs)) {
+      this.end(socket, 'stalled');
+    }
+    if (this.ended.size > 0) this.logEnded();
+    if (this.sockets.size > 0) this.scheduleCheck();
+  }
+
+  private logEnded(): void {
+    const get = (reason: ConnectionEnd) => this.ended.get(reason) ?? 0;
+    this.options.logger.log('connections_ended', {
+      open: this.guard.connectionCount,
+      pendingRequests: this.guard.pendingCount,
+      full: get('full'),
+      replaced: get('replaced'),
+      pipelined: get('pipelined'),
+      stalled: get('stalled'),
+    });
+    this.ended.clear();
+  }
+}
--- a/packages/nodes/src/entry/create_gateway.ts
+++ b/packages/nodes/src/entry/create_gateway.ts
@@ -3,6 +3,7 @@
   CallHandler,
   type CrashTracker,
   GatewayServer,
+  getConnectionLimits,
   RequestMemory,
   ResponseMemory,
   type SiteState,
@@ -53,5 +54,7 @@
     logger,
     metrics,
   });
-  return GatewayServer.create(handler);
+  const {memoryMb, maxDescriptors} = settings;
+  const limits = getConnectionLimits({memoryMb, maxDescriptors});
+  return GatewayServer.create(handler, {limits, clock, logger, metrics});
 }
--- a/packages/sites/src/node/node_settings.ts
+++ b/packages/sites/src/node/node_settings.ts
@@ -50,6 +50,8 @@
   /** Number of disks whose simultaneous loss must be tolerated. */
   readonly toleratedDisks: number;
   readonly memoryMb: number;
+  /** Descriptors that the process may open; `undefined` if not limited. */
+  readonly maxDescriptors?: number | undefined;
   /** Address of the platform's object API. */
   readonly platformAddress: NetworkAddress;
   /** Write calls a second that the object API accepts from the whole site. */
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -9,7 +9,7 @@
   type FieldType,
 } from './event_definition.js';
 import {targetEvents} from './target_events.js';
-import {tenantEvents} from './tenant_events.js';
+import {clientEvents} from './client_events.js';
 
 /** All events by name. */
 export const eventCatalogue = {
@@ -92,7 +92,6 @@
   tls_reload_failed: define(2007, 'error', 'TLS files could not be reloaded', {
     message: 'string',
   }),
-  ...tenantEvents,
   call_placed: define(2101, 'info', 'A call was sent to a target', {
     route: 'string',
     service: 'string',
@@ -158,6 +157,7 @@
     isIsolated: 'boolean',
     elapsedMs: 'number',
   }),
+  ...clientEvents,
 
   // 3000: partitions, journal and programs.
   partition_taken: define(3001, 'info', 'A partition is held here', {
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -44,6 +44,11 @@
   target_wait_ms: define('histogram', 'Wait for a free slot at a target', [
     'service',
   ]),
+  connections_ended_total: define(
+    'counter',
+    'Connections of clients that were refused or ended to save resources',
+    ['reason'],
+  ),
   key_refusals_total: define('counter', 'Calls without a key in force', [
     'hasKey',
   ]),
