--- a/packages/gateway/src/server/connection_guard.ts
+++ b/packages/gateway/src/server/connection_guard.ts
@@ -43,7 +43,7 @@
  * Requests of one connection that have been read and not answered. Clients wait
  * for a response before the next request, or send a few ahead.
  */
-const maxPipelined = 32;
+const maxPipelined = 16;
 /**
  * The same of all connections, for each megabyte: each takes about 10 KB. An entry
  * VM serves fewer than a hundred at a time.
