Write confirmations and settlements to the object API without reading the others

Cause: a confirmation or settlement that archives do not acknowledge within 50 ms is written to the object API; each such write also read all reservations and all registrations, which only a new reservation needs.

Change: these write only; writes stay one at a time.

--- a/packages/turns/src/objects/reservation_objects.ts
+++ b/packages/turns/src/objects/reservation_objects.ts
@@ -81,6 +81,8 @@
 /** Reservations of one entry VM, and those of the others. */
 export class ReservationObjects {
   private readonly entries = new Map<TurnId, RecordedEntry>();
+  /** Writes of the own reservations; one at a time. */
+  private readonly writes: SharedReading<void>;
   private readonly exchange: SharedReading<Reading>;
   private readonly key: string;
   /** Version of the own object; `undefined` while there is none. */
@@ -91,6 +93,11 @@
   private constructor(private readonly options: ReservationObjectsOptions) {
     const {clock, getIntervalMs, daemon, incarnation} = options;
     this.key = `${reservationPrefix}${daemon}.${incarnation}`;
+    this.writes = SharedReading.create({
+      clock,
+      getIntervalMs,
+      read: () => this.write(this.encode()),
+    });
     this.exchange = SharedReading.create({
       clock,
       getIntervalMs,
@@ -148,7 +155,8 @@
       throw createFullError();
     }
     this.put(program, {attempt, tokens, isSettled: false, openMs});
-    await this.exchange.read();
+    // What others have recorded is of no interest, and costs two more calls.
+    await this.writes.read();
   }
 
   /**
@@ -191,7 +199,7 @@
         else isFull = true;
       }
     }
-    await (isLast ? this.write(this.encode()) : this.exchange.read());
+    await (isLast ? this.write(this.encode()) : this.writes.read());
     if (isFull) throw createFullError();
   }
 
@@ -218,7 +226,7 @@
     const {clock, store, onWritten} = this.options;
     const startMs = clock.nowMs();
     const size = this.entries.size;
-    await this.write(this.encode());
+    await this.writes.read();
     const [reservations, archives] = await Promise.all([
       store.readSnapshot(reservationPrefix),
       // Without them, settlements are recorded nevertheless.
