Explain where a request would go, without sending it

Cause: logs tell where a request went, but nothing tells before it is sent which targets may be used and how they compare.

Change: ServiceDispatcher.explain describes each target, its estimate, the reports of other daemons and the choice. TargetChooser offers the estimates that it decides by. Where the targets to compare are drawn at random, each target's probability is told. RateLimiter.peekDelayMs estimates a delay without removing expired permits.

A state change fails a scenario: tried with getDelayMs instead of peekDelayMs, and with a draw in the explanation.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -6,6 +6,7 @@
 export * from './load/shared_loads.js';
 export * from './placement/learned_placement.js';
 export * from './placement/placement_cost.js';
+export * from './placement/placement_explanation.js';
 export * from './queue/request_queue.js';
 export * from './rate_limits/permit_schedule.js';
 export * from './rate_limits/permit_scheduler.js';
--- a/packages/dispatch/src/placement/learned_placement.ts
+++ b/packages/dispatch/src/placement/learned_placement.ts
@@ -152,6 +152,40 @@
     return [...selected];
   }
 
+  /**
+   * Gets the probability that `selectTargets` selects none of some targets.
+   * Draws nothing.
+   * @param targets - Targets that may receive the request.
+   * @param request - Request to place.
+   * @param missed - Some of these targets.
+   */
+  getMissProbability(
+    targets: readonly TargetState[],
+    {prompt}: LearnedRequest,
+    missed: ReadonlySet<TargetState>,
+  ): number {
+    if (missed.size === 0) return 1;
+    if (targets.length <= randomChoices + holderChoices) return 0;
+    const ofHolders = this.getDrawMiss(findHolders(targets, prompt), missed);
+    const ofAll = this.getDrawMiss(targets, missed);
+    return ofHolders ** holderChoices * ofAll ** randomChoices;
+  }
+
+  /** Probability that one draw yields none of some targets. */
+  private getDrawMiss(
+    targets: readonly TargetState[],
+    missed: ReadonlySet<TargetState>,
+  ): number {
+    let total = 0;
+    let kept = 0;
+    for (const target of targets) {
+      const weight = this.getWeight(target);
+      total += weight;
+      if (!missed.has(target)) kept += weight;
+    }
+    return total === 0 ? 1 : kept / total;
+  }
+
   /** Adds targets at random, larger and nearer ones more often. */
   private draw(
     targets: readonly TargetState[],
--- a/packages/dispatch/src/placement/target_chooser.ts
+++ b/packages/dispatch/src/placement/target_chooser.ts
@@ -2,7 +2,11 @@
 import type {Clock, DataCentreId, TargetId} from '@marigoldpost/common';
 import type {RateLimiter} from '../rate_limits/rate_limiter.js';
 import type {TargetState} from '../targets/target_state.js';
-import type {LearnedPlacement, LearnedRequest} from './learned_placement.js';
+import type {
+  LearnedPlacement,
+  LearnedRequest,
+  TargetEstimate,
+} from './learned_placement.js';
 import {estimateFinishMs, getMedianLatencyRatio} from './placement_cost.js';
 
 /** Target that a request should use, and when. */
@@ -20,6 +24,20 @@
   readonly deadlineMs: number;
 }
 
+/** Time to finish a request, with its parts where learned costs decide. */
+export type PlacementEstimate = Pick<TargetEstimate, 'finishMs'> &
+  Partial<TargetEstimate>;
+
+/** How the targets of a request are compared. */
+export interface TargetEstimates {
+  /** Learned costs; undefined where the own requests decide. */
+  readonly learned: LearnedPlacement | undefined;
+  /** Selects the targets to compare; draws some of many at random. */
+  readonly selectTargets: () => readonly TargetState[];
+  /** Estimates for one target; changes nothing. */
+  readonly estimate: (target: TargetState) => PlacementEstimate;
+}
+
 /** Environment of a chooser. */
 export interface TargetChooserOptions {
   readonly dataCentre: DataCentreId;
@@ -54,17 +72,13 @@
     awaiting: ReadonlyMap<TargetId, number>,
   ): TargetChoice | undefined {
     const nowMs = this.options.clock.nowMs();
-    const usable = open.filter(({health, inFlight}) =>
-      health.isUsable(nowMs, inFlight),
-    );
-    // If all targets fail, the fault may be this daemon's: ignore ejections.
-    const candidates = usable.length > 0 ? usable : open;
-    const {targets, getCostMs} = this.createEstimate(request, candidates);
+    const candidates = this.getUsable(open);
+    const {selectTargets, estimate} = this.createEstimates(request, candidates);
     let best: {target: TargetState; delayMs: number} | undefined;
     let bestMs = Number.POSITIVE_INFINITY;
     let secondMs = Number.POSITIVE_INFINITY;
-    for (const target of targets) {
-      const costMs = getCostMs(target);
+    for (const target of selectTargets()) {
+      const costMs = estimate(target).finishMs;
       const delayMs = this.getDelayMs(target, awaiting);
       if (costMs + delayMs >= bestMs) {
         secondMs = Math.min(secondMs, costMs + delayMs);
@@ -80,17 +94,35 @@
     return {...best, horizonMs: Math.min(leftMs, gainMs)};
   }
 
-  private createEstimate(
-    request: ChooserRequest,
+  /**
+   * Gets the targets that are not ejected.
+   * @param open - Targets with room in the window of this daemon.
+   */
+  getUsable(open: readonly TargetState[]): readonly TargetState[] {
+    const nowMs = this.options.clock.nowMs();
+    const usable = open.filter(({health, inFlight}) =>
+      health.isUsable(nowMs, inFlight),
+    );
+    // If all targets fail, the fault may be this daemon's: ignore ejections.
+    return usable.length > 0 ? usable : open;
+  }
+
+  /**
+   * Creates the estimates by which targets are compared.
+   * @param request - Request to place.
+   * @param candidates - Targets that may receive it now.
+   */
+  createEstimates(
+    request: LearnedRequest,
     candidates: readonly TargetState[],
   ): TargetEstimates {
     const learned = this.options.getLearned();
     if (learned?.hasReports(candidates) === true) {
       const meanUse = learned.getMeanUse(candidates);
       return {
-        targets: learned.selectTargets(candidates, request),
-        getCostMs: (target) =>
-          learned.estimate(target, request, meanUse).finishMs,
+        learned,
+        selectTargets: () => learned.selectTargets(candidates, request),
+        estimate: (target) => learned.estimate(target, request, meanUse),
       };
     }
     const {dataCentre, clock} = this.options;
@@ -98,8 +130,11 @@
     const medianLatencyRatio = getMedianLatencyRatio(candidates, nowMs);
     const context = {dataCentre, nowMs, medianLatencyRatio};
     return {
-      targets: candidates,
-      getCostMs: (target) => estimateFinishMs(target, request, context),
+      learned: undefined,
+      selectTargets: () => candidates,
+      estimate: (target) => ({
+        finishMs: estimateFinishMs(target, request, context),
+      }),
     };
   }
 
@@ -112,9 +147,3 @@
     return rateLimiter.getDelayMs(entry, awaiting.get(entry.id) ?? 0);
   }
 }
-
-/** Targets to compare, and when each would have finished the request. */
-interface TargetEstimates {
-  readonly targets: readonly TargetState[];
-  readonly getCostMs: (target: TargetState) => number;
-}
--- a/packages/dispatch/src/rate_limits/rate_limiter.ts
+++ b/packages/dispatch/src/rate_limits/rate_limiter.ts
@@ -61,6 +61,20 @@
     return this.getPermits(limit).getDelayMs(nowMs, limit.limitPerS, index);
   }
 
+  /**
+   * Estimates the same as `getDelayMs` and changes nothing.
+   * @param entry - Target to send to.
+   * @param index - Number of requests that are to be sent to it before.
+   */
+  peekDelayMs(entry: TargetEntry, index: number): number {
+    const limit = this.getLimit(entry);
+    if (limit?.limitPerS === undefined) return 0;
+    const nowMs = this.options.clock.nowMs();
+    const known = this.permits.get(getPermitsKey(limit));
+    const permits = known ?? TargetPermits.create();
+    return permits.peekDelayMs(nowMs, limit.limitPerS, index);
+  }
+
   /**
    * Gets since when a target is known to be leaving; `undefined` if it is not.
    * @param entry - Target to send to.
@@ -135,8 +149,8 @@
     return this.options.limits.get({target: id, startedAtMs});
   }
 
-  private getPermits({target, startedAtMs}: TargetLimit): TargetPermits {
-    const key = `${target} ${startedAtMs}`;
+  private getPermits(limit: TargetLimit): TargetPermits {
+    const key = getPermitsKey(limit);
     const existing = this.permits.get(key);
     if (existing !== undefined) return existing;
     const added = TargetPermits.create();
@@ -156,3 +170,7 @@
     });
   }
 }
+
+function getPermitsKey({target, startedAtMs}: TargetLimit): string {
+  return `${target} ${startedAtMs}`;
+}
--- a/packages/dispatch/src/rate_limits/target_permits.ts
+++ b/packages/dispatch/src/rate_limits/target_permits.ts
@@ -66,7 +66,20 @@
    */
   getDelayMs(nowMs: number, limitPerS: number, index: number): number {
     this.removeExpired(nowMs);
-    const dueMs = this.dueTimesMs[index];
+    return this.peekDelayMs(nowMs, limitPerS, index);
+  }
+
+  /**
+   * Estimates the same as `getDelayMs` without removing expired permits.
+   * @param nowMs - Time on the daemon's clock.
+   * @param limitPerS - Limit of the target.
+   * @param index - Number of requests that use permits before this one.
+   */
+  peekDelayMs(nowMs: number, limitPerS: number, index: number): number {
+    const dueTimesMs = this.dueTimesMs.filter(
+      (dueMs) => dueMs >= nowMs - permitValidityMs,
+    );
+    const dueMs = dueTimesMs[index];
     if (dueMs !== undefined) return Math.max(0, dueMs - nowMs);
     const isSlow =
       this.pendingCount > 0 && nowMs - this.requestedAtMs > slowRequestMs;
@@ -74,7 +87,7 @@
     const freeMs = Math.max(firstMs, this.nextFreeMs - nowMs);
     // Beyond the horizon, any of the requesters may get the next free permit.
     const competing = freeMs > maxHorizonMs ? 1 : 0;
-    const ahead = index - this.dueTimesMs.length + competing;
+    const ahead = index - dueTimesMs.length + competing;
     return freeMs + ahead * this.getIntervalMs(limitPerS);
   }
 
--- a/packages/dispatch/src/service_dispatcher.ts
+++ b/packages/dispatch/src/service_dispatcher.ts
@@ -13,6 +13,10 @@
 import type {SharedLoads, TargetLoad} from './load/shared_loads.js';
 import {LearnedPlacement} from './placement/learned_placement.js';
 import type {PlacementRequest} from './placement/placement_cost.js';
+import {
+  explainPlacement,
+  type PlacementExplanation,
+} from './placement/placement_explanation.js';
 import {
   type ChooserRequest,
   TargetChooser,
@@ -237,6 +241,25 @@
     return this.waitForLease(request, signal, choice);
   }
 
+  /**
+   * Describes where a request would go now; changes nothing.
+   * @param request - Request that is not sent.
+   */
+  explain(request: DispatchRequest): PlacementExplanation {
+    const {clock, rateLimiter, sharedLoads} = this.options;
+    return explainPlacement(toLearnedRequest(request), {
+      nowMs: clock.nowMs(),
+      targets: [...this.targets.values()],
+      candidates: this.getCandidates(request.excluded),
+      excluded: request.excluded,
+      awaiting: this.countAwaiting(),
+      chooser: this.chooser,
+      rateLimiter,
+      sharedLoads,
+      getWindow: (target) => this.getWindow(target),
+    });
+  }
+
   /**
    * Whether a target may receive a request now: one that is leaving receives
    * none, but for a short time where every other target is leaving as well.
