Add marigoldpost explain

Cause: operators could not ask a running entry VM how it would place a request.

Change: PageServer passes the URL to its page function. An entry VM answers /explain on the address of its metrics page, all other paths get the metrics as before.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -12,6 +12,7 @@
 import {ConfigHistory} from './commands/config/config_history.js';
 import {ConfigStatus} from './commands/config/config_status.js';
 import {Demo} from './commands/demo.js';
+import {Explain} from './commands/explain.js';
 import {ProgramEnd} from './commands/program/program_end.js';
 import {ProgramHistory} from './commands/program/program_history.js';
 import {ProgramShow} from './commands/program/program_show.js';
@@ -43,6 +44,7 @@
   'config:history': ConfigHistory,
   'config:status': ConfigStatus,
   demo: Demo,
+  explain: Explain,
   'program:end': ProgramEnd,
   'program:history': ProgramHistory,
   'program:show': ProgramShow,
--- a/packages/gateway/src/server/page_server.ts
+++ b/packages/gateway/src/server/page_server.ts
@@ -1,22 +1,35 @@
-/** HTTP server for one of the daemon's status pages: readiness or metrics. */
+/** HTTP server for the daemon's status pages: readiness, or metrics. */
 import http from 'node:http';
 import type {NetworkAddress} from '@marigoldpost/sites';
 
-/** Status and plain-text body of a page. */
+/** Status and body of a page. */
 export interface Page {
   readonly status: number;
   readonly body: string;
+  /** Plain text by default. */
+  readonly contentType?: string;
 }
 
-/** Serves the same page on every path. */
+/**
+ * Creates the page for a request.
+ * @param url - Path and query of the request; the origin means nothing.
+ */
+export type GetPage = (url: URL) => Page;
+
+const defaultContentType = 'text/plain; charset=utf-8';
+/** Completes the paths of requests to URLs. */
+const baseUrl = 'http://localhost';
+
+/** Serves pages; the page function decides by the URL, or ignores it. */
 export class PageServer {
   private readonly server: http.Server;
 
-  private constructor(getPage: () => Page) {
+  private constructor(getPage: GetPage) {
     this.server = http.createServer((request, response) => {
       request.resume();
-      const {status, body} = getPage();
-      const headers = {'Content-Type': 'text/plain; charset=utf-8'};
+      const page = getPage(toUrl(request.url));
+      const {status, body, contentType = defaultContentType} = page;
+      const headers = {'Content-Type': contentType};
       response.writeHead(status, headers);
       response.end(body);
     });
@@ -26,7 +39,7 @@
    * Creates a server that does not listen yet.
    * @param getPage - Creates the page; called for each request.
    */
-  static create(getPage: () => Page): PageServer {
+  static create(getPage: GetPage): PageServer {
     return new PageServer(getPage);
   }
 
@@ -47,3 +60,10 @@
     this.server.closeAllConnections();
   }
 }
+
+/** Parses a request target; a malformed one counts as the root path. */
+function toUrl(target = '/'): URL {
+  return URL.canParse(target, baseUrl)
+    ? new URL(target, baseUrl)
+    : new URL(baseUrl);
+}
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -2,6 +2,7 @@
 import {
   CrashTracker,
   type GatewayServer,
+  type Page,
   PageServer,
   SiteState,
 } from '@marigoldpost/gateway';
@@ -21,6 +22,7 @@
 import {entryPrefix} from './entry_directory.js';
 import {EntryFleet} from './entry_fleet.js';
 import {createGateway} from './create_gateway.js';
+import {createExplainPage, explainPath} from './explain_page.js';
 import {LoadExchange} from './load_exchange.js';
 import {getArchiveReach} from './quota_contacts.js';
 import {SiteConfigUpdater} from './site_config_updater.js';
@@ -419,6 +421,11 @@
     return 'ready';
   }
 
+  protected override getStatusPage(url: URL): Page | undefined {
+    if (url.pathname !== explainPath) return undefined;
+    return createExplainPage(this.site, this.clock.nowMs(), url.searchParams);
+  }
+
   protected override setGauges(): void {
     const {metrics} = this.options;
     metrics.setGauge('calls_in_flight', {}, this.server.inFlight);
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -1,6 +1,6 @@
 /** Common base of the daemons: watches, peer transport and metrics page. */
 import type {Clock} from '@marigoldpost/common';
-import {PageServer} from '@marigoldpost/gateway';
+import {type Page, PageServer} from '@marigoldpost/gateway';
 import {MessageTransport} from '@marigoldpost/peers';
 import {
   type ChangeSource,
@@ -78,10 +78,22 @@
       port: settings.peerPort,
       clock,
     });
-    this.metricsPage = PageServer.create(() => ({
-      status: okStatus,
-      body: metrics.renderExposition(),
-    }));
+    this.metricsPage = PageServer.create(
+      (url) =>
+        this.getStatusPage(url) ?? {
+          status: okStatus,
+          body: metrics.renderExposition(),
+        },
+    );
+  }
+
+  /**
+   * Gets a page of the role on the address of the metrics page; `undefined` for
+   * the metrics page.
+   * @param _url - Path and query of the request.
+   */
+  protected getStatusPage(_url: URL): Page | undefined {
+    return undefined;
   }
 
   /** Settings as read at the start or at the last reload. */
