Explain each service of a route that shares its requests

Cause: one service without targets hid the others of the route.

Change: no_target is returned only if no service of the route has targets.

--- a/packages/nodes/src/entry/explain_page.ts
+++ b/packages/nodes/src/entry/explain_page.ts
@@ -1,9 +1,6 @@
 /** Page of an entry VM that tells where a request would go now. */
 import {MarigoldpostError, type ServiceId, toId} from '@marigoldpost/common';
-import type {
-  DispatchRequest,
-  PlacementExplanation,
-} from '@marigoldpost/dispatch';
+import type {PlacementExplanation} from '@marigoldpost/dispatch';
 import {
   createErrorResponse,
   type Page,
@@ -21,6 +18,13 @@
 
 const okStatus = 200;
 const contentType = 'application/json';
+const noTargets: PlacementExplanation = {
+  usesLearnedCosts: false,
+  isDrawn: false,
+  outcome: 'no_target',
+  chosen: undefined,
+  targets: [],
+};
 const wholeNumber = /^\d{1,9}$/;
 
 /** Placement at one of the services that a route shares its requests among. */
@@ -85,7 +89,7 @@
   const services = route.services.map(({service, weight}) => ({
     service,
     share: weight / total,
-    ...explainService(site, service, {
+    ...(site.getDispatcher(service)?.explain({
       prompt,
       tenantPriority: tenant?.priority ?? 0,
       priority: route.priority,
@@ -95,8 +99,9 @@
       previousPrompt: undefined,
       kind: route.name,
       outputHintTokens,
-    }),
+    }) ?? noTargets),
   }));
+  checkTargets(services);
   return {
     configVersion: config.version,
     route: route.name,
@@ -106,18 +111,12 @@
   };
 }
 
-/** Throws `no_target` if the service has no targets. */
-function explainService(
-  site: SiteState,
-  service: ServiceId,
-  request: DispatchRequest,
-): PlacementExplanation {
-  const explanation = site.getDispatcher(service)?.explain(request);
-  if (explanation === undefined || explanation.targets.length === 0) {
-    const message = `service "${service}" has no targets`;
-    throw MarigoldpostError.create('no_target', message);
-  }
-  return explanation;
+/** Throws `no_target` if no service of the route has targets. */
+function checkTargets(services: readonly ServiceExplanation[]): void {
+  if (services.some(({targets}) => targets.length > 0)) return;
+  const names = services.map(({service}) => `"${service}"`).join(', ');
+  const message = `service ${names} has no targets`;
+  throw MarigoldpostError.create('no_target', message);
 }
 
 function getRoute(site: SiteState, query: URLSearchParams): Route {
