Check the owner of each turn of a chain, and answer both 404s alike

Cause: only the last turn of a chain was compared with the call's tenant. A record without a tenant, of an older build or of a time without tenants, opened the turns before it to all tenants, in the prompt. The message of the 404 also told a turn of another tenant from one that does not exist. Change: a call is refused if any turn of the chain is of another tenant; both cases have the same message.

--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -103,15 +103,19 @@
   }
 
   /**
-   * Throws `unknown_turn` for a turn of another tenant: its existence is not to
-   * be learned. A turn whose tenant is not known may be continued by all, since
-   * a build that does not record it stored it.
+   * Throws `unknown_turn` if any turn of the chain is of another tenant: its
+   * existence is not to be learned, and the prompt would have its content. A
+   * turn whose tenant is not known may be continued by all, since a build that
+   * does not record it stored it, which may have appended it to a turn of any
+   * tenant.
    */
   private checkOwner(chain: TurnChain, previousTurn: TurnId): void {
     const {caller} = this.call;
-    const owner = chain.at(-1)?.tenant;
-    if (caller === undefined || owner === undefined) return;
-    if (owner === caller.tenant) return;
+    if (caller === undefined) return;
+    const isOthers = chain.some(
+      ({tenant}) => tenant !== undefined && tenant !== caller.tenant,
+    );
+    if (!isOthers) return;
     const message = `no archive stores turn "${previousTurn}"`;
     throw MarigoldpostError.create('unknown_turn', message);
   }
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -123,7 +123,7 @@
       const isImported = await fetchFromArchives(clients, turn);
       if (typeof isImported === 'object') return isImported;
       if (isImported === 'absent') {
-        const message = `none of ${clients.length} archives stores turn "${turn}"`;
+        const message = `no archive stores turn "${turn}"`;
         throw MarigoldpostError.create('unknown_turn', message);
       }
     }
