End the wait for a quota with the call

Cause: a call whose client had left or whose deadline had passed waited until its quota was decided, up to three entry VMs of 0.3 s each, twice. Change: the wait ends with the call; a place that is granted later is returned.

--- a/packages/gateway/src/calls/quota_permit.ts
+++ b/packages/gateway/src/calls/quota_permit.ts
@@ -1,4 +1,5 @@
 /** A call's place in the quota of its tenant. */
+import {MarigoldpostError, waitUnlessAborted} from '@marigoldpost/common';
 import type {Tenant} from '@marigoldpost/sites';
 import {createQuotaError} from '../access/call_access.js';
 import type {QuotaDecision} from '../access/quota_source.js';
@@ -30,7 +31,10 @@
     const {tenant, config} = call;
     if (tenant?.quota === undefined || quotas === undefined) return;
     const startMs = clock.nowMs();
-    const decision = await quotas.take(tenant, config.version);
+    const decision = await this.waitForDecision(
+      quotas.take(tenant, config.version),
+      tenant,
+    );
     this.isTaken = decision.result === 'granted';
     metrics.recordValue('quota_wait_ms', {}, clock.nowMs() - startMs);
     if (this.isTaken) return;
@@ -38,6 +42,27 @@
     throw createQuotaError(tenant, decision);
   }
 
+  /**
+   * Waits for the decision, at most until the call ends: its client has left, or
+   * its deadline has passed. A permit that is granted later is returned.
+   */
+  private async waitForDecision(
+    asked: Promise<QuotaDecision>,
+    tenant: Tenant,
+  ): Promise<QuotaDecision> {
+    const {call, services} = this;
+    try {
+      return await waitUnlessAborted(asked, call.signal, () =>
+        createEndError(call),
+      );
+    } catch (error) {
+      void asked.then(({result}) => {
+        if (result === 'granted') services.quotas?.giveBack(tenant);
+      });
+      throw error;
+    }
+  }
+
   /** Returns the permit of a call that no target may have run. */
   release(): void {
     const {tenant, mayHaveRun} = this.call;
@@ -65,3 +90,9 @@
     services.metrics.addToCounter('quota_refusals_total', {result});
   }
 }
+
+function createEndError({endReason}: IncomingCall): MarigoldpostError {
+  const kind = endReason === 'stopping' ? 'draining' : 'deadline_exceeded';
+  const message = 'the call ended before its quota was decided';
+  return MarigoldpostError.create(kind, message);
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * from './calls/call_handler.js';
 export * from './calls/call_services.js';
 export * from './calls/crash_tracker.js';
+export * from './calls/quota_permit.js';
 export * from './calls/request_allowance.js';
 export * from './calls/request_memory.js';
 export * from './calls/target_sender.js';
