Apply the limit of requests sent ahead that the guard is given

ConnectionGuard.addRequest compared with the default of the module, so that ConnectionLimits.maxPipelined had no effect. Both are 16 in entry processes, so these behave as before.

A guard for 3 requests of one connection kept the fourth; it closes the connection now (connection_guard.feature, added next: 33 of 33 scenarios of packages/gateway/tests/server pass, 32 without the change).

--- a/packages/gateway/src/server/connection_guard.ts
+++ b/packages/gateway/src/server/connection_guard.ts
@@ -43,7 +43,7 @@
  * Requests of one connection that have been read and not answered. Clients wait
  * for a response before the next request, or send a few ahead.
  */
-const maxPipelined = 16;
+const pipelinedRequests = 16;
 /**
  * The same of all connections, for each megabyte: each takes about 10 KB. An entry
  * VM serves fewer than a hundred at a time.
@@ -68,7 +68,7 @@
   const byMemory = Math.floor(memoryMb * connectionsPerMb);
   return {
     maxConnections: Math.max(1, Math.min(byDescriptors, byMemory)),
-    maxPipelined,
+    maxPipelined: pipelinedRequests,
     maxPending: Math.floor(memoryMb * pendingPerMb),
   };
 }
@@ -150,7 +150,7 @@
     state.pending += 1;
     this.pending += 1;
     if (state.pending === 1) return true;
-    const {maxPending} = this.limits;
+    const {maxPipelined, maxPending} = this.limits;
     return state.pending <= maxPipelined && this.pending <= maxPending;
   }
 
