--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,7 @@
 export * from './server/connection_guard.js';
 export * from './server/gateway_server.js';
 export * from './server/page_server.js';
+export * from './server/stalled_writes.js';
 export * from './site/site_state.js';
 export * from './targets/target_agent.js';
 export * from './targets/target_agents.js';
