Count a chain once for each part that its prompt begins with

A prompt that repeats a part counted as several chains, so that one prompt made a part shared, and every target was expected to have it cached.

--- a/packages/dispatch/src/cost/shared_parts.ts
+++ b/packages/dispatch/src/cost/shared_parts.ts
@@ -31,7 +31,8 @@
    * @param prompt - Parts of the prompt, in order; the last one is its own.
    */
   recordChain(prompt: readonly PromptPart[]): void {
-    for (const {id} of prompt.slice(0, -1)) {
+    // A part that one prompt repeats is not shared with others.
+    for (const id of new Set(prompt.slice(0, -1).map((part) => part.id))) {
       const chains = (this.chainsByPart.get(id) ?? 0) + 1;
       this.chainsByPart.delete(id);
       this.chainsByPart.set(id, chains);
