Take the mean of clients' estimates over the runs that had one

A run without an estimate counted as an estimate of 0, so that the estimates of other clients of the same route seemed large.

--- a/packages/dispatch/src/cost/work_model.ts
+++ b/packages/dispatch/src/cost/work_model.ts
@@ -46,6 +46,8 @@
 interface KindOutput {
   runs: number;
   meanTokens: number;
+  /** Runs whose clients gave an estimate, and the mean of these estimates. */
+  hintedRuns: number;
   meanHint: number;
 }
 
@@ -187,18 +189,21 @@
   private recordOutput({
     kind,
     outputTokens,
-    outputHintTokens = 0,
+    outputHintTokens,
   }: CompletedRun): void {
     let known = this.outputs.get(kind);
     if (known === undefined) {
       if (this.outputs.size >= maxKinds) return;
-      known = {runs: 0, meanTokens: 0, meanHint: 0};
+      known = {runs: 0, meanTokens: 0, hintedRuns: 0, meanHint: 0};
       this.outputs.set(kind, known);
     }
     known.runs += 1;
     const weight = Math.max(sampleWeight, 1 / known.runs);
     known.meanTokens += weight * (outputTokens - known.meanTokens);
-    known.meanHint += weight * (outputHintTokens - known.meanHint);
+    if (outputHintTokens === undefined) return;
+    known.hintedRuns += 1;
+    const hintWeight = Math.max(sampleWeight, 1 / known.hintedRuns);
+    known.meanHint += hintWeight * (outputHintTokens - known.meanHint);
   }
 }
 
