Learn nothing from numbers of tokens that no engine can hold

Clients state the lengths of prompts and the expected answers, as any number. One prompt of 1e308 tokens made the learned time of a prompt token not a number, after which costs of targets no longer compare; smaller lies outweighed thousands of runs.

--- a/packages/dispatch/src/cost/work_model.ts
+++ b/packages/dispatch/src/cost/work_model.ts
@@ -21,6 +21,13 @@
 /** Kinds of requests that are told apart; more share the default. */
 const maxKinds = 200;
 
+/**
+ * Most tokens of a prompt or an answer, above what the memory of an engine holds.
+ * Clients may state any number, and a single large one would outweigh thousands of
+ * runs in the means and variances.
+ */
+const maxTokens = 1_000_000;
+
 /** What is known of a request before it runs. */
 export interface RequestSize {
   /** Route or other class of requests with similar answers. */
@@ -123,13 +130,14 @@
   }: RequestSize): number {
     const known = this.outputs.get(kind);
     const fallback = outputHintTokens ?? defaultOutputTokens;
+    const limit = Math.min(maxOutputTokens, maxTokens);
     if (known === undefined || known.runs < minRuns) {
-      return Math.min(maxOutputTokens, fallback);
+      return Math.min(limit, fallback);
     }
     const hasHints = outputHintTokens !== undefined && known.meanHint > 0;
     const relative = hasHints ? outputHintTokens / known.meanHint : 1;
     const expected = known.meanTokens * Math.sqrt(Math.max(0, relative));
-    return Math.min(maxOutputTokens, expected);
+    return Math.min(limit, expected);
   }
 
   /**
@@ -140,7 +148,7 @@
    */
   estimateWorkMs(size: RequestSize, uncachedTokens: number): number {
     return (
-      uncachedTokens * this.prefillMsPerToken +
+      Math.min(maxTokens, uncachedTokens) * this.prefillMsPerToken +
       this.estimateOutputTokens(size) * this.tokenMs
     );
   }
@@ -150,8 +158,10 @@
    * @param run - What it cost.
    */
   recordRun(run: CompletedRun): void {
-    this.prefill.add(run.uncachedTokens, run.firstEventMs);
-    if (run.tokenMs !== undefined) {
+    if (run.uncachedTokens <= maxTokens) {
+      this.prefill.add(run.uncachedTokens, run.firstEventMs);
+    }
+    if (run.tokenMs !== undefined && Number.isFinite(run.tokenMs)) {
       this.tokenRuns += 1;
       const weight = Math.max(sampleWeight, 1 / this.tokenRuns);
       this.meanTokenMs += weight * (run.tokenMs - this.meanTokenMs);
@@ -200,7 +210,9 @@
     known.runs += 1;
     const weight = Math.max(sampleWeight, 1 / known.runs);
     known.meanTokens += weight * (outputTokens - known.meanTokens);
-    if (outputHintTokens === undefined) return;
+    const hasHint =
+      outputHintTokens !== undefined && outputHintTokens <= maxTokens;
+    if (!hasHint) return;
     known.hintedRuns += 1;
     const hintWeight = Math.max(sampleWeight, 1 / known.hintedRuns);
     known.meanHint += hintWeight * (outputHintTokens - known.meanHint);
--- a/packages/dispatch/tests/cost/work_model.feature
+++ b/packages/dispatch/tests/cost/work_model.feature
@@ -41,6 +41,22 @@
     Then the model expects 200 generated tokens of a request "kind-199" to within 2 of 100
     And the model expects 250 generated tokens of a request "kind-200" to within 2 of 100
 
+  Scenario Outline: Guards against <failure> that a client states once
+    When the model learns from the runs "<stated>, a:1000:30:200:hint=100 x 100, a:9000:50:200:hint=100 x 100"
+    Then the model reads a prompt token in 0.0025 ms to within 1 of 100
+    And the model expects 200 generated tokens of a request "a hint=100" to within 2 of 100
+
+    Examples: Numbers of clients
+      | failure                                 | stated                       |
+      | a prompt whose square is no number      | a:1e308:30:200:hint=100      |
+      | a prompt that outweighs thousands       | a:1e30:30:200:hint=100       |
+      | an estimate that outweighs thousands    | a:1000:30:200:hint=1e308     |
+
+  Scenario: Guards against work without bound for numbers that a client states
+    When the model learns from the runs "none"
+    Then the model expects 1000000 generated tokens of a request "a hint=1e308" to within 2 of 100
+    And a prompt of any length and a hint of any size mean at most an hour of work for the model
+
   Scenario Outline: Guards against <failure>
     When the model learns from <calls> calls of <duration> ms
     Then the model expects <expected> ms for a call
--- a/packages/dispatch/tests/cost/work_model_steps.ts
+++ b/packages/dispatch/tests/cost/work_model_steps.ts
@@ -15,6 +15,7 @@
 const propertySeed = 7;
 const kind = 'a';
 const tokenMs = 1.3;
+const hourMs = 3_600_000;
 
 When(
   'the model learns from the runs {string}',
@@ -97,6 +98,15 @@
   },
 );
 
+Then(
+  'a prompt of any length and a hint of any size mean at most an hour of work for the model',
+  function (this: ModelWorld) {
+    const size = {kind, outputHintTokens: Number.MAX_VALUE};
+    const workMs = this.model.estimateWorkMs(size, Number.MAX_VALUE);
+    assert.ok(workMs <= hourMs, `${workMs} ms`);
+  },
+);
+
 function parseRun(text: string): CompletedRun {
   const [name = '', uncached, firstEvent, output, hint] = text.split(':');
   const size = parseSize(hint === undefined ? name : `${name} ${hint}`);
