Keep the sums of shared loads up to date instead of adding them up each time

Each of n entry VMs had the archive add up the reports of all n, ten times a second: n squared times the targets. The sums are changed by the difference of a report now, and an asking daemon's own part is taken off.

--- a/packages/dispatch/src/load/load_totals.ts
+++ b/packages/dispatch/src/load/load_totals.ts
@@ -16,15 +16,29 @@
   readonly loads: readonly TargetLoad[];
 }
 
+/** Load of a target by all daemons that report it. */
+interface Sum {
+  requests: number;
+  workMs: number;
+  /** Number of loads in it; without any, it is removed with its rounding errors. */
+  loads: number;
+}
+
 interface Latency {
   sum: number;
   count: number;
   updatedAtMs: number;
 }
 
-/** Latest reports of all daemons, and their sums by target. */
+/**
+ * Latest reports of all daemons, and their sums by target. The sums are kept up to
+ * date, since each daemon asks for them with each report: to add up all reports
+ * each time would cost the square of the number of daemons.
+ */
 export class LoadTotals {
+  /** In the order in which they were received. */
   private readonly reports = new Map<DaemonId, Report>();
+  private readonly sums = new Map<TargetId, Sum>();
   private readonly latencies = new Map<TargetId, Latency>();
 
   private constructor(private readonly clock: Clock) {}
@@ -47,19 +61,29 @@
     const nowMs = this.clock.nowMs();
     const kept = loads.slice(0, maxTargets);
     for (const load of kept) this.addLatency(load, nowMs);
+    this.removeReport(daemon);
     this.reports.set(daemon, {receivedAtMs: nowMs, loads: kept});
+    for (const load of kept) addToSum(this.sums, load, 1);
     this.removeExpired(nowMs);
-    const sums = new Map<TargetId, {requests: number; workMs: number}>();
-    for (const [other, report] of this.reports) {
-      if (other === daemon) continue;
-      addLoads(sums, report.loads);
+    const own = new Map<TargetId, Sum>();
+    for (const load of kept) addToSum(own, load, 1);
+    const targets = new Set([...this.sums.keys(), ...this.latencies.keys()]);
+    const totals: TargetLoad[] = [];
+    for (const target of targets) {
+      const sum = getDifference(this.sums.get(target), own.get(target));
+      if (sum.loads === 0 && !this.latencies.has(target)) continue;
+      const {requests, workMs} = sum;
+      const latency = this.getLatency(target, nowMs);
+      totals.push({target, requests, workMs, ...latency});
     }
-    const targets = new Set([...sums.keys(), ...this.latencies.keys()]);
-    return [...targets].map((target) => ({
-      target,
-      ...(sums.get(target) ?? {requests: 0, workMs: 0}),
-      ...this.getLatency(target, nowMs),
-    }));
+    return totals;
+  }
+
+  private removeReport(daemon: DaemonId): void {
+    const report = this.reports.get(daemon);
+    if (report === undefined) return;
+    this.reports.delete(daemon);
+    for (const load of report.loads) addToSum(this.sums, load, -1);
   }
 
   private addLatency(
@@ -91,7 +115,8 @@
 
   private removeExpired(nowMs: number): void {
     for (const [daemon, {receivedAtMs}] of this.reports) {
-      if (nowMs - receivedAtMs > reportExpiryMs) this.reports.delete(daemon);
+      if (nowMs - receivedAtMs <= reportExpiryMs) break;
+      this.removeReport(daemon);
     }
     for (const [target, {updatedAtMs}] of this.latencies) {
       const isForgotten = nowMs - updatedAtMs > latencyHalfLifeMs * 4;
@@ -100,18 +125,30 @@
   }
 }
 
-function addLoads(
-  sums: Map<TargetId, {requests: number; workMs: number}>,
-  loads: readonly TargetLoad[],
+function addToSum(
+  sums: Map<TargetId, Sum>,
+  {target, requests, workMs}: TargetLoad,
+  sign: 1 | -1,
 ): void {
-  for (const {target, requests, workMs} of loads) {
-    const sum = sums.get(target);
-    if (sum === undefined) sums.set(target, {requests, workMs});
-    else {
-      sum.requests += requests;
-      sum.workMs += workMs;
-    }
+  const sum = sums.get(target) ?? {requests: 0, workMs: 0, loads: 0};
+  sum.requests += sign * requests;
+  sum.workMs += sign * workMs;
+  sum.loads += sign;
+  if (sum.loads > 0) sums.set(target, sum);
+  else sums.delete(target);
+}
+
+/** Gets what is left of a sum without a part of it. */
+function getDifference(sum: Sum | undefined, part: Sum | undefined): Sum {
+  const loads = (sum?.loads ?? 0) - (part?.loads ?? 0);
+  if (sum === undefined || loads <= 0) {
+    return {requests: 0, workMs: 0, loads: 0};
   }
+  return {
+    requests: sum.requests - (part?.requests ?? 0),
+    workMs: Math.max(0, sum.workMs - (part?.workMs ?? 0)),
+    loads,
+  };
 }
 
 function getKeptShare(elapsedMs: number): number {
