Bound the numbers of shared loads, and leave out latencies that are none

Sums beyond the range of their fields can't be encoded, so an archive replied to no entry VM while two daemons reported 3e38 ms of work or requests. A sum of latencies that was not a number counted as 0, with its number of samples: the target looked 490 times as fast as others.

--- a/packages/nodes/src/utils/load_codec.ts
+++ b/packages/nodes/src/utils/load_codec.ts
@@ -16,8 +16,20 @@
 }
 
 /**
- * Converts a message to a load. A number that is none, or negative, counts as 0:
- * a daemon that is mistaken must not make a target look free.
+ * Most of each number of a load, far above what a fleet has at a target, so that
+ * the sums of all daemons stay within the range of their fields: an archive could
+ * reply to none of them otherwise.
+ */
+const maxRequests = 1_000_000;
+const maxWorkMs = 1e9;
+const maxSamples = 1_000_000;
+/** Largest mean of relative latencies, as daemons bound each of them. */
+const maxLatencyRatio = 10;
+
+/**
+ * Converts a message to a load. Work that is no number, or negative, counts as 0.
+ * Latencies whose sum or number is none are left out: with a sum of 0, a target
+ * would look faster than all others.
  * @param message - Message of another daemon.
  */
 export function fromLoadMessage({
@@ -27,15 +39,18 @@
   latencySum,
   latencyCount,
 }: TargetLoadMessage): TargetLoad {
+  const hasLatencies = isPositive(latencySum) && isPositive(latencyCount);
+  const samples = hasLatencies ? Math.min(maxSamples, latencyCount) : 0;
+  const mean = hasLatencies ? latencySum / latencyCount : 0;
   return {
     target: toId<TargetId>(target),
-    requests,
-    workMs: toCount(workMs),
-    latencySum: toCount(latencySum),
-    latencyCount: toCount(latencyCount),
+    requests: Math.min(maxRequests, requests),
+    workMs: isPositive(workMs) ? Math.min(maxWorkMs, workMs) : 0,
+    latencySum: Math.min(maxLatencyRatio, mean) * samples,
+    latencyCount: samples,
   };
 }
 
-function toCount(value: number): number {
-  return Number.isFinite(value) && value > 0 ? value : 0;
+function isPositive(value: number): boolean {
+  return Number.isFinite(value) && value > 0;
 }
