--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -2,6 +2,7 @@
 export * from './archive/archive_node.js';
 export * from './archive/change_history.js';
 export * from './archive/change_relay.js';
+export * from './archive/load_relay.js';
 export * from './archive/quarantine_log.js';
 export * from './archive/store_contact.js';
 export * from './archive/quarantine_relay.js';
@@ -11,6 +12,7 @@
 export * from './entry/site_config_updater.js';
 export * from './entry/entry_directory.js';
 export * from './entry/entry_node.js';
+export * from './entry/load_exchange.js';
 export * from './entry/permit_exchange.js';
 export * from './entry/quarantine_exchange.js';
 export * from './entry/quarantine_receiver.js';
