Expect the mean load at targets without a report

The targets of a data centre whose archives do not report, being older, silent or absent, counted as free but for the own requests, while those with reports counted with the requests of the whole fleet. All entry VMs preferred them at once, which deciding by the own requests does not do.

With 16 requests on 8 slots at a reported engine, an unreported one in another data centre was expected to end a request after 361 ms, the reported one after 679 ms; unreported_targets.feature fails so without the change. 36 of 36 scenarios of packages/dispatch/tests/placement and dispatcher pass with it.

--- a/packages/dispatch/src/placement/learned_placement.ts
+++ b/packages/dispatch/src/placement/learned_placement.ts
@@ -191,7 +191,8 @@
         Math.min(running, slots) * this.getDelayMs(uncachedTokens)
       : this.model.getCallMs(request.kind) * (1 + running / slots);
     const leftMs =
-      target.backlog.getRemainingMs(nowMs) + predictWork(others, running);
+      target.backlog.getRemainingMs(nowMs) +
+      predictWork(others, running, workMs);
     const ahead = Math.max(0, running + 1 - slots * fullShare);
     const meanLeftMs = running > 0 ? Math.max(leftMs / running, 1) : 0;
     const waitMs = (ahead / slots) * meanLeftMs * 2;
@@ -294,15 +295,23 @@
 
 /**
  * Predicts the requests of other daemons: as time passes, what a report told of
- * one target says less than the mean of all.
+ * one target says less than the mean of all. Without a report, it is the mean:
+ * targets of a data centre that does not report would otherwise seem free, and all
+ * daemons would choose them at once.
  */
 function predictOthers(others: OtherLoad | undefined, mean: number): number {
-  if (others === undefined) return 0;
+  if (others === undefined) return mean;
   const kept = Math.exp(-others.ageMs / turnoverMs);
   return mean + (others.requests - mean) * kept;
 }
 
-function predictWork(others: OtherLoad | undefined, running: number): number {
-  if (others === undefined || others.requests === 0) return 0;
+/** Predicts the work left; without a report, requests are half done on average. */
+function predictWork(
+  others: OtherLoad | undefined,
+  running: number,
+  workMs: number,
+): number {
+  if (others === undefined) return (running * workMs) / 2;
+  if (others.requests === 0) return 0;
   return (others.workMs / others.requests) * Math.max(0, running);
 }
