Spare slow readers while there is room, and keep the buckets of idle tenants longer

Cause (both found in review): a client that reads one large write slowly was reset after 15 s, also on an idle entry VM; a tenant that paused for 60 to 120 s lost its bucket, and got 4 of 30 calls of its burst at once. A stand-in kept what it had saved although the holder had granted calls meanwhile.

Change: stalled connections are reset only while half of the connections or pending requests are in use; buckets are kept for 10 min, and a stand-in starts anew once it has not been asked for a window. While too many requests are pending, new connections are refused without the end of an idle one.

--- a/packages/gateway/src/server/connection_guard.ts
+++ b/packages/gateway/src/server/connection_guard.ts
@@ -120,6 +120,17 @@
     return this.pending;
   }
 
+  /**
+   * Whether half of the connections or pending requests are in use, so that clients
+   * who do not read are a burden for others.
+   */
+  get isScarce(): boolean {
+    const {maxConnections, maxPending} = this.limits;
+    return (
+      this.states.size * 2 >= maxConnections || this.pending * 2 >= maxPending
+    );
+  }
+
   /**
    * Decides about a connection that has been opened. When there is no room, the
    * one that has been idle for longest makes room if it has been for 1 s.
@@ -127,11 +138,12 @@
    */
   open(key: Key): OpenDecision<Key> {
     const nowMs = this.clock.nowMs();
-    const isFull =
-      this.states.size >= this.limits.maxConnections ||
-      this.pending >= this.limits.maxPending;
+    const {maxConnections, maxPending} = this.limits;
+    const isFull = this.states.size >= maxConnections;
     const replaced = isFull ? this.findOldestIdle(nowMs) : undefined;
-    if (isFull && replaced === undefined) {
+    const hasNoRoom = isFull && replaced === undefined;
+    // An idle connection has no pending request, so its end would not help.
+    if (hasNoRoom || this.pending >= maxPending) {
       return {isAccepted: false, replaced: undefined};
     }
     if (replaced !== undefined) this.remove(replaced);
--- a/packages/gateway/src/server/guarded_connections.ts
+++ b/packages/gateway/src/server/guarded_connections.ts
@@ -111,8 +111,11 @@
       outputs.set(socket, {writtenBytes, waitingBytes});
     }
     const nowMs = this.options.clock.nowMs();
-    for (const socket of this.stalls.find(outputs, nowMs)) {
-      this.end(socket, 'stalled');
+    const stalled = this.stalls.find(outputs, nowMs);
+    // What a client reads of a large write shows late, so a slow one may be among
+    // them; it is spared while there is room.
+    if (this.guard.isScarce) {
+      for (const socket of stalled) this.end(socket, 'stalled');
     }
     if (this.ended.size > 0) this.logEnded();
     if (this.sockets.size > 0) this.scheduleCheck();
--- a/packages/limits/src/quota/quota_holder.ts
+++ b/packages/limits/src/quota/quota_holder.ts
@@ -14,8 +14,8 @@
  */
 const initialShare = 0.2;
 const msPerSecond = 1000;
-/** A tenant without requests for this long loses its bucket. */
-const bucketExpiryMs = 60_000;
+/** A tenant without requests for this long loses its bucket, which is full by then. */
+const bucketExpiryMs = 600_000;
 
 /** How far a site's quotas may be exceeded. */
 export interface QuotaTolerance {
@@ -88,11 +88,13 @@
    * Grants as many requests as the quota allows.
    * @param request - Tenant, limit and number of requests.
    * @param share - Part of the rate that this holder may grant.
+   * @param isStandIn - Whether another entry VM holds the quota when it responds.
    */
-  take(request: QuotaRequest, share: number): QuotaGrant {
+  take(request: QuotaRequest, share: number, isStandIn = false): QuotaGrant {
     const {daemon, clock, tolerance} = this.options;
     const nowMs = clock.nowMs();
     this.removeExpired(nowMs);
+    if (isStandIn) this.removeUnused(request.tenant, nowMs);
     const quota = this.getOrAdd(request, nowMs, share);
     const {bucket} = quota;
     const {previousHolder, returned, count} = request;
@@ -133,6 +135,17 @@
     return known;
   }
 
+  /**
+   * Removes what a stand-in saved since it was last asked: the holder has granted
+   * requests meanwhile.
+   */
+  private removeUnused(tenant: TenantId, nowMs: number): void {
+    const known = this.quotas.get(tenant);
+    if (known === undefined) return;
+    const isUnused = nowMs - known.usedAtMs > this.options.tolerance.windowMs;
+    if (isUnused) this.quotas.delete(tenant);
+  }
+
   private createTerms(ratePerS: number, burst: number): QuotaTerms {
     const {windowMs, excess, slack} = this.options.tolerance;
     const perWindow = (ratePerS * windowMs) / msPerSecond + burst;
--- a/packages/nodes/src/entry/quota_exchange.ts
+++ b/packages/nodes/src/entry/quota_exchange.ts
@@ -327,7 +327,11 @@
       contacts.getSiteReach(),
       better.map((member) => contacts.getAbsence(member)),
     );
-    const {granted, nextDelayMs, counted} = holder.take(request, share);
+    const {granted, nextDelayMs, counted} = holder.take(
+      request,
+      share,
+      better.length > 0,
+    );
     this.count('decided');
     return create(TakenQuotaSchema, {
       isDecided: share > 0 || granted > 0,
