--- a/packages/nodes/src/entry/quota_members.ts
+++ b/packages/nodes/src/entry/quota_members.ts
@@ -33,12 +33,6 @@
     return new QuotaMembers(directory);
   }
 
-  /** Data centres of all registered entry VMs. */
-  getDataCentres(): Set<DataCentreId> {
-    const members = this.directory.getMembers();
-    return new Set(members.map(({dataCentre}) => dataCentre));
-  }
-
   /**
    * Gets the entry VMs that may count a tenant's requests, best first.
    * @param tenant - Tenant with a quota.
