--- a/review/lib2/runner.mjs
+++ b/review/lib2/runner.mjs
@@ -7,6 +7,8 @@
   /** Number of events of a stream, and the pause before each. */
   events = 12;
   gapMs = 20;
+  /** Time to the first event; `gapMs` if it is not set. */
+  firstMs = undefined;
   /** Time that a plain request takes. */
   workMs = 15;
   active = 0;
@@ -98,7 +100,7 @@
   }
 
   async #stream({id}, response, headers) {
-    await pause(this.gapMs);
+    await pause(this.firstMs ?? this.gapMs);
     if (response.destroyed) return;
     response.writeHead(200, {
       ...headers,
--- a/review/lib2/site.mjs
+++ b/review/lib2/site.mjs
@@ -130,13 +130,29 @@
     this.record.write(`${this.nowS.toFixed(3)} ${text}\n`);
   }
 
-  async start({entries, archives = [0, 1, 2], models = 4, services = 3}) {
-    await this.store.listen(`${this.#net}.1`);
+  /** Listens for calls to the store that have a label of their own. */
+  addStoreListener(label) {
+    return this.store.listen(`${this.#net}.1`, label);
+  }
+
+  async start({
+    entries,
+    archives = [0, 1, 2],
+    models = 4,
+    services = 3,
+    archiveStore = undefined,
+  }) {
+    this.storeAddress = await this.store.listen(`${this.#net}.1`);
     this.store.put('config', 'main', createConfig(1));
     for (let index = 0; index < models + services; index++) {
       await this.addRunner(index < models, index);
     }
-    for (const zone of archives) await this.addVm('archive', zone);
+    const storeOfArchives =
+      archiveStore && (await this.addStoreListener(archiveStore));
+    for (const zone of archives) {
+      const vm = await this.addVm('archive', zone);
+      vm.storeAddress = storeOfArchives;
+    }
     for (const zone of entries) await this.addVm('entry', zone);
     for (const vm of this.vms.values()) await this.startVm(vm.name);
     await this.waitUntilReady([...this.vms.keys()]);
@@ -330,10 +346,12 @@
     }
   }
 
-  #createSettings({name, role, zone, ip, dataDir, isBootstrap}) {
+  #createSettings(vm) {
+    const {name, role, zone, ip, dataDir, isBootstrap} = vm;
     const isEntry = role === 'entry';
     const {front, ready, control, peer, last} = this.ports;
-    const seeds = this.archives.map((vm) => `${vm.ip}:${control}`);
+    const seeds =
+      vm.seeds ?? this.archives.map((one) => `${one.ip}:${control}`);
     const lines = [
       `Node=${name}`,
       `Role=${role}`,
@@ -379,7 +397,7 @@
       'Bounds.RetryAfterS=0',
       'Bounds.DeadlineS=10',
       'Bounds.SettleMs=1000',
-      `Provider.Address=${this.store.address}`,
+      `Provider.Address=${vm.storeAddress ?? this.storeAddress}`,
       'Provider.form=objects',
       'Provider.WritesPerS=400',
       'Provider.ReadsPerS=2000',
--- a/review/lib2/store.mjs
+++ b/review/lib2/store.mjs
@@ -9,31 +9,42 @@
 export class Store {
   /** Time before each call is carried out. */
   delayMs = 4;
-  /** Called first; true if it has taken over the call. */
-  intercept = () => false;
+  /** Whether a call is turned away with 503, by the label of its listener. */
+  isBusy = () => false;
+  /** Changes a reply, by the label of its listener. */
+  rewrite = (_label, reply) => reply;
   /** Calls as `<method> <url>`, for the record. */
   calls = 0;
   #kinds = new Map();
   #events = [];
   #waiting = new Set();
   #revision = 1;
-  #server = http.createServer((request, response) => {
-    this.#handle(request, response).catch(() => request.destroy());
-  });
+  #servers = new Map();
 
-  async listen(host) {
-    this.#server.keepAliveTimeout = 60_000;
+  /** Listens on a further port, whose callers have a label. */
+  async listen(host, label = 'all') {
+    const server = http.createServer((request, response) => {
+      this.#handle(label, request, response).catch(() => request.destroy());
+    });
+    server.keepAliveTimeout = 60_000;
     await new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(0, host, resolve);
+      server.once('error', reject);
+      server.listen(0, host, resolve);
     });
-    const {port} = this.#server.address();
-    this.address = `${host}:${port}`;
+    this.#servers.set(label, server);
+    return `${host}:${server.address().port}`;
+  }
+
+  /** Resets all connections of the callers with a label. */
+  reset(label) {
+    this.#servers.get(label).closeAllConnections();
   }
 
   close() {
-    this.#server.closeAllConnections();
-    this.#server.close();
+    for (const server of this.#servers.values()) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   /** Creates or replaces an object as the operator or a runner does. */
@@ -89,7 +100,7 @@
     for (const wake of [...this.#waiting]) wake();
   }
 
-  async #handle(request, response) {
+  async #handle(label, request, response) {
     this.calls += 1;
     const url = new URL(request.url, 'http://store');
     const [, , kind = '', rawName, part] = url.pathname.split('/');
@@ -99,14 +110,17 @@
     for await (const chunk of request) chunks.push(chunk);
     const text = Buffer.concat(chunks).toString();
     const body = text === '' ? {} : JSON.parse(text);
-    const call = {method: request.method, kind, name, part, body, url};
-    const run = () => this.#answer(call, request);
-    if (this.intercept(call, request, response, run)) return;
     await new Promise((resolve) => setTimeout(resolve, this.delayMs));
-    const [status, reply] = await run();
+    if (this.isBusy(label)) {
+      response.writeHead(503).end();
+      return;
+    }
+    const {method} = request;
+    const call = {method, kind, name, part, body, url};
+    const [status, reply] = await this.#answer(call, request);
     if (response.destroyed) return;
     response.writeHead(status, {'Content-Type': 'application/json'});
-    response.end(JSON.stringify(reply));
+    response.end(JSON.stringify(this.rewrite(label, structuredClone(reply))));
   }
 
   async #answer({method, kind, name, part, body, url}, request) {
