--- a/review/lib2/runner.mjs
+++ b/review/lib2/runner.mjs
@@ -12,6 +12,8 @@
   /** Time that a plain request takes. */
   workMs = 15;
   active = 0;
+  /** Number of runs by path. */
+  activeByPath = new Map();
   /** Whether a run crashes the runner, some time after it has begun. */
   crashes = () => false;
   crashAfterMs = 30;
@@ -79,7 +81,11 @@
       return;
     }
     this.active += 1;
-    response.once('close', () => (this.active -= 1));
+    this.#countRun(request.url, 1);
+    response.once('close', () => {
+      this.active -= 1;
+      this.#countRun(request.url, -1);
+    });
     const run = {id, runner: this.id, path: request.url, body};
     this.onRun({...run, headers: request.headers});
     if (this.crashes(run)) {
@@ -99,6 +105,11 @@
     }
   }
 
+  #countRun(path, change) {
+    const count = (this.activeByPath.get(path) ?? 0) + change;
+    this.activeByPath.set(path, count);
+  }
+
   async #stream({id}, response, headers) {
     await pause(this.firstMs ?? this.gapMs);
     if (response.destroyed) return;
--- a/review/lib2/site.mjs
+++ b/review/lib2/site.mjs
@@ -18,7 +18,8 @@
 import {Store} from './store.mjs';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
-const metricsPort = 9464;
+/** Exit code of a script that could not run. */
+const couldNotRun = 2;
 const zones = ['nz-north-a', 'nz-north-b', 'nz-north-c'];
 const host = 'site.example';
 /** Bytes that a client that reads slowly takes at a time. */
@@ -118,6 +119,16 @@
 
   constructor(recordPath) {
     this.record = createWriteStream(recordPath);
+    // Node.js would exit with 1, which stands for a broken rule.
+    const fail = (error) => {
+      process.stderr.write(`${error.stack}\n`);
+      for (const vm of this.vms.values()) vm.process?.kill('SIGKILL');
+      process.exit(couldNotRun);
+    };
+    process.on('uncaughtException', fail);
+    process.on('unhandledRejection', fail);
+    process.once('SIGTERM', () => fail(new Error('stopped by SIGTERM')));
+    process.once('SIGINT', () => fail(new Error('stopped by SIGINT')));
   }
 
   /** Seconds since the site was created. */
@@ -407,9 +418,4 @@
     ];
     return `${lines.join('\n')}\n`;
   }
-
-  /** Address of the metrics page of a VM. */
-  getMetricsUrl({ip}) {
-    return `http://${ip}:${metricsPort}/metrics`;
-  }
 }
