--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -12,7 +12,7 @@
 const loopBudget = hasTrouble ? '10000000000' : '4000000000';
 const loopTurns = 4;
 /** Clients that send first turns only, through the other two zones. */
-const starters = 10;
+const starters = 18;
 const models = 8;
 const programs = 10;
 const trafficMs = 40_000;
