Log why a chain could not be read, and why an archive became unreachable

Callers saw 503 whose message stood for several causes: an ancestor that is on no archive, archives that did not reply, and a list of archives that could not be confirmed. The event of an unreachable archive named no reason, so that a request which failed in the own process looked like a silent archive.

The message now names the turn and which of the causes it is, and archive_reachability has the error as its reason.

--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -167,8 +167,8 @@
       signal: this.tasks.signal,
       ownDaemon: settings.daemon,
       readRegistered: () => registrations.readMembers(),
-      onReachabilityChanged: ({daemon}, isReachable) =>
-        logger.log('archive_reachability', {archive: daemon, isReachable}),
+      onReachabilityChanged: ({daemon: archive}, isReachable, reason) =>
+        logger.log('archive_reachability', {archive, isReachable, reason}),
     });
   }
 
--- a/packages/telemetry/src/events/event_catalogue.ts
+++ b/packages/telemetry/src/events/event_catalogue.ts
@@ -214,6 +214,7 @@
     {
       archive: 'string',
       isReachable: 'boolean',
+      reason: 'string',
     },
   ),
   archive_retired: define(3106, 'info', 'An archive was emptied', {
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -6,6 +6,7 @@
   MarigoldpostError,
   type ProgramId,
   toId,
+  toMarigoldpostError,
 } from '@marigoldpost/common';
 import {
   ArchiveProbeSchema,
@@ -67,6 +68,16 @@
   readonly isComplete: boolean;
 }
 
+/**
+ * Is told that an archive has become unreachable or reachable again.
+ * @param reason - Error that made it unreachable, or what made it reachable.
+ */
+export type ReachabilityListener = (
+  member: ArchiveMember,
+  isReachable: boolean,
+  reason: string,
+) => void;
+
 /** Archive, transport and callbacks of a client. */
 export interface ArchiveClientOptions {
   readonly member: ArchiveMember;
@@ -75,10 +86,7 @@
   /** Stops the probes of an unreachable archive when aborted. */
   readonly signal: AbortSignal;
   /** Called when the archive becomes unreachable or reachable again. */
-  readonly onReachabilityChanged?: (
-    member: ArchiveMember,
-    isReachable: boolean,
-  ) => void;
+  readonly onReachabilityChanged?: ReachabilityListener;
   /** Called when a probe has got no reply, see `isSilent`. */
   readonly onSilent?: () => void;
 }
@@ -363,7 +371,8 @@
     }
     this.isProbeUnanswered = false;
     this.unreachableSinceMs = undefined;
-    this.options.onReachabilityChanged?.(this.member, true);
+    const reason = 'it replied to a probe';
+    this.options.onReachabilityChanged?.(this.member, true, reason);
   }
 
   private async requestAcknowledgement(
@@ -390,16 +399,17 @@
       this.lastReplyMs = this.options.clock.nowMs();
       return reply;
     } catch (error) {
-      this.markUnreachable();
+      this.markUnreachable(toMarigoldpostError(error));
       throw error;
     }
   }
 
-  private markUnreachable(): void {
+  private markUnreachable({kind, message}: MarigoldpostError): void {
     if (this.unreachableSinceMs !== undefined) return;
     const nowMs = this.options.clock.nowMs();
     this.unreachableSinceMs = nowMs;
-    this.options.onReachabilityChanged?.(this.member, false);
+    const reason = `${kind}: ${message}`;
+    this.options.onReachabilityChanged?.(this.member, false, reason);
     // The probes reject only when the signal is aborted at process stop.
     this.probeUntilReachable(nowMs).catch(() => undefined);
   }
--- a/packages/turns/src/client/archive_pool.ts
+++ b/packages/turns/src/client/archive_pool.ts
@@ -11,7 +11,7 @@
   ArchiveMember,
 } from '../directory/archive_directory.js';
 import type {DiskId} from '../log/disk_identity.js';
-import {ArchiveClient} from './archive_client.js';
+import {ArchiveClient, type ReachabilityListener} from './archive_client.js';
 import {ArchiveRetries, type ArchiveWait} from './archive_retries.js';
 
 /**
@@ -41,10 +41,7 @@
   readonly ownDaemon?: DaemonId;
   /** Reads the archives that are registered now, not from the watch. */
   readonly readRegistered: () => Promise<readonly ArchiveMember[]>;
-  readonly onReachabilityChanged?: (
-    member: ArchiveMember,
-    isReachable: boolean,
-  ) => void;
+  readonly onReachabilityChanged?: ReachabilityListener;
 }
 
 /** Keeps one client per archive; creates a new one when its entry changes. */
@@ -343,8 +340,8 @@
       transport,
       clock,
       signal,
-      onReachabilityChanged: (changed, isReachable) =>
-        this.handleReachability(changed, isReachable),
+      onReachabilityChanged: (changed, isReachable, reason) =>
+        this.handleReachability(changed, isReachable, reason),
       onSilent: () => {
         for (const listener of [...this.silenceListeners]) listener();
       },
@@ -354,8 +351,9 @@
   private handleReachability(
     member: ArchiveMember,
     isReachable: boolean,
+    reason: string,
   ): void {
-    this.options.onReachabilityChanged?.(member, isReachable);
+    this.options.onReachabilityChanged?.(member, isReachable, reason);
     if (!isReachable) return;
     const reachable = this.clients.filter((client) => client.isReachable);
     if (reachable.length === 1) {
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -1,5 +1,9 @@
 /** Reads the chain of turns that a new turn continues. */
-import {type DataCentreId, MarigoldpostError} from '@marigoldpost/common';
+import {
+  type DaemonId,
+  type DataCentreId,
+  MarigoldpostError,
+} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import type {
   PartialChain,
@@ -27,6 +31,14 @@
   readonly getRetryAfterMs: () => number;
 }
 
+/** A chain, or why it could not be read. */
+type ChainLookup = {readonly chain: PartialChain} | {readonly problem: string};
+
+/** A chain, or the archives that may have it. */
+type ArchiveLookup =
+  | {readonly chain: PartialChain}
+  | {readonly chain?: undefined; readonly unread: readonly DaemonId[]};
+
 /**
  * Reads from the cache, then the own data centre, then all archives, then the
  * object API.
@@ -83,51 +95,62 @@
   ): Promise<PartialChain> {
     const {owedArchives} = this.options;
     for (;;) {
-      const chain = await this.fetchChain(turn, isAncestor, signal);
-      if (chain !== undefined) return chain;
+      const lookup = await this.fetchChain(turn, isAncestor, signal);
+      if ('chain' in lookup) return lookup.chain;
       if (!(await retries.waitForReturn(owedArchives))) {
-        throw this.createUnavailableError(turn);
+        throw this.createUnavailableError(lookup.problem);
       }
     }
   }
 
-  /** Fetches a chain; `undefined` if what has not replied may have it. */
+  /** Fetches a chain; throws `unknown_turn` if all have replied that they lack it. */
   private async fetchChain(
     turn: TurnId,
     isAncestor: boolean,
     signal: AbortSignal,
-  ): Promise<PartialChain | undefined> {
+  ): Promise<ChainLookup> {
     const {pool, ownDataCentre, owedArchives} = this.options;
     const localClients = pool.getReachableClients(ownDataCentre);
     for (const client of localClients) {
       const chain = await tryFetchChain(client, turn);
-      if (chain !== undefined) return chain;
+      if (chain !== undefined) return {chain};
       signal.throwIfAborted();
     }
     const clients = pool.getClients();
     const atArchives = await fetchFromArchives(clients, turn);
-    if (typeof atArchives === 'object') return atArchives;
+    if (atArchives.chain !== undefined) return atArchives;
     const record = await this.findInObjects(turn);
     if (typeof record === 'object') {
-      return {turns: [record], missing: record.previous};
+      return {chain: {turns: [record], missing: record.previous}};
+    }
+    const {unread} = atArchives;
+    if (unread.length > 0) {
+      const problem = `turn "${turn}" not found, and archives ${unread.join(', ')} did not tell whether they have it`;
+      return {problem};
+    }
+    if (record === 'unknown') {
+      const problem = `turn "${turn}" is on no archive, and the object API did not reply`;
+      return {problem};
     }
     // The turn that the call names is stored, so it must not be called unknown.
+    if (isAncestor) {
+      const problem = `turn "${turn}" is on no archive, but a stored turn continues it`;
+      return {problem};
+    }
     if (
-      !isAncestor &&
       clients.length >= owedArchives &&
-      atArchives === 'absent' &&
-      record === 'absent' &&
       (await pool.areAllRegistered(clients))
     ) {
       // An archive may have imported it from an object that was removed since.
-      const isImported = await fetchFromArchives(clients, turn);
-      if (typeof isImported === 'object') return isImported;
-      if (isImported === 'absent') {
+      const imported = await fetchFromArchives(clients, turn);
+      if (imported.chain !== undefined) return imported;
+      if (imported.unread.length === 0) {
         const message = `no archive stores turn "${turn}"`;
         throw MarigoldpostError.create('unknown_turn', message);
       }
     }
-    return undefined;
+    const problem = `turn "${turn}" is on none of ${clients.length} archives, and there may be others`;
+    return {problem};
   }
 
   /** Gets the turn that an object holds; `unknown` without the object API. */
@@ -144,32 +167,33 @@
     }
   }
 
-  private createUnavailableError(turn: TurnId): MarigoldpostError {
-    return MarigoldpostError.create(
-      'archive_unavailable',
-      `turn "${turn}" not found, but a stored turn continues it, or a VM that may have it did not reply or is not known yet`,
-      {retryAfterMs: this.options.getRetryAfterMs()},
-    );
+  private createUnavailableError(problem: string): MarigoldpostError {
+    return MarigoldpostError.create('archive_unavailable', problem, {
+      retryAfterMs: this.options.getRetryAfterMs(),
+    });
   }
 }
 
 /**
- * Gets the chain from an archive that holds the turn; else `absent` if each of
- * them replies that it does not store it.
+ * Gets the chain from an archive that holds the turn; else the archives that have
+ * not replied that they lack it.
  */
 async function fetchFromArchives(
   clients: readonly ArchiveClient[],
   turn: TurnId,
-): Promise<PartialChain | 'absent' | 'unknown'> {
+): Promise<ArchiveLookup> {
   const lookups = await Promise.all(
     clients.map((client) => lookUpTurn(client, turn)),
   );
   for (const [index, client] of clients.entries()) {
     if (lookups[index] !== 'held') continue;
     const chain = await tryFetchChain(client, turn);
-    if (chain !== undefined) return chain;
+    if (chain !== undefined) return {chain};
   }
-  return lookups.every((lookup) => lookup === 'absent') ? 'absent' : 'unknown';
+  const unread = clients
+    .filter((_client, index) => lookups[index] !== 'absent')
+    .map(({member}) => member.daemon);
+  return {unread};
 }
 
 /** Gets the chain; `undefined` when the archive lacks the turn or fails. */
