Retain a chain while a turn that continues it runs

Cause: retention was extended only when a turn that continues the chain is stored. A turn that began within the retention of its predecessor could end after it; it was then stored and acknowledged although an ancestor was gone from all disks. The cache served turns of any age, so that the same happened without a race.

Change: a request for a chain says how long it is needed, and the archive retains the turn and its ancestors for that time before it reads them. The cache knows until when archives surely store a turn. One that may expire while the call runs is read from an archive again; if no archive that has it replies, the cached one still serves, and if all reply that it is gone, it is unknown.

--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -87,6 +87,7 @@
     const chain = await this.services.turns.readChain(previousTurn, {
       maxWaitMs: call.leftMs * maxWaitShare,
       signal: call.signal,
+      neededMs: Math.max(0, call.leftMs),
     });
     this.checkOwner(chain, previousTurn);
     this.call.logger.log('turn_read', {
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -219,8 +219,8 @@
   }
 
   /**
-   * Retains a stored turn and its ancestors longer, since a peer has a turn that
-   * continues it.
+   * Retains a stored turn and its ancestors longer, since a turn continues it that
+   * a peer has, or that is running.
    * @param id - Id of the turn.
    * @param retainedMs - Least time from now.
    */
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -190,8 +190,11 @@
 
   private async fetchChain({
     turn,
+    retainedMs,
   }: RequestOf<'fetchChain'>): Promise<PeerReplyBody> {
-    const chain = await this.archive.readChain(toId<TurnId>(turn));
+    const id = toId<TurnId>(turn);
+    if (retainedMs > 0) this.archive.retainTurn(id, retainedMs);
+    const chain = await this.archive.readChain(id);
     const turns = chain.turns.map(toTurnMessage);
     const missing = chain.missing ?? '';
     return {case: 'chain', value: create(ChainSchema, {turns, missing})};
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -247,11 +247,14 @@
   /**
    * Gets a turn and its ancestors, as far as the archive stores them.
    * @param turn - Newest turn of the chain.
+   * @param retainedMs - How much longer the archive should retain them at least;
+   *   0 to leave that as it is.
    */
-  async fetchChain(turn: TurnId): Promise<PartialChain> {
+  async fetchChain(turn: TurnId, retainedMs = 0): Promise<PartialChain> {
+    const value = {turn, retainedMs: Math.ceil(retainedMs)};
     const reply = await this.sendRequest({
       case: 'fetchChain',
-      value: create(FetchChainSchema, {turn}),
+      value: create(FetchChainSchema, value),
     });
     if (reply.case !== 'chain') throw this.createReplyError(reply);
     const {turns, missing} = reply.value;
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -1,5 +1,6 @@
 /** Reads the chain of turns that a new turn continues. */
 import {
+  type Clock,
   type DaemonId,
   type DataCentreId,
   MarigoldpostError,
@@ -17,9 +18,21 @@
 import type {ArchiveRetries, ArchiveWait} from './archive_retries.js';
 import type {TurnCache} from './turn_cache.js';
 
+/**
+ * Time that a turn which only the object API has takes to reach an archive, which
+ * then retains the chain; a restart of all archives lies within it.
+ */
+const importMs = 5000;
+/**
+ * Time for which a chain is retained beyond its need, so that further turns that
+ * continue it can be served from the cache.
+ */
+const reuseMs = 30_000;
+
 /** Archives and cache that a reader uses. */
 export interface ChainReaderOptions {
   readonly pool: ArchivePool;
+  readonly clock: Clock;
   readonly cache: TurnCache;
   readonly ownDataCentre: DataCentreId;
   /** Archives that the site must have; while fewer are registered, a turn may be elsewhere. */
@@ -31,17 +44,41 @@
   readonly getRetryAfterMs: () => number;
 }
 
+/** How long the read of a chain may wait, and how long the chain is needed. */
+export interface ChainWait extends ArchiveWait {
+  /**
+   * Time until a turn that continues the chain has been stored, from when on that
+   * turn retains it; omitted if none does.
+   */
+  readonly neededMs?: number;
+}
+
+/** What a chain is fetched for. */
+interface ChainFetch {
+  readonly signal: AbortSignal;
+  /** Whether it is the rest of a chain whose newest turn has been read. */
+  readonly isAncestor: boolean;
+  /** Time for which archives should retain it at least. */
+  readonly retainedMs: number;
+}
+
+interface FetchedChain {
+  readonly chain: PartialChain;
+  /** Whether archives retain the chain for the time that was asked for. */
+  readonly isRetained: boolean;
+}
+
 /** A chain, or why it could not be read. */
-type ChainLookup = {readonly chain: PartialChain} | {readonly problem: string};
+type ChainLookup = FetchedChain | {readonly problem: string};
 
 /** A chain, or the archives that may have it. */
-type ArchiveLookup =
-  | {readonly chain: PartialChain}
-  | {readonly chain?: undefined; readonly unread: readonly DaemonId[]};
+type ArchiveLookup = FetchedChain | {readonly unread: readonly DaemonId[]};
 
 /**
  * Reads from the cache, then the own data centre, then all archives, then the
- * object API.
+ * object API. Archives retain what they send for as long as it is needed: a turn
+ * whose ancestors expire while it runs could be stored, but never continued. The
+ * cache serves no turn that may expire meanwhile.
  */
 export class ChainReader {
   private constructor(private readonly options: ChainReaderOptions) {}
@@ -64,39 +101,71 @@
    * @param wait - How long to wait; no further archive is asked once its signal is
    *   aborted.
    */
-  async readChain(turn: TurnId, wait: ArchiveWait): Promise<TurnChain> {
-    const retries = this.options.pool.createRetries(wait);
-    const newestFirst: TurnRecord[] = [];
-    let next: TurnId | undefined = turn;
+  async readChain(turn: TurnId, wait: ChainWait): Promise<TurnChain> {
+    const {cache, clock, pool} = this.options;
+    const retries = pool.createRetries(wait);
+    const {signal, neededMs} = wait;
+    const startMs = clock.nowMs();
+    const storedInMs = neededMs === undefined ? 0 : neededMs + importMs;
+    const retainedMs = neededMs === undefined ? 0 : storedInMs + reuseMs;
+    const fetch = {signal, isAncestor: false, retainedMs};
+    const newest = await this.readNewest(
+      turn,
+      fetch,
+      retries,
+      startMs + storedInMs,
+    );
+    const newestFirst = newest.chain.turns.toReversed();
+    let next = newest.chain.missing;
     while (next !== undefined) {
-      const cached = this.options.cache.get(next);
-      const part: PartialChain =
+      // Archives retain the ancestors of a turn as long as the turn.
+      const cached = cache.get(next)?.record;
+      const {chain} =
         cached === undefined
           ? await this.fetchWithWait(
               next,
-              newestFirst.length > 0,
+              {...fetch, isAncestor: true},
               retries,
-              wait.signal,
             )
-          : {turns: [cached], missing: cached.previous};
-      newestFirst.push(...part.turns.toReversed());
-      next = part.missing;
+          : toFetchedChain(cached);
+      newestFirst.push(...chain.turns.toReversed());
+      next = chain.missing;
     }
-    for (const record of newestFirst) this.options.cache.put(record);
+    const retainedUntilMs = newest.isRetained
+      ? startMs + retainedMs
+      : Number.NEGATIVE_INFINITY;
+    for (const record of newestFirst) cache.put(record, retainedUntilMs);
     return newestFirst.toReversed();
   }
 
+  /**
+   * Reads the turn that is continued, with ancestors. A cached one that may expire
+   * too early serves only if no archive replies that has it.
+   */
+  private async readNewest(
+    turn: TurnId,
+    fetch: ChainFetch,
+    retries: ArchiveRetries,
+    neededUntilMs: number,
+  ): Promise<FetchedChain> {
+    const cached = this.options.cache.get(turn);
+    if (cached === undefined) return this.fetchWithWait(turn, fetch, retries);
+    const {record, retainedUntilMs} = cached;
+    if (retainedUntilMs >= neededUntilMs) return toFetchedChain(record);
+    const lookup = await this.fetchChain(turn, fetch);
+    return 'chain' in lookup ? lookup : toFetchedChain(record);
+  }
+
   /** Fetches a chain again each time an archive has returned. */
   private async fetchWithWait(
     turn: TurnId,
-    isAncestor: boolean,
+    fetch: ChainFetch,
     retries: ArchiveRetries,
-    signal: AbortSignal,
-  ): Promise<PartialChain> {
+  ): Promise<FetchedChain> {
     const {owedArchives} = this.options;
     for (;;) {
-      const lookup = await this.fetchChain(turn, isAncestor, signal);
-      if ('chain' in lookup) return lookup.chain;
+      const lookup = await this.fetchChain(turn, fetch);
+      if ('chain' in lookup) return lookup;
       if (!(await retries.waitForReturn(owedArchives))) {
         throw this.createUnavailableError(lookup.problem);
       }
@@ -106,23 +175,20 @@
   /** Fetches a chain; throws `unknown_turn` if all have replied that they lack it. */
   private async fetchChain(
     turn: TurnId,
-    isAncestor: boolean,
-    signal: AbortSignal,
+    {isAncestor, retainedMs, signal}: ChainFetch,
   ): Promise<ChainLookup> {
     const {pool, ownDataCentre, owedArchives} = this.options;
     const localClients = pool.getReachableClients(ownDataCentre);
     for (const client of localClients) {
-      const chain = await tryFetchChain(client, turn);
-      if (chain !== undefined) return {chain};
+      const chain = await tryFetchChain(client, turn, retainedMs);
+      if (chain !== undefined) return {chain, isRetained: true};
       signal.throwIfAborted();
     }
     const clients = pool.getClients();
-    const atArchives = await fetchFromArchives(clients, turn);
-    if (atArchives.chain !== undefined) return atArchives;
+    const atArchives = await fetchFromArchives(clients, turn, retainedMs);
+    if ('chain' in atArchives) return atArchives;
     const record = await this.findInObjects(turn);
-    if (typeof record === 'object') {
-      return {chain: {turns: [record], missing: record.previous}};
-    }
+    if (typeof record === 'object') return toFetchedChain(record);
     const {unread} = atArchives;
     if (unread.length > 0) {
       const problem = `turn "${turn}" not found, and archives ${unread.join(', ')} did not tell whether they have it`;
@@ -142,8 +208,8 @@
       (await pool.areAllRegistered(clients))
     ) {
       // An archive may have imported it from an object that was removed since.
-      const imported = await fetchFromArchives(clients, turn);
-      if (imported.chain !== undefined) return imported;
+      const imported = await fetchFromArchives(clients, turn, retainedMs);
+      if ('chain' in imported) return imported;
       if (imported.unread.length === 0) {
         const message = `no archive stores turn "${turn}"`;
         throw MarigoldpostError.create('unknown_turn', message);
@@ -174,6 +240,12 @@
   }
 }
 
+/** A turn that was not read from an archive, which would retain it. */
+function toFetchedChain(record: TurnRecord): FetchedChain {
+  const chain = {turns: [record], missing: record.previous};
+  return {chain, isRetained: false};
+}
+
 /**
  * Gets the chain from an archive that holds the turn; else the archives that have
  * not replied that they lack it.
@@ -181,14 +253,15 @@
 async function fetchFromArchives(
   clients: readonly ArchiveClient[],
   turn: TurnId,
+  retainedMs: number,
 ): Promise<ArchiveLookup> {
   const lookups = await Promise.all(
     clients.map((client) => lookUpTurn(client, turn)),
   );
   for (const [index, client] of clients.entries()) {
     if (lookups[index] !== 'held') continue;
-    const chain = await tryFetchChain(client, turn);
-    if (chain !== undefined) return {chain};
+    const chain = await tryFetchChain(client, turn, retainedMs);
+    if (chain !== undefined) return {chain, isRetained: true};
   }
   const unread = clients
     .filter((_client, index) => lookups[index] !== 'absent')
@@ -200,9 +273,10 @@
 async function tryFetchChain(
   client: ArchiveClient,
   turn: TurnId,
+  retainedMs: number,
 ): Promise<PartialChain | undefined> {
   try {
-    const chain = await client.fetchChain(turn);
+    const chain = await client.fetchChain(turn, retainedMs);
     return chain.turns.length === 0 ? undefined : chain;
   } catch {
     // The next archive is tried; the pool reports unreachable ones.
--- a/packages/turns/src/client/turn_cache.ts
+++ b/packages/turns/src/client/turn_cache.ts
@@ -2,9 +2,16 @@
 import type {TurnId} from '@marigoldpost/sites';
 import type {TurnRecord} from '../records/turn_record.js';
 
+/** A cached turn. */
+export interface CachedTurn {
+  readonly record: TurnRecord;
+  /** Until when archives surely store the turn and those before it. */
+  readonly retainedUntilMs: number;
+}
+
 /** LRU cache, bounded by the bytes of inputs and outputs. */
 export class TurnCache {
-  private readonly turns = new Map<TurnId, TurnRecord>();
+  private readonly turns = new Map<TurnId, CachedTurn>();
   private bytes = 0;
 
   private constructor(private readonly maxBytes: number) {}
@@ -21,26 +28,33 @@
    * Gets a turn and marks it as recently used; `undefined` when not cached.
    * @param id - Id of the turn.
    */
-  get(id: TurnId): TurnRecord | undefined {
-    const record = this.turns.get(id);
-    if (record === undefined) return undefined;
+  get(id: TurnId): CachedTurn | undefined {
+    const cached = this.turns.get(id);
+    if (cached === undefined) return undefined;
     this.turns.delete(id);
-    this.turns.set(id, record);
-    return record;
+    this.turns.set(id, cached);
+    return cached;
   }
 
   /**
-   * Caches a turn; evicts the least recently used ones above the limit.
+   * Caches a turn, or extends the retention of one that is cached; evicts the
+   * least recently used ones above the limit.
    * @param record - Finished turn.
+   * @param retainedUntilMs - Until when archives surely store it and those before.
    */
-  put(record: TurnRecord): void {
-    if (this.turns.has(record.id)) return;
-    this.turns.set(record.id, record);
+  put(record: TurnRecord, retainedUntilMs: number): void {
+    const known = this.turns.get(record.id);
+    if (known !== undefined) {
+      if (known.retainedUntilMs >= retainedUntilMs) return;
+      this.turns.set(record.id, {record: known.record, retainedUntilMs});
+      return;
+    }
+    this.turns.set(record.id, {record, retainedUntilMs});
     this.bytes += getSize(record);
     for (const [id, oldest] of this.turns) {
       if (this.bytes <= this.maxBytes) return;
       this.turns.delete(id);
-      this.bytes -= getSize(oldest);
+      this.bytes -= getSize(oldest.record);
     }
   }
 }
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -25,7 +25,7 @@
   type ConfirmReservation,
   type TokenRequest,
 } from './budget_client.js';
-import {ChainReader} from './chain_reader.js';
+import {ChainReader, type ChainWait} from './chain_reader.js';
 import {IsolationDetector} from './isolation_detector.js';
 import {SettlementSender} from './settlement_sender.js';
 import {TurnCache} from './turn_cache.js';
@@ -101,24 +101,23 @@
       objects: reservations,
       clock,
     });
-    this.budgets = BudgetClient.create({
+    const reading = {
       pool,
       clock,
-      settlements: this.settlements,
       ownDataCentre,
       owedArchives: replicaCount,
-      objects: reservations,
       probe,
       getRetryAfterMs,
+    };
+    this.budgets = BudgetClient.create({
+      ...reading,
+      settlements: this.settlements,
+      objects: reservations,
     });
     this.chains = ChainReader.create({
-      pool,
+      ...reading,
       cache,
-      ownDataCentre,
-      owedArchives: replicaCount,
       objects: TurnObjectReader.create({store, clock}),
-      probe,
-      getRetryAfterMs,
     });
     this.recorder = TurnRecorder.create({
       pool,
@@ -198,9 +197,10 @@
    * Gets a turn and all its ancestors; see `ChainReader.readChain`. Throws
    * `archive_unavailable` if the wait for the archives is aborted.
    * @param turn - Newest turn of the chain.
-   * @param wait - How long to wait while archives are unreachable.
+   * @param wait - How long to wait while archives are unreachable, and how long
+   *   the chain is needed.
    */
-  readChain(turn: TurnId, wait: ArchiveWait): Promise<TurnChain> {
+  readChain(turn: TurnId, wait: ChainWait): Promise<TurnChain> {
     const work = this.chains.readChain(turn, wait);
     return waitUnlessAborted(work, wait.signal, () =>
       this.createAbortError(`turn "${turn}" was not read in time`),
@@ -268,8 +268,9 @@
     chainDisks: readonly DiskId[],
     wait: ArchiveWait,
   ): Promise<DurableTurn> {
+    const retainedUntilMs = this.options.clock.nowMs() + turn.retentionMs;
     const stored = await this.recorder.record(turn, chainDisks, wait);
-    this.cache.put(stored.record);
+    this.cache.put(stored.record, retainedUntilMs);
     this.settlements.add(turn.program, turn.id, turn.tokens);
     return stored;
   }
--- /dev/null
+++ b/packages/turns/tests/client/chain_retention.feature
@@ -0,0 +1,49 @@
+Feature: A turn that was acknowledged can be continued, however late it began
+
+  Turns are retained for 60 s, and a turn that continues one is stored when it has
+  ended. It could be stored, but never continued, if its ancestors expired before.
+
+  Background:
+    Given archives "a, b, c" with 2 replicas per turn
+
+  Scenario Outline: A chain that expires while a turn that continues it runs can be continued, read <place> after <pause> ms
+    When turn "t1" finishes in "a"
+    And turn "t2" after "t1" finishes in "a"
+    And <pause> ms pass
+    And a turn after "t2" begins in "<data centre>" and ends as "t3" after <run> ms
+    And 15000 ms pass
+    Then a new entry VM in "c" reads the chain "t1, t2, t3"
+
+    Examples:
+      | place                                     | data centre | pause | run   |
+      | from the cache                            | a           | 59300 | 2600  |
+      | from the cache                            | a           | 50500 | 9500  |
+      | from an archive of its data centre        | b           | 59300 | 2600  |
+      | from an archive of its data centre        | b           | 59300 | 9500  |
+      | from an archive of another data centre    | d           | 59300 | 9500  |
+      | from the cache, after the retention       | a           | 62000 | 9500  |
+
+  Scenario: A turn that no archive has any more is not served from the cache
+    When turn "t1" finishes in "a"
+    And 75000 ms pass
+    Then continuing turn "t1" in "a" fails with unknown_turn
+
+  Scenario: A cached turn is continued while no archive replies
+    When turn "t1" finishes in "a"
+    And 50500 ms pass
+    And archives "a, b, c" are killed
+    Then turn "t1" can be continued in "a"
+
+  Scenario Outline: A chain whose copies expire at different times is on two disks again when a turn has continued it
+    When turn "t1" finishes in "a"
+    And 59300 ms pass
+    And a turn after "t1" begins in "<data centre>" and ends as "t2" after 9500 ms
+    And 5000 ms pass
+    Then turn "t1" is on 2 disks
+    And turn "t2" is on 2 disks
+
+    Examples:
+      | data centre |
+      | a           |
+      | b           |
+      | c           |
--- /dev/null
+++ b/packages/turns/tests/client/chain_retention_steps.ts
@@ -0,0 +1,75 @@
+/** Steps for the retention of chains that are continued late. */
+import assert from 'node:assert/strict';
+import {Then, When, type World} from '@cucumber/cucumber';
+import {type ErrorKind, isErrorOfKind, toId} from '@marigoldpost/common';
+import type {TurnId} from '@marigoldpost/sites';
+import type {TurnChain} from '@marigoldpost/turns';
+import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
+import {createTurn, unlimitedWaitMs} from '../fixtures/turn_requests.js';
+
+interface RetentionWorld extends World {
+  archives: ArchiveFleet;
+}
+
+/** Time that calls have. */
+const callMs = 10_000;
+
+When(
+  'a turn after {string} begins in {string} and ends as {string} after {int} ms',
+  async function (
+    this: RetentionWorld,
+    previous: string,
+    dataCentre: string,
+    id: string,
+    runMs: number,
+  ) {
+    const {archives} = this;
+    const chain = await continueTurn(archives, previous, dataCentre);
+    await archives.clock.advance(runMs);
+    const disks = chain.at(-1)?.disks ?? [];
+    const {signal} = new AbortController();
+    const wait = {maxWaitMs: unlimitedWaitMs, signal};
+    const store = archives.getStore(dataCentre);
+    await archives.run(store.record(createTurn(id, previous), disks, wait));
+  },
+);
+
+When(
+  'archives {string} are killed',
+  function (this: RetentionWorld, names: string) {
+    for (const name of names.split(', ')) this.archives.kill(name);
+  },
+);
+
+Then(
+  'turn {string} can be continued in {string}',
+  async function (this: RetentionWorld, id: string, dataCentre: string) {
+    const chain = await continueTurn(this.archives, id, dataCentre);
+    assert.equal(chain.at(-1)?.id, id);
+  },
+);
+
+Then(
+  'continuing turn {string} in {string} fails with {word}',
+  async function (
+    this: RetentionWorld,
+    id: string,
+    dataCentre: string,
+    kind: ErrorKind,
+  ) {
+    const read = continueTurn(this.archives, id, dataCentre);
+    await assert.rejects(read, (error) => isErrorOfKind(error, kind));
+  },
+);
+
+/** Reads a chain as a call does that continues it. */
+function continueTurn(
+  archives: ArchiveFleet,
+  turn: string,
+  dataCentre: string,
+): Promise<TurnChain> {
+  const {signal} = new AbortController();
+  const wait = {maxWaitMs: callMs / 2, signal, neededMs: callMs};
+  const store = archives.getStore(dataCentre);
+  return archives.run(store.readChain(toId<TurnId>(turn), wait));
+}
