Count the retention of a turn from the end of its response

Cause: archives count the retention from the storing of a turn, which comes before the last event is sent. A client may read the response until the time of its call is over, and counts from then.

Change: an entry VM adds the time that is left to the call to the retention that it records. Archives keep segments of their log for 120 s in any case, so only the index grows.

--- a/packages/gateway/src/calls/turn_call.ts
+++ b/packages/gateway/src/calls/turn_call.ts
@@ -163,7 +163,9 @@
       input,
       output: data,
       tokens,
-      retentionMs: call.route.retentionMs ?? 0,
+      // It counts from the end of the response, which the client may read until
+      // the time of the call is over.
+      retentionMs: (call.route.retentionMs ?? 0) + Math.max(0, call.leftMs),
       target,
       prompt: call.attributes.prompt,
     };
--- a/packages/turns/src/records/turn_codec.ts
+++ b/packages/turns/src/records/turn_codec.ts
@@ -44,6 +44,7 @@
     ...record,
     previous: record.previous ?? '',
     tenant: record.tenant ?? '',
+    retentionMs: Math.ceil(record.retentionMs),
     prompt: record.prompt.map((part) => create(TurnPromptPartSchema, part)),
     disks: [...record.disks],
   });
--- a/packages/turns/src/records/turn_record.ts
+++ b/packages/turns/src/records/turn_record.ts
@@ -27,6 +27,7 @@
   readonly output: Uint8Array;
   /** Tokens that the turn generated. */
   readonly tokens: number;
+  /** Time from the storing on for which archives keep the turn at least. */
   readonly retentionMs: number;
   /** Target that ran the turn; its cache may still contain the prompt. */
   readonly target: TargetId;
