Do not take a failed request for the silence of its archive

Cause: `ArchiveClient.sendRequest` marked its archive unreachable after any failure. The exception of the encoder, an oversized message, and a refusal by the archive all counted as silence, and each try renewed the pause of 0.6 s.

Change: the framer reports a frame that cannot be encoded as `invalid_request`, as it does one that is too large, for requests and replies. Only `peer_lost` and `archive_unavailable` (a full or failing disk) make an archive unreachable.

--- a/packages/peers/src/messages/message_framer.ts
+++ b/packages/peers/src/messages/message_framer.ts
@@ -43,14 +43,15 @@
 
   /**
    * Sends a frame; gets its size in bytes. Frames of one iteration of the event
-   * loop are written together. Throws `invalid_request` for a frame that the peer
-   * would reject, with all other exchanges of the connection.
+   * loop are written together. Throws `invalid_request` for a frame that cannot be
+   * encoded, or that the peer would reject with all other exchanges of the
+   * connection.
    * @param exchange - Number of the exchange that the frame belongs to.
    * @param body - Request, reply or end.
    */
   send(exchange: bigint, body: PeerFrame['body']): number {
     const frame = create(PeerFrameSchema, {exchange, body});
-    const bytes = toBinary(PeerFrameSchema, frame);
+    const bytes = encodeFrame(frame);
     if (bytes.byteLength > maxFrameBytes) {
       throw MarigoldpostError.create(
         'invalid_request',
@@ -104,3 +105,16 @@
     }
   }
 }
+
+function encodeFrame(frame: PeerFrame): Uint8Array {
+  try {
+    return toBinary(PeerFrameSchema, frame);
+  } catch (error) {
+    const cause = error instanceof Error ? error : new Error(String(error));
+    throw MarigoldpostError.create(
+      'invalid_request',
+      `message cannot be encoded: ${cause.message}`,
+      {cause},
+    );
+  }
+}
--- a/packages/peers/src/messages/message_link.ts
+++ b/packages/peers/src/messages/message_link.ts
@@ -83,7 +83,7 @@
   /**
    * Sends a request and waits for its reply. Throws `peer_lost` if no reply
    * arrives; the peer may still have handled the request. Throws
-   * `invalid_request` for a request that is too large.
+   * `invalid_request` for a request that cannot be encoded or is too large.
    * @param body - Request to send.
    * @param timeoutMs - Maximum wait for the reply, apart from the time that the
    *   bytes of a large request or reply take.
--- a/packages/peers/tests/messages/message_transport.feature
+++ b/packages/peers/tests/messages/message_transport.feature
@@ -53,6 +53,19 @@
     Then the message request fails with invalid_request
     And the other message request has its reply
 
+  # Guards against requests whose own failure is taken for the silence of the peer.
+  Scenario: A request that cannot be encoded fails alone
+    Given a message peer that answers after 100 ms
+    When a message request that cannot be encoded and another one are sent at once
+    Then the message request fails with invalid_request
+    And the other message request has its reply
+
+  Scenario: A reply that cannot be encoded fails alone
+    Given a message peer whose first reply cannot be encoded
+    When 2 message requests are sent at once and settle
+    Then the message request fails with invalid_request
+    And the other message request has its reply
+
   Scenario: A reply is waited for while it arrives over a slow link
     Given a message peer whose replies of 2000000 bytes take 1200 ms
     When a message request is sent with a time limit of 400 ms
--- a/packages/peers/tests/messages/message_transport_steps.ts
+++ b/packages/peers/tests/messages/message_transport_steps.ts
@@ -20,6 +20,8 @@
   type PeerReplyBody,
   type PeerRequestBody,
   RelayOperationSchema,
+  ReserveReplySchema,
+  ReserveTokensSchema,
 } from '@marigoldpost/peers';
 
 interface MessageWorld extends World {
@@ -34,6 +36,8 @@
 const host = '127.0.0.1';
 const clock = SystemClock.create();
 const peerId = toId<DaemonId>('peer');
+/** Exceeds the range of a 32-bit field. */
+const tooLargeNumber = 2 ** 32;
 
 After(function (this: MessageWorld) {
   for (const cleanup of this.cleanups ?? []) cleanup();
@@ -149,6 +153,21 @@
   },
 );
 
+Given(
+  'a message peer whose first reply cannot be encoded',
+  async function (this: MessageWorld) {
+    await serve(this, async (_sender, request) => {
+      const number = getNumber(request);
+      if (number === 0) {
+        const reply = {heldTokens: tooLargeNumber};
+        return {case: 'reserve', value: create(ReserveReplySchema, reply)};
+      }
+      await clock.sleep(100);
+      return toReply(number);
+    });
+  },
+);
+
 Given(
   /^a message peer whose replies of (\d+) bytes (?:take (\d+) ms|stop after (\d+))$/,
   async function (
@@ -256,17 +275,19 @@
 );
 
 When(
-  'a message request of {int} bytes and another one are sent at once',
-  async function (this: MessageWorld, bytes: number) {
-    const request: PeerRequestBody = {
-      case: 'relayOperation',
-      value: create(RelayOperationSchema, {operationJson: 'x'.repeat(bytes)}),
-    };
+  /^a message request (?:of (\d+) bytes|that cannot be encoded) and another one are sent at once$/,
+  async function (this: MessageWorld, bytes: string | null) {
+    const text = {operationJson: 'x'.repeat(Number(bytes))};
+    const request: PeerRequestBody =
+      bytes === null
+        ? {
+            case: 'reserveTokens',
+            value: create(ReserveTokensSchema, {tokens: tooLargeNumber}),
+          }
+        : {case: 'relayOperation', value: create(RelayOperationSchema, text)};
     const other = ask(this, 1, 2000);
-    this.results = await Promise.allSettled([
-      this.client.ask(this.peer, request, 2000),
-      other,
-    ]);
+    const sent = this.client.ask(this.peer, request, 2000);
+    this.results = await Promise.allSettled([sent, other]);
   },
 );
 
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -3,10 +3,10 @@
 import {
   type Clock,
   type DataCentreId,
+  isErrorOfKind,
   MarigoldpostError,
   type ProgramId,
   toId,
-  toMarigoldpostError,
 } from '@marigoldpost/common';
 import {
   ArchiveProbeSchema,
@@ -42,6 +42,8 @@
 const replyTimeoutMs = 400;
 /** Least time for which an archive that failed to reply stays unreachable. */
 const minUnreachableMs = 600;
+/** Failures of the archive itself; any other is one of the request. */
+const unreachableKinds = ['peer_lost', 'archive_unavailable'] as const;
 /** Pause between two probes of an unreachable archive. */
 const probeIntervalMs = 200;
 
@@ -402,7 +404,9 @@
       this.lastReplyMs = this.options.clock.nowMs();
       return reply;
     } catch (error) {
-      this.markUnreachable(toMarigoldpostError(error));
+      if (isErrorOfKind(error, ...unreachableKinds)) {
+        this.markUnreachable(error);
+      }
       throw error;
     }
   }
