Bound the numbers of tokens to what messages and objects hold

Cause: headers were decoded to any non-negative number and passed on to fields of 32 bits, which the encoder rejects; so were sums of an archive's ledger and the tokens of engines whose events are fractions of a token. In an object of reservations such a number made the object malformed for all entry VMs.

Change: tokens are rounded up and budgets down where headers are decoded, and all are bounded to 32 bits where messages, log entries and objects are encoded.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -17,4 +17,5 @@
 export * from './utils/linked_list.js';
 export * from './utils/parse_json.js';
 export * from './utils/stringify_json.js';
+export * from './utils/to_uint32.js';
 export * from './utils/wait_unless_aborted.js';
--- a/packages/gateway/src/calls/token_reservation.ts
+++ b/packages/gateway/src/calls/token_reservation.ts
@@ -6,6 +6,7 @@
   type ProgramId,
   type ServiceId,
   toId,
+  toUint32,
 } from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import type {ConfirmReservation} from '@marigoldpost/turns';
@@ -65,12 +66,12 @@
   }
 
   /**
-   * Gets the tokens of a number of events.
+   * Gets the tokens of a number of events, rounded up.
    * @param events - Complete events of a stream.
    */
   getTokens(events: number): number {
     const {tokensPerEvent} = this;
-    if (tokensPerEvent !== undefined) return events * tokensPerEvent;
+    if (tokensPerEvent !== undefined) return toUint32(events * tokensPerEvent);
     throw MarigoldpostError.create(
       'internal',
       `service "${this.service}" serves turns but has no engine configured`,
@@ -87,7 +88,7 @@
     if (this.call.attributes.budgetTokens === undefined) return;
     const program = TokenReservation.getProgram(this.call);
     if (events > 0 && this.tokensPerEvent === undefined) return;
-    const tokens = events * (this.tokensPerEvent ?? 0);
+    const tokens = events === 0 ? 0 : this.getTokens(events);
     await this.services.turns.settle(program, this.attempt, tokens);
   }
 
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -1,6 +1,11 @@
 /** Handles the requests that other daemons send to an archive. */
 import {create} from '@bufbuild/protobuf';
-import {MarigoldpostError, type ProgramId, toId} from '@marigoldpost/common';
+import {
+  MarigoldpostError,
+  type ProgramId,
+  toId,
+  toUint32,
+} from '@marigoldpost/common';
 import {
   AcknowledgementSchema,
   ArchiveStatusSchema,
@@ -120,7 +125,13 @@
     const {isGranted, heldTokens, settledTokens, isExact} = result;
     const isComplete =
       this.options.isComplete(named) && !this.lacksVoters(request.voters);
-    const reply = {isGranted, heldTokens, settledTokens, isComplete, isExact};
+    const reply = {
+      isGranted,
+      heldTokens: toUint32(heldTokens),
+      settledTokens: toUint32(settledTokens),
+      isComplete,
+      isExact,
+    };
     return {case: 'reserve', value: create(ReserveReplySchema, reply)};
   }
 
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -7,6 +7,7 @@
   MarigoldpostError,
   type ProgramId,
   toId,
+  toUint32,
 } from '@marigoldpost/common';
 import {
   ArchiveProbeSchema,
@@ -167,13 +168,20 @@
    * @param voters - Number of archives whose votes are counted.
    */
   async reserve(
-    {lapseMs, ...reservation}: Reservation,
+    reservation: Reservation,
     supersededDisks: ReadonlySet<DiskId>,
     voters: number,
   ): Promise<ReservationReply> {
     const superseded = {disks: [...supersededDisks]};
-    const lapse = lapseMs === undefined ? {} : {lapseMs};
-    const value = {...reservation, ...lapse, superseded, voters};
+    const {lapseMs, tokens, budgetTokens, ...identity} = reservation;
+    const value = {
+      ...identity,
+      tokens: toUint32(tokens),
+      budgetTokens: toUint32(Math.floor(budgetTokens)),
+      ...(lapseMs === undefined ? {} : {lapseMs: toUint32(lapseMs)}),
+      superseded,
+      voters,
+    };
     const reply = await this.sendRequest({
       case: 'reserveTokens',
       value: create(ReserveTokensSchema, value),
@@ -190,7 +198,10 @@
    */
   async settle(ledgers: readonly ProgramEntries[]): Promise<void> {
     const settlements = ledgers.flatMap(({program, entries}) =>
-      entries.map(({attempt, tokens}) => ({program, attempt, tokens})),
+      entries.map((entry) => {
+        const {attempt} = entry;
+        return {program, attempt, tokens: toUint32(entry.tokens)};
+      }),
     );
     await this.requestAcknowledgement({
       case: 'settleTokens',
@@ -253,7 +264,7 @@
    *   0 to leave that as it is.
    */
   async fetchChain(turn: TurnId, retainedMs = 0): Promise<PartialChain> {
-    const value = {turn, retainedMs: Math.ceil(retainedMs)};
+    const value = {turn, retainedMs: toUint32(retainedMs)};
     const reply = await this.sendRequest({
       case: 'fetchChain',
       value: create(FetchChainSchema, value),
@@ -280,7 +291,7 @@
       case: 'findTurns',
       value: create(FindTurnsSchema, {
         turns: [...turns],
-        retainedMs: [...retainedMs],
+        retainedMs: retainedMs.map(toUint32),
       }),
     });
     if (reply.case !== 'foundTurns') throw this.createReplyError(reply);
--- a/packages/turns/src/objects/reservation_object.ts
+++ b/packages/turns/src/objects/reservation_object.ts
@@ -7,6 +7,7 @@
   parseJson,
   type ProgramId,
   toId,
+  toUint32,
 } from '@marigoldpost/common';
 import type {StoredObject} from '@marigoldpost/platform';
 import type {TurnId} from '@marigoldpost/sites';
@@ -37,7 +38,15 @@
  * @param ledgers - Entries by program.
  */
 export function encodeReservations(ledgers: readonly ProgramEntries[]): string {
-  return JSON.stringify(ledgers);
+  const values = ledgers.map(({program, entries}) => ({
+    program,
+    entries: entries.map(({openMs, ...entry}) => ({
+      ...entry,
+      tokens: toUint32(entry.tokens),
+      ...(openMs === undefined ? {} : {openMs: toUint32(openMs)}),
+    })),
+  }));
+  return JSON.stringify(values);
 }
 
 /**
--- a/packages/turns/src/records/turn_codec.ts
+++ b/packages/turns/src/records/turn_codec.ts
@@ -6,6 +6,7 @@
   type TargetId,
   type TenantId,
   toId,
+  toUint32,
 } from '@marigoldpost/common';
 import {
   ArchiveLogEntrySchema,
@@ -44,8 +45,11 @@
     ...record,
     previous: record.previous ?? '',
     tenant: record.tenant ?? '',
-    retentionMs: Math.ceil(record.retentionMs),
-    prompt: record.prompt.map((part) => create(TurnPromptPartSchema, part)),
+    tokens: toUint32(record.tokens),
+    retentionMs: toUint32(record.retentionMs),
+    prompt: record.prompt.map(({id, tokens}) =>
+      create(TurnPromptPartSchema, {id, tokens: toUint32(tokens)}),
+    ),
     disks: [...record.disks],
   });
 }
@@ -85,9 +89,10 @@
     program,
     entries: entries.map(({lapseMs, openMs, isReported = false, ...entry}) => ({
       ...entry,
+      tokens: toUint32(entry.tokens),
       isReported,
-      ...(lapseMs === undefined ? {} : {lapseMs}),
-      ...(openMs === undefined ? {} : {openMs}),
+      ...(lapseMs === undefined ? {} : {lapseMs: toUint32(lapseMs)}),
+      ...(openMs === undefined ? {} : {openMs: toUint32(openMs)}),
     })),
   });
 }
--- a/packages/turns/tests/client/budget_client.feature
+++ b/packages/turns/tests/client/budget_client.feature
@@ -51,6 +51,19 @@
     And attempt "t4" of 30 tokens in "b" is admitted to the budget of 200
     And attempt "t5" of 40 tokens in "b" is admitted to the budget of 240
 
+  # Guards against sums of tokens that no message holds.
+  Scenario Outline: Attempts of <tokens> tokens are admitted to a budget of <budget>
+    Then attempt "t1" of <tokens> tokens in "b" is admitted to the budget of <budget>
+    And attempt "t2" of <tokens> tokens in "c" is admitted to the budget of <budget>
+    And attempt "t3" of <tokens> tokens in "d" is admitted to the budget of <budget>
+
+    Examples:
+      | tokens     | budget      |
+      | 1400000000 | 4294967295  |
+      | 1500000000 | 10000000000 |
+      | 4294967296 | 20000000000 |
+      | 40.5       | 200.5       |
+
   Scenario: A refusal names the tokens that ended attempts used and those that open ones hold
     Given an attempt that has ended used 90 tokens, as archives "a, b, c, d" count
     And attempt "t1" of 40 tokens in "b" is admitted to the budget of 200
--- a/packages/turns/tests/client/budget_client_steps.ts
+++ b/packages/turns/tests/client/budget_client_steps.ts
@@ -194,7 +194,7 @@
 );
 
 Then(
-  'attempt {string} of {int} tokens in {string} is admitted to the budget of {int}',
+  'attempt {string} of {float} tokens in {string} is admitted to the budget of {float}',
   async function (
     this: BudgetWorld,
     attempt: string,
