Limit the connections of the metrics and readiness ports

Cause: only the clients' port had an owner of its connections. The pages of monitoring and load balancers accepted any number, for both kinds of processes.

Change: `ConnectionGuard` takes the part of memory and descriptors that a port may use (`PortShare`); the pages get a 64th of the descriptors each. The event and the counter of ended connections name the port.

--- a/packages/gateway/src/server/connection_guard.ts
+++ b/packages/gateway/src/server/connection_guard.ts
@@ -24,31 +24,46 @@
 export interface ProcessLimits {
   readonly memoryMb: number;
   /** `undefined` if the settings state none. */
-  readonly maxDescriptors: number | undefined;
+  readonly maxDescriptors?: number | undefined;
+}
+
+/** Part of the descriptors and memory of a process that one port may take. */
+export interface PortShare {
+  readonly descriptorShare: number;
+  readonly connectionsPerMb: number;
+  /** Requests that have been read and not answered, of all connections. */
+  readonly pendingPerMb: number;
 }
 
 /**
- * Part of the descriptors for clients. The others are kept for targets, other
- * daemons, the object API and the log.
+ * Clients of an entry VM. An open connection with a head that has not ended takes
+ * up to 40 KB, so that all take a fifth of the memory at most; a request takes
+ * about 10 KB. An entry VM serves fewer than a hundred at a time.
  */
-const descriptorShare = 0.5;
+export const clientPortShare: PortShare = {
+  descriptorShare: 1 / 2,
+  connectionsPerMb: 5,
+  pendingPerMb: 15,
+};
+/** Entry VMs that relay requests over this one. */
+export const relayPortShare: PortShare = {
+  descriptorShare: 1 / 8,
+  connectionsPerMb: 2,
+  pendingPerMb: 4,
+};
+/** Monitoring and load balancers, which ask for a page now and then. */
+export const pagePortShare: PortShare = {
+  descriptorShare: 1 / 64,
+  connectionsPerMb: 0.2,
+  pendingPerMb: 0.5,
+};
 /** Descriptors without a stated limit, as the smallest sites have. */
 const defaultDescriptors = 2200;
-/**
- * Connections for each megabyte of the VM's memory. One that is open, with a head
- * that has not ended, takes up to 40 KB, so that all take a fifth at most.
- */
-const connectionsPerMb = 5;
 /**
  * Requests of one connection that have been read and not answered. Clients wait
  * for a response before the next request, or send a few ahead.
  */
 const pipelinedRequests = 16;
-/**
- * The same of all connections, for each megabyte: each takes about 10 KB. An entry
- * VM serves fewer than a hundred at a time.
- */
-const pendingPerMb = 15;
 /**
  * A connection without a request is replaced by a new one only after this time,
  * in which an ordinary client sends its request.
@@ -59,17 +74,18 @@
  * Gets the limits that keep a process within the memory and descriptors of its
  * VM.
  * @param limits - Memory and descriptors.
+ * @param share - Part that the port may take.
  */
-export function getConnectionLimits({
-  memoryMb,
-  maxDescriptors = defaultDescriptors,
-}: ProcessLimits): ConnectionLimits {
-  const byDescriptors = Math.floor(maxDescriptors * descriptorShare);
-  const byMemory = Math.floor(memoryMb * connectionsPerMb);
+export function getConnectionLimits(
+  {memoryMb, maxDescriptors = defaultDescriptors}: ProcessLimits,
+  share: PortShare,
+): ConnectionLimits {
+  const byDescriptors = Math.floor(maxDescriptors * share.descriptorShare);
+  const byMemory = Math.floor(memoryMb * share.connectionsPerMb);
   return {
     maxConnections: Math.max(1, Math.min(byDescriptors, byMemory)),
     maxPipelined: pipelinedRequests,
-    maxPending: Math.floor(memoryMb * pendingPerMb),
+    maxPending: Math.max(1, Math.floor(memoryMb * share.pendingPerMb)),
   };
 }
 
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -8,10 +8,7 @@
   isConnectionClosing,
   maxDiscardMs,
 } from '../responses/write_response.js';
-import {
-  GuardedConnections,
-  type GuardedConnectionsOptions,
-} from './guarded_connections.js';
+import {GuardedConnections, type GuardOptions} from './guarded_connections.js';
 import {resetSocket} from './reset_socket.js';
 
 /** Limit of the HTTP parser while no configuration is known. */
@@ -32,9 +29,6 @@
 const endOfInputCode = 'HPE_INVALID_EOF_STATE';
 const defaultRejectionStatus = '400 Bad Request';
 
-/** Limits on the connections of a server, and where their effect is told. */
-export type GuardOptions = Omit<GuardedConnectionsOptions, 'server'>;
-
 /** Accepts client connections and passes requests to the handler. */
 export class GatewayServer {
   private readonly server: http.Server;
--- a/packages/gateway/src/server/guarded_connections.ts
+++ b/packages/gateway/src/server/guarded_connections.ts
@@ -17,12 +17,17 @@
 /** Server, limits and log. */
 export interface GuardedConnectionsOptions {
   readonly server: http.Server;
+  /** Name of the port in the log and the metrics. */
+  readonly port: string;
   readonly limits: ConnectionLimits;
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly metrics: Metrics;
 }
 
+/** Limits on the connections of a server, and where their effect is told. */
+export type GuardOptions = Omit<GuardedConnectionsOptions, 'server'>;
+
 /** Connections of clients within the limits of the process. */
 export class GuardedConnections {
   private readonly guard: ConnectionGuard<Socket>;
@@ -88,7 +93,8 @@
 
   private end(socket: Socket, reason: ConnectionEnd): void {
     this.ended.set(reason, (this.ended.get(reason) ?? 0) + 1);
-    this.options.metrics.addToCounter('connections_ended_total', {reason});
+    const {port, metrics} = this.options;
+    metrics.addToCounter('connections_ended_total', {port, reason});
     this.scheduleCheck();
     // A reset frees what the kernel holds for the connection at once.
     resetSocket(socket);
@@ -124,6 +130,7 @@
   private logEnded(): void {
     const get = (reason: ConnectionEnd) => this.ended.get(reason) ?? 0;
     this.options.logger.log('connections_ended', {
+      port: this.options.port,
       open: this.guard.connectionCount,
       pendingRequests: this.guard.pendingCount,
       full: get('full'),
--- a/packages/gateway/src/server/page_server.ts
+++ b/packages/gateway/src/server/page_server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for the daemon's status pages: readiness, or metrics. */
 import http from 'node:http';
 import type {NetworkAddress} from '@marigoldpost/sites';
+import {GuardedConnections, type GuardOptions} from './guarded_connections.js';
 
 /** Status and body of a page. */
 export interface Page {
@@ -24,23 +25,29 @@
 export class PageServer {
   private readonly server: http.Server;
 
-  private constructor(getPage: GetPage) {
+  private readonly guarded: GuardedConnections | undefined;
+
+  private constructor(getPage: GetPage, guard: GuardOptions | undefined) {
     this.server = http.createServer((request, response) => {
       request.resume();
+      if (this.guarded?.addRequest(request, response) === false) return;
       const page = getPage(toUrl(request.url));
       const {status, body, contentType = defaultContentType} = page;
       const headers = {'Content-Type': contentType};
       response.writeHead(status, headers);
       response.end(body);
     });
+    const {server} = this;
+    this.guarded = guard && GuardedConnections.create({...guard, server});
   }
 
   /**
    * Creates a server that does not listen yet.
    * @param getPage - Creates the page; called for each request.
+   * @param guard - Limits on the connections; none if omitted.
    */
-  static create(getPage: GetPage): PageServer {
-    return new PageServer(getPage);
+  static create(getPage: GetPage, guard?: GuardOptions): PageServer {
+    return new PageServer(getPage, guard);
   }
 
   /**
@@ -56,6 +63,7 @@
 
   /** Stops listening and closes every connection. */
   close(): void {
+    this.guarded?.stop();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/packages/gateway/tests/server/connection_guard_steps.ts
+++ b/packages/gateway/tests/server/connection_guard_steps.ts
@@ -2,7 +2,11 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {VirtualClock} from '@marigoldpost/common';
-import {ConnectionGuard, getConnectionLimits} from '@marigoldpost/gateway';
+import {
+  clientPortShare,
+  ConnectionGuard,
+  getConnectionLimits,
+} from '@marigoldpost/gateway';
 
 interface GuardWorld extends World {
   clock: VirtualClock;
@@ -61,10 +65,11 @@
     connections: string,
     pending: string,
   ) {
-    const limits = getConnectionLimits({
+    const process = {
       memoryMb: Number(memory),
       maxDescriptors: descriptors === 'no' ? undefined : Number(descriptors),
-    });
+    };
+    const limits = getConnectionLimits(process, clientPortShare);
     assert.equal(limits.maxConnections, Number(connections));
     assert.equal(limits.maxPending, Number(pending));
   },
--- a/packages/gateway/tests/server/slow_reader_steps.ts
+++ b/packages/gateway/tests/server/slow_reader_steps.ts
@@ -33,6 +33,7 @@
       },
     };
     const server = GatewayServer.create(handler as unknown as CallHandler, {
+      port: 'clients',
       limits: {maxConnections, maxPipelined: 16, maxPending: 100},
       clock: this.clock,
       logger: EventLogger.create({
--- a/packages/nodes/src/entry/create_gateway.ts
+++ b/packages/nodes/src/entry/create_gateway.ts
@@ -1,6 +1,7 @@
 /** Creates the server of an entry VM for clients. */
 import {
   CallHandler,
+  clientPortShare,
   type CrashTracker,
   GatewayServer,
   getConnectionLimits,
@@ -55,6 +56,10 @@
     metrics,
   });
   const {memoryMb, maxDescriptors} = settings;
-  const limits = getConnectionLimits({memoryMb, maxDescriptors});
-  return GatewayServer.create(handler, {limits, clock, logger, metrics});
+  const limits = getConnectionLimits(
+    {memoryMb, maxDescriptors},
+    clientPortShare,
+  );
+  const port = 'clients';
+  return GatewayServer.create(handler, {port, limits, clock, logger, metrics});
 }
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -117,7 +117,10 @@
       fleet: this.fleet,
       crashTracker: this.crashTracker,
     });
-    this.readyPage = PageServer.create(() => this.getReadyPage());
+    this.readyPage = PageServer.create(
+      () => this.getReadyPage(),
+      this.getPageGuard('readiness'),
+    );
   }
 
   /**
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -1,6 +1,12 @@
 /** Common base of the daemons: watches, peer transport and metrics page. */
 import type {Clock} from '@marigoldpost/common';
-import {type Page, PageServer} from '@marigoldpost/gateway';
+import {
+  getConnectionLimits,
+  type GuardOptions,
+  type Page,
+  pagePortShare,
+  PageServer,
+} from '@marigoldpost/gateway';
 import {MessageTransport} from '@marigoldpost/peers';
 import {
   type ChangeSource,
@@ -84,9 +90,20 @@
           status: okStatus,
           body: metrics.renderExposition(),
         },
+      this.getPageGuard('metrics'),
     );
   }
 
+  /**
+   * Gets the limits on the connections of a page.
+   * @param port - Name of the port in the log and the metrics.
+   */
+  protected getPageGuard(port: string): GuardOptions {
+    const {settings, clock, logger, metrics} = this.options;
+    const limits = getConnectionLimits(settings, pagePortShare);
+    return {port, limits, clock, logger, metrics};
+  }
+
   /**
    * Gets a page of the role on the address of the metrics page; `undefined` for
    * the metrics page.
--- a/packages/telemetry/src/events/client_events.ts
+++ b/packages/telemetry/src/events/client_events.ts
@@ -33,6 +33,7 @@
     'warn',
     'Connections of clients were refused or ended to save resources',
     {
+      port: 'string',
       open: 'number',
       pendingRequests: 'number',
       full: 'number',
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -47,7 +47,7 @@
   connections_ended_total: define(
     'counter',
     'Connections of clients that were refused or ended to save resources',
-    ['reason'],
+    ['port', 'reason'],
   ),
   key_refusals_total: define('counter', 'Calls without a key in force', [
     'hasKey',
