Limit the connections and bodies of the relay port

Change: the relay port has an eighth of the descriptors and an owner of its connections; bodies together have the bound of a single one, which thus always finds room in calm; a request has 10 s to arrive.

--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -13,9 +13,13 @@
 import type {CallCodec, NetworkAddress, TargetEntry} from '@marigoldpost/sites';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import {readBody} from '../calls/body_reader.js';
+import {RequestAllowance} from '../calls/request_allowance.js';
+import {RequestMemory} from '../calls/request_memory.js';
 import type {LinkMonitor} from '../links/link_monitor.js';
 import type {LossDetector} from '../links/loss_detector.js';
 import {SilenceWatch} from '../responses/silence_watch.js';
+import type {ConnectionLimits} from '../server/connection_guard.js';
+import {GuardedConnections} from '../server/guarded_connections.js';
 import {resetSocket} from '../server/reset_socket.js';
 import type {
   ExchangeOutcome,
@@ -36,7 +40,11 @@
 /** Limit of the headers, which the sender has already checked. */
 const maxHeaderBytes = 128 * 1024;
 /** Limit of a body: a prompt with its history, as in messages of peers. */
-const maxBodyBytes = 32 * 2 ** 20;
+const maxBytes = 32 * 2 ** 20;
+/** Time for a whole request, which its sender holds in memory. */
+const requestTimeoutMs = 10_000;
+/** Interval at which the server checks for such time-outs. */
+const connectionCheckIntervalMs = 500;
 /** Requests that are relayed at a time; more are left to other entry VMs. */
 const maxInFlight = 400;
 const failureStatus = 502;
@@ -44,6 +52,8 @@
 /** Components that the relay shares with the calls of this entry VM. */
 export interface RelayServerOptions {
   readonly clock: Clock;
+  /** Limits on the connections of other entry VMs. */
+  readonly limits: ConnectionLimits;
   readonly codec: CallCodec;
   readonly agents: TargetAgents;
   readonly links: LinkMonitor;
@@ -59,14 +69,34 @@
 export class RelayServer {
   private readonly server: http.Server;
   private readonly connections: ClientConnections;
+  private readonly guarded: GuardedConnections;
+  /** A single body always finds room. */
+  private readonly memory = RequestMemory.create(maxBytes);
   private relayed = 0;
   private isDraining = false;
 
   private constructor(private readonly options: RelayServerOptions) {
     this.server = http.createServer(
-      {maxHeaderSize: maxHeaderBytes, noDelay: true},
-      (request, response) => void this.handle(request, response),
+      {
+        maxHeaderSize: maxHeaderBytes,
+        noDelay: true,
+        requestTimeout: requestTimeoutMs,
+        connectionsCheckingInterval: connectionCheckIntervalMs,
+      },
+      (request, response) => {
+        if (!this.guarded.addRequest(request, response)) return;
+        void this.handle(request, response);
+      },
     );
+    const {clock, limits, logger, metrics} = options;
+    this.guarded = GuardedConnections.create({
+      server: this.server,
+      port: 'relay',
+      limits,
+      clock,
+      logger,
+      metrics,
+    });
     this.connections = ClientConnections.create(this.server);
   }
 
@@ -101,6 +131,7 @@
 
   /** Stops listening and breaks the relays that are still open. */
   close(): void {
+    this.guarded.stop();
     void this.connections.stopListening();
     for (const socket of this.connections.sockets) resetSocket(socket);
   }
@@ -111,12 +142,16 @@
   ): Promise<void> {
     this.relayed += 1;
     const controller = new AbortController();
+    const allowance = RequestAllowance.create(this.memory);
     response.once('close', () => {
       this.relayed -= 1;
+      allowance.release();
       controller.abort();
     });
     try {
-      await this.relay(request, response, controller.signal);
+      const {signal} = controller;
+      const body = await readBody(request, {maxBytes, signal, allowance});
+      await this.relay(request, response, body, signal);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       this.logOutcome(request, undefined, message);
@@ -127,11 +162,11 @@
   private async relay(
     request: IncomingMessage,
     response: ServerResponse,
+    body: Buffer,
     signal: AbortSignal,
   ): Promise<void> {
     const {links, findTarget} = this.options;
     const parameters = decodeRelayParameters(request.headers);
-    const body = await readBody(request, {maxBytes: maxBodyBytes, signal});
     const target =
       parameters === undefined ? undefined : findTarget(parameters.target);
     if (target !== undefined && this.isLeaving(target)) {
--- a/packages/nodes/src/entry/entry_fleet.ts
+++ b/packages/nodes/src/entry/entry_fleet.ts
@@ -14,11 +14,13 @@
   TargetLimits,
 } from '@marigoldpost/dispatch';
 import {
+  getConnectionLimits,
   LinkMonitor,
   LinkProber,
   LossDetector,
   RelayPeers,
   RelayServer,
+  relayPortShare,
   TargetAgents,
   TargetSender,
 } from '@marigoldpost/gateway';
@@ -239,9 +241,10 @@
 
   private createRelay(): RelayServer {
     const {node, findTarget} = this.options;
-    const {clock, platform, logger, metrics} = node;
+    const {clock, platform, logger, metrics, settings} = node;
     return RelayServer.create({
       clock,
+      limits: getConnectionLimits(settings, relayPortShare),
       codec: platform.codec,
       agents: this.agents,
       links: this.links,
