--- a/packages/gateway/src/server/connection_guard.ts
+++ b/packages/common/src/connections/connection_guard.ts
@@ -6,7 +6,7 @@
  * not read, or leave in the middle. Each costs memory and a descriptor, whether or
  * not a request is ever read from it.
  */
-import type {Clock} from '@marigoldpost/common';
+import type {Clock} from '../time/clock.js';
 
 /** Why a connection was refused or closed. */
 export type ConnectionEnd = 'full' | 'replaced' | 'pipelined' | 'stalled';
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,8 @@
 export * from './time/system_clock.js';
 export * from './time/virtual_clock.js';
 export * from './random/random.js';
+export * from './connections/connection_guard.js';
+export * from './connections/reset_socket.js';
 export * from './resilience/backoff.js';
 export * from './resilience/retry_budget.js';
 export * from './utils/async_queue.js';
--- a/packages/gateway/tests/server/connection_guard_steps.ts
+++ b/packages/common/tests/connections/connection_guard_steps.ts
@@ -1,12 +1,12 @@
 /** Steps for the limits on clients' connections, without a network. */
 import assert from 'node:assert/strict';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
-import {VirtualClock} from '@marigoldpost/common';
 import {
   clientPortShare,
   ConnectionGuard,
   getConnectionLimits,
-} from '@marigoldpost/gateway';
+  VirtualClock,
+} from '@marigoldpost/common';
 
 interface GuardWorld extends World {
   clock: VirtualClock;
--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -3,6 +3,7 @@
 import {
   MarigoldpostError,
   type Random,
+  resetSocket,
   type ServiceId,
   toMarigoldpostError,
 } from '@marigoldpost/common';
@@ -10,7 +11,6 @@
 import {type CallAccess, checkAccess} from '../access/call_access.js';
 import {createErrorResponse} from '../responses/error_response.js';
 import {logRejection, writeResponse} from '../responses/write_response.js';
-import {resetSocket} from '../server/reset_socket.js';
 import {TenantLabels} from '../access/tenant_labels.js';
 import {readBody} from './body_reader.js';
 import type {CallServices} from './call_services.js';
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -3,6 +3,7 @@
 import {
   type Clock,
   MarigoldpostError,
+  resetSocket,
   type TargetId,
   type Timer,
   waitUnlessAborted,
@@ -18,7 +19,6 @@
 import type {CallAccess} from '../access/call_access.js';
 import type {BodyFields} from '../responses/body_end.js';
 import {createErrorResponse} from '../responses/error_response.js';
-import {resetSocket} from '../server/reset_socket.js';
 import type {ConnectionOrder} from './connection_order.js';
 import {
   getConnectionHeaders,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,7 +27,6 @@
 export * from './relay/relay_codec.js';
 export * from './relay/relay_peers.js';
 export * from './relay/relay_server.js';
-export * from './server/connection_guard.js';
 export * from './server/gateway_server.js';
 export * from './server/guarded_connections.js';
 export * from './server/page_server.js';
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -7,6 +7,8 @@
 import {
   ClientConnections,
   type Clock,
+  type ConnectionLimits,
+  resetSocket,
   type TargetId,
 } from '@marigoldpost/common';
 import type {TargetLimits} from '@marigoldpost/dispatch';
@@ -18,9 +20,7 @@
 import type {LinkMonitor} from '../links/link_monitor.js';
 import type {LossDetector} from '../links/loss_detector.js';
 import {SilenceWatch} from '../responses/silence_watch.js';
-import type {ConnectionLimits} from '../server/connection_guard.js';
 import {GuardedConnections} from '../server/guarded_connections.js';
-import {resetSocket} from '../server/reset_socket.js';
 import type {
   ExchangeOutcome,
   StartedResponse,
--- a/packages/gateway/src/server/guarded_connections.ts
+++ b/packages/gateway/src/server/guarded_connections.ts
@@ -1,14 +1,15 @@
 /** Applies the limits on clients' connections to an HTTP server. */
 import type http from 'node:http';
 import type {Socket} from 'node:net';
-import type {Clock, Timer} from '@marigoldpost/common';
-import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import {
+  type Clock,
   type ConnectionEnd,
   ConnectionGuard,
   type ConnectionLimits,
-} from './connection_guard.js';
-import {resetSocket} from './reset_socket.js';
+  resetSocket,
+  type Timer,
+} from '@marigoldpost/common';
+import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
 import {type OutputState, StalledWrites} from './stalled_writes.js';
 
 /** Interval at which the output of connections is checked. */
--- a/packages/nodes/src/entry/create_gateway.ts
+++ b/packages/nodes/src/entry/create_gateway.ts
@@ -1,10 +1,9 @@
 /** Creates the server of an entry VM for clients. */
+import {clientPortShare, getConnectionLimits} from '@marigoldpost/common';
 import {
   CallHandler,
-  clientPortShare,
   type CrashTracker,
   GatewayServer,
-  getConnectionLimits,
   RequestMemory,
   ResponseMemory,
   type SiteState,
--- a/packages/nodes/src/entry/entry_fleet.ts
+++ b/packages/nodes/src/entry/entry_fleet.ts
@@ -4,7 +4,9 @@
  */
 import {
   type DaemonId,
+  getConnectionLimits,
   MarigoldpostError,
+  relayPortShare,
   type TargetId,
 } from '@marigoldpost/common';
 import {
@@ -14,13 +16,11 @@
   TargetLimits,
 } from '@marigoldpost/dispatch';
 import {
-  getConnectionLimits,
   LinkMonitor,
   LinkProber,
   LossDetector,
   RelayPeers,
   RelayServer,
-  relayPortShare,
   TargetAgents,
   TargetSender,
 } from '@marigoldpost/gateway';
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -1,12 +1,10 @@
 /** Common base of the daemons: watches, peer transport and metrics page. */
-import type {Clock} from '@marigoldpost/common';
 import {
+  type Clock,
   getConnectionLimits,
-  type GuardOptions,
-  type Page,
   pagePortShare,
-  PageServer,
-} from '@marigoldpost/gateway';
+} from '@marigoldpost/common';
+import {type GuardOptions, type Page, PageServer} from '@marigoldpost/gateway';
 import {MessageTransport} from '@marigoldpost/peers';
 import {
   type ChangeSource,
