Limit the connections and buffers of the peers' port

Cause: the port of messages between daemons had no owner of its connections, and each connection could hold an incomplete frame of up to 32 MiB and replies without end that nobody reads. Each part of a frame that arrived copied all before it.

Change: `ServedConnections` applies `ConnectionGuard` to the port, with a quarter of the descriptors at an entry process and a half at an archive. All connections together hold 32 MiB or an eighth of the memory, counted from the announced length of a frame; the one that holds most is reset. Parts are joined once.

--- a/packages/common/src/connections/connection_guard.ts
+++ b/packages/common/src/connections/connection_guard.ts
@@ -9,7 +9,8 @@
 import type {Clock} from '../time/clock.js';
 
 /** Why a connection was refused or closed. */
-export type ConnectionEnd = 'full' | 'replaced' | 'pipelined' | 'stalled';
+export type ConnectionEnd =
+  'full' | 'replaced' | 'pipelined' | 'stalled' | 'buffered';
 
 /** Limits on the connections of one process. */
 export interface ConnectionLimits {
@@ -33,8 +34,17 @@
   readonly connectionsPerMb: number;
   /** Requests that have been read and not answered, of all connections. */
   readonly pendingPerMb: number;
+  /** The same of one connection. */
+  readonly maxPipelined: number;
 }
 
+/**
+ * HTTP clients wait for a response before the next request, or send a few ahead.
+ */
+const httpPipelined = 16;
+/** Peers send all their requests over one connection. */
+const peerPipelined = 1000;
+
 /**
  * Clients of an entry VM. An open connection with a head that has not ended takes
  * up to 40 KB, so that all take a fifth of the memory at most; a request takes
@@ -44,26 +54,38 @@
   descriptorShare: 1 / 2,
   connectionsPerMb: 5,
   pendingPerMb: 15,
+  maxPipelined: httpPipelined,
 };
 /** Entry VMs that relay requests over this one. */
 export const relayPortShare: PortShare = {
   descriptorShare: 1 / 8,
   connectionsPerMb: 2,
   pendingPerMb: 4,
+  maxPipelined: httpPipelined,
+};
+/** Daemons that send messages to an entry VM, each over one connection. */
+export const peerPortShare: PortShare = {
+  descriptorShare: 1 / 4,
+  connectionsPerMb: 3,
+  pendingPerMb: 15,
+  maxPipelined: peerPipelined,
+};
+/** Daemons that send messages to an archive, which has no clients. */
+export const archivePortShare: PortShare = {
+  descriptorShare: 1 / 2,
+  connectionsPerMb: 5,
+  pendingPerMb: 30,
+  maxPipelined: peerPipelined,
 };
 /** Monitoring and load balancers, which ask for a page now and then. */
 export const pagePortShare: PortShare = {
   descriptorShare: 1 / 64,
   connectionsPerMb: 0.2,
   pendingPerMb: 0.5,
+  maxPipelined: httpPipelined,
 };
 /** Descriptors without a stated limit, as the smallest sites have. */
 const defaultDescriptors = 2200;
-/**
- * Requests of one connection that have been read and not answered. Clients wait
- * for a response before the next request, or send a few ahead.
- */
-const pipelinedRequests = 16;
 /**
  * A connection without a request is replaced by a new one only after this time,
  * in which an ordinary client sends its request.
@@ -84,7 +106,7 @@
   const byMemory = Math.floor(memoryMb * share.connectionsPerMb);
   return {
     maxConnections: Math.max(1, Math.min(byDescriptors, byMemory)),
-    maxPipelined: pipelinedRequests,
+    maxPipelined: share.maxPipelined,
     maxPending: Math.max(1, Math.floor(memoryMb * share.pendingPerMb)),
   };
 }
@@ -126,6 +148,11 @@
     return new ConnectionGuard<Key>(clock, limits);
   }
 
+  /** Open connections. */
+  keys(): IterableIterator<Key> {
+    return this.states.keys();
+  }
+
   /** Number of open connections. */
   get connectionCount(): number {
     return this.states.size;
--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -1,5 +1,5 @@
 /** Process of an archive VM: stores turns and budgets on its disk. */
-import {MarigoldpostError} from '@marigoldpost/common';
+import {archivePortShare, MarigoldpostError} from '@marigoldpost/common';
 import type {StoredObject} from '@marigoldpost/platform';
 import type {NodeSettings} from '@marigoldpost/sites';
 import {
@@ -65,7 +65,7 @@
   private readonly onIgnored: (object: StoredObject) => void;
 
   private constructor(options: NodeOptions) {
-    super(options);
+    super(options, archivePortShare);
     this.onIgnored = createIgnoredObjectLog(options.logger);
   }
 
--- a/packages/nodes/src/entry/entry_node.ts
+++ b/packages/nodes/src/entry/entry_node.ts
@@ -1,4 +1,5 @@
 /** Process of an entry VM: forwards clients' requests to targets. */
+import {peerPortShare} from '@marigoldpost/common';
 import {
   CrashTracker,
   type GatewayServer,
@@ -77,7 +78,7 @@
   private lastReadinessReason = '';
 
   private constructor(options: NodeOptions) {
-    super(options);
+    super(options, peerPortShare);
     const {clock, logger, metrics} = options;
     this.fleet = EntryFleet.create({
       node: options,
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -3,9 +3,10 @@
   type Clock,
   getConnectionLimits,
   pagePortShare,
+  type PortShare,
 } from '@marigoldpost/common';
 import {type GuardOptions, type Page, PageServer} from '@marigoldpost/gateway';
-import {MessageTransport} from '@marigoldpost/peers';
+import {maxFrameBytes, MessageTransport} from '@marigoldpost/peers';
 import {
   type ChangeSource,
   type ObjectListener,
@@ -28,6 +29,9 @@
 
 const gaugeIntervalMs = 1000;
 const okStatus = 200;
+const bytesPerMb = 2 ** 20;
+/** Share of the memory for incomplete requests and unsent replies of peers. */
+const heldShare = 0.125;
 
 /** Timing of a watch's calls to the object API. */
 export interface WatchTiming {
@@ -64,7 +68,10 @@
   private readonly watches: WatchGroup;
   private currentSettings: NodeSettings;
 
-  protected constructor(protected readonly options: NodeOptions) {
+  protected constructor(
+    protected readonly options: NodeOptions,
+    peerShare: PortShare,
+  ) {
     const {settings, clock, random, metrics, logger, platform} = options;
     const {store} = platform;
     this.watches = WatchGroup.create({store, clock, random});
@@ -81,6 +88,17 @@
       host: settings.ip,
       port: settings.peerPort,
       clock,
+      limits: {
+        connections: getConnectionLimits(settings, peerShare),
+        maxHeldBytes: Math.max(
+          maxFrameBytes,
+          settings.memoryMb * bytesPerMb * heldShare,
+        ),
+        onEnded: (reason) => {
+          const labels = {port: 'peers', reason};
+          metrics.addToCounter('connections_ended_total', labels);
+        },
+      },
     });
     this.metricsPage = PageServer.create(
       (url) =>
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -10,6 +10,7 @@
 export * from './transport/peer_transport.js';
 export * from './transport/reply_window.js';
 export * from './transport/tls_material.js';
+export {maxFrameBytes} from './messages/message_framer.js';
 export * from './messages/message_transport.js';
 export * from './messages/quarantine_codec.js';
 export * from './messages/target_limit_codec.js';
--- a/packages/peers/src/messages/message_framer.ts
+++ b/packages/peers/src/messages/message_framer.ts
@@ -9,11 +9,17 @@
 
 const lengthBytes = 4;
 /** Maximum frame size in bytes; a longer frame violates the protocol. */
-const maxFrameBytes = 32 * 2 ** 20;
+export const maxFrameBytes = 32 * 2 ** 20;
+/** Parts of a frame that are kept before they are joined. */
+const maxParts = 256;
 
 /** Reads and writes frames on one connection. */
 export class MessageFramer {
-  private received: Buffer = Buffer.alloc(0);
+  /** What has arrived of the next frame; joined once, when it is complete. */
+  private parts: Buffer[] = [];
+  private partBytes = 0;
+  /** Bytes with which the next frame is complete, as far as is known. */
+  private neededBytes = lengthBytes;
   private isCorked = false;
 
   private constructor(
@@ -36,9 +42,14 @@
     return framer;
   }
 
+  /** Bytes of the next frame, as far as it has announced them or they arrived. */
+  get announcedBytes(): number {
+    return this.partBytes === 0 ? 0 : this.neededBytes;
+  }
+
   /** Bytes of the next frame that have arrived. */
   get incompleteBytes(): number {
-    return this.received.byteLength;
+    return this.partBytes;
   }
 
   /**
@@ -74,29 +85,44 @@
   }
 
   private handleChunk(chunk: Buffer): void {
-    this.received =
-      this.received.byteLength === 0
-        ? chunk
-        : Buffer.concat([this.received, chunk]);
+    this.parts.push(chunk);
+    this.partBytes += chunk.byteLength;
+    const isComplete = this.partBytes >= this.neededBytes;
+    if (!isComplete && this.parts.length <= maxParts) return;
+    const received =
+      this.parts.length === 1 ? chunk : Buffer.concat(this.parts);
+    this.keep(received);
+    if (isComplete) this.decodeFrames(received);
+  }
+
+  private keep(rest: Buffer): void {
+    this.parts = rest.byteLength === 0 ? [] : [rest];
+    this.partBytes = rest.byteLength;
+  }
+
+  private decodeFrames(received: Buffer): void {
     let offset = 0;
-    while (this.received.byteLength - offset >= lengthBytes) {
-      const length = this.received.readUInt32LE(offset);
+    this.neededBytes = lengthBytes;
+    while (received.byteLength - offset >= lengthBytes) {
+      const length = received.readUInt32LE(offset);
       const start = offset + lengthBytes;
       if (length > maxFrameBytes) {
         this.socket.destroy();
         return;
       }
-      if (start + length > this.received.byteLength) break;
+      if (start + length > received.byteLength) {
+        this.neededBytes = lengthBytes + length;
+        break;
+      }
       offset = start + length;
-      if (!this.decodeFrame(this.received.subarray(start, offset))) return;
+      if (!this.decodeFrame(received.subarray(start, offset))) return;
     }
-    this.received = this.received.subarray(offset);
+    this.keep(received.subarray(offset));
   }
 
   private decodeFrame(bytes: Buffer): boolean {
     try {
-      // The decoded frame may hold views of its input. A later chunk replaces
-      // `received` and does not overwrite it.
+      // The decoded frame may hold views of its input, which is not overwritten.
       this.onFrame(fromBinary(PeerFrameSchema, bytes));
       return true;
     } catch (error) {
--- a/packages/peers/src/messages/message_transport.ts
+++ b/packages/peers/src/messages/message_transport.ts
@@ -19,6 +19,7 @@
 } from '../transport/peer_transport.js';
 import {MessageFramer} from './message_framer.js';
 import {type ConnectPeer, MessageLink} from './message_link.js';
+import {type PeerPortLimits, ServedConnections} from './served_connections.js';
 
 /** Answers a peer's request; a thrown error is sent to the requester. */
 export type MessageHandler = (
@@ -52,16 +53,31 @@
   readonly clock: Clock;
   /** Opens connections to peers; by default over TCP. */
   readonly connect?: ConnectPeer;
+  /** Limits on the connections of peers; none if omitted. */
+  readonly limits?: PeerPortLimits;
 }
 
+/** Limits without effect. */
+const noLimits: PeerPortLimits = {
+  connections: {
+    maxConnections: Infinity,
+    maxPipelined: Infinity,
+    maxPending: Infinity,
+  },
+  maxHeldBytes: Infinity,
+  onEnded: () => undefined,
+};
+
 /** Serves requests of peers and sends requests over one link for each peer. */
 export class MessageTransport extends PeerRequester {
   private readonly links = new Map<string, MessageLink>();
-  private readonly sockets = new Set<Socket>();
+  private readonly served: ServedConnections;
   private server: Server | undefined;
 
   private constructor(private readonly options: MessageTransportOptions) {
     super();
+    const {clock, limits = noLimits} = options;
+    this.served = ServedConnections.create(clock, limits);
   }
 
   /**
@@ -118,17 +134,28 @@
     for (const link of this.links.values()) link.close();
     this.links.clear();
     this.server?.close();
-    for (const socket of this.sockets) socket.destroy();
+    this.served.close();
   }
 
   private serve(socket: Socket, handler: MessageHandler): void {
-    this.sockets.add(socket);
-    socket.once('close', () => this.sockets.delete(socket));
     // The requester detects a broken connection itself.
     socket.on('error', () => undefined);
+    if (!this.served.add(socket)) return;
     const framer = MessageFramer.attach(socket, (frame) => {
-      void this.answer(framer, frame, handler);
+      if (frame.body.case !== 'request') return;
+      if (!this.served.addRequest(socket)) return;
+      void this.answer(framer, frame, handler).finally(() => {
+        this.served.endRequest(socket);
+        updateHeldBytes();
+      });
     });
+    const updateHeldBytes = () =>
+      this.served.setHeldBytes(
+        socket,
+        framer.announcedBytes + socket.writableLength,
+      );
+    socket.on('data', updateHeldBytes);
+    socket.on('drain', updateHeldBytes);
   }
 
   private async answer(
