Bound the processor time that the input of clients takes at a time

Cause: the parser of Node.js handles all that one read gets, 64 KiB: 10,000 parts of a body (1 us each) or hundreds of requests. It goes on in the same read after the connection has been reset, which makes a request and a response object for each of 200 pipelined requests of 300 clients before the first is collected, and all connections that have sent something are read in the same iteration.

Change: `InputPacer` hands the parser 2 KiB at a time. Where a part takes 0.2 ms, the rest of the read waits for its turn; from 2 ms of parsing in one iteration of the event loop on, all connections wait for the next. While more than 64 wait so, the one that has cost most, and 5 ms at least, is reset. The time is measured and not counted, as bodies that are discarded cost the same and show no events; a first version that counted left callers waiting behind them.

--- a/packages/common/src/connections/connection_guard.ts
+++ b/packages/common/src/connections/connection_guard.ts
@@ -10,7 +10,7 @@
 
 /** Why a connection was refused or closed. */
 export type ConnectionEnd =
-  'full' | 'replaced' | 'pipelined' | 'stalled' | 'buffered';
+  'full' | 'replaced' | 'pipelined' | 'stalled' | 'buffered' | 'costly';
 
 /** Limits on the connections of one process. */
 export interface ConnectionLimits {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,7 @@
 export * from './relay/relay_server.js';
 export * from './server/gateway_server.js';
 export * from './server/guarded_connections.js';
+export * from './server/input_pacer.js';
 export * from './server/page_server.js';
 export * from './server/stalled_writes.js';
 export * from './site/site_state.js';
--- a/packages/gateway/src/server/guarded_connections.ts
+++ b/packages/gateway/src/server/guarded_connections.ts
@@ -10,6 +10,7 @@
   type Timer,
 } from '@marigoldpost/common';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {InputPacer} from './input_pacer.js';
 import {type OutputState, StalledWrites} from './stalled_writes.js';
 
 /** Interval at which the output of connections is checked. */
@@ -44,6 +45,7 @@
     server.prependListener('connection', (socket: Socket) =>
       this.accept(socket),
     );
+    InputPacer.attach(server, (socket) => this.end(socket, 'costly'));
   }
 
   /**
@@ -61,9 +63,10 @@
    * @param response - Its response.
    */
   addRequest(
-    {socket}: http.IncomingMessage,
+    request: http.IncomingMessage,
     response: http.ServerResponse,
   ): boolean {
+    const {socket} = request;
     // The rest of what has arrived on a connection that has been ended.
     if (socket.destroyed) return false;
     response.once('close', () => this.guard.endRequest(socket));
@@ -138,6 +141,7 @@
       replaced: get('replaced'),
       pipelined: get('pipelined'),
       stalled: get('stalled'),
+      costly: get('costly'),
     });
     this.ended.clear();
   }
--- a/packages/telemetry/src/events/client_events.ts
+++ b/packages/telemetry/src/events/client_events.ts
@@ -40,6 +40,7 @@
       replaced: 'number',
       pipelined: 'number',
       stalled: 'number',
+      costly: 'number',
     },
   ),
 } as const satisfies Record<string, EventDefinition>;
