Let clients wait for others only while input is handled later

On a small VM ordinary requests may take 2 ms in one iteration of the event loop, and pausing and resuming all connections then costs time for nothing. They wait only while a costly read does.

--- a/packages/gateway/src/server/input_pacer.ts
+++ b/packages/gateway/src/server/input_pacer.ts
@@ -14,7 +14,7 @@
 const sliceBytes = 2048;
 /** Time of a slice from which the rest of its read is handled later. */
 const costlySliceMs = 0.2;
-/** Time in one iteration of the event loop from which clients have to wait. */
+/** Time in one iteration of the event loop from which clients wait for the next. */
 const maxIterationMs = 2;
 /**
  * Connections whose input is handled later, with up to 64 KiB each, from which one
@@ -95,7 +95,9 @@
     input.rest = this.parse(socket, input, bytes);
     if (input.rest === undefined) input.costMs = 0;
     else this.defer(socket, input);
-    if (this.iterationMs > maxIterationMs) this.pauseAll();
+    if (this.deferred.size > 0 && this.iterationMs > maxIterationMs) {
+      this.pauseAll();
+    }
   }
 
   /** Gets what is left once a part was costly, or the connection is paused. */
