Tell all archives at once that a chain which expires soon is continued

A program returned just before the retention of its chain ended, its turn was answered whole, and no try could continue it: "on no archive, but a stored turn continues it".

Cause: only the archive that a chain was read from was told to retain it. The others learned it in a repair round, 2 s later at most, and only while that archive lived: if it was lost meanwhile, they removed the chain before the new turn was stored. A first turn that came from the cache of an entry VM, and whose archives are not those of the later turns, was retained nowhere for up to 2 s even without a loss.

Change: the reply to `FetchChain` tells how much longer the turn was retained before (`remaining_ms`, 0 from earlier builds). If that is less than the time for which the chain is needed, the reader asks all archives to retain all of its turns, without waiting. Chains that are continued earlier cost no further message.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -218,6 +218,15 @@
     return this.index.getMissingAncestors();
   }
 
+  /**
+   * Gets how much longer a turn is retained; 0 if it is not stored here.
+   * @param id - Id of the turn.
+   */
+  getRemainingMs(id: TurnId): number {
+    const expiresAtMs = this.index.get(id)?.expiresAtMs ?? 0;
+    return Math.max(0, expiresAtMs - this.nowMs());
+  }
+
   /**
    * Retains a stored turn and its ancestors longer, since a turn continues it that
    * a peer has, or that is running.
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -204,11 +204,15 @@
     retainedMs,
   }: RequestOf<'fetchChain'>): Promise<PeerReplyBody> {
     const id = toId<TurnId>(turn);
+    const remainingMs = toUint32(this.archive.getRemainingMs(id));
     if (retainedMs > 0) this.archive.retainTurn(id, retainedMs);
     const chain = await this.archive.readChain(id);
     const turns = chain.turns.map(toTurnMessage);
     const missing = chain.missing ?? '';
-    return {case: 'chain', value: create(ChainSchema, {turns, missing})};
+    return {
+      case: 'chain',
+      value: create(ChainSchema, {turns, missing, remainingMs}),
+    };
   }
 
   private findTurns({
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -62,6 +62,12 @@
   readonly supersededDisks: readonly DiskId[];
 }
 
+/** A chain as far as an archive stores it. */
+export interface ChainPart extends PartialChain {
+  /** How much longer the archive retained its newest turn before the request. */
+  readonly remainingMs: number;
+}
+
 /** Which of the requested turns an archive stores, in request order. */
 export interface FoundTurnsReply {
   readonly isHeld: readonly boolean[];
@@ -263,15 +269,16 @@
    * @param retainedMs - How much longer the archive should retain them at least;
    *   0 to leave that as it is.
    */
-  async fetchChain(turn: TurnId, retainedMs = 0): Promise<PartialChain> {
+  async fetchChain(turn: TurnId, retainedMs = 0): Promise<ChainPart> {
     const value = {turn, retainedMs: toUint32(retainedMs)};
     const reply = await this.sendRequest({
       case: 'fetchChain',
       value: create(FetchChainSchema, value),
     });
     if (reply.case !== 'chain') throw this.createReplyError(reply);
-    const {turns, missing} = reply.value;
+    const {turns, missing, remainingMs} = reply.value;
     return {
+      remainingMs,
       turns: turns.map(fromTurnMessage),
       missing: missing === '' ? undefined : toId<TurnId>(missing),
     };
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -13,7 +13,7 @@
 } from '../records/turn_record.js';
 import type {StoreProbe} from '../objects/store_probe.js';
 import type {TurnObjectReader} from '../objects/turn_object_reader.js';
-import type {ArchiveClient} from './archive_client.js';
+import type {ArchiveClient, ChainPart} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveRetries, ArchiveWait} from './archive_retries.js';
 import type {TurnCache} from './turn_cache.js';
@@ -60,12 +60,19 @@
   readonly isAncestor: boolean;
   /** Time for which archives should retain it at least. */
   readonly retainedMs: number;
+  /** Time for which they must retain it, whatever happens to one of them. */
+  readonly neededMs: number;
 }
 
 interface FetchedChain {
   readonly chain: PartialChain;
   /** Whether archives retain the chain for the time that was asked for. */
   readonly isRetained: boolean;
+  /**
+   * Whether other archives might remove it before they learn that it is retained
+   * for longer.
+   */
+  readonly isExpiring: boolean;
 }
 
 /** A chain, or why it could not be read. */
@@ -108,7 +115,12 @@
     const startMs = clock.nowMs();
     const storedInMs = neededMs === undefined ? 0 : neededMs + importMs;
     const retainedMs = neededMs === undefined ? 0 : storedInMs + reuseMs;
-    const fetch = {signal, isAncestor: false, retainedMs};
+    const fetch = {
+      signal,
+      isAncestor: false,
+      retainedMs,
+      neededMs: storedInMs,
+    };
     const newest = await this.readNewest(
       turn,
       fetch,
@@ -135,9 +147,28 @@
       ? startMs + retainedMs
       : Number.NEGATIVE_INFINITY;
     for (const record of newestFirst) cache.put(record, retainedUntilMs);
+    if (newest.isExpiring && retainedMs > 0) {
+      this.retainEverywhere(newestFirst, retainedMs);
+    }
     return newestFirst.toReversed();
   }
 
+  /**
+   * Has all archives retain a chain, as the one that was read may be lost, and its
+   * ancestors may be on others, before they learn it from each other.
+   */
+  private retainEverywhere(
+    chain: readonly TurnRecord[],
+    retainedMs: number,
+  ): void {
+    const ids = chain.map(({id}) => id);
+    const times = ids.map(() => retainedMs);
+    for (const client of this.options.pool.getClients()) {
+      // One that does not reply learns it from the others.
+      client.findTurns(ids, times).catch(() => undefined);
+    }
+  }
+
   /**
    * Reads the turn that is continued, with ancestors. A cached one that may expire
    * too early serves only if no archive replies that has it.
@@ -151,7 +182,9 @@
     const cached = this.options.cache.get(turn);
     if (cached === undefined) return this.fetchWithWait(turn, fetch, retries);
     const {record, retainedUntilMs} = cached;
-    if (retainedUntilMs >= neededUntilMs) return toFetchedChain(record);
+    if (retainedUntilMs >= neededUntilMs) {
+      return {...toFetchedChain(record), isExpiring: false};
+    }
     const lookup = await this.fetchChain(turn, fetch);
     return 'chain' in lookup ? lookup : toFetchedChain(record);
   }
@@ -175,17 +208,18 @@
   /** Fetches a chain; throws `unknown_turn` if all have replied that they lack it. */
   private async fetchChain(
     turn: TurnId,
-    {isAncestor, retainedMs, signal}: ChainFetch,
+    {isAncestor, retainedMs, neededMs, signal}: ChainFetch,
   ): Promise<ChainLookup> {
     const {pool, ownDataCentre, owedArchives} = this.options;
     const localClients = pool.getReachableClients(ownDataCentre);
     for (const client of localClients) {
       const chain = await tryFetchChain(client, turn, retainedMs);
-      if (chain !== undefined) return {chain, isRetained: true};
+      if (chain !== undefined) return toRetainedChain(chain, neededMs);
       signal.throwIfAborted();
     }
     const clients = pool.getClients();
-    const atArchives = await fetchFromArchives(clients, turn, retainedMs);
+    const times = {retainedMs, neededMs};
+    const atArchives = await fetchFromArchives(clients, turn, times);
     if ('chain' in atArchives) return atArchives;
     const record = await this.findInObjects(turn);
     if (typeof record === 'object') return toFetchedChain(record);
@@ -208,7 +242,7 @@
       (await pool.areAllRegistered(clients))
     ) {
       // An archive may have imported it from an object that was removed since.
-      const imported = await fetchFromArchives(clients, turn, retainedMs);
+      const imported = await fetchFromArchives(clients, turn, times);
       if ('chain' in imported) return imported;
       if (imported.unread.length === 0) {
         const message = `no archive stores turn "${turn}"`;
@@ -243,7 +277,13 @@
 /** A turn that was not read from an archive, which would retain it. */
 function toFetchedChain(record: TurnRecord): FetchedChain {
   const chain = {turns: [record], missing: record.previous};
-  return {chain, isRetained: false};
+  return {chain, isRetained: false, isExpiring: true};
+}
+
+/** A turn that an archive retains from now on. */
+function toRetainedChain(chain: ChainPart, neededMs: number): FetchedChain {
+  const isExpiring = chain.remainingMs < neededMs;
+  return {chain, isRetained: true, isExpiring};
 }
 
 /**
@@ -253,7 +293,7 @@
 async function fetchFromArchives(
   clients: readonly ArchiveClient[],
   turn: TurnId,
-  retainedMs: number,
+  {retainedMs, neededMs}: Pick<ChainFetch, 'retainedMs' | 'neededMs'>,
 ): Promise<ArchiveLookup> {
   const lookups = await Promise.all(
     clients.map((client) => lookUpTurn(client, turn)),
@@ -261,7 +301,7 @@
   for (const [index, client] of clients.entries()) {
     if (lookups[index] !== 'held') continue;
     const chain = await tryFetchChain(client, turn, retainedMs);
-    if (chain !== undefined) return {chain, isRetained: true};
+    if (chain !== undefined) return toRetainedChain(chain, neededMs);
   }
   const unread = clients
     .filter((_client, index) => lookups[index] !== 'absent')
@@ -274,7 +314,7 @@
   client: ArchiveClient,
   turn: TurnId,
   retainedMs: number,
-): Promise<PartialChain | undefined> {
+): Promise<ChainPart | undefined> {
   try {
     const chain = await client.fetchChain(turn, retainedMs);
     return chain.turns.length === 0 ? undefined : chain;
--- a/packages/turns/tests/client/chain_retention.feature
+++ b/packages/turns/tests/client/chain_retention.feature
@@ -34,6 +34,35 @@
     And archives "a, b, c" are killed
     Then turn "t1" can be continued in "a"
 
+  Scenario Outline: A chain can be continued although the archive it was read from is lost while a turn runs, <pause> ms after the last
+    When <start> ms pass
+    And turn "t1" finishes in "a"
+    And <pause> ms pass
+    And a turn after "t1" begins in "a", archive "a" is killed 100 ms later, and it ends as "t2" after 9400 ms
+    And 15000 ms pass
+    Then a new entry VM in "c" reads the chain "t1, t2"
+
+    Examples:
+      | start | pause |
+      | 3500  | 57750 |
+      | 3500  | 59000 |
+      | 1500  | 59500 |
+
+  Scenario Outline: A chain can be continued although its first turn came from the cache and is on other disks, <pause> ms after the last
+    Given archives "a, b, c, d" with 2 replicas per turn
+    When 3500 ms pass
+    And turn "t1" finishes in "a"
+    And a turn after "t1" begins in "d" and ends as "t2" on any disks after 500 ms
+    And <pause> ms pass
+    And a turn after "t2" begins in "d" and ends as "t3" on any disks after 9500 ms
+    And 15000 ms pass
+    Then a new entry VM in "d" reads the chain "t1, t2, t3"
+
+    Examples:
+      | pause |
+      | 59750 |
+      | 60000 |
+
   Scenario Outline: A chain whose copies expire at different times is on two disks again when a turn has continued it
     When turn "t1" finishes in "a"
     And 59300 ms pass
--- a/packages/turns/tests/client/chain_retention_steps.ts
+++ b/packages/turns/tests/client/chain_retention_steps.ts
@@ -1,7 +1,12 @@
 /** Steps for the retention of chains that are continued late. */
 import assert from 'node:assert/strict';
 import {Then, When, type World} from '@cucumber/cucumber';
-import {type ErrorKind, isErrorOfKind, toId} from '@marigoldpost/common';
+import {
+  type DataCentreId,
+  type ErrorKind,
+  isErrorOfKind,
+  toId,
+} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 import type {TurnChain} from '@marigoldpost/turns';
 import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
@@ -13,6 +18,8 @@
 
 /** Time that calls have. */
 const callMs = 10_000;
+/** Time in which archives import what they have not read. */
+const importMs = 10_000;
 
 When(
   'a turn after {string} begins in {string} and ends as {string} after {int} ms',
@@ -34,6 +41,66 @@
   },
 );
 
+When(
+  'a turn after {string} begins in {string} and ends as {string} on any disks after {int} ms',
+  async function (
+    this: RetentionWorld,
+    previous: string,
+    dataCentre: string,
+    id: string,
+    runMs: number,
+  ) {
+    const {archives} = this;
+    await continueTurn(archives, previous, dataCentre);
+    await archives.clock.advance(runMs);
+    await storeTurn(archives, id, previous, dataCentre);
+  },
+);
+
+When(
+  'a turn after {string} begins in {string}, archive {string} is killed {int} ms later, and it ends as {string} after {int} ms',
+  async function (
+    this: RetentionWorld,
+    previous: string,
+    dataCentre: string,
+    killed: string,
+    killMs: number,
+    id: string,
+    runMs: number,
+  ) {
+    const {archives} = this;
+    await continueTurn(archives, previous, dataCentre);
+    await archives.clock.advance(killMs);
+    archives.kill(killed);
+    await archives.clock.advance(runMs);
+    await storeTurn(archives, id, previous, dataCentre);
+  },
+);
+
+When(
+  'a turn after {string} begins in {string}, which is cut off, and ends as {string} in the object API after {int} ms, which then is away for {int} ms',
+  async function (
+    this: RetentionWorld,
+    previous: string,
+    dataCentre: string,
+    id: string,
+    runMs: number,
+    awayMs: number,
+  ) {
+    const {archives} = this;
+    await continueTurn(archives, previous, dataCentre);
+    archives.kill(dataCentre);
+    archives.cutOff = toId<DataCentreId>(dataCentre);
+    await archives.clock.advance(runMs);
+    await storeTurn(archives, id, previous, dataCentre);
+    archives.isStoreAway = true;
+    await archives.clock.advance(awayMs);
+    archives.isStoreAway = false;
+    archives.cutOff = undefined;
+    await archives.clock.advance(importMs);
+  },
+);
+
 When(
   'archives {string} are killed',
   function (this: RetentionWorld, names: string) {
@@ -62,6 +129,18 @@
   },
 );
 
+function storeTurn(
+  archives: ArchiveFleet,
+  id: string,
+  previous: string,
+  dataCentre: string,
+): Promise<unknown> {
+  const {signal} = new AbortController();
+  const wait = {maxWaitMs: unlimitedWaitMs, signal};
+  const store = archives.getStore(dataCentre);
+  return archives.run(store.record(createTurn(id, previous), [], wait));
+}
+
 /** Reads a chain as a call does that continues it. */
 function continueTurn(
   archives: ArchiveFleet,
