Let a cached chain serve only if it outlasts an outage of the object API

Cause: a chain that an entry VM had cached was continued without telling an archive if it was retained for 5 s after the call. A turn that only the object API could take reaches the archives later than that if the object API is away then: they imported it after its ancestors had expired.

Change: 30 s in place of 5 s. A program that pauses for longer than about half of a retention of 60 s costs one more request.

--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -20,9 +20,10 @@
 
 /**
  * Time that a turn which only the object API has takes to reach an archive, which
- * then retains the chain; a restart of all archives lies within it.
+ * then retains the chain; a restart of all archives, or an outage of the object
+ * API, lies within it.
  */
-const importMs = 5000;
+const importMs = 30_000;
 /**
  * Time for which a chain is retained beyond its need, so that further turns that
  * continue it can be served from the cache.
--- a/packages/turns/tests/client/chain_retention.feature
+++ b/packages/turns/tests/client/chain_retention.feature
@@ -63,6 +63,21 @@
       | 59750 |
       | 60000 |
 
+  Scenario Outline: A chain can be continued although the object that holds its last turn is imported late, after <away> ms
+    Given archives "a, b, c, d" with 2 replicas per turn
+    When turn "t1" finishes in "b"
+    And 20000 ms pass
+    Then turn "t1" can be continued in "a"
+    When 28500 ms pass
+    And a turn after "t1" begins in "a", which is cut off, and ends as "t2" in the object API after 9500 ms, which then is away for <away> ms
+    Then a new entry VM in "c" reads the chain "t1, t2"
+
+    Examples:
+      | away  |
+      | 1000  |
+      | 10000 |
+      | 15000 |
+
   Scenario Outline: A chain whose copies expire at different times is on two disks again when a turn has continued it
     When turn "t1" finishes in "a"
     And 59300 ms pass
