Refuse relayed requests that there is no room for, and do not reset them

Cause: a request for whose body there was no room, or whose connection was one too many, was reset.

Change: no room for a body is refused as not sent, like other refusals. Requests are refused so from three quarters of the connections on, before the port is full.

--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -8,6 +8,7 @@
   ClientConnections,
   type Clock,
   type ConnectionLimits,
+  isErrorOfKind,
   resetSocket,
   type TargetId,
 } from '@marigoldpost/common';
@@ -47,6 +48,8 @@
 const connectionCheckIntervalMs = 500;
 /** Requests that are relayed at a time; more are left to other entry VMs. */
 const maxInFlight = 400;
+/** The same as a part of the connections. */
+const inFlightShare = 0.75;
 const failureStatus = 502;
 
 /** Components that the relay shares with the calls of this entry VM. */
@@ -72,6 +75,7 @@
   private readonly guarded: GuardedConnections;
   /** A single body always finds room. */
   private readonly memory = RequestMemory.create(maxBytes);
+  private readonly maxInFlight: number;
   private relayed = 0;
   private isDraining = false;
 
@@ -89,6 +93,9 @@
       },
     );
     const {clock, limits, logger, metrics} = options;
+    // A refusal tells the sender that nothing was sent, a reset does not.
+    const most = Math.floor(limits.maxConnections * inFlightShare);
+    this.maxInFlight = Math.min(maxInFlight, most);
     this.guarded = GuardedConnections.create({
       server: this.server,
       port: 'relay',
@@ -149,9 +156,7 @@
       controller.abort();
     });
     try {
-      const {signal} = controller;
-      const body = await readBody(request, {maxBytes, signal, allowance});
-      await this.relay(request, response, body, signal);
+      await this.relay(request, response, allowance, controller.signal);
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error);
       this.logOutcome(request, undefined, message);
@@ -162,11 +167,19 @@
   private async relay(
     request: IncomingMessage,
     response: ServerResponse,
-    body: Buffer,
+    allowance: RequestAllowance,
     signal: AbortSignal,
   ): Promise<void> {
     const {links, findTarget} = this.options;
     const parameters = decodeRelayParameters(request.headers);
+    let body;
+    try {
+      body = await readBody(request, {maxBytes, signal, allowance});
+    } catch (error) {
+      if (!isErrorOfKind(error, 'overloaded')) throw error;
+      this.refuse(request, response, parameters, error.message);
+      return;
+    }
     const target =
       parameters === undefined ? undefined : findTarget(parameters.target);
     if (target !== undefined && this.isLeaving(target)) {
@@ -179,10 +192,7 @@
     const refusal = this.findRefusal(target);
     if (parameters === undefined || target === undefined || refusal !== '') {
       const message = refusal === '' ? 'the target is not listed' : refusal;
-      const isLeaving = false;
-      const fault = {isSent: false, isPeerFault: true, isLeaving} as const;
-      this.sendFailure(response, {reason: 'unreachable', ...fault});
-      this.logOutcome(request, parameters, message);
+      this.refuse(request, response, parameters, message);
       return;
     }
     const outcome = await this.send(request, body, target, parameters, signal);
@@ -218,10 +228,23 @@
     return known?.leavingSinceMs !== undefined;
   }
 
+  /** Tells the sender that nothing was sent, and that another may relay it. */
+  private refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    parameters: RelayParameters | undefined,
+    message: string,
+  ): void {
+    const isLeaving = false;
+    const fault = {isSent: false, isPeerFault: true, isLeaving} as const;
+    this.sendFailure(response, {reason: 'unreachable', ...fault});
+    this.logOutcome(request, parameters, message);
+  }
+
   /** Finds why this entry VM does not relay; empty if it does. */
   private findRefusal(target: TargetEntry | undefined): string {
     if (this.isDraining) return 'the entry VM is draining';
-    if (this.relayed > maxInFlight) return 'too many requests are relayed';
+    if (this.relayed > this.maxInFlight) return 'too many requests are relayed';
     if (target !== undefined && this.options.links.isCut(target)) {
       return 'the entry VM does not reach the target itself';
     }
