Count what peers' connections hold until it is written

It is counted again when a frame has been passed to the system. The input of a client that was handled later had its time added up over reads as well, and an entry VM of 88 MB took 264 peers, fewer than the largest sites may have VMs: both corrected.

--- a/packages/common/src/connections/connection_guard.ts
+++ b/packages/common/src/connections/connection_guard.ts
@@ -66,7 +66,7 @@
 /** Daemons that send messages to an entry VM, each over one connection. */
 export const peerPortShare: PortShare = {
   descriptorShare: 1 / 4,
-  connectionsPerMb: 3,
+  connectionsPerMb: 6,
   pendingPerMb: 15,
   maxPipelined: peerPipelined,
 };
--- a/packages/gateway/src/server/input_pacer.ts
+++ b/packages/gateway/src/server/input_pacer.ts
@@ -194,7 +194,8 @@
       if (input?.rest === undefined) continue;
       this.resumeInput(socket);
       input.rest = this.parse(socket, input, input.rest);
-      this.defer(socket, input);
+      if (input.rest === undefined) input.costMs = 0;
+      else this.defer(socket, input);
     }
     if (this.deferred.size > 0) this.schedule();
   }
--- a/packages/peers/src/messages/message_framer.ts
+++ b/packages/peers/src/messages/message_framer.ts
@@ -25,18 +25,21 @@
   private constructor(
     private readonly socket: Socket,
     private readonly onFrame: (frame: PeerFrame) => void,
+    private readonly onWritten: (() => void) | undefined,
   ) {}
 
   /**
    * Attaches to a connection, which is destroyed if it sends invalid frames.
    * @param socket - Connection to read and write.
    * @param onFrame - Called for each received frame.
+   * @param onWritten - Called when a frame has been passed to the system.
    */
   static attach(
     socket: Socket,
     onFrame: (frame: PeerFrame) => void,
+    onWritten?: () => void,
   ): MessageFramer {
-    const framer = new MessageFramer(socket, onFrame);
+    const framer = new MessageFramer(socket, onFrame, onWritten);
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => framer.handleChunk(chunk));
     return framer;
@@ -80,7 +83,7 @@
       });
     }
     this.socket.write(length);
-    this.socket.write(bytes);
+    this.socket.write(bytes, this.onWritten);
     return lengthBytes + bytes.byteLength;
   }
 
--- a/packages/peers/src/messages/message_transport.ts
+++ b/packages/peers/src/messages/message_transport.ts
@@ -141,21 +141,20 @@
     // The requester detects a broken connection itself.
     socket.on('error', () => undefined);
     if (!this.served.add(socket)) return;
-    const framer = MessageFramer.attach(socket, (frame) => {
+    const updateHeldBytes = () => {
+      const bytes = framer.announcedBytes + socket.writableLength;
+      this.served.setHeldBytes(socket, bytes);
+    };
+    const handleFrame = (frame: PeerFrame) => {
       if (frame.body.case !== 'request') return;
       if (!this.served.addRequest(socket)) return;
       void this.answer(framer, frame, handler).finally(() => {
         this.served.endRequest(socket);
         updateHeldBytes();
       });
-    });
-    const updateHeldBytes = () =>
-      this.served.setHeldBytes(
-        socket,
-        framer.announcedBytes + socket.writableLength,
-      );
+    };
+    const framer = MessageFramer.attach(socket, handleFrame, updateHeldBytes);
     socket.on('data', updateHeldBytes);
-    socket.on('drain', updateHeldBytes);
   }
 
   private async answer(
