Keep expired turns for 10 s until archives know of turns that continue them

What callers saw: a turn that was continued near the end of its retention could be stored, and after the loss of one disk never be continued, "turn "t2" is on no archive, but a stored turn continues it" (503) at all entry VMs.

Cause: the archive that sends a chain retains it while the next turn runs. Peers with the other copies learn of that from its next round of renewals, up to 2 s later, or in a cut not before the next turn is stored. A peer that swept its copy meanwhile left the chain on one disk, though the next turn was acknowledged on two. The loss of that disk alone lost the chain; after a power loss the peer has the turn again from its log.

Change: the index of an archive keeps a turn for 10 s after its expiry, longer than a turn runs, reaches the other archives through the object API and is renewed. Log segments stay for 120 s after their last entry anyway, so that only those of turns that are retained for more than 110 s stay longer (by reading, not measured).

--- a/packages/turns/src/archive/turn_index.ts
+++ b/packages/turns/src/archive/turn_index.ts
@@ -5,6 +5,12 @@
 import type {EntryPosition} from '../log/entry_log.js';
 import type {TurnRecord} from '../records/turn_record.js';
 
+/**
+ * Time for which an expired turn is kept: an archive that was asked to retain it
+ * for a running turn may not reach the others before that turn is stored.
+ */
+const expiredTurnMs = 10_000;
+
 /** Index entry of one turn. */
 export interface IndexedTurn {
   readonly id: TurnId;
@@ -107,7 +113,7 @@
     this.turns.set(id, turn);
     this.damaged.delete(id);
     this.missingAncestors.delete(id);
-    this.retainSegment(position.segment, expiresAtMs);
+    this.retainSegment(position.segment, expiresAtMs + expiredTurnMs);
     this.retainAncestors(turn);
     return turn;
   }
@@ -144,13 +150,13 @@
   }
 
   /**
-   * Removes expired turns from the index; gets the numbers of the segments
-   * that have expired.
+   * Removes turns from the index that expired 10 s ago; gets the numbers of the
+   * segments that have expired.
    * @param nowMs - Current time of the archive's clock.
    */
   removeExpired(nowMs: number): number[] {
     for (const [id, turn] of this.turns) {
-      if (turn.expiresAtMs >= nowMs) continue;
+      if (turn.expiresAtMs + expiredTurnMs >= nowMs) continue;
       this.turns.delete(id);
       this.damaged.delete(id);
     }
@@ -187,6 +193,6 @@
 
   private setExpiry(turn: IndexedTurn, untilMs: number): void {
     turn.expiresAtMs = untilMs;
-    this.retainSegment(turn.position.segment, untilMs);
+    this.retainSegment(turn.position.segment, untilMs + expiredTurnMs);
   }
 }
--- a/packages/turns/tests/repair/final_fault_of_archives.feature
+++ b/packages/turns/tests/repair/final_fault_of_archives.feature
@@ -250,3 +250,42 @@
       | a, b, c | a     | b      | 59000 | 3900 | a     | 0    |
       | b, c    | a     | b      | 58000 | 3900 | a     | 0    |
       | b, c    | a     | b      | 58000 | 3900 | a     | 9000 |
+
+  # Guards against copies that expire while a turn runs whose archive alone retains them.
+  Scenario Outline: A chain that is <age> ms old when it is continued survives the loss of the disk of <wiped> alone, <startMs> ms after the start
+    When <startMs> ms pass
+    And turn "t1" finishes in "a"
+    And turn "t2" after "t1" finishes in "a"
+    And <age> ms pass
+    And turn "u" continues "t2" in "a", is accepted after <run> ms and must go on
+    And the disk of the archive "<wiped>" is lost and 100 ms pass
+    Then each stored turn goes on in "a, b, c" for programs of "a, b, c", from 8000 to 12000 ms after now
+
+    Examples:
+      | startMs | age   | run  | wiped |
+      | 4200    | 59500 | 1000 | a     |
+      | 4200    | 59500 | 1500 | a     |
+      | 4300    | 59500 | 1000 | a     |
+      | 4300    | 59500 | 1500 | a     |
+      | 4300    | 59500 | 3900 | a     |
+
+  Scenario Outline: A chain that is continued in a cut of <cut> when it is <age> ms old survives the loss of the disk there alone, <startMs> ms after the start
+    When <startMs> ms pass
+    And turn "t1" finishes in "a"
+    And turn "t2" after "t1" finishes in "a"
+    And <age> ms pass
+    And data centre "<cut>" is isolated
+    And 700 ms pass
+    And turn "u" continues "t2" in "<cut>", is accepted after <run> ms and must go on
+    And the disk of the archive "<cut>" is lost and 100 ms pass
+    And the isolation ends and 0 ms pass
+    Then each stored turn goes on in "a, b, c" for programs of "a, b, c", from 8000 to 12000 ms after now
+
+    Examples:
+      | startMs | age   | cut | run  |
+      | 3600    | 58500 | a   | 1000 |
+      | 3600    | 58500 | a   | 3900 |
+      | 3600    | 58500 | c   | 1000 |
+      | 3600    | 58500 | c   | 3900 |
+      | 4200    | 58500 | a   | 500  |
+      | 4200    | 58500 | c   | 3900 |
