Pace only reads that are long and costly in more than one part

On VMs with a third of a core the head of an ordinary request takes 0.2 ms, so the rest of its body waited for the next iteration of the event loop. Reads of up to 2 KiB are passed on as they are, and a read waits from its second costly part on.

--- a/packages/gateway/src/server/input_pacer.ts
+++ b/packages/gateway/src/server/input_pacer.ts
@@ -12,8 +12,13 @@
 
 /** Bytes that the HTTP parser gets at a time. */
 const sliceBytes = 2048;
-/** Time of a slice from which the rest of its read is handled later. */
+/** Time from which a slice is costly. */
 const costlySliceMs = 0.2;
+/**
+ * Costly slices from which the rest of a read is handled later; the head of a
+ * request makes one.
+ */
+const maxCostlySlices = 2;
 /** Time in one iteration of the event loop from which clients wait for the next. */
 const maxIterationMs = 2;
 /**
@@ -90,6 +95,7 @@
       this.pauseInput(socket);
       return;
     }
+    if (!this.isScheduled) this.iterationMs = 0;
     this.inputs.delete(socket);
     this.inputs.set(socket, input);
     input.rest = this.parse(socket, input, bytes);
@@ -100,13 +106,18 @@
     }
   }
 
-  /** Gets what is left once a part was costly, or the connection is paused. */
+  /** Gets what is left once parts were costly, or the connection is paused. */
   private parse(
     socket: Socket,
     input: PacedInput,
     bytes: Buffer,
   ): Buffer | undefined {
-    this.schedule();
+    // A short read can't cost much, and most are.
+    if (bytes.byteLength <= sliceBytes && this.deferred.size === 0) {
+      input.parse(bytes);
+      return undefined;
+    }
+    let costlySlices = 0;
     for (let start = 0; start < bytes.byteLength; start += sliceBytes) {
       const end = start + sliceBytes;
       const startMs = performance.now();
@@ -115,7 +126,8 @@
       this.iterationMs += tookMs;
       input.costMs += tookMs;
       if (socket.destroyed || end >= bytes.byteLength) return undefined;
-      if (tookMs >= costlySliceMs || socket.isPaused()) {
+      if (tookMs >= costlySliceMs) costlySlices += 1;
+      if (costlySlices >= maxCostlySlices || socket.isPaused()) {
         return bytes.subarray(end);
       }
     }
