Do not eject targets whose responses clients abandon

Callers saw calls rejected or placed elsewhere: eight clients that left while they received responses of two sound tools got both ejected (two target_ejected events, for bookings and for status calls; streams were right). A few such clients could keep all targets of a service ejected.

A body that this process breaks off because its client has left was recorded as broken, like one that the target breaks off, and three in a row eject a target. Now the attempt counts as cancelled, which says nothing about the target, as it did while its head was awaited and for streams. Bodies that time out still count as broken.

--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -152,8 +152,10 @@
     body?: BodyFields,
   ): void {
     this.excluded.add(lease.target.id);
-    this.release(lease, {result: 'broken'});
-    this.logFailure(lease, 'broken', true, message, body);
+    // A target whose response its client has abandoned is not at fault.
+    const result = this.call.canBeAnswered ? 'broken' : 'cancelled';
+    this.release(lease, {result});
+    this.logFailure(lease, result, true, message, body);
   }
 
   /**
