Forget calls whose connection closes while they wait for earlier ones

A client that sends requests ahead and leaves cost memory after it had left: each request that waited for the one before was kept until the time-out of its route, with its head of up to 16 KiB, though the limit on pending requests no longer counted it.

Node.js does not close a response that waits for an earlier one with its connection, and only the close of the response stopped the deadline timer of a call, which refers to the call and its request. The timer now stops when the call has been served, however it ends.

--- a/packages/gateway/src/calls/call_handler.ts
+++ b/packages/gateway/src/calls/call_handler.ts
@@ -197,6 +197,7 @@
     } finally {
       allowance.release();
       quota.release();
+      call.stopTimer();
     }
   }
 
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -99,7 +99,6 @@
     this.signal = this.controller.signal;
     const {response, clock} = options;
     response.once('close', () => {
-      this.timer.cancel();
       if (!response.writableFinished) this.end('client_gone');
     });
     this.timer = clock.setTimer(this.leftMs, () => this.end('timeout'));
@@ -285,6 +284,15 @@
     response.end();
   }
 
+  /**
+   * Stops the deadline timer, which keeps the request in memory, once the call
+   * has been served. A response that waits for earlier ones does not close with
+   * its connection.
+   */
+  stopTimer(): void {
+    this.timer.cancel();
+  }
+
   /** Aborts the call because this daemon stops. */
   stop(): void {
     this.end('stopping');
