Accept one request at a time on a connection of the relay

Clients that send requests ahead to the relay port and leave made the relay refuse everything until the process is restarted: entry VMs that lost their links to targets could then no longer use it. Meanwhile targets worked on the abandoned requests until the time-out of their heads.

The relay learns that a sender has left from the close of its response, and Node.js does not close a response that waits for an earlier one with its connection. Each such request stayed counted as relayed for good, its body in the memory for bodies (by reading), and was not aborted. Entry VMs send each request over a connection of its own, so the limit on requests sent ahead is now 1 at this port, and a connection that exceeds it is reset.

--- a/packages/common/src/connections/connection_guard.ts
+++ b/packages/common/src/connections/connection_guard.ts
@@ -56,12 +56,16 @@
   pendingPerMb: 15,
   maxPipelined: httpPipelined,
 };
-/** Entry VMs that relay requests over this one. */
+/**
+ * Entry VMs that relay requests over this one, each request over a connection of
+ * its own. Node.js does not close a response that waits for an earlier one with its
+ * connection, so a relay would not learn that its sender has left.
+ */
 export const relayPortShare: PortShare = {
   descriptorShare: 1 / 8,
   connectionsPerMb: 2,
   pendingPerMb: 4,
-  maxPipelined: httpPipelined,
+  maxPipelined: 1,
 };
 /** Daemons that send messages to an entry VM, each over one connection. */
 export const peerPortShare: PortShare = {
