Do not continue a cached turn after its retention without an archive

An entry VM that was isolated had continued a turn whose retention was over for 30 s, and stored the new one in the object API.

Cause: a turn that an entry VM has cached serves as long as no archive replies, however long ago archives may have removed it.

Change: the cache knows from when on archives may have removed a turn: the end of its retention, and for one whose retention is not known, of a retention that begins when it is cached. Such a turn is read like one that is not cached; an isolated entry VM replies 503. Turns within their retention serve as before.

Result: the four rows of the new scenario failed before, as the turn was served, and pass.

--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -147,7 +147,9 @@
     const retainedUntilMs = newest.isRetained
       ? startMs + retainedMs
       : Number.NEGATIVE_INFINITY;
-    for (const record of newestFirst) cache.put(record, retainedUntilMs);
+    for (const record of newestFirst) {
+      cache.put(record, startMs, retainedUntilMs);
+    }
     if (newest.isExpiring && retainedMs > 0) {
       this.retainEverywhere(newestFirst, retainedMs);
     }
@@ -172,7 +174,8 @@
 
   /**
    * Reads the turn that is continued, with ancestors. A cached one that may expire
-   * too early serves only if no archive replies that has it.
+   * too early serves only if no archive replies that has it, and not after its
+   * retention: archives that are out of reach may have removed it.
    */
   private async readNewest(
     turn: TurnId,
@@ -180,8 +183,11 @@
     retries: ArchiveRetries,
     neededUntilMs: number,
   ): Promise<FetchedChain> {
-    const cached = this.options.cache.get(turn);
-    if (cached === undefined) return this.fetchWithWait(turn, fetch, retries);
+    const {cache, clock} = this.options;
+    const cached = cache.get(turn);
+    if (cached === undefined || cached.expiresAtMs < clock.nowMs()) {
+      return this.fetchWithWait(turn, fetch, retries);
+    }
     const {record, retainedUntilMs} = cached;
     if (retainedUntilMs >= neededUntilMs) {
       return {...toFetchedChain(record), isExpiring: false};
--- a/packages/turns/src/client/turn_cache.ts
+++ b/packages/turns/src/client/turn_cache.ts
@@ -7,6 +7,8 @@
   readonly record: TurnRecord;
   /** Until when archives surely store the turn and those before it. */
   readonly retainedUntilMs: number;
+  /** From when on archives may have removed the turn, as far as is known here. */
+  readonly expiresAtMs: number;
 }
 
 /** LRU cache, bounded by the bytes of inputs and outputs. */
@@ -39,17 +41,20 @@
   /**
    * Caches a turn, or extends the retention of one that is cached; evicts the
    * least recently used ones above the limit.
-   * @param record - Finished turn.
+   * @param record - Finished turn, which is retained when it is first cached.
+   * @param nowMs - Time on the clock of the entry VM.
    * @param retainedUntilMs - Until when archives surely store it and those before.
    */
-  put(record: TurnRecord, retainedUntilMs: number): void {
+  put(record: TurnRecord, nowMs: number, retainedUntilMs: number): void {
     const known = this.turns.get(record.id);
     if (known !== undefined) {
       if (known.retainedUntilMs >= retainedUntilMs) return;
-      this.turns.set(record.id, {record: known.record, retainedUntilMs});
+      const expiresAtMs = Math.max(known.expiresAtMs, retainedUntilMs);
+      this.turns.set(record.id, {...known, retainedUntilMs, expiresAtMs});
       return;
     }
-    this.turns.set(record.id, {record, retainedUntilMs});
+    const expiresAtMs = Math.max(nowMs + record.retentionMs, retainedUntilMs);
+    this.turns.set(record.id, {record, retainedUntilMs, expiresAtMs});
     this.bytes += getSize(record);
     for (const [id, oldest] of this.turns) {
       if (this.bytes <= this.maxBytes) return;
--- a/packages/turns/src/client/turn_store.ts
+++ b/packages/turns/src/client/turn_store.ts
@@ -268,9 +268,10 @@
     chainDisks: readonly DiskId[],
     wait: ArchiveWait,
   ): Promise<DurableTurn> {
-    const retainedUntilMs = this.options.clock.nowMs() + turn.retentionMs;
+    const startMs = this.options.clock.nowMs();
+    const retainedUntilMs = startMs + turn.retentionMs;
     const stored = await this.recorder.record(turn, chainDisks, wait);
-    this.cache.put(stored.record, retainedUntilMs);
+    this.cache.put(stored.record, startMs, retainedUntilMs);
     this.settlements.add(turn.program, turn.id, turn.tokens);
     return stored;
   }
--- a/packages/turns/tests/client/chain_retention.feature
+++ b/packages/turns/tests/client/chain_retention.feature
@@ -28,12 +28,32 @@
     And 75000 ms pass
     Then continuing turn "t1" in "a" fails with unknown_turn
 
-  Scenario: A cached turn is continued while no archive replies
+  Scenario Outline: A cached turn is continued within its retention while no archive replies, after <pause> ms
     When turn "t1" finishes in "a"
-    And 50500 ms pass
+    And <pause> ms pass
     And archives "a, b, c" are killed
     Then turn "t1" can be continued in "a"
 
+    Examples:
+      | pause |
+      | 50500 |
+      | 59500 |
+
+  Scenario Outline: An isolated entry VM does not continue a cached turn after its retention, <later> ms after a read in "<data centre>"
+    When turn "t1" finishes in "a"
+    And <pause> ms pass
+    Then turn "t1" can be continued in "<data centre>"
+    When <later> ms pass
+    And data centre "<data centre>" is isolated
+    Then continuing turn "t1" in "<data centre>" fails with archive_unavailable
+
+    Examples:
+      | data centre | pause | later |
+      | a           | 100   | 75000 |
+      | a           | 20000 | 90000 |
+      | d           | 100   | 90000 |
+      | d           | 59500 | 90000 |
+
   Scenario Outline: A chain can be continued although the archive it was read from is lost while a turn runs, <pause> ms after the last
     When <start> ms pass
     And turn "t1" finishes in "a"
