Check the size of messages between daemons before they go on a stream

What callers saw (in a test of the transport): an exchange with a daemon ended as if the daemon had been lost, since another one had a message that was too large. By reading, one caller of `marigoldpost serve` can cause it, and each retry of its call again: a plain body of 8 MiB of control characters is within the default of max_body_bytes and becomes 50,331,650 bytes of JSON; a message may have 33,554,432.

Cause: all exchanges of two daemons share one stream. A message that the peer rejects by its size, or that cannot be encoded, ends the stream, and all exchanges fail as peer_lost, which the router retries.

Change: requests and replies are encoded and measured before. A request that no message can carry fails by itself, with too_large or invalid_request (not run); a reply, with an error of unknown outcome. Each message is encoded once more.

--- a/packages/peers/src/transport/connect_peer_transport.ts
+++ b/packages/peers/src/transport/connect_peer_transport.ts
@@ -14,7 +14,8 @@
   type PeerFrame,
   PeerService,
 } from '../generated/marigoldpost/peers/v1/peers_pb.js';
-import {maxMessageBytes, PeerLink} from './peer_link.js';
+import {maxMessageBytes} from './check_message.js';
+import {PeerLink} from './peer_link.js';
 import {
   type PeerAddress,
   type PeerExchangeOptions,
--- a/packages/peers/src/transport/peer_link.ts
+++ b/packages/peers/src/transport/peer_link.ts
@@ -10,6 +10,7 @@
   type Random,
 } from '@marigoldpost/common';
 import {PeerService} from '../generated/marigoldpost/peers/v1/peers_pb.js';
+import {checkRequest, maxMessageBytes} from './check_message.js';
 import {PeerSessionManager} from './peer_session_manager.js';
 import {type PendingExchange, PeerStream} from './peer_stream.js';
 import type {
@@ -26,9 +27,6 @@
 const abortDelayMs = 1000;
 const reconnectBackoff = {baseMs: 50, maxMs: 1000};
 
-/** Maximum message size between daemons, in bytes. */
-export const maxMessageBytes = 32 * 2 ** 20;
-
 /** Endpoints and dependencies of a link. */
 export interface PeerLinkOptions {
   /** This daemon, named as the sender of each request. */
@@ -71,6 +69,7 @@
     request: PeerRequestBody,
     options: PeerExchangeOptions,
   ): AsyncIterable<PeerReplyBody> {
+    checkRequest(this.options.sender, request);
     const startMs = this.options.clock.nowMs();
     const stream = await this.getStreamBeforeTimeout(options);
     const leftMs = options.timeoutMs - (this.options.clock.nowMs() - startMs);
--- a/packages/peers/src/transport/peer_transport.ts
+++ b/packages/peers/src/transport/peer_transport.ts
@@ -40,7 +40,8 @@
   /**
    * Sends a request and yields its replies. Throws `peer_unavailable` if the
    * request was certainly not sent, `peer_lost` if it was sent and the stream
-   * closed or no reply arrived before the timeout.
+   * closed or no reply arrived before the timeout, `too_large` or
+   * `invalid_request` for a request that no message can carry.
    * @param peer - Daemon that handles the request.
    * @param request - Request to send.
    * @param options - Timeout and abort signal.
--- a/packages/peers/src/transport/served_stream.ts
+++ b/packages/peers/src/transport/served_stream.ts
@@ -12,6 +12,7 @@
   type PeerRequest,
 } from '../generated/marigoldpost/peers/v1/peers_pb.js';
 import {FrameQueue} from '../utils/frame_queue.js';
+import {checkReply} from './check_message.js';
 import {toPeerError} from './peer_error_codec.js';
 import type {PeerHandler, PeerReplyBody} from './peer_transport.js';
 import {replyWindow} from './reply_window.js';
@@ -143,6 +144,7 @@
     const {signal} = exchange.controller;
     const replies = this.handler(toId<DaemonId>(sender), body, signal);
     for await (const reply of replies) {
+      checkReply(reply);
       if (!(await exchange.acquireCredit())) return;
       await this.enqueueReply(number, reply);
     }
--- a/packages/peers/tests/transport/peer_transport.feature
+++ b/packages/peers/tests/transport/peer_transport.feature
@@ -46,6 +46,20 @@
       | memory    | cancelled before it is sent  | cancelled        | not_run |
       | connect   | cancelled before it is sent  | cancelled        | not_run |
 
+  Scenario Outline: A message that the connection does not carry ends no other exchange: <fault>
+    Given two daemons joined by connect transport
+    And an exchange is in progress
+    When an exchange is made with fault "<fault>"
+    Then the exchange fails as "<kind>" with outcome "<outcome>"
+    And the exchange in progress gets its reply
+
+    Examples:
+      | fault                      | kind            | outcome |
+      | request is too large       | too_large       | not_run |
+      | request cannot be encoded  | invalid_request | not_run |
+      | reply is too large         | too_large       | unknown |
+      | reply cannot be encoded    | internal        | unknown |
+
   Scenario Outline: A refused connection is recognized over <transport>
     Given two daemons joined by <transport> transport
     When an exchange is made with fault "nothing listens"
--- a/packages/peers/tests/transport/peer_transport_steps.ts
+++ b/packages/peers/tests/transport/peer_transport_steps.ts
@@ -4,6 +4,10 @@
 import {Deferred, isErrorOfKind, MarigoldpostError} from '@marigoldpost/common';
 import {isConnectionRefused, type PeerReplyBody} from '@marigoldpost/peers';
 import {
+  createLargeReply,
+  createLargeRequest,
+  createMalformedReply,
+  createMalformedRequest,
   createNumberReply,
   createNumberRequest,
   createTransportFixture,
@@ -19,6 +23,8 @@
   producedReplies: number;
   replies: AsyncIterator<PeerReplyBody>;
   aborted: Deferred<void>;
+  inProgress: Promise<PeerReplyBody>;
+  released: Deferred<void>;
 }
 
 const options = {timeoutMs: 10_000};
@@ -104,6 +110,27 @@
   },
 );
 
+Given('an exchange is in progress', async function (this: TransportWorld) {
+  const reached = Deferred.create<void>();
+  this.released = Deferred.create<void>();
+  const {promise} = this.released;
+  this.transports.server.setHandler(async function* () {
+    reached.resolve();
+    await promise;
+    yield createNumberReply(1);
+  });
+  this.inProgress = ask(this.transports);
+  await reached.promise;
+});
+
+Then(
+  'the exchange in progress gets its reply',
+  async function (this: TransportWorld) {
+    this.released.resolve();
+    assert.equal(getReplyNumber(await this.inProgress), 1);
+  },
+);
+
 When(
   'an exchange is made with fault {string}',
   async function (this: TransportWorld, fault: string) {
@@ -274,11 +301,26 @@
     },
     'cancelled before it is sent': (fixture) =>
       ask(fixture, AbortSignal.abort()),
+    'request is too large': (fixture) =>
+      ask(fixture, undefined, createLargeRequest()),
+    'request cannot be encoded': (fixture) =>
+      ask(fixture, undefined, createMalformedRequest()),
+    'reply is too large': (fixture) => {
+      fixture.server.setHandler(() => reply(createLargeReply()));
+      return ask(fixture);
+    },
+    'reply cannot be encoded': (fixture) => {
+      fixture.server.setHandler(() => reply(createMalformedReply()));
+      return ask(fixture);
+    },
   };
 
-function ask(fixture: TransportFixture, signal?: AbortSignal) {
+function ask(
+  fixture: TransportFixture,
+  signal?: AbortSignal,
+  request = createNumberRequest(0),
+) {
   const {client, serverAddress} = fixture;
-  const request = createNumberRequest(0);
   const asked = client.ask(serverAddress, request, {...options, signal});
   // Avoids an unhandled rejection: the steps await the promise later.
   asked.catch(() => undefined);
@@ -315,8 +357,12 @@
   }
 }
 
-async function* replyOnce(value: number): AsyncIterable<PeerReplyBody> {
-  yield createNumberReply(value);
+function replyOnce(value: number): AsyncIterable<PeerReplyBody> {
+  return reply(createNumberReply(value));
+}
+
+async function* reply(body: PeerReplyBody): AsyncIterable<PeerReplyBody> {
+  yield body;
 }
 
 function waitForAbort(signal: AbortSignal): Promise<void> {
--- a/packages/peers/tests/transport/transport_fixture.ts
+++ b/packages/peers/tests/transport/transport_fixture.ts
@@ -5,10 +5,14 @@
   ConfigTextSchema,
   ConnectPeerTransport,
   FetchConfigSchema,
+  OperationReplySchema,
   type PeerAddress,
   type PeerReplyBody,
   type PeerRequestBody,
   type PeerTransport,
+  RelayCallSchema,
+  ReservedPermitsSchema,
+  TakeQuotaSchema,
 } from '@marigoldpost/peers';
 import {MemoryPeerNetwork} from '@marigoldpost/standins';
 
@@ -25,6 +29,8 @@
 const clientId = toId<DaemonId>('client');
 const serverId = toId<DaemonId>('server');
 const host = '127.0.0.1';
+/** Limit of a message between daemons. */
+const maxMessageBytes = 32 * 2 ** 20;
 
 /** Creates the fixture for the transport kind `memory` or `connect`. */
 export function createTransportFixture(
@@ -105,3 +111,30 @@
 export function getReplyNumber(reply: PeerReplyBody): number {
   return reply.case === 'config' ? Number(reply.value.version) : -1;
 }
+
+/** Creates a request of more than a message may have. */
+export function createLargeRequest(): PeerRequestBody {
+  const value = create(RelayCallSchema, {callJson: createLargeText()});
+  return {case: 'relayCall', value};
+}
+
+/** Creates a reply of more than a message may have. */
+export function createLargeReply(): PeerReplyBody {
+  const value = create(OperationReplySchema, {resultJson: createLargeText()});
+  return {case: 'operation', value};
+}
+
+/** Creates a request with a number that its field does not hold. */
+export function createMalformedRequest(): PeerRequestBody {
+  return {case: 'takeQuota', value: create(TakeQuotaSchema, {count: 1.5})};
+}
+
+/** Creates a reply with a number that its field does not hold. */
+export function createMalformedReply(): PeerReplyBody {
+  const value = create(ReservedPermitsSchema, {requesters: 1.5});
+  return {case: 'reservedPermits', value};
+}
+
+function createLargeText(): string {
+  return 'x'.repeat(maxMessageBytes);
+}
