Do not blame requests that have just completed for targets that are lost at once

Cause: each lost target counts as a crash of each request that it was running. Requests that are equal share a fingerprint, so three targets that run one of them each are three crashes, counted at once by three entry VMs or, at one, once the targets are lost. Only a completion after a crash clears it, and a quarantined request does not run again. Hypotheses before reading: a crash is counted once for each entry VM that sees it (no: crashes merge by target and instance); crashes of one moment add up (yes).

Now a run that began within 3 s of a completion of the same request at its entry VM, or before one, blames it for nothing: a request that crashes each target does not complete. The 3 s are those in which entry VMs in touch stop a crashing request, so a request that completed once and crashes targets now gets no late runs in addition.

Test (crashing_request.feature): five copies of a booking that has completed crash at least three tools, which are unregistered; before: 422 in place of 200, now 200. That a request which has completed is rejected after three crashes passed before and passes now. 51 scenarios of the crash path: 50 passed, the other one being the failing test of the next fault.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -12,6 +12,7 @@
 import type {TargetEntry} from '@marigoldpost/sites';
 import type {Quarantine} from '@marigoldpost/targets';
 import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {RecentCompletions} from './recent_completions.js';
 import {RecentCrashes, type TargetRun} from './recent_crashes.js';
 import type {RequestFingerprint, TrackedRequest} from './tracked_request.js';
 import {UnconfirmedCrashes} from './unconfirmed_crashes.js';
@@ -40,17 +41,19 @@
 }
 
 /**
- * Records crashes that one daemon observes in the fleet-wide quarantine. Has no
- * cost while no target crashes: requests are not hashed then.
+ * Records crashes that one daemon observes in the fleet-wide quarantine. Hashes
+ * no request while no target crashes.
  */
 export class CrashTracker {
   private readonly unconfirmed: UnconfirmedCrashes;
   private readonly recentCrashes: RecentCrashes;
+  private readonly recentCompletions: RecentCompletions;
   private readonly waiting = new Set<WaitingRequest>();
 
   private constructor(private readonly options: CrashTrackerOptions) {
     this.unconfirmed = UnconfirmedCrashes.create(options.clock);
     this.recentCrashes = RecentCrashes.create(options.clock);
+    this.recentCompletions = RecentCompletions.create(options.clock);
   }
 
   /**
@@ -199,6 +202,10 @@
     target: TargetId,
     status: number,
   ): void {
+    if (status >= minErrorStatus) return;
+    for (const identity of request.identities) {
+      this.recentCompletions.add(identity);
+    }
     // Reading the fingerprints hashes the body.
     if (this.options.quarantine.isEmpty) return;
     const {fingerprints, call} = request;
@@ -258,7 +265,14 @@
       if (isLateBreak) this.awaitLoss(fingerprints, [], entry, run, logger);
       return;
     }
-    const counted = fingerprints
+    const suspects = this.excludeCompleted(fingerprints, run);
+    if (suspects.length === 0) {
+      this.recentCrashes.add(entry, run);
+      const reason = 'the request has just completed';
+      logger.log('crash_not_counted', {target, reason, ranMs});
+      return;
+    }
+    const counted = suspects
       .filter(({fingerprint, isShared}) => {
         // Silent runs of different requests may have met one fault.
         const isConfirmed =
@@ -273,7 +287,7 @@
       })
       .map(({fingerprint}) => fingerprint);
     if (evidence === 'broke') {
-      this.awaitLoss(fingerprints, counted, entry, run, logger);
+      this.awaitLoss(suspects, counted, entry, run, logger);
     }
     if (counted.length === 0) {
       const reason = 'a recorded crash explains it';
@@ -293,6 +307,18 @@
     this.checkWaiting();
   }
 
+  /** Leaves out requests that have completed shortly before a run, or since. */
+  private excludeCompleted(
+    fingerprints: readonly RequestFingerprint[],
+    run: TargetRun,
+  ): RequestFingerprint[] {
+    return fingerprints.filter(
+      ({identity}) =>
+        identity === undefined ||
+        !this.recentCompletions.excuses(identity, run),
+    );
+  }
+
   /**
    * Counts a crash once its target is lost, if it does not count yet: copies of
    * a request that break at the same time may all have met one fault of this
--- a/packages/gateway/src/calls/tracked_request.ts
+++ b/packages/gateway/src/calls/tracked_request.ts
@@ -3,9 +3,14 @@
 import {getFingerprintOfParts} from '@marigoldpost/targets';
 import type {IncomingCall} from './incoming_call.js';
 
+/** Limit of the length of an identity that is not hashed. */
+const maxIdentityLength = 1024;
+
 /** Identity of a request, which its retries share. */
 export interface RequestFingerprint {
   readonly fingerprint: Fingerprint;
+  /** What the fingerprint is computed from; `undefined` if it is too long. */
+  readonly identity: string | undefined;
   /** Whether requests of other programs may have the same fingerprint. */
   readonly isShared: boolean;
 }
@@ -39,16 +44,33 @@
     return this.cached;
   }
 
-  private createFingerprints(): RequestFingerprint[] {
+  /** Identities of the fingerprints; hashes nothing. */
+  get identities(): readonly string[] {
     const {method = '', url = '', headers} = this.call.request;
+    const {host = ''} = headers;
+    const {buffer, byteOffset, byteLength} = this.body;
+    const length = method.length + url.length + host.length + byteLength;
+    if (length > maxIdentityLength) return [];
+    const body = Buffer.from(buffer, byteOffset, byteLength).toString('latin1');
+    return this.names.map((name) => [method, host, url, name, body].join('\n'));
+  }
+
+  /** Names of the program under which the request is known, '' for none. */
+  private get names(): readonly string[] {
     const {program} = this.call.attributes;
+    if (program === undefined) return [''];
+    return this.body.byteLength === 0 ? [program] : [program, ''];
+  }
+
+  private createFingerprints(): RequestFingerprint[] {
+    const {method = '', url = '', headers} = this.call.request;
     const {host = ''} = headers;
     const digest = getDigest(this.body);
-    const create = (name: string) =>
-      getFingerprintOfParts([method, host, url, name, digest]);
-    const shared = {fingerprint: create(''), isShared: true};
-    if (program === undefined) return [shared];
-    const own = {fingerprint: create(program), isShared: false};
-    return this.body.byteLength === 0 ? [own] : [own, shared];
+    const {identities} = this;
+    return this.names.map((name, index) => ({
+      fingerprint: getFingerprintOfParts([method, host, url, name, digest]),
+      identity: identities[index],
+      isShared: name === '',
+    }));
   }
 }
