Stop crashing requests without a body that return under other programs

Hypotheses before reading: the crashes of copies are explained away by one another (no: they come one after the other); the fingerprint contains the program (yes).

The calls of many programs share a path, so the crashes under one are weaker evidence: a program's request without a body is rejected by the crashes of others after five, not three. Three retries may still reach targets later than 3 s after the third crash; two are used, since one more may be running. If one of them completes, it lifts the quarantine by raising the version of its entry, as an operator's command does. A request that crashes each target never completes.

Both promises cannot be had in full: 'Calls of several programs that share only their path are not quarantined together' passes unchanged with its four crashes, but a fifth one without a completion in between now rejects the path.

Tests (crashing_request.feature): the same status call under other programs, before: 502 in place of 422 under the fourth; now 422 after five crashes. Status calls are served again once one has completed after four crashes: new; with one crash more in place of two it failed, as the call was rejected (422 in place of 200). 14 scenarios of site.feature and crashing_request.feature on such requests pass.

--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -191,7 +191,7 @@
 
   /**
    * Records that a target responded completely, which clears a suspected
-   * request. An error clears nothing: a target may reject a request that it has
+   * request, and a quarantined one that could still be sent. An error clears nothing: a target may reject a request that it has
    * not started, and a failing one may send a server error for it.
    * @param request - Request that completed.
    * @param target - Target that responded.
@@ -221,7 +221,8 @@
     const {quarantine, metrics, onChanged} = this.options;
     if (status >= minErrorStatus) return;
     for (const fingerprint of this.findSuspects(fingerprints)) {
-      quarantine.recordSurvival(fingerprint);
+      if (quarantine.isQuarantined(fingerprint)) quarantine.lift(fingerprint);
+      else quarantine.recordSurvival(fingerprint);
       metrics.addToCounter('crash_records_total', {event: 'cleared'});
       logger.log('suspicion_cleared', {fingerprint, target, status});
       onChanged(fingerprint);
@@ -232,8 +233,8 @@
     fingerprints,
   }: TrackedRequest): Fingerprint | undefined {
     const {quarantine} = this.options;
-    return fingerprints.find(({fingerprint}) =>
-      quarantine.isQuarantined(fingerprint),
+    return fingerprints.find(({fingerprint, extraDeaths}) =>
+      quarantine.isQuarantined(fingerprint, extraDeaths),
     )?.fingerprint;
   }
 
@@ -242,8 +243,12 @@
   ): Fingerprint[] {
     const {quarantine} = this.options;
     return fingerprints
-      .map(({fingerprint}) => fingerprint)
-      .filter((fingerprint) => quarantine.isSuspect(fingerprint));
+      .filter(
+        ({fingerprint, extraDeaths}) =>
+          quarantine.countDeaths(fingerprint) > 0 &&
+          !quarantine.isQuarantined(fingerprint, extraDeaths),
+      )
+      .map(({fingerprint}) => fingerprint);
   }
 
   private countCrash(
--- a/packages/gateway/src/calls/tracked_request.ts
+++ b/packages/gateway/src/calls/tracked_request.ts
@@ -6,6 +6,13 @@
 /** Limit of the length of an identity that is not hashed. */
 const maxIdentityLength = 1024;
 
+/**
+ * Crashes that are added for a request of a program that others may share only
+ * the path of. One less than the retries that may reach targets later than the
+ * third crash, since another one may be running at the last.
+ */
+const pathOnlyExtraDeaths = 2;
+
 /** Identity of a request, which its retries share. */
 export interface RequestFingerprint {
   readonly fingerprint: Fingerprint;
@@ -13,6 +20,8 @@
   readonly identity: string | undefined;
   /** Whether requests of other programs may have the same fingerprint. */
   readonly isShared: boolean;
+  /** Crashes by which the request is rejected later than others. */
+  readonly extraDeaths: number;
 }
 
 /** A call with the body that targets receive. */
@@ -36,8 +45,9 @@
   /**
    * Fingerprints that are the same for each retry of the request: one with its
    * program, and one without it, since a restarted program sends the request
-   * under a new id. A request of a program without a body has only the first:
-   * the status calls of all programs share their path.
+   * under a new id. Without a body, the latter is only a path, which the calls
+   * of many programs share: some more of these run after the crashes that reject
+   * others, and the first one to complete lifts the quarantine.
    */
   get fingerprints(): readonly RequestFingerprint[] {
     this.cached ??= this.createFingerprints();
@@ -58,19 +68,20 @@
   /** Names of the program under which the request is known, '' for none. */
   private get names(): readonly string[] {
     const {program} = this.call.attributes;
-    if (program === undefined) return [''];
-    return this.body.byteLength === 0 ? [program] : [program, ''];
+    return program === undefined ? [''] : [program, ''];
   }
 
   private createFingerprints(): RequestFingerprint[] {
     const {method = '', url = '', headers} = this.call.request;
     const {host = ''} = headers;
     const digest = getDigest(this.body);
-    const {identities} = this;
-    return this.names.map((name, index) => ({
+    const {identities, names} = this;
+    const isPathOnly = names.length > 1 && this.body.byteLength === 0;
+    return names.map((name, index) => ({
       fingerprint: getFingerprintOfParts([method, host, url, name, digest]),
       identity: identities[index],
       isShared: name === '',
+      extraDeaths: isPathOnly && name === '' ? pathOnlyExtraDeaths : 0,
     }));
   }
 }
--- a/packages/targets/src/quarantine/quarantine.ts
+++ b/packages/targets/src/quarantine/quarantine.ts
@@ -20,7 +20,7 @@
 /** Quarantine state of one request; daemons exchange and merge entries. */
 export interface QuarantineEntry {
   readonly fingerprint: Fingerprint;
-  /** Incremented when an operator lifts the quarantine; the higher one wins. */
+  /** Incremented when the quarantine is lifted; the higher one wins. */
   readonly version: number;
   /** Deaths recorded under this version, cleared ones included. */
   readonly deaths: readonly DeathRecord[];
@@ -183,7 +183,8 @@
   }
 
   /**
-   * Lifts a quarantine or suspicion at an operator's request.
+   * Lifts a quarantine or suspicion, at an operator's request or because the
+   * request has completed although it was quarantined.
    * @param fingerprint - Request to lift; an unknown one is ignored.
    */
   lift(fingerprint: Fingerprint): void {
@@ -197,12 +198,13 @@
   /**
    * Checks whether a request is quarantined and must not run.
    * @param fingerprint - Request to check.
+   * @param extraDeaths - Deaths that must be added to those of other requests.
    */
-  isQuarantined(fingerprint: Fingerprint): boolean {
+  isQuarantined(fingerprint: Fingerprint, extraDeaths = 0): boolean {
     const quarantinedDeaths =
       this.getEntry(fingerprint)?.quarantinedDeaths ?? 0;
     const deaths = Math.max(quarantinedDeaths, this.countDeaths(fingerprint));
-    return deaths >= this.deathsToQuarantine;
+    return deaths >= this.deathsToQuarantine + extraDeaths;
   }
 
   /**
