Let reservations lapse only once the object API has been read after their time

Hypotheses before reading: archives of two sides of a cut both grant (no: one majority granted both rounds); a confirmed reservation lapses (yes). The entry VM confirms in the object API alone, as it reaches no archive, and passes on its streams. The archives let reservations lapse by time, whether or not they can read that, and grant the tokens again.

Now a reservation whose time has passed counts at an archive until it has read and merged the reservations of the object API, in a read that began after that time (`LapseConfirmer`). A confirmation is durable there before the call, and so before the reservation lapses, so such a read has it. A read is needed only for reservations that are neither confirmed nor settled, such as those of killed entry VMs; it begins when the first one is due. Until it succeeds they are reported as lapsing in 1 ms, so that entry VMs answer 429, not 402.

What is given up: while the object API is away from an archive, tokens of killed entry VMs stay held there.

Test (lapsed_reservation.feature), before: 150 more of 200 tokens were granted while 150 were confirmed; now 429 while the object API is away from the archives, 402 after it is back.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -334,6 +334,22 @@
     await Promise.all(changed.map((ledger) => this.appendLedger(ledger)));
   }
 
+  /**
+   * When the first reservation lapses that did not before the last
+   * `recordReservationsRead`, and does not before the next one.
+   */
+  get nextLapseMs(): number | undefined {
+    return this.ledger.getNextLapseMs();
+  }
+
+  /**
+   * Records that the reservations in the object API have been merged.
+   * @param startMs - When they were read, on the archive's clock.
+   */
+  recordReservationsRead(startMs: number): void {
+    this.ledger.recordRead(startMs);
+  }
+
   /** Gets the ledger entries of every program. */
   getLedgers(): ProgramEntries[] {
     return this.ledger.getPrograms().map((program) => this.getLedger(program));
--- a/packages/turns/src/ledger/budget_ledger.ts
+++ b/packages/turns/src/ledger/budget_ledger.ts
@@ -2,6 +2,9 @@
 import type {ProgramId} from '@marigoldpost/common';
 import type {TurnId} from '@marigoldpost/sites';
 
+/** Reported for a reservation whose time has passed since the last read. */
+const minUnreadLapseMs = 1;
+
 /** Tokens that one attempt takes from its program's budget. */
 export interface LedgerEntry {
   readonly attempt: TurnId;
@@ -10,7 +13,8 @@
   readonly isSettled: boolean;
   /**
    * Time left until a reservation that has not been confirmed lapses; 0 once it
-   * has. `undefined` for others.
+   * has, which is known only once the object API has been read. `undefined` for
+   * others.
    */
   readonly lapseMs?: number | undefined;
   /**
@@ -77,6 +81,10 @@
  */
 export class BudgetLedger {
   private readonly budgets = new Map<ProgramId, ProgramBudget>();
+  /** Programs with reservations whose time may have passed unread. */
+  private readonly lapsing = new Set<ProgramBudget>();
+  /** When the last read of the reservations in the object API began. */
+  private readAtMs = Number.NEGATIVE_INFINITY;
 
   private constructor() {}
 
@@ -103,7 +111,7 @@
     recordCounter(budget, reservation);
     const isExact = !budget.isContended;
     const result = {settledTokens, isExact, isNew: false};
-    const otherTokens = budget.heldTokens - getLapsedTokens(budget, nowMs);
+    const otherTokens = budget.heldTokens - this.getLapsedTokens(budget, nowMs);
     const existing = budget.entries.get(attempt);
     if (existing !== undefined && existing.isReported !== true) {
       const isNew = lapseMs === undefined && confirm(budget, attempt);
@@ -142,7 +150,10 @@
     if (existing?.isSettled === true) return false;
     if (budget !== undefined && existing !== undefined && !entry.isSettled) {
       if (entry.isReported === true) return false;
-      if (existing.isReported !== true) return mergeLapse(budget, entry, nowMs);
+      if (existing.isReported !== true) {
+        this.lapsing.add(budget);
+        return mergeLapse(budget, entry, nowMs);
+      }
     }
     this.putEntry(program, entry, nowMs);
     return true;
@@ -162,7 +173,9 @@
       const entry = {attempt, tokens, isSettled, isReported};
       const lapsesAtMs = budget.lapses.get(attempt);
       if (lapsesAtMs !== undefined) {
-        return {...entry, lapseMs: getLeftMs(lapsesAtMs)};
+        const leftMs = Math.max(minUnreadLapseMs, getLeftMs(lapsesAtMs));
+        const isLapsed = this.hasLapsed(lapsesAtMs, nowMs);
+        return {...entry, lapseMs: isLapsed ? 0 : leftMs};
       }
       const endsAtMs = budget.ends.get(attempt);
       if (endsAtMs === undefined) return entry;
@@ -170,6 +183,30 @@
     });
   }
 
+  /**
+   * Gets when the first reservation lapses that did not before the last read of
+   * the object API, which alone may have it as confirmed; `undefined` if none does.
+   */
+  getNextLapseMs(): number | undefined {
+    let nextMs: number | undefined;
+    for (const budget of this.lapsing) {
+      const unread = [...budget.lapses.values()].filter(
+        (atMs) => atMs > this.readAtMs,
+      );
+      if (unread.length === 0) this.lapsing.delete(budget);
+      else nextMs = Math.min(nextMs ?? Number.POSITIVE_INFINITY, ...unread);
+    }
+    return nextMs;
+  }
+
+  /**
+   * Records that the reservations in the object API have been merged.
+   * @param startMs - When they were read, on the ledger's clock.
+   */
+  recordRead(startMs: number): void {
+    this.readAtMs = Math.max(this.readAtMs, startMs);
+  }
+
   /**
    * Whether the ledger has entries of a program.
    * @param program - Id of the program.
@@ -189,7 +226,9 @@
    */
   removeIdle(beforeMs: number): void {
     for (const [program, budget] of this.budgets) {
-      if (budget.changedAtMs < beforeMs) this.budgets.delete(program);
+      if (budget.changedAtMs >= beforeMs) continue;
+      this.budgets.delete(program);
+      this.lapsing.delete(budget);
     }
   }
 
@@ -202,12 +241,30 @@
     const before = budget.entries.get(entry.attempt)?.tokens ?? 0;
     budget.entries.set(entry.attempt, entry);
     setTimes(budget, entry, nowMs);
+    if (budget.lapses.has(entry.attempt)) this.lapsing.add(budget);
     budget.heldTokens += entry.tokens - before;
     // The tokens of an entry change only once, when it is settled.
     if (entry.isSettled) budget.settledTokens += entry.tokens;
     budget.changedAtMs = nowMs;
   }
 
+  private getLapsedTokens(
+    {entries, lapses}: ProgramBudget,
+    nowMs: number,
+  ): number {
+    let tokens = 0;
+    for (const [attempt, lapsesAtMs] of lapses) {
+      if (this.hasLapsed(lapsesAtMs, nowMs)) {
+        tokens += entries.get(attempt)?.tokens ?? 0;
+      }
+    }
+    return tokens;
+  }
+
+  private hasLapsed(lapsesAtMs: number, nowMs: number): boolean {
+    return lapsesAtMs <= nowMs && lapsesAtMs <= this.readAtMs;
+  }
+
   private getOrCreateBudget(program: ProgramId, nowMs: number): ProgramBudget {
     const existing = this.budgets.get(program);
     if (existing !== undefined) return existing;
@@ -261,17 +318,6 @@
   return false;
 }
 
-function getLapsedTokens(
-  {entries, lapses}: ProgramBudget,
-  nowMs: number,
-): number {
-  let tokens = 0;
-  for (const [attempt, lapsesAtMs] of lapses) {
-    if (lapsesAtMs <= nowMs) tokens += entries.get(attempt)?.tokens ?? 0;
-  }
-  return tokens;
-}
-
 /** Entry VMs that rely on different counters do not see each other's sums. */
 function recordCounter(
   budget: ProgramBudget,
--- a/packages/turns/src/repair/archive_repairer.ts
+++ b/packages/turns/src/repair/archive_repairer.ts
@@ -19,6 +19,7 @@
 } from './damaged_turn_restorer.js';
 import type {ObjectImporter} from '../objects/object_importer.js';
 import {ArchiveSuccession} from './archive_succession.js';
+import {LapseConfirmer} from './lapse_confirmer.js';
 import {LedgerRecovery, type LedgerRecoveryOptions} from './ledger_recovery.js';
 
 /** Pause between two repair rounds. */
@@ -81,6 +82,7 @@
   private readonly ancestorRetention: AncestorRetention;
   private readonly ledgerRecovery: LedgerRecovery;
   private readonly succession: ArchiveSuccession;
+  private readonly lapseConfirmer: LapseConfirmer;
 
   private constructor(private readonly options: ArchiveRepairerOptions) {
     const {archive, pool, clock, onDamaged} = options;
@@ -96,6 +98,7 @@
       ...options,
       isComplete: () => this.isComplete,
     });
+    this.lapseConfirmer = LapseConfirmer.create(options);
     this.requiredPeerReplicas = options.replicaCount - 1;
   }
 
@@ -164,10 +167,17 @@
   }
 
   /**
-   * Runs repair rounds until aborted.
-   * @param signal - Stops the rounds when aborted.
+   * Runs repair rounds, and reads of reservations that lapse, until aborted.
+   * @param signal - Stops both when aborted.
    */
   async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      this.runRounds(signal),
+      this.lapseConfirmer.run(signal),
+    ]);
+  }
+
+  private async runRounds(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.probeSilentPeers();
       await this.runTask('ledgers', () => this.ledgerRecovery.merge());
--- a/packages/turns/tests/client/lapsed_reservation.feature
+++ b/packages/turns/tests/client/lapsed_reservation.feature
@@ -151,3 +151,14 @@
     When an attempt of 150 tokens in "a" on a budget of 200 reserves for 4500 ms
     And entry VM "a" reaches only archives "none"
     Then the attempt is confirmed within 105 ms
+
+  # Guards against tokens that are granted twice.
+  Scenario: Tokens of an attempt that only the object API has as confirmed stay reserved while the archives do not reach it
+    When an attempt of 150 tokens in "d" on a budget of 200 reserves for 4500 ms
+    And entry VM "d" reaches only archives "none"
+    And the object API is away from all data centres but "d"
+    And the attempt is confirmed
+    And 10000 ms pass
+    Then attempt "next" of 150 tokens in "a" fails with limit_reached
+    When the object API is back and 10000 ms pass
+    Then attempt "last" of 150 tokens in "a" fails with tokens_spent
--- a/packages/turns/tests/ledger/ledger_steps.ts
+++ b/packages/turns/tests/ledger/ledger_steps.ts
@@ -142,5 +142,6 @@
 function sumLedger(entries: readonly LedgerEntry[]): number {
   const ledger = BudgetLedger.create();
   for (const entry of entries) ledger.mergeEntry(program, entry, 0);
+  ledger.recordRead(0);
   return sumMergedTokens([ledger.getEntries(program, 0)]).heldTokens;
 }
