Add settings for the memory and descriptors of a daemon

The ports of `marigoldpost serve` have no limits on what connections cost. The limits that follow depend on the memory and descriptors of the process, and a crowd test has to lower them. The section `limits` is optional: 1,024 MB and 4,096 descriptors. Nothing uses it yet.

--- a/packages/bench/src/capacity/memory_fleet.ts
+++ b/packages/bench/src/capacity/memory_fleet.ts
@@ -10,7 +10,7 @@
 } from '@marigoldpost/common';
 import {DaemonCore} from '@marigoldpost/daemon';
 import {ConfigStore} from '@marigoldpost/operations';
-import {parseOperatorsText} from '@marigoldpost/settings';
+import {defaultProcessLimits, parseOperatorsText} from '@marigoldpost/settings';
 import {
   MemoryEngine,
   MemoryObjectStore,
@@ -128,6 +128,7 @@
         vmListAddress: 'http://192.0.2.2:81',
         logLevel: 'error',
         maxBodyBytes: 1_048_576,
+        ...defaultProcessLimits,
         drainMs: 1000,
       },
       clock,
--- a/packages/bench/src/path/path_site.ts
+++ b/packages/bench/src/path/path_site.ts
@@ -12,7 +12,7 @@
 import {Daemon} from '@marigoldpost/daemon';
 import {ConfigStore} from '@marigoldpost/operations';
 import {HttpObjectStore} from '@marigoldpost/platform';
-import {parseOperatorsText} from '@marigoldpost/settings';
+import {defaultProcessLimits, parseOperatorsText} from '@marigoldpost/settings';
 import {
   findFreePort,
   type SiteAddresses,
@@ -195,6 +195,7 @@
     vmListAddress,
     logLevel: 'error',
     maxBodyBytes,
+    ...defaultProcessLimits,
     drainMs,
   } as const;
   return Daemon.create(settings, EventLogger.createSilent());
--- a/packages/cli/src/demo/demo_fleet.ts
+++ b/packages/cli/src/demo/demo_fleet.ts
@@ -10,7 +10,11 @@
 } from '@marigoldpost/common';
 import {Daemon} from '@marigoldpost/daemon';
 import {ConfigStore} from '@marigoldpost/operations';
-import {type DaemonSettings, parseOperatorsText} from '@marigoldpost/settings';
+import {
+  type DaemonSettings,
+  defaultProcessLimits,
+  parseOperatorsText,
+} from '@marigoldpost/settings';
 import {
   findFreePort,
   type SiteAddresses,
@@ -110,6 +114,7 @@
       vmListAddress,
       logLevel: 'error',
       maxBodyBytes,
+      ...defaultProcessLimits,
       drainMs,
     };
     const address = `http://${host}:${peerPort}`;
--- a/packages/daemon/tests/calls/drained_daemon_steps.ts
+++ b/packages/daemon/tests/calls/drained_daemon_steps.ts
@@ -13,7 +13,7 @@
 } from '@marigoldpost/common';
 import {Daemon} from '@marigoldpost/daemon';
 import {ConfigStore} from '@marigoldpost/operations';
-import {parseOperatorsText} from '@marigoldpost/settings';
+import {defaultProcessLimits, parseOperatorsText} from '@marigoldpost/settings';
 import {
   MemoryEngine,
   MemoryObjectStore,
@@ -90,6 +90,7 @@
         vmListAddress: 'memory://vms',
         logLevel: 'error',
         maxBodyBytes: 1_048_576,
+        ...defaultProcessLimits,
         drainMs: drainSeconds * msPerSecond,
       },
       clock,
--- a/packages/daemon/tests/calls/early_reply_steps.ts
+++ b/packages/daemon/tests/calls/early_reply_steps.ts
@@ -14,7 +14,7 @@
 } from '@marigoldpost/common';
 import {Daemon} from '@marigoldpost/daemon';
 import {ConfigStore} from '@marigoldpost/operations';
-import {parseOperatorsText} from '@marigoldpost/settings';
+import {defaultProcessLimits, parseOperatorsText} from '@marigoldpost/settings';
 import {
   MemoryObjectStore,
   MemoryPeerNetwork,
@@ -66,6 +66,7 @@
         vmListAddress: 'memory://vms',
         logLevel: 'error',
         maxBodyBytes: 1_048_576,
+        ...defaultProcessLimits,
         drainMs: 1000,
       },
       clock,
--- a/packages/settings/src/daemon/daemon_schema.ts
+++ b/packages/settings/src/daemon/daemon_schema.ts
@@ -9,6 +9,7 @@
   textKey,
   toOptionalKey,
 } from '../schema/key_definition.js';
+import {defaultProcessLimits} from './daemon_settings.js';
 
 const portRange = {min: 1, max: 65_535};
 
@@ -58,6 +59,22 @@
     address: addressKey({description: 'Address of the object API'}),
     vm_list_address: addressKey({description: 'Address of the VM list'}),
   },
+  limits: {
+    memory_mb: integerKey({
+      description:
+        'Memory of the VM; bounds connections, requests and their bodies',
+      unit: 'MB',
+      defaultText: String(defaultProcessLimits.memoryMb),
+      min: 64,
+      max: 1_048_576,
+    }),
+    max_descriptors: integerKey({
+      description: 'Open descriptors of the process; bounds connections',
+      defaultText: String(defaultProcessLimits.maxDescriptors),
+      min: 64,
+      max: 1_048_576,
+    }),
+  },
   tls: {
     certificate: textKey({description: 'File of the certificate, as PEM'}),
     key: textKey({
--- a/packages/settings/src/daemon/daemon_settings.ts
+++ b/packages/settings/src/daemon/daemon_settings.ts
@@ -9,6 +9,12 @@
   readonly authorityPath: string;
 }
 
+/** Limits of the process by default. */
+export const defaultProcessLimits = {
+  memoryMb: 1024,
+  maxDescriptors: 4096,
+} as const;
+
 /** Settings of one daemon, with defaults applied. */
 export interface DaemonSettings {
   readonly name: DaemonId;
@@ -29,6 +35,10 @@
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
   /** Largest body of a call, in bytes. */
   readonly maxBodyBytes: number;
+  /** Memory of the VM, in MB. */
+  readonly memoryMb: number;
+  /** Descriptors that the process may have open. */
+  readonly maxDescriptors: number;
   /** Longest wait for requests in flight at shutdown, in milliseconds. */
   readonly drainMs: number;
 }
--- a/packages/settings/src/daemon/daemon_text.ts
+++ b/packages/settings/src/daemon/daemon_text.ts
@@ -46,6 +46,7 @@
     callers: read('callers', daemonSchema.callers),
     peers: read('peers', daemonSchema.peers),
     platform: read('platform', daemonSchema.platform),
+    limits: read('limits', daemonSchema.limits),
     log: read('log', daemonSchema.log),
   };
   const hasTls = document.getSections('tls').length > 0;
@@ -87,7 +88,7 @@
 function toSettings(
   values: Omit<Values, 'tls'> & {tls?: Values['tls']},
 ): DaemonSettings {
-  const {daemon, callers, peers, platform, tls, log} = values;
+  const {daemon, callers, peers, platform, limits, tls, log} = values;
   return {
     name: toId<DaemonId>(daemon.name),
     dataCentre: toId<DataCentreId>(daemon.data_centre),
@@ -105,6 +106,8 @@
     },
     logLevel: log.level,
     maxBodyBytes: callers.max_body_bytes,
+    memoryMb: limits.memory_mb,
+    maxDescriptors: limits.max_descriptors,
     drainMs: daemon.drain_ms,
   };
 }
