Move the guard of clients' connections to the common package

The servers of `marigoldpost serve` need `GuardedConnections`, `InputPacer` and `StalledWrites`, and their package comes before the gateway. `ConnectionLog` in the telemetry package keeps the counter and the event. No change of what they do; the features move with them.

--- a/packages/gateway/src/server/guarded_connections.ts
+++ b/packages/common/src/connections/guarded_connections.ts
@@ -1,30 +1,40 @@
 /** Applies the limits on clients' connections to an HTTP server. */
 import type http from 'node:http';
 import type {Socket} from 'node:net';
+import type {Clock, Timer} from '../time/clock.js';
 import {
-  type Clock,
   type ConnectionEnd,
   ConnectionGuard,
   type ConnectionLimits,
-  resetSocket,
-  type Timer,
-} from '@marigoldpost/common';
-import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+} from './connection_guard.js';
 import {InputPacer} from './input_pacer.js';
+import {resetSocket} from './reset_socket.js';
 import {type OutputState, StalledWrites} from './stalled_writes.js';
 
 /** Interval at which the output of connections is checked. */
 const checkIntervalMs = 5000;
 
-/** Server, limits and log. */
+/** State of a server's connections, and what was ended since the last one. */
+export interface ConnectionReport {
+  readonly open: number;
+  readonly pendingRequests: number;
+  readonly ended: ReadonlyMap<ConnectionEnd, number>;
+}
+
+/** Is told which connections are refused or ended. */
+export interface ConnectionObserver {
+  /** Called for each connection. */
+  onEnded(reason: ConnectionEnd): void;
+  /** Called now and then while connections are ended. */
+  onReport(report: ConnectionReport): void;
+}
+
+/** Server and limits. */
 export interface GuardedConnectionsOptions {
   readonly server: http.Server;
-  /** Name of the port in the log and the metrics. */
-  readonly port: string;
   readonly limits: ConnectionLimits;
   readonly clock: Clock;
-  readonly logger: EventLogger;
-  readonly metrics: Metrics;
+  readonly observer: ConnectionObserver;
 }
 
 /** Limits on the connections of a server, and where their effect is told. */
@@ -35,7 +45,7 @@
   private readonly guard: ConnectionGuard<Socket>;
   private readonly stalls = StalledWrites.create<Socket>();
   private readonly sockets = new Set<Socket>();
-  /** Connections that were ended since the last line of the log. */
+  /** Connections that were ended since the last report. */
   private readonly ended = new Map<ConnectionEnd, number>();
   private timer: Timer | undefined;
 
@@ -97,8 +107,7 @@
 
   private end(socket: Socket, reason: ConnectionEnd): void {
     this.ended.set(reason, (this.ended.get(reason) ?? 0) + 1);
-    const {port, metrics} = this.options;
-    metrics.addToCounter('connections_ended_total', {port, reason});
+    this.options.observer.onEnded(reason);
     this.scheduleCheck();
     // A reset frees what the kernel holds for the connection at once.
     resetSocket(socket);
@@ -112,7 +121,7 @@
     });
   }
 
-  /** Ends what has stalled, and logs what was ended since the last check. */
+  /** Ends what has stalled, and reports what was ended since the last check. */
   private check(): void {
     const outputs = new Map<Socket, OutputState>();
     for (const socket of this.sockets) {
@@ -127,21 +136,15 @@
     if (this.guard.isScarce) {
       for (const socket of stalled) this.end(socket, 'stalled');
     }
-    if (this.ended.size > 0) this.logEnded();
+    if (this.ended.size > 0) this.report();
     if (this.sockets.size > 0) this.scheduleCheck();
   }
 
-  private logEnded(): void {
-    const get = (reason: ConnectionEnd) => this.ended.get(reason) ?? 0;
-    this.options.logger.log('connections_ended', {
-      port: this.options.port,
+  private report(): void {
+    this.options.observer.onReport({
       open: this.guard.connectionCount,
       pendingRequests: this.guard.pendingCount,
-      full: get('full'),
-      replaced: get('replaced'),
-      pipelined: get('pipelined'),
-      stalled: get('stalled'),
-      costly: get('costly'),
+      ended: new Map(this.ended),
     });
     this.ended.clear();
   }
--- a/packages/gateway/tests/server/input_pacer_steps.ts
+++ b/packages/common/tests/connections/input_pacer_steps.ts
@@ -5,8 +5,8 @@
 import net, {type AddressInfo} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
-import {InputPacer} from '@marigoldpost/gateway';
-import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
+import {InputPacer} from '@marigoldpost/common';
+import {addCleanup} from '../fixtures/cleanup.js';
 
 interface PacerWorld extends World {
   port: number;
--- a/packages/gateway/tests/server/stalled_writes_steps.ts
+++ b/packages/common/tests/connections/stalled_writes_steps.ts
@@ -1,7 +1,7 @@
 /** Steps for the search of connections whose clients do not read. */
 import assert from 'node:assert/strict';
 import {Then, When, type World} from '@cucumber/cucumber';
-import {type OutputState, StalledWrites} from '@marigoldpost/gateway';
+import {type OutputState, StalledWrites} from '@marigoldpost/common';
 
 interface StallWorld extends World {
   found: string[];
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -8,20 +8,24 @@
   ClientConnections,
   type Clock,
   type ConnectionLimits,
+  GuardedConnections,
   isErrorOfKind,
   resetSocket,
   type TargetId,
 } from '@marigoldpost/common';
 import type {TargetLimits} from '@marigoldpost/dispatch';
 import type {CallCodec, NetworkAddress, TargetEntry} from '@marigoldpost/sites';
-import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {
+  ConnectionLog,
+  type EventLogger,
+  type Metrics,
+} from '@marigoldpost/telemetry';
 import {readBody} from '../calls/body_reader.js';
 import {RequestAllowance} from '../calls/request_allowance.js';
 import {RequestMemory} from '../calls/request_memory.js';
 import type {LinkMonitor} from '../links/link_monitor.js';
 import type {LossDetector} from '../links/loss_detector.js';
 import {SilenceWatch} from '../responses/silence_watch.js';
-import {GuardedConnections} from '../server/guarded_connections.js';
 import type {
   ExchangeOutcome,
   StartedResponse,
@@ -98,11 +102,9 @@
     this.maxInFlight = Math.min(maxInFlight, most);
     this.guarded = GuardedConnections.create({
       server: this.server,
-      port: 'relay',
       limits,
       clock,
-      logger,
-      metrics,
+      observer: ConnectionLog.create({port: 'relay', logger, metrics}),
     });
     this.connections = ClientConnections.create(this.server);
   }
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -1,14 +1,18 @@
 /** HTTP server for clients, with timeouts for slow and idle connections. */
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import {ClientConnections, resetSocket} from '@marigoldpost/common';
+import {
+  ClientConnections,
+  GuardedConnections,
+  type GuardOptions,
+  resetSocket,
+} from '@marigoldpost/common';
 import type {CallerLimits, NetworkAddress} from '@marigoldpost/sites';
 import type {CallHandler} from '../calls/call_handler.js';
 import {
   isConnectionClosing,
   maxDiscardMs,
 } from '../responses/write_response.js';
-import {GuardedConnections, type GuardOptions} from './guarded_connections.js';
 
 /** Limit of the HTTP parser while no configuration is known. */
 const maxHeaderBytes = 64 * 1024;
--- a/packages/gateway/src/server/page_server.ts
+++ b/packages/gateway/src/server/page_server.ts
@@ -1,7 +1,7 @@
 /** HTTP server for the daemon's status pages: readiness, or metrics. */
 import http from 'node:http';
+import {GuardedConnections, type GuardOptions} from '@marigoldpost/common';
 import type {NetworkAddress} from '@marigoldpost/sites';
-import {GuardedConnections, type GuardOptions} from './guarded_connections.js';
 
 /** Status and body of a page. */
 export interface Page {
--- a/packages/gateway/tests/server/slow_reader_steps.ts
+++ b/packages/gateway/tests/server/slow_reader_steps.ts
@@ -7,7 +7,7 @@
 import {toId, type DaemonId, VirtualClock} from '@marigoldpost/common';
 import {type CallHandler, GatewayServer} from '@marigoldpost/gateway';
 import {findFreePort} from '@marigoldpost/standins';
-import {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {ConnectionLog, EventLogger, Metrics} from '@marigoldpost/telemetry';
 import {addCleanup} from '../../../common/tests/fixtures/cleanup.js';
 
 interface ReaderWorld extends World {
@@ -33,15 +33,17 @@
       },
     };
     const server = GatewayServer.create(handler as unknown as CallHandler, {
-      port: 'clients',
       limits: {maxConnections, maxPipelined: 16, maxPending: 100},
       clock: this.clock,
-      logger: EventLogger.create({
-        level: 'debug',
-        daemon: toId<DaemonId>('entry-0'),
-        destination: {write: (line) => this.lines.push(line)},
+      observer: ConnectionLog.create({
+        port: 'clients',
+        logger: EventLogger.create({
+          level: 'debug',
+          daemon: toId<DaemonId>('entry-0'),
+          destination: {write: (line) => this.lines.push(line)},
+        }),
+        metrics: Metrics.create(),
       }),
-      metrics: Metrics.create(),
     });
     this.port = await findFreePort();
     await server.listen({host, port: this.port});
--- a/packages/nodes/src/entry/create_gateway.ts
+++ b/packages/nodes/src/entry/create_gateway.ts
@@ -8,6 +8,7 @@
   ResponseMemory,
   type SiteState,
 } from '@marigoldpost/gateway';
+import {ConnectionLog} from '@marigoldpost/telemetry';
 import type {TurnStore} from '@marigoldpost/turns';
 import type {NodeOptions} from '../node_options.js';
 import type {EntryFleet} from './entry_fleet.js';
@@ -59,6 +60,6 @@
     {memoryMb, maxDescriptors},
     clientPortShare,
   );
-  const port = 'clients';
-  return GatewayServer.create(handler, {port, limits, clock, logger, metrics});
+  const observer = ConnectionLog.create({port: 'clients', logger, metrics});
+  return GatewayServer.create(handler, {limits, clock, observer});
 }
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -2,10 +2,11 @@
 import {
   type Clock,
   getConnectionLimits,
+  type GuardOptions,
   pagePortShare,
   type PortShare,
 } from '@marigoldpost/common';
-import {type GuardOptions, type Page, PageServer} from '@marigoldpost/gateway';
+import {type Page, PageServer} from '@marigoldpost/gateway';
 import {maxFrameBytes, MessageTransport} from '@marigoldpost/peers';
 import {
   type ChangeSource,
@@ -15,6 +16,7 @@
   WatchGroup,
 } from '@marigoldpost/platform';
 import type {NodeSettings} from '@marigoldpost/sites';
+import {ConnectionLog} from '@marigoldpost/telemetry';
 import {
   ArchiveDirectory,
   ArchivePool,
@@ -117,7 +119,8 @@
   protected getPageGuard(port: string): GuardOptions {
     const {settings, clock, logger, metrics} = this.options;
     const limits = getConnectionLimits(settings, pagePortShare);
-    return {port, limits, clock, logger, metrics};
+    const observer = ConnectionLog.create({port, logger, metrics});
+    return {limits, clock, observer};
   }
 
   /**
