Limit the connections of the callers' port of marigoldpost serve

What callers saw: nothing known; found by reading, as `serve` had no owner of its callers' connections.

Cause: any number of connections was accepted. Each held a head of up to 16 KiB, any number of requests ahead and their responses, and an unfinished request for 120 s.

Change: `GuardedConnections` applies the limits of the platform's clients' port: half of the descriptors, 5 connections and 15 unanswered requests for each MB, 16 of one connection, paced input. While all connections are in use, a request that has been arriving for 10 s makes room, as bodies have no shorter deadline here. With TLS, accepted connections count from the start, before their handshake.

Result: 6 scenarios on a server in the test's own process pass; without the guard five of them fail, with 40 connections open where 32 are allowed. 146 of 147 scenarios of connections, the entry package and daemons' calls pass, all but the listed one of isolated_daemon.feature.

--- a/packages/common/src/connections/guarded_connections.ts
+++ b/packages/common/src/connections/guarded_connections.ts
@@ -1,6 +1,7 @@
 /** Applies the limits on clients' connections to an HTTP server. */
 import type http from 'node:http';
 import type {Socket} from 'node:net';
+import {Server as TlsServer} from 'node:tls';
 import type {Clock, Timer} from '../time/clock.js';
 import {
   type ConnectionEnd,
@@ -35,16 +36,37 @@
   readonly limits: ConnectionLimits;
   readonly clock: Clock;
   readonly observer: ConnectionObserver;
+  /**
+   * Time from which a request that still arrives may be ended to make room for a
+   * new connection; never if omitted.
+   */
+  readonly slowArrivalMs?: number;
 }
 
 /** Limits on the connections of a server, and where their effect is told. */
 export type GuardOptions = Omit<GuardedConnectionsOptions, 'server'>;
 
+/** Request whose body may still arrive. */
+interface Arrival {
+  readonly request: http.IncomingMessage;
+  readonly sinceMs: number;
+}
+
 /** Connections of clients within the limits of the process. */
 export class GuardedConnections {
   private readonly guard: ConnectionGuard<Socket>;
   private readonly stalls = StalledWrites.create<Socket>();
-  private readonly sockets = new Set<Socket>();
+  /**
+   * Accepted connections, and the sockets that are written to; a server with TLS
+   * wraps each.
+   */
+  private readonly outputs = new Map<Socket, Socket>();
+  /** Accepted connections by those that wrap them. */
+  private readonly accepted = new WeakMap<Socket, Socket>();
+  /** Accepted connections by address, until TLS has wrapped them. */
+  private readonly unwrapped = new Map<string, Socket>();
+  /** In the order in which their heads were read. */
+  private readonly arrivals = new Map<Socket, Arrival>();
   /** Connections that were ended since the last report. */
   private readonly ended = new Map<ConnectionEnd, number>();
   private timer: Timer | undefined;
@@ -55,7 +77,12 @@
     server.prependListener('connection', (socket: Socket) =>
       this.accept(socket),
     );
-    InputPacer.attach(server, (socket) => this.end(socket, 'costly'));
+    if (server instanceof TlsServer) {
+      server.prependListener('secureConnection', (socket) => this.wrap(socket));
+    }
+    InputPacer.attach(server, (socket) =>
+      this.end(this.getAccepted(socket), 'costly'),
+    );
   }
 
   /**
@@ -76,10 +103,17 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): boolean {
-    const {socket} = request;
+    const socket = this.getAccepted(request.socket);
     // The rest of what has arrived on a connection that has been ended.
     if (socket.destroyed) return false;
-    response.once('close', () => this.guard.endRequest(socket));
+    response.once('close', () => {
+      this.guard.endRequest(socket);
+      if (this.arrivals.get(socket)?.request !== request) return;
+      this.arrivals.delete(socket);
+    });
+    const sinceMs = this.options.clock.nowMs();
+    this.arrivals.delete(socket);
+    this.arrivals.set(socket, {request, sinceMs});
     if (this.guard.addRequest(socket)) return true;
     this.end(socket, 'pipelined');
     return false;
@@ -91,20 +125,62 @@
   }
 
   private accept(socket: Socket): void {
-    const {isAccepted, replaced} = this.guard.open(socket);
-    if (replaced !== undefined) this.end(replaced, 'replaced');
-    if (!isAccepted) {
+    if (!this.open(socket) && !(this.endSlowArrival() && this.open(socket))) {
       this.end(socket, 'full');
       return;
     }
-    this.sockets.add(socket);
+    this.outputs.set(socket, socket);
+    const address = getAddress(socket);
+    if (this.options.server instanceof TlsServer) {
+      this.unwrapped.set(address, socket);
+    }
     socket.once('close', () => {
       this.guard.remove(socket);
-      this.sockets.delete(socket);
+      this.outputs.delete(socket);
+      this.arrivals.delete(socket);
+      if (this.unwrapped.get(address) === socket) {
+        this.unwrapped.delete(address);
+      }
     });
     this.scheduleCheck();
   }
 
+  private open(socket: Socket): boolean {
+    const {isAccepted, replaced} = this.guard.open(socket);
+    if (replaced !== undefined) this.end(replaced, 'replaced');
+    return isAccepted;
+  }
+
+  /** Ends the request that has been arriving for longest, if for too long. */
+  private endSlowArrival(): boolean {
+    const {clock, slowArrivalMs = Infinity} = this.options;
+    for (const [socket, {request, sinceMs}] of this.arrivals) {
+      if (request.complete) {
+        this.arrivals.delete(socket);
+        continue;
+      }
+      if (clock.nowMs() - sinceMs < slowArrivalMs) return false;
+      this.guard.remove(socket);
+      this.arrivals.delete(socket);
+      this.end(socket, 'replaced');
+      return true;
+    }
+    return false;
+  }
+
+  private wrap(socket: Socket): void {
+    const address = getAddress(socket);
+    const accepted = this.unwrapped.get(address);
+    if (accepted === undefined) return;
+    this.unwrapped.delete(address);
+    this.accepted.set(socket, accepted);
+    this.outputs.set(accepted, socket);
+  }
+
+  private getAccepted(socket: Socket): Socket {
+    return this.accepted.get(socket) ?? socket;
+  }
+
   private end(socket: Socket, reason: ConnectionEnd): void {
     this.ended.set(reason, (this.ended.get(reason) ?? 0) + 1);
     this.options.observer.onEnded(reason);
@@ -124,8 +200,8 @@
   /** Ends what has stalled, and reports what was ended since the last check. */
   private check(): void {
     const outputs = new Map<Socket, OutputState>();
-    for (const socket of this.sockets) {
-      const {bytesWritten, writableLength: waitingBytes} = socket;
+    for (const [socket, output] of this.outputs) {
+      const {bytesWritten, writableLength: waitingBytes} = output;
       const writtenBytes = bytesWritten - waitingBytes;
       outputs.set(socket, {writtenBytes, waitingBytes});
     }
@@ -137,7 +213,7 @@
       for (const socket of stalled) this.end(socket, 'stalled');
     }
     if (this.ended.size > 0) this.report();
-    if (this.sockets.size > 0) this.scheduleCheck();
+    if (this.outputs.size > 0) this.scheduleCheck();
   }
 
   private report(): void {
@@ -149,3 +225,7 @@
     this.ended.clear();
   }
 }
+
+function getAddress({remoteAddress, remotePort}: Socket): string {
+  return `${remoteAddress} ${remotePort}`;
+}
--- a/packages/common/src/connections/input_pacer.ts
+++ b/packages/common/src/connections/input_pacer.ts
@@ -67,6 +67,7 @@
     const pacer = new InputPacer(onOverload);
     // The server's own listener has attached the parser before.
     server.on('connection', (socket: Socket) => pacer.add(socket));
+    server.on('secureConnection', (socket: Socket) => pacer.add(socket));
   }
 
   private add(socket: Socket): void {
--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -13,14 +13,21 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {
   ClientConnections,
+  clientPortShare,
   type Clock,
   errorDefinitions,
+  getConnectionLimits,
+  GuardedConnections,
   MarigoldpostError,
   type Random,
   toMarigoldpostError,
 } from '@marigoldpost/common';
 import type {DaemonSettings, TlsFiles} from '@marigoldpost/settings';
-import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {
+  ConnectionLog,
+  type EventLogger,
+  type Metrics,
+} from '@marigoldpost/telemetry';
 import type {CallGateway} from '../call_gateway.js';
 import {ChatRoute} from '../chat/chat_route.js';
 import {toErrorBody} from '../http/error_body.js';
@@ -42,6 +49,10 @@
 const requestIdLength = 16;
 /** The caller has closed its connection within a request. */
 const endOfInputCode = 'HPE_INVALID_EOF_STATE';
+/** Time from which a request that still arrives may make room for others. */
+const slowArrivalMs = 10_000;
+/** Name of the port in the log and the metrics. */
+const portName = 'callers';
 /** Time for callers to receive the errors of calls that are cut off. */
 const cutOffMs = 1000;
 
@@ -65,6 +76,7 @@
   private readonly exchanges = new Map<Exchange, Promise<void>>();
   private server: Server | undefined;
   private connections: ClientConnections | undefined;
+  private guarded: GuardedConnections | undefined;
   private reloader: TlsReloader | undefined;
   private requestsInFlight = 0;
   private isStopping = false;
@@ -105,6 +117,7 @@
     const {callerHost, callerPort, tls} = this.options.settings;
     const server = await this.createServer(tls);
     this.server = server;
+    this.guarded = this.guardConnections(server);
     this.connections = ClientConnections.create(server);
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
       this.handleClientError(error, socket),
@@ -138,6 +151,7 @@
       clock.setTimer(drainMs + cutOffMs, () => server.closeAllConnections()),
     ];
     await closed;
+    this.guarded?.stop();
     for (const timer of timers) timer.cancel();
     await Promise.allSettled(this.exchanges.values());
   }
@@ -146,6 +160,7 @@
   async kill(): Promise<void> {
     this.isStopping = true;
     this.reloader?.stop();
+    this.guarded?.stop();
     const {server} = this;
     if (server === undefined) return;
     const closed = new Promise<void>((resolve) =>
@@ -182,6 +197,17 @@
     return server;
   }
 
+  private guardConnections(server: Server): GuardedConnections {
+    const {settings, clock, logger, metrics} = this.options;
+    return GuardedConnections.create({
+      server,
+      limits: getConnectionLimits(settings, clientPortShare),
+      clock,
+      observer: ConnectionLog.create({port: portName, logger, metrics}),
+      slowArrivalMs,
+    });
+  }
+
   private async startReloader(
     files: TlsFiles,
     server: TlsServer,
@@ -195,6 +221,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
+    if (this.guarded?.addRequest(request, response) === false) return;
     if (this.isStopping) response.setHeader('Connection', 'close');
     const {random, logger, settings} = this.options;
     const requestId = random.nextToken(requestIdLength);
