Bound the bodies of requests to marigoldpost serve together

What callers saw: nothing known; found by reading.

Cause: each body has a limit (8 MiB by default), their sum had none. A body was kept as one buffer for each chunk, so that one in chunks of one byte took many times its bytes.

Change: bodies together hold a tenth of the memory or the limit of a single one, whichever is more, counted from the announced length until their request is served; without room a request gets 503 `overloaded` before its body is read. A body that has been arriving for 10 s makes room for others, with 408 `body_timeout`.

A call that goes on after its caller has left still holds its body, beyond this bound.

--- a/packages/entry/src/http/exchange.ts
+++ b/packages/entry/src/http/exchange.ts
@@ -8,7 +8,9 @@
   toMarigoldpostError,
 } from '@marigoldpost/common';
 import type {EventLogger} from '@marigoldpost/telemetry';
+import type {BodyMemory} from './body_memory.js';
 import {readBody} from './body_reader.js';
+import type {BodyRoom} from './body_room.js';
 import {toErrorBody, toRetryAfterSeconds} from './error_body.js';
 
 /** Request, response and limits of an exchange. */
@@ -19,6 +21,8 @@
   readonly requestId: string;
   readonly logger: EventLogger;
   readonly maxBodyBytes: number;
+  /** Memory of the bodies of all requests. */
+  readonly bodies: BodyMemory;
 }
 
 /** Reads a request and writes its response. */
@@ -32,6 +36,8 @@
   logger: EventLogger;
   private readonly controller = new AbortController();
   private readonly cutOffError = Deferred.create<MarigoldpostError>();
+  private bodyRoom: BodyRoom | undefined;
+  private isReleased = false;
 
   private constructor(private readonly options: ExchangeOptions) {
     const {request, response, requestId, logger} = options;
@@ -104,14 +110,28 @@
     throw await this.cutOffError.promise;
   }
 
-  /** Reads the body; throws `too_large`, or `invalid_request` if not UTF-8. */
-  readText(): Promise<string> {
-    return readBody(this.options.request, this.options.maxBodyBytes);
+  /**
+   * Reads the body; throws `too_large`, `overloaded` if there is no room for it, or
+   * `invalid_request` if not UTF-8.
+   */
+  async readText(): Promise<string> {
+    const {request, maxBodyBytes, bodies} = this.options;
+    const {text, room} = await readBody(request, maxBodyBytes, bodies);
+    if (this.isReleased) room.release();
+    else this.bodyRoom = room;
+    return text;
+  }
+
+  /** Gives back the memory of the body; its request has been served. */
+  release(): void {
+    this.isReleased = true;
+    this.bodyRoom?.release();
+    this.bodyRoom = undefined;
   }
 
   /**
    * Reads the body as JSON; an empty body counts as an empty object. Throws
-   * `too_large`, or `invalid_request` if the body is not JSON.
+   * as `readText` does, and `invalid_request` if the body is not JSON.
    */
   async readJson(): Promise<unknown> {
     const text = await this.readText();
--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -30,6 +30,7 @@
 } from '@marigoldpost/telemetry';
 import type {CallGateway} from '../call_gateway.js';
 import {ChatRoute} from '../chat/chat_route.js';
+import {BodyMemory} from '../http/body_memory.js';
 import {toErrorBody} from '../http/error_body.js';
 import {Exchange} from '../http/exchange.js';
 import {PlainRoute} from '../plain/plain_route.js';
@@ -51,6 +52,9 @@
 const endOfInputCode = 'HPE_INVALID_EOF_STATE';
 /** Time from which a request that still arrives may make room for others. */
 const slowArrivalMs = 10_000;
+const bytesPerMb = 2 ** 20;
+/** Share of the memory for request bodies. */
+const bodyShare = 0.1;
 /** Name of the port in the log and the metrics. */
 const portName = 'callers';
 /** Time for callers to receive the errors of calls that are cut off. */
@@ -73,6 +77,7 @@
   /** All routes, the extra ones included. */
   readonly routes: readonly Route[];
   private readonly router: Router;
+  private readonly bodies: BodyMemory;
   private readonly exchanges = new Map<Exchange, Promise<void>>();
   private server: Server | undefined;
   private connections: ClientConnections | undefined;
@@ -91,6 +96,11 @@
       ...(options.extraRoutes ?? []),
     ];
     this.router = Router.create(this.routes);
+    const {clock, settings} = options;
+    const sharedBytes = settings.memoryMb * bytesPerMb * bodyShare;
+    // A single body of any size always finds room.
+    const maxBytes = Math.max(settings.maxBodyBytes, sharedBytes);
+    this.bodies = BodyMemory.create(clock, maxBytes);
   }
 
   /**
@@ -231,6 +241,7 @@
       requestId,
       logger: logger.withContext({requestId}),
       maxBodyBytes: settings.maxBodyBytes,
+      bodies: this.bodies,
     });
     this.changeInFlight(1);
     response.once('close', () => this.closeIdleConnections());
@@ -238,6 +249,7 @@
     this.exchanges.set(exchange, served);
     void served.finally(() => {
       this.exchanges.delete(exchange);
+      exchange.release();
       this.changeInFlight(-1);
     });
   }
--- a/packages/entry/tests/server/crowded_server.feature
+++ b/packages/entry/tests/server/crowded_server.feature
@@ -22,4 +22,12 @@
 
   Scenario: A call of many parts is answered over TLS
     Given a caller server over TLS with room for 32 connections
-    Then a chat call of 60000 bytes to the crowded server is answered
+    Then a chat call of 60000 bytes to the crowded server gets 200
+
+  Scenario: A body without room is refused until one that arrives slowly makes room
+    Given a caller server with 1 MB
+    When a client of the crowded server announces a body of 60000 bytes
+    Then a chat call of 60000 bytes to the crowded server gets 503
+    When 10 s pass
+    Then a chat call of 60000 bytes to the crowded server gets 200
+    And the client that announced a body gets 408
