Limit the connections and buffers of the peers' port of marigoldpost serve

What callers saw: nothing known; found by reading.

Cause: any number of HTTP/2 connections with any number of streams was accepted, each of which could hold an incomplete message of up to 32 MiB. A peer that did not read could go on sending requests, whose replies and refusals were queued without end.

Change: `ServedSessions` applies the limits of the platform's peers' port to connections; four streams for each; messages that arrive hold 32 MiB or an eighth of the memory together. While 256 frames wait for a peer to read, no more are read from it.

Result: in a trial in one process, of two messages that do not end one was reset, of five idle connections three were refused with room for three in all, and a request was answered afterwards. 76 scenarios of the peers package pass.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,9 @@
 /** One daemon that listens on the network. */
 import {
   type Clock,
+  getConnectionLimits,
   getHashNumber,
+  peerPortShare,
   SeededRandom,
   SystemClock,
 } from '@marigoldpost/common';
@@ -12,7 +14,11 @@
   createOperationsRoutes,
   type OperationsParts,
 } from '@marigoldpost/operations';
-import {ConnectPeerTransport} from '@marigoldpost/peers';
+import {
+  ConnectPeerTransport,
+  maxMessageBytes,
+  type PeerPortLimits,
+} from '@marigoldpost/peers';
 import {HttpObjectStore, HttpVmList} from '@marigoldpost/platform';
 import {type DaemonSettings, parseOperatorsText} from '@marigoldpost/settings';
 import {EventLogger, Metrics} from '@marigoldpost/telemetry';
@@ -20,6 +26,9 @@
 import type {DaemonOptions} from './daemon_options.js';
 import {FleetStatusSource} from './status/fleet_status_source.js';
 
+const bytesPerMb = 2 ** 20;
+/** Share of the memory for incomplete requests of peers. */
+const heldShare = 0.125;
 const platformTimeoutMs = 3000;
 /** Time for the platform's load balancer to observe that it is not ready. */
 const balancerDelayMs = 500;
@@ -52,6 +61,7 @@
    */
   static create(settings: DaemonSettings, logger?: EventLogger): Daemon {
     const clock = SystemClock.create();
+    const metrics = Metrics.create();
     return new Daemon({
       settings,
       clock,
@@ -72,10 +82,11 @@
         port: settings.peerPort,
         clock,
         tls: settings.tls,
+        limits: createPeerLimits(settings, metrics),
       }),
       peerAddress: getPeerAddress(settings),
       logger: logger ?? createLogger(settings),
-      metrics: Metrics.create(),
+      metrics,
     });
   }
 
@@ -138,6 +149,20 @@
   }
 }
 
+function createPeerLimits(
+  settings: DaemonSettings,
+  metrics: Metrics,
+): PeerPortLimits {
+  const sharedBytes = settings.memoryMb * bytesPerMb * heldShare;
+  return {
+    connections: getConnectionLimits(settings, peerPortShare),
+    // A single message of any size always finds room.
+    maxHeldBytes: Math.max(maxMessageBytes, sharedBytes),
+    onEnded: (reason) =>
+      metrics.addToCounter('connections_ended_total', {port: 'peers', reason}),
+  };
+}
+
 function createLogger({logLevel, name}: DaemonSettings): EventLogger {
   return EventLogger.create({level: logLevel, daemon: name});
 }
--- a/packages/peers/src/messages/message_transport.ts
+++ b/packages/peers/src/messages/message_transport.ts
@@ -19,7 +19,11 @@
 } from '../transport/peer_transport.js';
 import {MessageFramer} from './message_framer.js';
 import {type ConnectPeer, MessageLink} from './message_link.js';
-import {type PeerPortLimits, ServedConnections} from './served_connections.js';
+import {
+  noPeerPortLimits,
+  type PeerPortLimits,
+  ServedConnections,
+} from './served_connections.js';
 
 /** Answers a peer's request; a thrown error is sent to the requester. */
 export type MessageHandler = (
@@ -57,17 +61,6 @@
   readonly limits?: PeerPortLimits;
 }
 
-/** Limits without effect. */
-const noLimits: PeerPortLimits = {
-  connections: {
-    maxConnections: Infinity,
-    maxPipelined: Infinity,
-    maxPending: Infinity,
-  },
-  maxHeldBytes: Infinity,
-  onEnded: () => undefined,
-};
-
 /** Serves requests of peers and sends requests over one link for each peer. */
 export class MessageTransport extends PeerRequester {
   private readonly links = new Map<string, MessageLink>();
@@ -76,7 +69,7 @@
 
   private constructor(private readonly options: MessageTransportOptions) {
     super();
-    const {clock, limits = noLimits} = options;
+    const {clock, limits = noPeerPortLimits} = options;
     this.served = ServedConnections.create(clock, limits);
   }
 
--- a/packages/peers/src/messages/served_connections.ts
+++ b/packages/peers/src/messages/served_connections.ts
@@ -17,6 +17,17 @@
   readonly onEnded: (reason: ConnectionEnd) => void;
 }
 
+/** Limits without effect. */
+export const noPeerPortLimits: PeerPortLimits = {
+  connections: {
+    maxConnections: Infinity,
+    maxPipelined: Infinity,
+    maxPending: Infinity,
+  },
+  maxHeldBytes: Infinity,
+  onEnded: () => undefined,
+};
+
 /** Open connections of a port, and the bytes that the process holds for them. */
 export class ServedConnections {
   private readonly guard: ConnectionGuard<Socket>;
--- a/packages/peers/src/transport/connect_peer_transport.ts
+++ b/packages/peers/src/transport/connect_peer_transport.ts
@@ -1,6 +1,7 @@
 /** Exchanges over HTTP/2 with Connect, one stream per requester and peer. */
 import http2 from 'node:http2';
 import type {AddressInfo} from 'node:net';
+import {createContextKey, createContextValues} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {
   type Clock,
@@ -23,7 +24,12 @@
   type PeerRequestBody,
   PeerTransport,
 } from './peer_transport.js';
-import {ServedStream} from './served_stream.js';
+import {
+  noPeerPortLimits,
+  type PeerPortLimits,
+} from '../messages/served_connections.js';
+import {ServedSessions} from './served_sessions.js';
+import {type ExchangeCounter, ServedStream} from './served_stream.js';
 import {type PeerTlsFiles, TlsMaterialSource} from './tls_material.js';
 
 /** Listen address, identity and TLS files of a Connect transport. */
@@ -37,19 +43,34 @@
   readonly clock: Clock;
   /** Enables mutual TLS with certificates of one authority. */
   readonly tls?: PeerTlsFiles;
+  /** Limits on the connections of peers; none if omitted. */
+  readonly limits?: PeerPortLimits;
 }
 
+/** Streams of one session; a daemon opens one. */
+const maxConcurrentStreams = 4;
+/** Default of the key, which each request sets. */
+const noCounter: ExchangeCounter = {
+  begin: () => undefined,
+  end: () => undefined,
+  onFrame: () => undefined,
+};
+const counterKey = createContextKey<ExchangeCounter>(noCounter);
+
 /** Transport that multiplexes exchanges over one gRPC stream per peer. */
 export class ConnectPeerTransport extends PeerTransport {
   private readonly random: Random;
   private readonly links = new Map<string, PeerLink>();
   private readonly sessions = new Set<http2.ServerHttp2Session>();
+  private readonly served: ServedSessions;
   private server: http2.Http2Server | http2.Http2SecureServer | undefined;
   private tls: TlsMaterialSource | undefined;
   private handler: PeerHandler = rejectRequest;
 
   private constructor(private readonly options: ConnectPeerTransportOptions) {
     super();
+    const {clock, limits = noPeerPortLimits} = options;
+    this.served = ServedSessions.create(clock, limits);
     this.random = SeededRandom.create(getHashNumber(options.daemon));
   }
 
@@ -86,6 +107,7 @@
     await this.loadTls();
     const server = this.createServer();
     this.server = server;
+    this.served.attach(server);
     server.on('session', (session) => this.addSession(session));
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -103,6 +125,7 @@
       server.close(() => resolve());
     });
     for (const session of this.sessions) session.destroy();
+    this.served.close();
     await closed;
   }
 
@@ -135,24 +158,32 @@
   private createServer(): http2.Http2Server | http2.Http2SecureServer {
     const adapter = connectNodeAdapter({
       routes: (router) =>
-        router.service(PeerService, {exchange: (frames) => this.serve(frames)}),
+        router.service(PeerService, {
+          exchange: (frames, {values}) =>
+            this.serve(frames, values.get(counterKey)),
+        }),
+      contextValues: (request) =>
+        createContextValues().set(counterKey, this.served.track(request)),
       readMaxBytes: maxMessageBytes,
       acceptCompression: [],
     });
     const material = this.tls?.getCurrent();
-    if (material === undefined) return http2.createServer(adapter);
+    const settings = {maxConcurrentStreams};
+    if (material === undefined) return http2.createServer({settings}, adapter);
     const clientVerification = {requestCert: true, rejectUnauthorized: true};
     return http2.createSecureServer(
-      {...material, ...clientVerification},
+      {...material, ...clientVerification, settings},
       adapter,
     );
   }
 
-  private serve(frames: AsyncIterable<PeerFrame>): AsyncIterable<PeerFrame> {
-    const stream = ServedStream.create((sender, request, signal) =>
-      this.handler(sender, request, signal),
-    );
-    return stream.serve(frames);
+  private serve(
+    frames: AsyncIterable<PeerFrame>,
+    counter: ExchangeCounter,
+  ): AsyncIterable<PeerFrame> {
+    const handler: PeerHandler = (sender, request, signal) =>
+      this.handler(sender, request, signal);
+    return ServedStream.create(handler, counter).serve(frames);
   }
 
   private addSession(session: http2.ServerHttp2Session): void {
--- a/packages/peers/src/transport/served_stream.ts
+++ b/packages/peers/src/transport/served_stream.ts
@@ -19,6 +19,19 @@
 /** Maximum number of concurrent exchanges of one stream. */
 const maxExchanges = 4096;
 
+/** Frames that wait for the peer to read from which no more of its are read. */
+const maxQueuedFrames = 256;
+
+/** Counts exchanges, which may be those of many streams. */
+export interface ExchangeCounter {
+  /** Counts an exchange that begins; throws `overloaded` if there are too many. */
+  begin(): void;
+  /** Counts the end of an exchange that began. */
+  end(): void;
+  /** Called for each frame that has been read. */
+  onFrame(): void;
+}
+
 /** An exchange in progress: cancellation and reply credit. */
 class ServedExchange {
   readonly controller = new AbortController();
@@ -56,14 +69,18 @@
   private readonly exchanges = new Map<bigint, ServedExchange>();
   private readonly outgoing = FrameQueue.create();
 
-  private constructor(private readonly handler: PeerHandler) {}
+  private constructor(
+    private readonly handler: PeerHandler,
+    private readonly counter: ExchangeCounter,
+  ) {}
 
   /**
    * Creates the server side of a stream.
    * @param handler - Answers each request with a series of replies.
+   * @param counter - Counts the exchanges.
    */
-  static create(handler: PeerHandler): ServedStream {
-    return new ServedStream(handler);
+  static create(handler: PeerHandler, counter: ExchangeCounter): ServedStream {
+    return new ServedStream(handler, counter);
   }
 
   /**
@@ -88,7 +105,12 @@
 
   private async readFrames(incoming: AsyncIterable<PeerFrame>): Promise<void> {
     try {
-      for await (const frame of incoming) this.handleFrame(frame);
+      for await (const frame of incoming) {
+        this.counter.onFrame();
+        this.handleFrame(frame);
+        // A peer that does not read sends no more requests either.
+        await this.outgoing.waitUntilBelow(maxQueuedFrames);
+      }
     } catch {
       // The stream failed; the requester detects that itself.
     } finally {
@@ -113,6 +135,12 @@
   }
 
   private async answer(number: bigint, request: PeerRequest): Promise<void> {
+    try {
+      this.counter.begin();
+    } catch (error) {
+      this.enqueueEnd(number, error);
+      return;
+    }
     const exchange = new ServedExchange();
     try {
       this.addExchange(number, exchange);
@@ -122,6 +150,7 @@
       this.enqueueEnd(number, error);
     } finally {
       this.exchanges.delete(number);
+      this.counter.end();
     }
   }
 
--- a/packages/peers/src/utils/frame_queue.ts
+++ b/packages/peers/src/utils/frame_queue.ts
@@ -26,6 +26,7 @@
 export class FrameQueue implements AsyncIterable<PeerFrame> {
   private entries: QueueEntry[] = [];
   private waiting: Deferred<void> | undefined;
+  private drained: Deferred<void> | undefined;
   private isEnded = false;
 
   private constructor() {}
@@ -63,12 +64,24 @@
     this.entries = this.entries.filter((entry) => entry !== queued);
   }
 
+  /**
+   * Waits until fewer frames are queued, or the queue ends.
+   * @param size - Number of frames.
+   */
+  async waitUntilBelow(size: number): Promise<void> {
+    while (this.entries.length >= size && !this.isEnded) {
+      this.drained ??= Deferred.create<void>();
+      await this.drained.promise;
+    }
+  }
+
   /** Discards all queued frames and ends the reader. */
   end(): void {
     this.isEnded = true;
     for (const entry of this.entries) entry.done.resolve();
     this.entries = [];
     this.wakeReader();
+    this.wakeWriter();
   }
 
   async *[Symbol.asyncIterator](): AsyncIterator<PeerFrame> {
@@ -77,6 +90,7 @@
       if (entry !== undefined) {
         entry.isDequeued = true;
         entry.done.resolve();
+        this.wakeWriter();
         yield entry.frame;
         continue;
       }
@@ -85,6 +99,11 @@
     }
   }
 
+  private wakeWriter(): void {
+    this.drained?.resolve();
+    this.drained = undefined;
+  }
+
   private wakeReader(): void {
     this.waiting?.resolve();
     this.waiting = undefined;
