--- a/packages/gateway/src/calls/crash_tracker.ts
+++ b/packages/gateway/src/calls/crash_tracker.ts
@@ -191,8 +191,9 @@
 
   /**
    * Records that a target responded completely, which clears a suspected
-   * request, and a quarantined one that could still be sent. An error clears nothing: a target may reject a request that it has
-   * not started, and a failing one may send a server error for it.
+   * request, and a quarantined one that could still be sent. An error clears
+   * nothing: a target may reject a request that it has not started, and a
+   * failing one may send a server error for it.
    * @param request - Request that completed.
    * @param target - Target that responded.
    * @param status - Status of the response.
