--- a/tools/run_tests.js
+++ b/tools/run_tests.js
@@ -1,6 +1,7 @@
 /**
- * Runs every feature, then prints `N passed, N failed`. A failing scenario that
- * KNOWN-RED.txt lists is printed but not counted. A listed scenario that passes
+ * Runs every feature, then prints `N passed, N failed` after the names of the
+ * scenarios that failed. A failing scenario that KNOWN-RED.txt lists is printed
+ * but not counted. A listed scenario that passes
  * counts as failed, so that the list stays current, unless it is listed as one
  * that fails in some runs only.
  */
@@ -98,6 +99,7 @@
     passed += 1;
   } else {
     failed += 1;
+    console.log(`not listed (${status}): ${name}`);
   }
 }
 if (scenarioResults.results.size === 0) failed += 1;
