Do not extend an expired turn because it was looked for

Cause: a request that asks which turns an archive stores may name a time for which they are retained; without one, the time was 0, and a turn that had expired seemed to expire when it was looked for. Archives keep expired turns for 10 s from then.

Change: a request without a time leaves the expiry as it is, as its message says.

--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -221,7 +221,9 @@
     absentDisk,
   }: RequestOf<'findTurns'>): PeerReplyBody {
     for (const [index, turn] of turns.entries()) {
-      this.archive.retainTurn(toId<TurnId>(turn), retainedMs[index] ?? 0);
+      const turnMs = retainedMs[index] ?? 0;
+      // A turn that has expired must not seem to expire now since it was looked for.
+      if (turnMs > 0) this.archive.retainTurn(toId<TurnId>(turn), turnMs);
     }
     const ids = turns.map((turn) => toId<TurnId>(turn));
     const isDamaged = ids.map((id) => this.archive.isDamaged(id));
--- a/packages/turns/tests/client/chain_retention.feature
+++ b/packages/turns/tests/client/chain_retention.feature
@@ -28,6 +28,14 @@
     And 75000 ms pass
     Then continuing turn "t1" in "a" fails with unknown_turn
 
+  # Guards against turns that seem to expire when an entry VM has looked for them.
+  Scenario: A turn that is read after its retention is not retained for longer
+    When turn "t1" finishes in "a"
+    And 69000 ms pass
+    Then a new entry VM in "d" reads the chain "t1"
+    When 8000 ms pass
+    Then continuing turn "t1" in "a" fails with unknown_turn
+
   Scenario Outline: A cached turn is continued within its retention while no archive replies, after <pause> ms
     When turn "t1" finishes in "a"
     And <pause> ms pass
