Do not continue a turn whose retention ended more than 4 s ago

Cause: archives keep expired turns for 10 s, and served them until then. The other archives learn of the new turn only once it is stored in the object API, and had removed the one before it.

Change: a request for a chain tells whether a new turn is to continue it. An archive then refuses if the turn expired more than 4 s ago, so that 6 s are left to run and import the new one; the reply tells so, and counts as that of an archive without the turn: 404 if all archives reply, else 503, also if the turn is cached. Ancestors are never refused, as the turn that was named retains them. Builds that do not tell are answered as before.

The test of a turn that no archive has any more, 75 s after it ended, is now one row of an outline; its assertion is the same.

--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -218,6 +218,14 @@
     return this.index.getMissingAncestors();
   }
 
+  /**
+   * Whether a stored turn expired too long ago for a new turn to continue it.
+   * @param id - Id of the turn.
+   */
+  hasExpired(id: TurnId): boolean {
+    return this.index.hasExpired(id, this.nowMs());
+  }
+
   /**
    * Gets how much longer a turn is retained; 0 if it is not stored here.
    * @param id - Id of the turn.
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -202,8 +202,12 @@
   private async fetchChain({
     turn,
     retainedMs,
+    isContinued,
   }: RequestOf<'fetchChain'>): Promise<PeerReplyBody> {
     const id = toId<TurnId>(turn);
+    if (isContinued && this.archive.hasExpired(id)) {
+      return {case: 'chain', value: create(ChainSchema, {isExpired: true})};
+    }
     const remainingMs = toUint32(this.archive.getRemainingMs(id));
     if (retainedMs > 0) this.archive.retainTurn(id, retainedMs);
     const chain = await this.archive.readChain(id);
--- a/packages/turns/src/archive/turn_index.ts
+++ b/packages/turns/src/archive/turn_index.ts
@@ -10,6 +10,12 @@
  * for a running turn may not reach the others before that turn is stored.
  */
 const expiredTurnMs = 10_000;
+/**
+ * Time after its expiry in which a turn may still be continued. Until the others
+ * drop the turn, the rest of `expiredTurnMs` is left to run the new turn, which
+ * takes 4 s at most, and to import it from the object API.
+ */
+const continuableMs = 4000;
 
 /** Index entry of one turn. */
 export interface IndexedTurn {
@@ -131,6 +137,17 @@
     this.retainAncestors(turn);
   }
 
+  /**
+   * Whether a turn is stored here, but expired so long ago that a new turn must not
+   * continue it: other archives may drop it before they learn of the new one.
+   * @param id - Id of the turn.
+   * @param nowMs - Current time of the archive's clock.
+   */
+  hasExpired(id: TurnId, nowMs: number): boolean {
+    const turn = this.turns.get(id);
+    return turn !== undefined && turn.expiresAtMs + continuableMs < nowMs;
+  }
+
   /**
    * Gets the turns that are not stored here, but continued by one that is, each
    * with the time until which it is needed.
--- a/packages/turns/src/client/archive_client.ts
+++ b/packages/turns/src/client/archive_client.ts
@@ -66,6 +66,16 @@
 export interface ChainPart extends PartialChain {
   /** How much longer the archive retained its newest turn before the request. */
   readonly remainingMs: number;
+  /** Whether the archive sent nothing, as its newest turn expired too long ago. */
+  readonly isExpired: boolean;
+}
+
+/** How a chain is to be used. */
+export interface ChainUse {
+  /** How much longer the archive should retain the chain at least. */
+  readonly retainedMs: number;
+  /** Whether a new turn is to continue it, which an archive may refuse. */
+  readonly isContinued: boolean;
 }
 
 /** Which of the requested turns an archive stores, in request order. */
@@ -266,19 +276,20 @@
   /**
    * Gets a turn and its ancestors, as far as the archive stores them.
    * @param turn - Newest turn of the chain.
-   * @param retainedMs - How much longer the archive should retain them at least;
-   *   0 to leave that as it is.
+   * @param use - How the chain is to be used; omitted if it is only read.
    */
-  async fetchChain(turn: TurnId, retainedMs = 0): Promise<ChainPart> {
-    const value = {turn, retainedMs: toUint32(retainedMs)};
+  async fetchChain(turn: TurnId, use?: ChainUse): Promise<ChainPart> {
+    const retainedMs = toUint32(use?.retainedMs ?? 0);
+    const value = {turn, retainedMs, isContinued: use?.isContinued ?? false};
     const reply = await this.sendRequest({
       case: 'fetchChain',
       value: create(FetchChainSchema, value),
     });
     if (reply.case !== 'chain') throw this.createReplyError(reply);
-    const {turns, missing, remainingMs} = reply.value;
+    const {turns, missing, remainingMs, isExpired} = reply.value;
     return {
       remainingMs,
+      isExpired,
       turns: turns.map(fromTurnMessage),
       missing: missing === '' ? undefined : toId<TurnId>(missing),
     };
--- a/packages/turns/src/client/chain_reader.ts
+++ b/packages/turns/src/client/chain_reader.ts
@@ -13,7 +13,7 @@
 } from '../records/turn_record.js';
 import type {StoreProbe} from '../objects/store_probe.js';
 import type {TurnObjectReader} from '../objects/turn_object_reader.js';
-import type {ArchiveClient, ChainPart} from './archive_client.js';
+import type {ArchiveClient, ChainPart, ChainUse} from './archive_client.js';
 import type {ArchivePool} from './archive_pool.js';
 import type {ArchiveRetries, ArchiveWait} from './archive_retries.js';
 import type {TurnCache} from './turn_cache.js';
@@ -55,13 +55,11 @@
 }
 
 /** What a chain is fetched for. */
-interface ChainFetch {
+interface ChainFetch extends ChainUse {
   readonly signal: AbortSignal;
   /** Whether it is the rest of a chain whose newest turn has been read. */
   readonly isAncestor: boolean;
-  /** Time for which archives should retain it at least. */
-  readonly retainedMs: number;
-  /** Time for which they must retain it, whatever happens to one of them. */
+  /** Time for which archives must retain it, whatever happens to one of them. */
   readonly neededMs: number;
 }
 
@@ -77,10 +75,13 @@
 }
 
 /** A chain, or why it could not be read. */
-type ChainLookup = FetchedChain | {readonly problem: string};
+type ChainLookup =
+  FetchedChain | {readonly problem: string; readonly isExpired: boolean};
 
-/** A chain, or the archives that may have it. */
-type ArchiveLookup = FetchedChain | {readonly unread: readonly DaemonId[]};
+/** A chain; or the archives that may have it, and whether others let it expire. */
+type ArchiveLookup =
+  | FetchedChain
+  | {readonly unread: readonly DaemonId[]; readonly isExpired: boolean};
 
 /**
  * Reads from the cache, then the own data centre, then all archives, then the
@@ -119,6 +120,7 @@
     const fetch = {
       signal,
       isAncestor: false,
+      isContinued: neededMs !== undefined,
       retainedMs,
       neededMs: storedInMs,
     };
@@ -137,7 +139,7 @@
         cached === undefined
           ? await this.fetchWithWait(
               next,
-              {...fetch, isAncestor: true},
+              {...fetch, isAncestor: true, isContinued: false},
               retries,
             )
           : toFetchedChain(cached);
@@ -174,8 +176,8 @@
 
   /**
    * Reads the turn that is continued, with ancestors. A cached one that may expire
-   * too early serves only if no archive replies that has it, and not after its
-   * retention: archives that are out of reach may have removed it.
+   * too early serves only if no archive replies that has it or has let it expire,
+   * and not after its retention: archives that are out of reach may have removed it.
    */
   private async readNewest(
     turn: TurnId,
@@ -193,7 +195,9 @@
       return {...toFetchedChain(record), isExpiring: false};
     }
     const lookup = await this.fetchChain(turn, fetch);
-    return 'chain' in lookup ? lookup : toFetchedChain(record);
+    if ('chain' in lookup) return lookup;
+    if (lookup.isExpired) throw this.createUnavailableError(lookup.problem);
+    return toFetchedChain(record);
   }
 
   /** Fetches a chain again each time an archive has returned. */
@@ -215,41 +219,41 @@
   /** Fetches a chain; throws `unknown_turn` if all have replied that they lack it. */
   private async fetchChain(
     turn: TurnId,
-    {isAncestor, retainedMs, neededMs, signal}: ChainFetch,
+    fetch: ChainFetch,
   ): Promise<ChainLookup> {
+    const {isAncestor, neededMs, signal} = fetch;
     const {pool, ownDataCentre, owedArchives} = this.options;
     const localClients = pool.getReachableClients(ownDataCentre);
     for (const client of localClients) {
-      const chain = await tryFetchChain(client, turn, retainedMs);
-      if (chain !== undefined) return toRetainedChain(chain, neededMs);
+      const chain = await tryFetchChain(client, turn, fetch);
+      if (hasTurns(chain)) return toRetainedChain(chain, neededMs);
       signal.throwIfAborted();
     }
     const clients = pool.getClients();
-    const times = {retainedMs, neededMs};
-    const atArchives = await fetchFromArchives(clients, turn, times);
+    const atArchives = await fetchFromArchives(clients, turn, fetch);
     if ('chain' in atArchives) return atArchives;
-    const record = await this.findInObjects(turn);
+    const {unread, isExpired} = atArchives;
+    const record = isExpired ? 'absent' : await this.findInObjects(turn);
     if (typeof record === 'object') return toFetchedChain(record);
-    const {unread} = atArchives;
     if (unread.length > 0) {
       const problem = `turn "${turn}" not found, and archives ${unread.join(', ')} did not tell whether they have it`;
-      return {problem};
+      return {problem, isExpired};
     }
     if (record === 'unknown') {
       const problem = `turn "${turn}" is on no archive, and the object API did not reply`;
-      return {problem};
+      return {problem, isExpired};
     }
     // The turn that the call names is stored, so it must not be called unknown.
     if (isAncestor) {
       const problem = `turn "${turn}" is on no archive, but a stored turn continues it`;
-      return {problem};
+      return {problem, isExpired};
     }
     if (
       clients.length >= owedArchives &&
       (await pool.areAllRegistered(clients))
     ) {
       // An archive may have imported it from an object that was removed since.
-      const imported = await fetchFromArchives(clients, turn, times);
+      const imported = await fetchFromArchives(clients, turn, fetch);
       if ('chain' in imported) return imported;
       if (imported.unread.length === 0) {
         const message = `no archive stores turn "${turn}"`;
@@ -257,7 +261,7 @@
       }
     }
     const problem = `turn "${turn}" is on none of ${clients.length} archives, and there may be others`;
-    return {problem};
+    return {problem, isExpired};
   }
 
   /** Gets the turn that an object holds; `unknown` without the object API. */
@@ -295,36 +299,45 @@
 
 /**
  * Gets the chain from an archive that holds the turn; else the archives that have
- * not replied that they lack it.
+ * not replied that they lack it, or that it has expired.
  */
 async function fetchFromArchives(
   clients: readonly ArchiveClient[],
   turn: TurnId,
-  {retainedMs, neededMs}: Pick<ChainFetch, 'retainedMs' | 'neededMs'>,
+  fetch: ChainFetch,
 ): Promise<ArchiveLookup> {
   const lookups = await Promise.all(
     clients.map((client) => lookUpTurn(client, turn)),
   );
+  let isExpired = false;
   for (const [index, client] of clients.entries()) {
     if (lookups[index] !== 'held') continue;
-    const chain = await tryFetchChain(client, turn, retainedMs);
-    if (chain !== undefined) return toRetainedChain(chain, neededMs);
+    const chain = await tryFetchChain(client, turn, fetch);
+    if (chain?.isExpired === true) {
+      isExpired = true;
+      lookups[index] = 'absent';
+    } else if (hasTurns(chain)) {
+      return toRetainedChain(chain, fetch.neededMs);
+    }
   }
   const unread = clients
     .filter((_client, index) => lookups[index] !== 'absent')
     .map(({member}) => member.daemon);
-  return {unread};
+  return {unread, isExpired};
+}
+
+function hasTurns(chain: ChainPart | undefined): chain is ChainPart {
+  return chain !== undefined && chain.turns.length > 0;
 }
 
-/** Gets the chain; `undefined` when the archive lacks the turn or fails. */
+/** Gets the chain, which is empty if the archive lacks it; `undefined` on failure. */
 async function tryFetchChain(
   client: ArchiveClient,
   turn: TurnId,
-  retainedMs: number,
+  use: ChainUse,
 ): Promise<ChainPart | undefined> {
   try {
-    const chain = await client.fetchChain(turn, retainedMs);
-    return chain.turns.length === 0 ? undefined : chain;
+    return await client.fetchChain(turn, use);
   } catch {
     // The next archive is tried; the pool reports unreachable ones.
     return undefined;
--- a/packages/turns/tests/client/chain_retention.feature
+++ b/packages/turns/tests/client/chain_retention.feature
@@ -23,11 +23,16 @@
       | from an archive of another data centre    | d           | 59300 | 9500  |
       | from the cache, after the retention       | a           | 62000 | 9500  |
 
-  Scenario: A turn that no archive has any more is not served from the cache
+  Scenario Outline: A turn that archives have let expire is not served from the cache, after <pause> ms
     When turn "t1" finishes in "a"
-    And 75000 ms pass
+    And <pause> ms pass
     Then continuing turn "t1" in "a" fails with unknown_turn
 
+    Examples:
+      | pause |
+      | 66000 |
+      | 75000 |
+
   # Guards against turns that seem to expire when an entry VM has looked for them.
   Scenario: A turn that is read after its retention is not retained for longer
     When turn "t1" finishes in "a"
--- a/packages/turns/tests/repair/final_fault_of_archives.feature
+++ b/packages/turns/tests/repair/final_fault_of_archives.feature
@@ -289,3 +289,29 @@
       | 3600    | 58500 | c   | 3900 |
       | 4200    | 58500 | a   | 500  |
       | 4200    | 58500 | c   | 3900 |
+      | 3500    | 62000 | a   | 3900 |
+      | 4000    | 62000 | c   | 3900 |
+
+  # Guards against turns that continue one which other archives are about to remove.
+  Scenario Outline: A chain that is <age> ms old is continued in a cut of <cut> only if that survives the loss of the disk there, <startMs> ms after the start
+    When <startMs> ms pass
+    And turn "t1" finishes in "a"
+    And turn "t2" after "t1" finishes in "a"
+    And <age> ms pass
+    And data centre "<cut>" is isolated
+    And 700 ms pass
+    And turn "u" continues "t2" in "<cut>", is refused or accepted after <run> ms, and then must go on
+    And a chain "v" of 1 turns is accepted in "<cut>"
+    And the disk of the archive "<cut>" is lost and 100 ms pass
+    And the isolation ends and 0 ms pass
+    Then each stored turn goes on in "a, b, c" for programs of "a, b, c", from 8000 to 12000 ms after now
+
+    Examples:
+      | startMs | age   | cut | run  |
+      | 2500    | 69300 | a   | 3900 |
+      | 3000    | 68800 | c   | 3900 |
+      | 3500    | 68800 | a   | 3900 |
+      | 3500    | 69300 | c   | 500  |
+      | 4000    | 67300 | a   | 3900 |
+      | 4000    | 68800 | a   | 500  |
+      | 2000    | 69800 | c   | 3900 |
--- a/packages/turns/tests/repair/final_fault_steps.ts
+++ b/packages/turns/tests/repair/final_fault_steps.ts
@@ -1,7 +1,7 @@
 /** Steps for a final fault of all archives while one of them is disturbed. */
 import {When, type World} from '@cucumber/cucumber';
 import type {TurnId} from '@marigoldpost/sites';
-import {toId} from '@marigoldpost/common';
+import {isErrorOfKind, toId} from '@marigoldpost/common';
 import type {ArchiveFleet} from '../fixtures/archive_fleet.js';
 import {createTurn} from '../fixtures/turn_requests.js';
 
@@ -51,6 +51,26 @@
   },
 );
 
+When(
+  'turn {string} continues {string} in {string}, is refused or accepted after {int} ms, and then must go on',
+  async function (
+    this: FaultWorld,
+    id: string,
+    previous: string,
+    place: string,
+    runMs: number,
+  ) {
+    try {
+      await continueTurn(this.archives, id, previous, place, runMs);
+      (this.finished ??= []).push(id);
+    } catch (error) {
+      if (!isErrorOfKind(error, 'archive_unavailable', 'unknown_turn')) {
+        throw error;
+      }
+    }
+  },
+);
+
 When(
   'archive {string} reaches no other VM',
   function (this: FaultWorld, name: string) {
