Cancel calls to marigoldpost serve that wait on a connection that closes

Callers that sent calls ahead and left kept engines at work: a call behind a stream on the same connection ran to its end, and one that streams held its request, its place in the daemon and the connection's stop for 60 s of stalled writing. By reading, an engine then generates tokens of a program's budget for nobody, although its last reader has left.

Such a response is now closed with its connection (`ClientConnections.closeWithConnection`), as Node.js does for the one that is being sent.

Test (caller_server.feature): 3 of 72 scenarios failed before ("1 !== 0" requests in flight 2 s after the caller had left, and the server's stop did not end within 5 s); now none. All features of packages/entry/tests/server and client_connections.feature: 89 of 89.

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -10,7 +10,7 @@
   isClosing: boolean;
   /** Response to the request that was read last, until it has been sent. */
   lastResponse: ServerResponse | undefined;
-  /** End the waits of requests for earlier responses. */
+  /** Called when it closes while requests wait for earlier responses. */
   readonly waits: Set<() => void>;
   /** Bytes that had been read when the last exchange ended. */
   idleAtBytes: number | undefined;
@@ -120,6 +120,26 @@
     return socket.writable;
   }
 
+  /**
+   * Closes a response together with its connection also while it waits for
+   * earlier ones: Node.js closes only the one that is being sent.
+   * @param request - Request that has not been answered.
+   * @param response - Its response.
+   */
+  closeWithConnection(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const {waits} = this.getState(request.socket);
+    const close = () => {
+      if (response.socket !== null || response.closed) return;
+      response.destroy();
+      response.emit('close');
+    };
+    waits.add(close);
+    response.once('close', () => waits.delete(close));
+  }
+
   /** Stops listening; resolves once all connections are closed. */
   stopListening(): Promise<void> {
     return new Promise((resolve) => {
--- a/packages/entry/src/server/caller_server.ts
+++ b/packages/entry/src/server/caller_server.ts
@@ -207,6 +207,7 @@
     });
     this.changeInFlight(1);
     response.once('close', () => this.closeIdleConnections());
+    this.connections?.closeWithConnection(request, response);
     const served = this.serve(exchange);
     this.exchanges.set(exchange, served);
     void served.finally(() => {
--- a/packages/entry/tests/server/caller_answers_steps.ts
+++ b/packages/entry/tests/server/caller_answers_steps.ts
@@ -1,5 +1,6 @@
 /** Steps that check the responses that callers receive. */
 import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Then} from '@cucumber/cucumber';
 import {Deferred, errorDefinitions, isErrorKind} from '@marigoldpost/common';
 import fc from 'fast-check';
@@ -17,6 +18,7 @@
 }
 
 const seed = 20261203;
+const maxWaitMs = 2000;
 
 Then(
   'the caller receives the complete completion and its program id',
@@ -181,6 +183,13 @@
   await aborted.promise;
 });
 
+Then('no request is in flight', async function (this: EntryWorld) {
+  const {server} = this.fixture;
+  const endMs = Date.now() + maxWaitMs;
+  while (server.inFlight > 0 && Date.now() < endMs) await sleep(1);
+  assert.equal(server.inFlight, 0);
+});
+
 Then(
   "only a part of the gateway's stream has been read",
   function (this: EntryWorld) {
--- a/packages/entry/tests/server/caller_server.feature
+++ b/packages/entry/tests/server/caller_server.feature
@@ -121,6 +121,18 @@
     When a caller disconnects after the first token
     Then the gateway's signal is aborted
 
+  # Guards against calls that run on for callers that have left.
+  Scenario Outline: A <request> that waits for an earlier one is cancelled when its caller disconnects while the gateway <answer>
+    Given a caller server whose gateway <answer>
+    When a caller disconnects that has sent a stream and a <request> in one packet
+    Then no request is in flight
+
+    Examples:
+      | request | answer                     |
+      | call    | never finishes the stream  |
+      | stream  | never finishes the stream  |
+      | stream  | streams 64 MB              |
+
   Scenario: A caller that does not read is throttled, then disconnected
     Given a caller server whose gateway streams 64 MB
     When a caller does not read its stream
--- a/packages/entry/tests/server/caller_server_steps.ts
+++ b/packages/entry/tests/server/caller_server_steps.ts
@@ -1,5 +1,7 @@
 /** Steps that start a server and send requests to it. */
 import assert from 'node:assert/strict';
+import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, When} from '@cucumber/cucumber';
 import {
   Deferred,
@@ -26,6 +28,8 @@
 } from '../fixtures/fake_gateway.js';
 
 const megabyte = 1024 * 1024;
+/** Time in which the server has handled what it has received. */
+const settleMs = 100;
 
 function createTokenEvent(index: number): CallEvent {
   const text = answerTokens[index % answerTokens.length] as string;
@@ -263,6 +267,15 @@
   },
 );
 
+function toText({method, path, headers = {}, body = ''}: TestRequest): string {
+  const lines = Object.entries(headers).map(
+    ([name, text]) => `${name}: ${text}`,
+  );
+  const length = `Content-Length: ${Buffer.byteLength(body)}`;
+  const head = [`${method} ${path} HTTP/1.1`, 'Host: entry', ...lines, length];
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+}
+
 async function openStream(fixture: EntryFixture) {
   const {path, headers, body} = createChatRequest({stream: true});
   const url = `${fixture.origin}${path}`;
@@ -279,6 +292,22 @@
   },
 );
 
+When(
+  /^a caller disconnects that has sent a stream and a (call|stream) in one packet$/,
+  async function (this: EntryWorld, second: string) {
+    const {origin, gateway} = this.fixture;
+    const requests = ['stream', second].map((kind) =>
+      toText(createChatRequest({stream: kind === 'stream'})),
+    );
+    const {hostname, port} = new URL(origin);
+    const socket = net.connect(Number(port), hostname);
+    socket.write(requests.join(''));
+    while (gateway.calls.length < requests.length) await sleep(1);
+    await sleep(settleMs);
+    socket.destroy();
+  },
+);
+
 When('a caller does not read its stream', async function (this: EntryWorld) {
   this.open = await openStream(this.fixture);
   let last = -1;
