Forget connections that close while a rejected request waits on them

Operators saw an entry VM use its whole grace period at a stop, and clients could cause it at will: one that had sent a request and half of another behind it, and left, was counted as connected until the process ended. Its socket and its requests stayed in memory.

The second request is rejected once its body ends with the connection. Its response, which waits for the first one, is not closed, so it is written, and for that the call asks whether its request was the last one read. That question added a state for the connection, which had been removed when it closed, and no further close removes the new one.

`ClientConnections.isLastRead` adds no state now.

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -95,8 +95,9 @@
    * @param request - Request that has not been answered.
    */
   isLastRead(request: IncomingMessage): boolean {
-    const {openRequests} = this.getState(request.socket);
-    return [...openRequests].at(-1) === request;
+    // A state that is added for a closed connection would never be removed.
+    const state = this.states.get(request.socket);
+    return state !== undefined && [...state.openRequests].at(-1) === request;
   }
 
   /**
--- a/packages/common/tests/utils/client_connections.feature
+++ b/packages/common/tests/utils/client_connections.feature
@@ -26,3 +26,9 @@
     Given a connection whose first request was answered before its body arrived
     When idle connections close, and then the body and a second request arrive
     Then both requests are answered
+
+  # Guards against processes that wait at their stop for connections that have closed.
+  Scenario: A connection that has closed is forgotten although a request of it is rejected later
+    Given a connection whose first request was answered
+    When it closes, and it is asked later whether its request was the last that was read
+    Then no connection is open
--- a/packages/common/tests/utils/client_connections_steps.ts
+++ b/packages/common/tests/utils/client_connections_steps.ts
@@ -12,6 +12,7 @@
   server: http.Server;
   connections: ClientConnections;
   client: Socket;
+  request: http.IncomingMessage;
   received: string;
   isClosed: boolean;
 }
@@ -55,6 +56,19 @@
   },
 );
 
+When(
+  'it closes, and it is asked later whether its request was the last that was read',
+  async function (this: ConnectionWorld) {
+    this.client.destroy();
+    await pause(settledMs);
+    this.connections.isLastRead(this.request);
+  },
+);
+
+Then('no connection is open', function (this: ConnectionWorld) {
+  assert.equal(this.connections.count, 0);
+});
+
 Then('both requests are answered', async function (this: ConnectionWorld) {
   await pause(settledMs);
   assert.equal(countAnswers(this), 2);
@@ -70,7 +84,8 @@
 );
 
 async function startServer(world: ConnectionWorld): Promise<void> {
-  const server = http.createServer((_request, response) => {
+  const server = http.createServer((incoming, response) => {
+    world.request = incoming;
     response.end('answer');
   });
   world.server = server;
