Do not keep answered requests of clients that always send ahead

A client that sends each request before the one before is answered made an entry process (and `marigoldpost serve`) keep the heads of all its requests in memory, until it pauses or leaves; one connection suffices, and the limits on connections and on requests ahead hold.

`ClientConnections` has the response before a request in a WeakMap by that request. The response refers to its own request, so that the newest request kept all before it. The entry is now removed once the response to the request has been sent; nothing waits for the earlier one then.

Test (client_connections.feature): 20 of 20 requests kept before, at most 2 now.

--- a/packages/common/src/utils/client_connections.ts
+++ b/packages/common/src/utils/client_connections.ts
@@ -204,6 +204,9 @@
     const update = () => {
       state.idleAtBytes = socket.bytesRead;
       if (!response.closed) return;
+      // Else each request would keep all that came before it in memory, as long
+      // as a client sends ahead.
+      this.earlierResponses.delete(request);
       if (state.lastResponse === response) state.lastResponse = undefined;
       // The rest of a body that nobody needs may follow the response.
       if (request.complete || request.closed) {
--- a/packages/common/tests/utils/client_connections.feature
+++ b/packages/common/tests/utils/client_connections.feature
@@ -32,3 +32,9 @@
     Given a connection whose first request was answered
     When it closes, and it is asked later whether its request was the last that was read
     Then no connection is open
+
+  # Guards against a process that runs out of memory while clients send requests ahead.
+  Scenario: Requests that were answered are not kept while others always wait behind them
+    Given a connection whose first request was answered
+    When 20 requests arrive on it, each before the one before is answered
+    Then only requests that have not been answered are kept
--- a/packages/common/tests/utils/client_connections_steps.ts
+++ b/packages/common/tests/utils/client_connections_steps.ts
@@ -4,6 +4,8 @@
 import http from 'node:http';
 import net, {type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {ClientConnections} from '@marigoldpost/common';
 import {addCleanup} from '../fixtures/cleanup.js';
@@ -13,6 +15,9 @@
   connections: ClientConnections;
   client: Socket;
   request: http.IncomingMessage;
+  answer: (response: http.ServerResponse) => void;
+  /** Requests that are in memory, of those that arrived one behind another. */
+  kept: WeakRef<http.IncomingMessage>[];
   received: string;
   isClosed: boolean;
 }
@@ -65,6 +70,39 @@
   },
 );
 
+When(
+  '{int} requests arrive on it, each before the one before is answered',
+  async function (this: ConnectionWorld, count: number) {
+    this.kept = [];
+    let waiting: http.ServerResponse | undefined;
+    this.answer = (response) => {
+      this.kept.push(new WeakRef(response.req));
+      waiting?.end('answer');
+      waiting = response;
+    };
+    for (let sent = 1; sent <= count; sent++) {
+      this.client.write(request);
+      while (this.kept.length < sent) await pause(1);
+    }
+  },
+);
+
+Then(
+  'only requests that have not been answered are kept',
+  async function (this: ConnectionWorld) {
+    setFlagsFromString('--expose-gc');
+    const collectGarbage = runInNewContext('gc') as () => void;
+    await pause(settledMs);
+    collectGarbage();
+    const kept = this.kept.filter((one) => one.deref() !== undefined);
+    // The last has not been answered; Node.js keeps the one before for a while.
+    assert.ok(
+      kept.length <= 2,
+      `${kept.length} of ${this.kept.length} requests`,
+    );
+  },
+);
+
 Then('no connection is open', function (this: ConnectionWorld) {
   assert.equal(this.connections.count, 0);
 });
@@ -86,8 +124,9 @@
 async function startServer(world: ConnectionWorld): Promise<void> {
   const server = http.createServer((incoming, response) => {
     world.request = incoming;
-    response.end('answer');
+    world.answer(response);
   });
+  world.answer = (response) => response.end('answer');
   world.server = server;
   world.connections = ClientConnections.create(server);
   server.listen(0, '127.0.0.1');
