Count requests that are sent behind a response that closes their connection

A client could send any number of requests behind a stream whose head closes the connection (an entry VM that drains, or that reaches no archives) until the stream ended: the limit on requests ahead and that on pending requests did not hold there. By reading, Node.js keeps the head and the response of each meanwhile; the memory was not measured.

Requests on such a connection were discarded before they were counted.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,7 +9,10 @@
 export type {ResponseAllowance} from './responses/response_allowance.js';
 export * from './responses/silence_watch.js';
 export * from './responses/stream_relay.js';
-export {writeResponse} from './responses/write_response.js';
+export {
+  getConnectionHeaders,
+  writeResponse,
+} from './responses/write_response.js';
 export type {TargetBody} from './responses/target_body.js';
 export * from './calls/body_reader.js';
 export * from './calls/call_handler.js';
--- a/packages/gateway/src/server/gateway_server.ts
+++ b/packages/gateway/src/server/gateway_server.ts
@@ -48,12 +48,12 @@
     const {server} = this;
     this.guarded = guard && GuardedConnections.create({...guard, server});
     this.server.on('request', (request, response) => {
+      if (this.guarded?.addRequest(request, response) === false) return;
       if (isConnectionClosing(request.socket)) {
         // Bytes that are not read would reset the connection when it closes.
         request.resume();
         return;
       }
-      if (this.guarded?.addRequest(request, response) === false) return;
       void handler.handle(request, response, {
         isLastRead: () => this.connections.isLastRead(request),
         waitForEarlierResponses: () =>
--- a/packages/gateway/tests/calls/call_handler.feature
+++ b/packages/gateway/tests/calls/call_handler.feature
@@ -19,3 +19,9 @@
     When a client sends a second call while the response to the first is sent
     Then the server has handled 1 call
     And the client gets one whole response
+
+  # Guards against clients that fill the memory behind a stream that closes their connection.
+  Scenario: Calls that are sent behind a response that closes its connection count as sent ahead
+    Given a server whose responses close their connections and do not end
+    When a client sends 200 calls, the others once the response to the first has begun
+    Then its connection is reset
--- a/packages/gateway/tests/calls/call_handler_steps.ts
+++ b/packages/gateway/tests/calls/call_handler_steps.ts
@@ -4,11 +4,18 @@
 import net, {type AddressInfo} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
-import {type DaemonId, SystemClock, toId} from '@marigoldpost/common';
+import {
+  clientPortShare,
+  type DaemonId,
+  getConnectionLimits,
+  SystemClock,
+  toId,
+} from '@marigoldpost/common';
 import {
   CallHandler,
   type CallServices,
   GatewayServer,
+  getConnectionHeaders,
   writeResponse,
 } from '@marigoldpost/gateway';
 import {EventLogger, Metrics} from '@marigoldpost/telemetry';
@@ -21,9 +28,11 @@
   failures: number;
   /** Number of requests that the handler was given. */
   handled: number;
+  isReset: boolean;
 }
 
 const host = '127.0.0.1';
+const memoryMb = 178;
 const idHeader = 'x-request-id';
 /** Time in which the server reads what a client has sent. */
 const sendPauseMs = 100;
@@ -162,6 +171,55 @@
   },
 );
 
+Given(
+  'a server whose responses close their connections and do not end',
+  async function (this: HandlerWorld) {
+    const handler = {
+      handle: (_request: http.IncomingMessage, response: ServerResponse) => {
+        response.writeHead(200, getConnectionHeaders(response, true));
+        response.flushHeaders();
+      },
+    };
+    this.server = GatewayServer.create(handler as unknown as CallHandler, {
+      port: 'clients',
+      limits: getConnectionLimits({memoryMb}, clientPortShare),
+      clock: SystemClock.create(),
+      logger: EventLogger.create({
+        level: 'error',
+        daemon: toId<DaemonId>('entry-0'),
+        destination: {write: () => undefined},
+      }),
+      metrics: Metrics.create(),
+    });
+    this.port = await findFreePort();
+    await this.server.listen({host, port: this.port});
+    addCleanup(this, () => Promise.resolve(this.server.close()));
+  },
+);
+
+When(
+  'a client sends {int} calls, the others once the response to the first has begun',
+  async function (this: HandlerWorld, count: number) {
+    const call = 'GET / HTTP/1.1\r\nHost: calls\r\n\r\n';
+    const socket = net.connect({host, port: this.port});
+    this.isReset = false;
+    socket.once('error', () => {
+      this.isReset = true;
+    });
+    socket.write(call);
+    await new Promise((resolve) => {
+      socket.once('data', resolve);
+    });
+    socket.write(call.repeat(count - 1));
+    await pause(sendPauseMs);
+    socket.destroy();
+  },
+);
+
+Then('its connection is reset', function (this: HandlerWorld) {
+  assert.ok(this.isReset);
+});
+
 Then(
   'the server has handled {int} call',
   function (this: HandlerWorld, count: number) {
