Log connections that the peers' port refuses or ends

Operators saw connections of daemons reset without a line in the log: the limits of the peers' port (full, replaced, pipelined, buffered) only added to a counter. The clients', relay, metrics and readiness ports log event 2130 once in 5 s.

Cause: the counts and the line stood in the guard of HTTP servers, which the peers' port does not use. Change: `ConnectionEndLog` counts and logs for both; event 2130 states `buffered` as well, and its message no longer names clients, as no port but one has them.

Test: three rows of served_connections.feature; without the flush of the peers' port, as before, all three fail ("one line", 0 for 1), now they pass.

--- a/packages/gateway/src/server/guarded_connections.ts
+++ b/packages/gateway/src/server/guarded_connections.ts
@@ -9,13 +9,15 @@
   resetSocket,
   type Timer,
 } from '@marigoldpost/common';
-import type {EventLogger, Metrics} from '@marigoldpost/telemetry';
+import {
+  ConnectionEndLog,
+  connectionEndLogIntervalMs,
+  type EventLogger,
+  type Metrics,
+} from '@marigoldpost/telemetry';
 import {InputPacer} from './input_pacer.js';
 import {type OutputState, StalledWrites} from './stalled_writes.js';
 
-/** Interval at which the output of connections is checked. */
-const checkIntervalMs = 5000;
-
 /** Server, limits and log. */
 export interface GuardedConnectionsOptions {
   readonly server: http.Server;
@@ -35,13 +37,13 @@
   private readonly guard: ConnectionGuard<Socket>;
   private readonly stalls = StalledWrites.create<Socket>();
   private readonly sockets = new Set<Socket>();
-  /** Connections that were ended since the last line of the log. */
-  private readonly ended = new Map<ConnectionEnd, number>();
+  private readonly endLog: ConnectionEndLog;
   private timer: Timer | undefined;
 
   private constructor(private readonly options: GuardedConnectionsOptions) {
     const {server, clock, limits} = options;
     this.guard = ConnectionGuard.create(clock, limits);
+    this.endLog = ConnectionEndLog.create(options);
     server.prependListener('connection', (socket: Socket) =>
       this.accept(socket),
     );
@@ -96,9 +98,7 @@
   }
 
   private end(socket: Socket, reason: ConnectionEnd): void {
-    this.ended.set(reason, (this.ended.get(reason) ?? 0) + 1);
-    const {port, metrics} = this.options;
-    metrics.addToCounter('connections_ended_total', {port, reason});
+    this.endLog.record(reason);
     this.scheduleCheck();
     // A reset frees what the kernel holds for the connection at once.
     resetSocket(socket);
@@ -106,7 +106,7 @@
 
   private scheduleCheck(): void {
     if (this.timer !== undefined) return;
-    this.timer = this.options.clock.setTimer(checkIntervalMs, () => {
+    this.timer = this.options.clock.setTimer(connectionEndLogIntervalMs, () => {
       this.timer = undefined;
       this.check();
     });
@@ -127,22 +127,7 @@
     if (this.guard.isScarce) {
       for (const socket of stalled) this.end(socket, 'stalled');
     }
-    if (this.ended.size > 0) this.logEnded();
+    this.endLog.flush(this.guard);
     if (this.sockets.size > 0) this.scheduleCheck();
   }
-
-  private logEnded(): void {
-    const get = (reason: ConnectionEnd) => this.ended.get(reason) ?? 0;
-    this.options.logger.log('connections_ended', {
-      port: this.options.port,
-      open: this.guard.connectionCount,
-      pendingRequests: this.guard.pendingCount,
-      full: get('full'),
-      replaced: get('replaced'),
-      pipelined: get('pipelined'),
-      stalled: get('stalled'),
-      costly: get('costly'),
-    });
-    this.ended.clear();
-  }
 }
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -15,6 +15,7 @@
   WatchGroup,
 } from '@marigoldpost/platform';
 import type {NodeSettings} from '@marigoldpost/sites';
+import {ConnectionEndLog} from '@marigoldpost/telemetry';
 import {
   ArchiveDirectory,
   ArchivePool,
@@ -94,10 +95,7 @@
           maxFrameBytes,
           settings.memoryMb * bytesPerMb * heldShare,
         ),
-        onEnded: (reason) => {
-          const labels = {port: 'peers', reason};
-          metrics.addToCounter('connections_ended_total', labels);
-        },
+        endLog: ConnectionEndLog.create({port: 'peers', logger, metrics}),
       },
     });
     this.metricsPage = PageServer.create(
--- a/packages/peers/src/messages/message_transport.ts
+++ b/packages/peers/src/messages/message_transport.ts
@@ -65,7 +65,7 @@
     maxPending: Infinity,
   },
   maxHeldBytes: Infinity,
-  onEnded: () => undefined,
+  endLog: undefined,
 };
 
 /** Serves requests of peers and sends requests over one link for each peer. */
--- a/packages/peers/src/messages/served_connections.ts
+++ b/packages/peers/src/messages/served_connections.ts
@@ -6,15 +6,20 @@
   ConnectionGuard,
   type ConnectionLimits,
   resetSocket,
+  type Timer,
 } from '@marigoldpost/common';
+import {
+  type ConnectionEndLog,
+  connectionEndLogIntervalMs,
+} from '@marigoldpost/telemetry';
 
 /** Limits on the connections that peers open. */
 export interface PeerPortLimits {
   readonly connections: ConnectionLimits;
   /** Bytes of all requests that arrive and unsent replies together. */
   readonly maxHeldBytes: number;
-  /** Is told why a connection was refused or ended. */
-  readonly onEnded: (reason: ConnectionEnd) => void;
+  /** Tells operators of connections that were refused or ended. */
+  readonly endLog: ConnectionEndLog | undefined;
 }
 
 /** Open connections of a port, and the bytes that the process holds for them. */
@@ -22,9 +27,10 @@
   private readonly guard: ConnectionGuard<Socket>;
   private readonly heldBytes = new Map<Socket, number>();
   private totalBytes = 0;
+  private logTimer: Timer | undefined;
 
   private constructor(
-    clock: Clock,
+    private readonly clock: Clock,
     private readonly limits: PeerPortLimits,
   ) {
     this.guard = ConnectionGuard.create(clock, limits.connections);
@@ -93,6 +99,7 @@
 
   /** Closes every connection. */
   close(): void {
+    this.logTimer?.cancel();
     for (const socket of this.guard.keys()) socket.destroy();
   }
 
@@ -109,11 +116,20 @@
   }
 
   private end(socket: Socket, reason: ConnectionEnd): void {
-    this.limits.onEnded(reason);
+    this.limits.endLog?.record(reason);
+    this.scheduleLog();
     this.remove(socket);
     resetSocket(socket);
   }
 
+  private scheduleLog(): void {
+    if (this.logTimer !== undefined) return;
+    this.logTimer = this.clock.setTimer(connectionEndLogIntervalMs, () => {
+      this.logTimer = undefined;
+      this.limits.endLog?.flush(this.guard);
+    });
+  }
+
   private remove(socket: Socket): void {
     this.guard.remove(socket);
     this.totalBytes -= this.heldBytes.get(socket) ?? 0;
--- a/packages/telemetry/src/events/client_events.ts
+++ b/packages/telemetry/src/events/client_events.ts
@@ -31,7 +31,7 @@
   connections_ended: define(
     2130,
     'warn',
-    'Connections of clients were refused or ended to save resources',
+    'Connections were refused or ended to save resources',
     {
       port: 'string',
       open: 'number',
@@ -40,6 +40,7 @@
       replaced: 'number',
       pipelined: 'number',
       stalled: 'number',
+      buffered: 'number',
       costly: 'number',
     },
   ),
--- a/packages/telemetry/src/metrics/metric_catalogue.ts
+++ b/packages/telemetry/src/metrics/metric_catalogue.ts
@@ -46,7 +46,7 @@
   ]),
   connections_ended_total: define(
     'counter',
-    'Connections of clients that were refused or ended to save resources',
+    'Connections that were refused or ended to save resources',
     ['port', 'reason'],
   ),
   key_refusals_total: define('counter', 'Calls without a key in force', [
