Do not eject targets whose plain responses a short deadline ends

Callers saw calls rejected or placed elsewhere: eight clients with a deadline of 300 ms at routes whose time-out is 1,200 ms got both tools of a service ejected, although a response that takes longer is allowed there. A few such clients could keep all targets of a service ejected.

Change: the body counts as silence too, if the client's deadline is shorter than the time-out of the route. After three in a row the target is avoided for 250 ms, as long as its first ejection lasted, then it gets one request at a time until it answers. At the time-out of the route, a body counts as broken as before. Retries, statuses and crash records are the same.

Test: two of three rows (booking, status; streams were right) failed with two target_ejected events, result broken; none now.

--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -175,6 +175,13 @@
     return limitMs - this.elapsedMs;
   }
 
+  /** Whether the client's deadline ended the call before the route's time-out. */
+  get hasMissedDeadline(): boolean {
+    const {attributes, route} = this.options;
+    const {deadlineMs = Number.POSITIVE_INFINITY} = attributes;
+    return this.reason === 'timeout' && deadlineMs < route.timeoutMs;
+  }
+
   /** Whether a response could still reach the client. */
   get canBeAnswered(): boolean {
     return this.reason !== 'client_gone' && this.reason !== 'connection_closed';
--- a/packages/gateway/src/calls/target_attempts.ts
+++ b/packages/gateway/src/calls/target_attempts.ts
@@ -29,7 +29,7 @@
 import type {IncomingCall} from './incoming_call.js';
 import type {TargetRun} from './recent_crashes.js';
 import type {AttemptRelay} from './target_sender.js';
-import {targetResults} from './target_results.js';
+import {getBrokenResult, targetResults} from './target_results.js';
 import {TrackedRequest} from './tracked_request.js';
 
 /** Targets that may reject one call before the client gets an error. */
@@ -152,8 +152,7 @@
     body?: BodyFields,
   ): void {
     this.excluded.add(lease.target.id);
-    // A target whose response its client has abandoned is not at fault.
-    const result = this.call.canBeAnswered ? 'broken' : 'cancelled';
+    const result = getBrokenResult(this.call, body);
     this.release(lease, {result});
     this.logFailure(lease, result, true, message, body);
   }
