Test that a request whose relay resets its connection counts as sent

Looked for: requests that are promised not to have run, or handed to another entry VM, though a relay that is full has reset their connections after it may have sent them. Only a connection that did not open, or a refusal that says so, counts as not sent; a reset later counts as sent, so that only requests that may be repeated are sent again, and others get 502, which promises nothing.

A reset that precedes the connection's opening at the sender is a failed connect: the request is handed on, as nothing has been written.

--- a/packages/gateway/tests/calls/target_sender_steps.ts
+++ b/packages/gateway/tests/calls/target_sender_steps.ts
@@ -1,7 +1,7 @@
 /** Steps for requests to a target that their entry VM does not reach. */
 import assert from 'node:assert/strict';
-import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import http, {type IncomingMessage} from 'node:http';
+import {type AddressInfo, Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {Given, Then, When, type World} from '@cucumber/cucumber';
 import {
@@ -41,6 +41,7 @@
 const daemon = toId<DaemonId>('entry-0');
 const headTimeoutMs = 1000;
 const badGatewayStatus = 502;
+const resetDelayMs = 20;
 
 Given(
   /^(\d+) other entry VMs, of which (\d+) reach(?:es)? the target$/,
@@ -51,11 +52,27 @@
     for (let index = 1; index <= Number(count); index++) {
       const reaches = index <= Number(reaching);
       const port = await startPeer(this, reaches);
-      this.entryVms.push({
-        daemon: toId<DaemonId>(`entry-${index}`),
-        dataCentre,
-        relayAddress: `http://${host}:${port}`,
+      this.entryVms.push(createMember(index, port));
+    }
+  },
+);
+
+Given(
+  /^(\d+) other entry VMs that reset connections once (they have opened|the request has arrived)$/,
+  async function (this: SenderWorld, count: string, when: string) {
+    this.outcomes = [];
+    this.asked = 0;
+    const event = when === 'they have opened' ? 'connection' : 'request';
+    this.entryVms = [];
+    for (let index = 1; index <= Number(count); index++) {
+      const server = http.createServer();
+      server.on(event, (source: Socket | IncomingMessage) => {
+        this.asked += 1;
+        const socket = source instanceof Socket ? source : source.socket;
+        // A connection that is reset at once does not open at its sender.
+        setTimeout(() => socket.resetAndDestroy(), resetDelayMs);
       });
+      this.entryVms.push(createMember(index, await listen(this, server)));
     }
   },
 );
@@ -101,6 +118,21 @@
   },
 );
 
+Then('each of the requests counts as sent', function (this: SenderWorld) {
+  for (const outcome of this.outcomes) {
+    assert.ok(outcome.kind === 'failed');
+    assert.equal(outcome.isSent, true, outcome.message);
+  }
+});
+
+function createMember(index: number, port: number): RelayMember {
+  return {
+    daemon: toId<DaemonId>(`entry-${index}`),
+    dataCentre,
+    relayAddress: `http://${host}:${port}`,
+  };
+}
+
 async function startPeer(
   world: SenderWorld,
   reaches: boolean,
@@ -122,6 +154,13 @@
     const headers = [...failure, 'Content-Length', '0'];
     response.writeHead(badGatewayStatus, headers).end();
   });
+  return listen(world, server);
+}
+
+async function listen(
+  world: SenderWorld,
+  server: http.Server,
+): Promise<number> {
   await new Promise<void>((resolve) => {
     server.listen(0, host, resolve);
   });
