Let reads of chains wait for room instead of resetting peers

Cause: all requests that arrive begin at once; replies are counted when they exist, and the only answer to too many is a reset of the connection that holds most.

Change: an archive states that the reply to `fetchChain` may have 512 KiB, and `ReplyGate` begins such reads while these and unsent replies stay below half of the bound (32 reads at a time on the smallest VMs). Later ones wait; a connection without outstanding replies always begins one, so that peers that read nothing delay no others. Other requests, entry processes and wire messages are unchanged, and so is the bound.

Test: two scenarios of served_connections.feature on sockets, with a bound of 400 kB and replies of 20 kB.

--- a/packages/nodes/src/archive/archive_node.ts
+++ b/packages/nodes/src/archive/archive_node.ts
@@ -9,6 +9,7 @@
   archivePrefix,
   ArchiveRepairer,
   ArchiveService,
+  getMaxReplyBytes,
   decodeReservationsOrThrow,
   DiskLogFolder,
   ObjectImporter,
@@ -65,7 +66,7 @@
   private readonly onIgnored: (object: StoredObject) => void;
 
   private constructor(options: NodeOptions) {
-    super(options, archivePortShare);
+    super(options, archivePortShare, getMaxReplyBytes);
     this.onIgnored = createIgnoredObjectLog(options.logger);
   }
 
--- a/packages/nodes/src/site_node.ts
+++ b/packages/nodes/src/site_node.ts
@@ -6,7 +6,11 @@
   type PortShare,
 } from '@marigoldpost/common';
 import {type GuardOptions, type Page, PageServer} from '@marigoldpost/gateway';
-import {maxFrameBytes, MessageTransport} from '@marigoldpost/peers';
+import {
+  maxFrameBytes,
+  MessageTransport,
+  type PeerRequestBody,
+} from '@marigoldpost/peers';
 import {
   type ChangeSource,
   type ObjectListener,
@@ -72,6 +76,7 @@
   protected constructor(
     protected readonly options: NodeOptions,
     peerShare: PortShare,
+    getReplyBytes?: (request: PeerRequestBody) => number,
   ) {
     const {settings, clock, random, metrics, logger, platform} = options;
     const {store} = platform;
@@ -95,6 +100,7 @@
           maxFrameBytes,
           settings.memoryMb * bytesPerMb * heldShare,
         ),
+        getReplyBytes,
         endLog: ConnectionEndLog.create({port: 'peers', logger, metrics}),
       },
     });
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -12,5 +12,6 @@
 export * from './transport/tls_material.js';
 export {maxFrameBytes} from './messages/message_framer.js';
 export * from './messages/message_transport.js';
+export type {PeerPortLimits} from './messages/served_connections.js';
 export * from './messages/quarantine_codec.js';
 export * from './messages/target_limit_codec.js';
--- a/packages/peers/src/messages/message_transport.ts
+++ b/packages/peers/src/messages/message_transport.ts
@@ -142,15 +142,19 @@
     socket.on('error', () => undefined);
     if (!this.served.add(socket)) return;
     const updateHeldBytes = () => {
-      const bytes = framer.announcedBytes + socket.writableLength;
-      this.served.setHeldBytes(socket, bytes);
+      this.served.setHeldBytes(socket, {
+        arrivingBytes: framer.announcedBytes,
+        unsentBytes: socket.writableLength,
+      });
     };
     const handleFrame = (frame: PeerFrame) => {
       if (frame.body.case !== 'request') return;
       if (!this.served.addRequest(socket)) return;
-      void this.answer(framer, frame, handler).finally(() => {
-        this.served.endRequest(socket);
-        updateHeldBytes();
+      this.served.beginRequest(socket, frame.body.value.body, (onEnded) => {
+        void this.answer(framer, frame, handler).finally(() => {
+          updateHeldBytes();
+          onEnded();
+        });
       });
     };
     const framer = MessageFramer.attach(socket, handleFrame, updateHeldBytes);
--- a/packages/peers/src/messages/served_connections.ts
+++ b/packages/peers/src/messages/served_connections.ts
@@ -12,19 +12,37 @@
   type ConnectionEndLog,
   connectionEndLogIntervalMs,
 } from '@marigoldpost/telemetry';
+import type {PeerRequestBody} from '../transport/peer_transport.js';
+import {ReplyGate} from './reply_gate.js';
+
+/**
+ * Part of the held bytes that replies may take before peers with outstanding ones
+ * get no others; the rest is left to requests and to peers without.
+ */
+const replyShare = 0.5;
 
 /** Limits on the connections that peers open. */
 export interface PeerPortLimits {
   readonly connections: ConnectionLimits;
   /** Bytes of all requests that arrive and unsent replies together. */
   readonly maxHeldBytes: number;
+  /** Gets the most bytes of a reply that may be large; 0 for others. */
+  readonly getReplyBytes?: (request: PeerRequestBody) => number;
   /** Tells operators of connections that were refused or ended. */
   readonly endLog: ConnectionEndLog | undefined;
 }
 
+/** Bytes that the process holds for a connection. */
+export interface HeldBytes {
+  /** Of the request that arrives, as far as it has announced them. */
+  readonly arrivingBytes: number;
+  readonly unsentBytes: number;
+}
+
 /** Open connections of a port, and the bytes that the process holds for them. */
 export class ServedConnections {
   private readonly guard: ConnectionGuard<Socket>;
+  private readonly gate: ReplyGate<Socket>;
   private readonly heldBytes = new Map<Socket, number>();
   private totalBytes = 0;
   private logTimer: Timer | undefined;
@@ -34,6 +52,7 @@
     private readonly limits: PeerPortLimits,
   ) {
     this.guard = ConnectionGuard.create(clock, limits.connections);
+    this.gate = ReplyGate.create(limits.maxHeldBytes * replyShare);
   }
 
   /**
@@ -73,28 +92,45 @@
   }
 
   /**
-   * Counts a request that has been answered.
+   * Begins a request that has been counted, once there is room for its reply; never
+   * if its connection closes before.
    * @param socket - Connection of the request.
+   * @param request - The request.
+   * @param begin - Called at most once, with the function to call when the reply
+   *   counts among the held bytes.
    */
-  endRequest(socket: Socket): void {
-    this.guard.endRequest(socket);
+  beginRequest(
+    socket: Socket,
+    request: PeerRequestBody,
+    begin: (onEnded: () => void) => void,
+  ): void {
+    const replyBytes = this.limits.getReplyBytes?.(request) ?? 0;
+    const onEnded = () => {
+      this.guard.endRequest(socket);
+      this.gate.end(socket, replyBytes);
+    };
+    if (replyBytes === 0) begin(onEnded);
+    else this.gate.add(socket, replyBytes, () => begin(onEnded));
   }
 
   /**
    * Sets what is held for a connection. Resets the one for which most is held if
    * all together exceed the limit.
    * @param socket - Connection that has received or sent.
-   * @param bytes - Bytes of the request that arrives and of unsent replies.
+   * @param held - Bytes of the request that arrives and of unsent replies.
    */
-  setHeldBytes(socket: Socket, bytes: number): void {
+  setHeldBytes(socket: Socket, {arrivingBytes, unsentBytes}: HeldBytes): void {
     if (socket.destroyed) return;
+    const bytes = arrivingBytes + unsentBytes;
     this.totalBytes += bytes - (this.heldBytes.get(socket) ?? 0);
     if (bytes === 0) this.heldBytes.delete(socket);
     else this.heldBytes.set(socket, bytes);
-    if (this.totalBytes <= this.limits.maxHeldBytes) return;
+    const isExceeded = this.totalBytes > this.limits.maxHeldBytes;
     // A single message finds room, however large it is.
-    if (this.heldBytes.size < 2) return;
-    this.end(this.findLargest(socket), 'buffered');
+    if (isExceeded && this.heldBytes.size > 1) {
+      this.end(this.findLargest(socket), 'buffered');
+    }
+    if (!socket.destroyed) this.gate.setUnsentBytes(socket, unsentBytes);
   }
 
   /** Closes every connection. */
@@ -134,5 +170,6 @@
     this.guard.remove(socket);
     this.totalBytes -= this.heldBytes.get(socket) ?? 0;
     this.heldBytes.delete(socket);
+    this.gate.remove(socket);
   }
 }
--- a/packages/turns/src/archive/archive.ts
+++ b/packages/turns/src/archive/archive.ts
@@ -49,7 +49,7 @@
 /** Limit of the ledger entries in one part; bounds the size of a message. */
 const maxPartEntries = 4000;
 /** Limit of the bytes of turns in one part of a chain, unless it is one turn. */
-const maxChainPartBytes = 512 * 1024;
+export const maxChainPartBytes = 512 * 1024;
 
 /** A part of the ledgers of an archive. */
 export interface LedgerPart {
--- a/packages/turns/src/archive/archive_service.ts
+++ b/packages/turns/src/archive/archive_service.ts
@@ -25,7 +25,7 @@
   toLedgerMessage,
   toTurnMessage,
 } from '../records/turn_codec.js';
-import type {Archive} from './archive.js';
+import {type Archive, maxChainPartBytes} from './archive.js';
 
 const acknowledgement: PeerReplyBody = {
   case: 'acknowledgement',
@@ -53,6 +53,14 @@
   readonly isComplete: (supersededDisks: readonly DiskId[]) => boolean;
 }
 
+/**
+ * Gets the most bytes of a reply that may be large; 0 for others.
+ * @param request - Request of a peer.
+ */
+export function getMaxReplyBytes({case: kind}: PeerRequestBody): number {
+  return kind === 'fetchChain' ? maxChainPartBytes : 0;
+}
+
 /** Maps peer requests to operations of one archive. */
 export class ArchiveService {
   private readonly archive: Archive;
