--- a/packages/gateway/tests/calls/call_handler_steps.ts
+++ b/packages/gateway/tests/calls/call_handler_steps.ts
@@ -210,9 +210,11 @@
     await new Promise((resolve) => {
       socket.once('data', resolve);
     });
+    addCleanup(this, () => Promise.resolve(void socket.destroy()));
     socket.write(call.repeat(count - 1));
-    await pause(sendPauseMs);
-    socket.destroy();
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
   },
 );
 
--- a/packages/peers/tests/messages/served_connections_steps.ts
+++ b/packages/peers/tests/messages/served_connections_steps.ts
@@ -25,13 +25,14 @@
   clock: VirtualClock;
   port: number;
   lines: string[];
+  metrics: Metrics;
   results: Array<PromiseSettledResult<unknown>>;
 }
 
 const host = '127.0.0.1';
 const logIntervalMs = 5000;
 /** Time in which the port has read what was sent. */
-const settleMs = 50;
+const settleMs = 200;
 /** Time in which a reply is read from a disk. */
 const readMs = 2;
 const replyTimeoutMs = 10_000;
@@ -75,7 +76,7 @@
     socket.pause();
     const frames = Array.from({length: requests}, () => createFrame(1));
     socket.write(Buffer.concat(frames));
-    await sleep(settleMs * 4);
+    await sleep(settleMs);
   },
 );
 
@@ -124,13 +125,14 @@
       // The last byte is missing, so that a single request is held.
       socket.write(requests === 1 ? frames.subarray(0, -1) : frames);
     }
-    await sleep(settleMs);
   },
 );
 
 Then(
   /^the port logs within 5 s that it has ended (\d+) connections, each as (\w+)$/,
   async function (this: ServedWorld, count: string, reason: string) {
+    const counter = `connections_ended_total{port="peers",reason="${reason}"} ${count}`;
+    while (!this.metrics.renderExposition().includes(counter)) await sleep(1);
     assert.equal(this.lines.length, 0);
     await this.clock.advance(logIntervalMs);
     assert.equal(this.lines.length, 1, 'one line');
@@ -163,6 +165,7 @@
     destination: {write: (line) => world.lines.push(line)},
   });
   const metrics = Metrics.create();
+  world.metrics = metrics;
   const endLog = ConnectionEndLog.create({port: 'peers', logger, metrics});
   const transport = MessageTransport.create({
     daemon,
